--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,19 @@
+//! Decisions: pure functions of what is known of the fleet, the rules and the present time.
+
+pub(crate) mod apply;
+pub(crate) mod baseline;
+pub(crate) mod budget;
+pub(crate) mod claim;
+pub(crate) mod order;
+pub(crate) mod place;
+pub(crate) mod plan;
+pub(crate) mod pools;
+pub(crate) mod rehearse;
+pub(crate) mod rendezvous;
+pub(crate) mod repair;
+pub(crate) mod route;
+pub(crate) mod rules;
+pub(crate) mod wave;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/decide/budget.rs
@@ -0,0 +1,151 @@
+//! Availability budgets: which tasks count as unavailable, and whether a host may leave.
+//!
+//! A host may leave only if each service that it carries would stay within its budget even if the
+//! service's worst single failure domain were lost on top of all that is unavailable then. Spare
+//! for random failures and spare for maintenance are one and the same: what a failure takes, no
+//! permit gets.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    decide::rules::Rules,
+    model::{
+        config::{Domain, Service},
+        fleet::{Fleet, TaskRef},
+        host::HostState,
+        id::{HostId, RackId, ServiceId, ZoneId},
+        record::Placement,
+        unit::Time,
+    },
+};
+
+/// How a service stands against its budget.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Standing {
+    /// Tasks that count as unavailable, by index.
+    pub(crate) down: BTreeSet<u32>,
+    up_by_rack: BTreeMap<RackId, u32>,
+    up_by_zone: BTreeMap<ZoneId, u32>,
+    by_zone: bool,
+    pub(crate) max_down: u32,
+}
+
+/// Why a permit is refused.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "service {service}: {out} of its tasks would be out and {reserve} more could be lost with one \
+     failure domain, but its budget is {max_down}"
+)]
+pub(crate) struct OverBudget {
+    pub(crate) service: ServiceId,
+    /// Tasks that would be unavailable.
+    pub(crate) out: u32,
+    /// Available tasks in the worst failure domain.
+    pub(crate) reserve: u32,
+    pub(crate) max_down: u32,
+}
+
+/// Whether a task is available now. Whatever is not known for certain is not available.
+pub(crate) fn is_up(fleet: &Fleet, task: &TaskRef, now: Time, rules: &Rules) -> bool {
+    let Some(assigned) = fleet.assigned(task) else {
+        return false;
+    };
+    let serving =
+        fleet.hosts.get(&assigned.host).is_some_and(|host| host.state == HostState::Serving);
+    let live = fleet.is_live(&assigned.host, now, rules.list_limit);
+    serving && live && fleet.reported(task).is_some_and(|report| report.ready)
+}
+
+/// How a service stands now.
+pub(crate) fn standing(
+    fleet: &Fleet,
+    id: &ServiceId,
+    service: &Service,
+    now: Time,
+    rules: &Rules,
+) -> Standing {
+    let mut standing = Standing {
+        max_down: service.max_down,
+        by_zone: service.survive == Domain::Zone,
+        ..Standing::default()
+    };
+    let empty = Placement::default();
+    let placement = fleet.placements.get(id).unwrap_or(&empty);
+    let permitted: BTreeSet<u32> =
+        placement.permits.values().flat_map(|permit| permit.tasks.iter().copied()).collect();
+    for index in 0..service.tasks {
+        let task = TaskRef { service: id.clone(), index };
+        let up = !permitted.contains(&index) && is_up(fleet, &task, now, rules);
+        let report = fleet.assigned(&task).and_then(|a| fleet.reports.get(&a.host));
+        match report {
+            Some(report) if up => {
+                *standing.up_by_rack.entry(report.rack.clone()).or_default() += 1;
+                *standing.up_by_zone.entry(report.zone.clone()).or_default() += 1;
+            }
+            _ => {
+                standing.down.insert(index);
+            }
+        }
+    }
+    standing
+}
+
+impl Standing {
+    /// Available tasks in the failure domain that holds the most of them.
+    pub(crate) fn reserve(&self) -> u32 {
+        let rack = self.up_by_rack.values().copied().max().unwrap_or(0);
+        let zone = self.up_by_zone.values().copied().max().unwrap_or(0);
+        if self.by_zone { zone.max(rack) } else { rack }
+    }
+
+    /// Whether the service is within its budget now.
+    pub(crate) fn holds(&self) -> bool {
+        self.down.len() as u32 <= self.max_down
+    }
+
+    /// How the service would stand if its tasks on a host left, and whether that is allowed.
+    pub(crate) fn without(
+        &self,
+        fleet: &Fleet,
+        id: &ServiceId,
+        host: &HostId,
+    ) -> Result<Standing, OverBudget> {
+        let mut next = self.clone();
+        let mut taken = false;
+        for task in fleet.tasks_on(host).iter().filter(|task| task.service == *id) {
+            taken |= next.take(fleet, host, task.index);
+        }
+        let over = OverBudget {
+            service: id.clone(),
+            out: next.down.len() as u32,
+            reserve: next.reserve(),
+            max_down: self.max_down,
+        };
+        // A host whose tasks are all down already takes nothing from the budget.
+        if taken && over.max_down < over.out + over.reserve {
+            return Err(over);
+        }
+        Ok(next)
+    }
+
+    fn take(&mut self, fleet: &Fleet, host: &HostId, index: u32) -> bool {
+        if !self.down.insert(index) {
+            return false;
+        }
+        let Some(report) = fleet.reports.get(host) else {
+            return true;
+        };
+        if let Some(count) = self.up_by_rack.get_mut(&report.rack) {
+            *count = count.saturating_sub(1);
+        }
+        if let Some(count) = self.up_by_zone.get_mut(&report.zone) {
+            *count = count.saturating_sub(1);
+        }
+        true
+    }
+}
+
+/// The services that have tasks on a host, in sorted order.
+pub(crate) fn services_on(fleet: &Fleet, host: &HostId) -> BTreeSet<ServiceId> {
+    fleet.tasks_on(host).iter().map(|task| task.service.clone()).collect()
+}
--- /dev/null
+++ b/src/decide/plan.rs
@@ -0,0 +1,322 @@
+//! Plans: an intent becomes an order of hosts with its cost, and is confirmed only as it was shown.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::{
+    decide::{
+        order, place,
+        rehearse::{Rehearsal, Report},
+        rules::Rules,
+    },
+    model::{
+        fleet::Fleet,
+        host::HostState,
+        id::{HostId, OpId, PlanId, PoolId},
+        plan::{Action, Cost, Intent, Plan, PlanState, PoolPlan, Tightness, Trade},
+        record::Key,
+        unit::{Millicores, Revision, Time},
+    },
+};
+
+/// A rehearsal that takes longer than this counts as one that does not end.
+const LONGEST_WAVE: Duration = Duration::from_secs(60 * 60 * 24 * 35);
+/// Services that a plan's cost lists as nearest to their budgets.
+const TIGHTEST_SHOWN: usize = 5;
+
+/// Why a plan is not confirmed or cancelled.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum PlanError {
+    #[error("there is no plan {0}")]
+    Unknown(PlanId),
+    #[error("plan {id} is {state} already, by {by}")]
+    Over { id: PlanId, state: &'static str, by: String },
+    #[error("the digest {given} is not that of plan {id}, which is {digest}")]
+    OtherDigest { id: PlanId, given: String, digest: String },
+    #[error("what plan {id} was computed from has changed: {}", differences.join("; "))]
+    Stale { id: PlanId, differences: Vec<String> },
+    #[error("plan {id} can do nothing: {}", reasons.join("; "))]
+    Nothing { id: PlanId, reasons: Vec<String> },
+}
+
+/// Works out the plan for an intent. It changes nothing.
+pub(crate) fn propose(
+    fleet: &Fleet,
+    id: PlanId,
+    op: OpId,
+    intent: Intent,
+    now: Time,
+    rules: &Rules,
+) -> Plan {
+    let mut plan = Plan {
+        id,
+        state: PlanState::Proposed,
+        pools: BTreeMap::new(),
+        cost: Cost::default(),
+        base: BTreeMap::new(),
+        digest: String::new(),
+        created: now,
+        since: now,
+        op,
+        by: intent.by.clone(),
+        intent,
+    };
+    let mut by_pool: BTreeMap<PoolId, Vec<HostId>> = BTreeMap::new();
+    let wanted: BTreeSet<HostId> = plan.intent.hosts.iter().cloned().collect();
+    for host in wanted {
+        match refuse(fleet, &plan.intent.action, &host) {
+            Some(reason) => {
+                plan.cost.impossible.insert(host, reason);
+            }
+            None => by_pool.entry(fleet.hosts[&host].pool.clone()).or_default().push(host),
+        }
+    }
+    for (pool, hosts) in by_pool {
+        let batches = order::by_rack(fleet, &hosts, now, rules);
+        let part = PoolPlan { batches, max_out: 1, barrier: false, trades: Vec::new() };
+        plan.pools.insert(pool.clone(), part);
+        choose_max_out(fleet, &mut plan, &pool, now, rules);
+    }
+    plan.cost.tightest.sort_by_key(|t| {
+        (i64::from(t.max_down) - i64::from(t.peak_out + t.reserve), t.service.clone())
+    });
+    plan.cost.tightest.truncate(TIGHTEST_SHOWN);
+    plan.base = base(fleet, &plan);
+    plan.digest = digest(&plan);
+    plan
+}
+
+/// Why a host cannot be part of a plan at all.
+fn refuse(fleet: &Fleet, action: &Action, host: &HostId) -> Option<String> {
+    let Some(record) = fleet.hosts.get(host) else {
+        return Some("no host of that name is in any pool".to_owned());
+    };
+    if let Some(plan) = &record.plan {
+        return Some(format!("plan {plan} holds it"));
+    }
+    let other = fleet.plans.values().find(|plan| {
+        let ended = record.last.as_ref().is_some_and(|(id, _)| *id == plan.id);
+        plan.state == PlanState::Running && !ended && plan.hosts().any(|h| h == host)
+    });
+    if let Some(plan) = other {
+        return Some(format!("plan {} is to do it, confirmed by {}", plan.id, plan.by));
+    }
+    if record.state == HostState::Quarantined {
+        return Some("it is quarantined: release it first".to_owned());
+    }
+    match action {
+        Action::Move(pool) if *pool == record.pool => Some(format!("it is in pool {pool} now")),
+        Action::Move(pool) if !fleet.config.pools.contains_key(pool) => {
+            Some(format!("there is no pool {pool}"))
+        }
+        _ => unplaceable(fleet, host),
+    }
+}
+
+/// A task of the host that no other host could ever hold.
+fn unplaceable(fleet: &Fleet, host: &HostId) -> Option<String> {
+    let stuck = fleet.tasks_on(host).iter().find(|task| {
+        fleet.service(&task.service).is_some_and(|s| !place::fits_some_empty_host(fleet, s))
+    })?;
+    Some(format!("its task {}/{} fits no other host", stuck.service, stuck.index))
+}
+
+/// Rehearses the pool's part with several bounds, and takes the one that costs least by the
+/// weights.
+fn choose_max_out(fleet: &Fleet, plan: &mut Plan, pool: &PoolId, now: Time, rules: &Rules) {
+    let hosts = plan.pools[pool].hosts().count() as u32;
+    let mut best: Option<(f64, u32, Report)> = None;
+    let mut trades = Vec::new();
+    for max_out in bounds(hosts) {
+        let trial = running(plan, pool, max_out);
+        let report = Rehearsal::new(fleet, &trial, pool, rules, now).run(LONGEST_WAVE);
+        let score = score(fleet, pool, hosts, &report, rules);
+        trades.push(Trade {
+            max_out,
+            buffer: buffer(&report),
+            seconds: report.seconds,
+            moves: report.moves,
+            chosen: false,
+        });
+        let same = trades.iter().rev().nth(1).is_some_and(|before| {
+            before.seconds == report.seconds && before.buffer == buffer(&report)
+        });
+        if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
+            best = Some((score, max_out, report));
+        }
+        // A higher bound that changes nothing is not reached: neither are those above it.
+        if same {
+            break;
+        }
+    }
+    let Some((_, max_out, report)) = best else {
+        return;
+    };
+    trades.iter_mut().for_each(|trade| trade.chosen = trade.max_out == max_out);
+    if let Some(part) = plan.pools.get_mut(pool) {
+        part.max_out = max_out;
+        part.trades = trades;
+    }
+    add_cost(fleet, plan, &report);
+}
+
+/// One, two, four and so on, and all.
+fn bounds(hosts: u32) -> Vec<u32> {
+    let powers = (0..).map(|power| 1u32 << power).take_while(|bound| *bound < hosts);
+    powers.chain([hosts.max(1)]).collect()
+}
+
+fn running(plan: &Plan, pool: &PoolId, max_out: u32) -> Plan {
+    let mut trial = plan.clone();
+    trial.state = PlanState::Running;
+    trial.pools.retain(|id, _| id == pool);
+    if let Some(part) = trial.pools.get_mut(pool) {
+        part.max_out = max_out;
+    }
+    trial
+}
+
+fn buffer(report: &Report) -> Millicores {
+    Millicores(u32::try_from(report.peak_out).unwrap_or(u32::MAX))
+}
+
+fn score(fleet: &Fleet, pool: &PoolId, hosts: u32, report: &Report, rules: &Rules) -> f64 {
+    if !report.finished {
+        return f64::MAX;
+    }
+    let capacities = fleet.hosts_of(pool).filter_map(|host| fleet.reports.get(host));
+    let total: u64 = capacities.map(|report| u64::from(report.capacity.cores.0)).sum();
+    let weights = rules.weights;
+    weights.buffer * (report.peak_out as f64) * 1000.0 / (total.max(1) as f64)
+        + weights.time * (report.seconds as f64) / f64::from(hosts.max(1))
+        + weights.moves * f64::from(report.moves) / f64::from(hosts.max(1))
+}
+
+fn add_cost(fleet: &Fleet, plan: &mut Plan, report: &Report) {
+    let cost = &mut plan.cost;
+    cost.buffer.0 = cost.buffer.0.saturating_add(buffer(report).0);
+    cost.seconds = cost.seconds.max(report.seconds);
+    cost.moves += report.moves;
+    for (service, fared) in &report.services {
+        let Some(spec) = fleet.service(service) else {
+            continue;
+        };
+        cost.tightest.push(Tightness {
+            service: service.clone(),
+            peak_out: fared.peak_down,
+            reserve: fared.peak_reserve,
+            max_down: spec.max_down,
+        });
+    }
+}
+
+/// The revisions of the records that a plan is computed from.
+fn base(fleet: &Fleet, plan: &Plan) -> BTreeMap<String, Revision> {
+    let hosts = plan.intent.hosts.iter().map(|host| Key::Host(host.clone()));
+    let services = plan.hosts().flat_map(|host| fleet.tasks_on(host));
+    let services: BTreeSet<_> = services.map(|task| task.service.clone()).collect();
+    let keys = hosts.chain(services.into_iter().map(Key::Placement));
+    let mut base: BTreeMap<String, Revision> =
+        keys.map(|key| (key.path(), fleet.revision(&key))).collect();
+    base.insert(Key::Base.path(), Revision(fleet.through));
+    base
+}
+
+/// A digest of what the operator is shown.
+fn digest(plan: &Plan) -> String {
+    let shown = serde_json::to_vec(&(&plan.intent, &plan.pools, &plan.cost));
+    let shown = shown.expect("plans hold no value that JSON cannot write");
+    format!("{:032x}", xxh3_128(&shown))
+}
+
+/// The plan as it stands once an operator confirms it; or why it is refused. A plan whose base has
+/// moved is computed anew: if what would be shown is the same, it is as good as before.
+pub(crate) fn confirm(
+    fleet: &Fleet,
+    id: &PlanId,
+    given: &str,
+    by: &str,
+    op: OpId,
+    now: Time,
+    rules: &Rules,
+) -> Result<Plan, PlanError> {
+    let plan = fleet.plans.get(id).ok_or_else(|| PlanError::Unknown(id.clone()))?;
+    if plan.state != PlanState::Proposed {
+        return Err(over(plan));
+    }
+    if given != plan.digest {
+        return Err(PlanError::OtherDigest {
+            id: id.clone(),
+            given: given.to_owned(),
+            digest: plan.digest.clone(),
+        });
+    }
+    if plan.pools.is_empty() {
+        let reasons = plan.cost.impossible.iter().map(|(host, why)| format!("{host}: {why}"));
+        return Err(PlanError::Nothing { id: id.clone(), reasons: reasons.collect() });
+    }
+    let differences = differences(fleet, plan);
+    if !differences.is_empty() {
+        let fresh =
+            propose(fleet, id.clone(), op.clone(), plan.intent.clone(), plan.created, rules);
+        if fresh.digest != plan.digest {
+            return Err(PlanError::Stale { id: id.clone(), differences });
+        }
+    }
+    let mut confirmed = plan.clone();
+    confirmed.state = PlanState::Running;
+    confirmed.since = now;
+    confirmed.op = op;
+    confirmed.by = by.to_owned();
+    Ok(confirmed)
+}
+
+/// The plan as it stands once an operator cancels it.
+pub(crate) fn cancel(
+    fleet: &Fleet,
+    id: &PlanId,
+    by: &str,
+    op: OpId,
+    now: Time,
+) -> Result<Plan, PlanError> {
+    let plan = fleet.plans.get(id).ok_or_else(|| PlanError::Unknown(id.clone()))?;
+    if !matches!(plan.state, PlanState::Proposed | PlanState::Running) {
+        return Err(over(plan));
+    }
+    let mut cancelled = plan.clone();
+    cancelled.state = PlanState::Cancelled;
+    cancelled.since = now;
+    cancelled.op = op;
+    cancelled.by = by.to_owned();
+    Ok(cancelled)
+}
+
+fn over(plan: &Plan) -> PlanError {
+    PlanError::Over { id: plan.id.clone(), state: plan.state.as_str(), by: plan.by.clone() }
+}
+
+/// What has moved since a plan was computed, in words.
+fn differences(fleet: &Fleet, plan: &Plan) -> Vec<String> {
+    let now = base(fleet, plan);
+    let keys: BTreeSet<&String> = plan.base.keys().chain(now.keys()).collect();
+    let moved = keys.into_iter().filter(|key| plan.base.get(*key) != now.get(*key));
+    moved.map(|key| describe(fleet, key)).collect()
+}
+
+fn describe(fleet: &Fleet, path: &str) -> String {
+    match Key::parse(path) {
+        Some(Key::Host(id)) => match fleet.hosts.get(&id) {
+            Some(host) => {
+                let state = format!("{:?}", host.state).to_lowercase();
+                format!("host {id} is now {state} in pool {} (write {})", host.pool, host.op)
+            }
+            None => format!("host {id} is gone"),
+        },
+        Some(Key::Placement(id)) => format!("tasks of service {id} were moved"),
+        _ => format!("the configuration is now at change {}", fleet.through),
+    }
+}
--- /dev/null
+++ b/src/model.rs
@@ -0,0 +1,10 @@
+//! The data that every part of the program shares: identifiers, units and records.
+
+pub(crate) mod config;
+pub(crate) mod fleet;
+pub(crate) mod host;
+pub mod id;
+pub(crate) mod plan;
+pub(crate) mod record;
+pub(crate) mod request;
+pub mod unit;
--- /dev/null
+++ b/src/model/config.rs
@@ -0,0 +1,188 @@
+//! The operators' configuration: pools, services and teams, and the changes that make it up.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{
+    id::{OpId, PoolId, ServiceId, TeamId},
+    request::Class,
+    unit::{Megabytes, Millicores, PerSecond, Time},
+};
+
+/// What a task needs of its host, or what a host has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct Resources {
+    pub(crate) cores: Millicores,
+    pub(crate) memory: Megabytes,
+    pub(crate) accelerators: u32,
+}
+
+impl Resources {
+    /// Whether `need` fits into these resources.
+    pub(crate) fn fits(self, need: Resources) -> bool {
+        need.cores <= self.cores
+            && need.memory <= self.memory
+            && need.accelerators <= self.accelerators
+    }
+
+    /// These resources without `used`; never below zero.
+    pub(crate) fn less(self, used: Resources) -> Resources {
+        Resources {
+            cores: Millicores(self.cores.0.saturating_sub(used.cores.0)),
+            memory: Megabytes(self.memory.0.saturating_sub(used.memory.0)),
+            accelerators: self.accelerators.saturating_sub(used.accelerators),
+        }
+    }
+
+    /// These resources and `more`.
+    pub(crate) fn plus(self, more: Resources) -> Resources {
+        Resources {
+            cores: Millicores(self.cores.0.saturating_add(more.cores.0)),
+            memory: Megabytes(self.memory.0.saturating_add(more.memory.0)),
+            accelerators: self.accelerators.saturating_add(more.accelerators),
+        }
+    }
+}
+
+/// The failure domain whose loss a service's budget must always leave room for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Domain {
+    /// Any one rack.
+    Rack,
+    /// Any one rack or any one availability zone.
+    Zone,
+}
+
+/// What an operator asks of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Service {
+    /// The pool whose hosts run the tasks.
+    pub(crate) pool: PoolId,
+    /// The team that owns the service.
+    pub(crate) team: TeamId,
+    /// The class of a request that names none.
+    pub(crate) class: Class,
+    /// How many tasks run.
+    pub(crate) tasks: u32,
+    /// What each task needs.
+    pub(crate) need: Resources,
+    /// The availability budget: how many tasks may be unavailable at one time, for any reason.
+    pub(crate) max_down: u32,
+    /// The failure domain that the budget must survive on top of what is already down.
+    pub(crate) survive: Domain,
+    /// Requests that one task runs at one time.
+    pub(crate) slots: u32,
+    /// Connections that one task accepts from all nodes together.
+    pub(crate) connections: u32,
+    /// Whether a request runs at most once (true: not repeatable).
+    pub(crate) once: bool,
+}
+
+/// What an operator asks of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Pool {
+    /// How many hosts the pool should have.
+    pub(crate) hosts: u32,
+}
+
+/// What an operator allows a team.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Team {
+    /// Requests a second over all nodes.
+    pub(crate) rate: PerSecond,
+}
+
+/// The configuration in force.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct Config {
+    pub(crate) pools: BTreeMap<PoolId, Pool>,
+    pub(crate) services: BTreeMap<ServiceId, Service>,
+    pub(crate) teams: BTreeMap<TeamId, Team>,
+}
+
+/// One accepted change. `None` removes the entry.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct Change {
+    pub(crate) pools: BTreeMap<PoolId, Option<Pool>>,
+    pub(crate) services: BTreeMap<ServiceId, Option<Service>>,
+    pub(crate) teams: BTreeMap<TeamId, Option<Team>>,
+}
+
+/// A change as it stands in the store, under its number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ChangeRecord {
+    pub(crate) op: OpId,
+    pub(crate) by: String,
+    pub(crate) at: Time,
+    pub(crate) change: Change,
+}
+
+/// All changes up to a number, folded into one value.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct ConfigBase {
+    /// The last change that the value holds; zero if none.
+    pub(crate) through: u64,
+    pub(crate) config: Config,
+}
+
+impl Change {
+    /// Whether the change changes nothing.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pools.is_empty() && self.services.is_empty() && self.teams.is_empty()
+    }
+
+    /// How many entries the change touches.
+    pub(crate) fn len(&self) -> usize {
+        self.pools.len() + self.services.len() + self.teams.len()
+    }
+}
+
+impl Config {
+    /// Applies one change.
+    pub(crate) fn apply(&mut self, change: &Change) {
+        merge(&mut self.pools, &change.pools);
+        merge(&mut self.services, &change.services);
+        merge(&mut self.teams, &change.teams);
+    }
+
+    /// The change that leads from this configuration to one that also holds `wanted`. Entries that
+    /// `wanted` does not name stay as they are.
+    pub(crate) fn change_to(&self, wanted: &Config) -> Change {
+        Change {
+            pools: differing(&self.pools, &wanted.pools),
+            services: differing(&self.services, &wanted.services),
+            teams: differing(&self.teams, &wanted.teams),
+        }
+    }
+}
+
+fn merge<K: Ord + Clone, V: Clone>(to: &mut BTreeMap<K, V>, from: &BTreeMap<K, Option<V>>) {
+    for (key, value) in from {
+        match value {
+            Some(value) => to.insert(key.clone(), value.clone()),
+            None => to.remove(key),
+        };
+    }
+}
+
+fn differing<K: Ord + Clone, V: Clone + PartialEq>(
+    now: &BTreeMap<K, V>,
+    wanted: &BTreeMap<K, V>,
+) -> BTreeMap<K, Option<V>> {
+    let changed = wanted.iter().filter(|(key, value)| now.get(*key) != Some(*value));
+    changed.map(|(key, value)| (key.clone(), Some(value.clone()))).collect()
+}
+
+impl std::str::FromStr for Domain {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Domain, String> {
+        match text {
+            "rack" => Ok(Domain::Rack),
+            "zone" => Ok(Domain::Zone),
+            _ => Err(format!("`{text}` is not a failure domain: rack or zone are allowed")),
+        }
+    }
+}
--- /dev/null
+++ b/src/model/request.rs
@@ -0,0 +1,75 @@
+//! Requests of callers: class and outcome.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+
+/// The class of a request; urgent ones go first.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Class {
+    Urgent,
+    #[default]
+    Normal,
+    Batch,
+}
+
+impl Class {
+    /// Every class, the most urgent first.
+    pub(crate) const ALL: [Class; 3] = [Class::Urgent, Class::Normal, Class::Batch];
+
+    /// The class as it is written in headers and settings.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Class::Urgent => "urgent",
+            Class::Normal => "normal",
+            Class::Batch => "batch",
+        }
+    }
+}
+
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl FromStr for Class {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Class, String> {
+        let found = Class::ALL.into_iter().find(|class| class.as_str() == text);
+        found.ok_or_else(|| format!("`{text}` is not a class: urgent, normal or batch are allowed"))
+    }
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Outcome {
+    /// An endpoint ran it, and its whole answer is known.
+    Ran,
+    /// It did not run, and will not.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The outcome as it is written in a header.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Ran => "ran",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
--- /dev/null
+++ b/src/node/assign.rs
@@ -0,0 +1,179 @@
+//! Tells workers what their hosts should do: at once when it changes, and again before the lease
+//! of their tasks runs out.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream};
+
+use crate::{
+    model::{
+        fleet::Fleet,
+        host::{HostRecord, HostReport, HostState},
+        id::{HostId, PoolId},
+        record::Key,
+        unit::{Revision, Time},
+    },
+    node::{Node, view::View},
+    platform::worker::{self, Assignment, CommandError, TaskOrder},
+};
+
+/// Commands that are under way at one time.
+const AT_ONCE: usize = 16;
+/// How long a command may take.
+const LIMIT: Duration = Duration::from_secs(1);
+/// The least time between two equal commands to a host that does not follow.
+const AGAIN: Duration = Duration::from_secs(1);
+
+struct Told {
+    assignment: Assignment,
+    at: Time,
+    taken: bool,
+}
+
+/// Commands the hosts that this node owns for as long as it runs.
+pub(crate) async fn command(node: Arc<Node>) {
+    let mut told: HashMap<HostId, Told> = HashMap::new();
+    let mut changed = node.changed.subscribe();
+    loop {
+        let wait = tokio::time::sleep(node.settings.timing.control);
+        tokio::select! {
+            () = wait => {}
+            _ = changed.changed() => {}
+        }
+        changed.borrow_and_update();
+        let now = Time::now();
+        let due = {
+            let view = node.view();
+            told.retain(|host, _| view.fleet.hosts.contains_key(host));
+            due(&node, &view, &told, now)
+        };
+        let sent = stream::iter(due).map(|(address, assignment)| {
+            let node = node.clone();
+            async move {
+                let sent = worker::command(&node.client, &address, &assignment, LIMIT).await;
+                (assignment, sent)
+            }
+        });
+        let sent: Vec<_> = sent.buffer_unordered(AT_ONCE).collect().await;
+        for (assignment, result) in sent {
+            let taken = match result {
+                Ok(()) => true,
+                Err(error @ CommandError::Older { .. }) => {
+                    log::debug!("{error}");
+                    false
+                }
+                Err(error) => {
+                    log::info!("{error}");
+                    false
+                }
+            };
+            let host = assignment.host.clone();
+            told.insert(host, Told { assignment, at: now, taken });
+        }
+    }
+}
+
+fn due(
+    node: &Node,
+    view: &View,
+    told: &HashMap<HostId, Told>,
+    now: Time,
+) -> Vec<(String, Assignment)> {
+    let mut due = Vec::new();
+    let renew = node.settings.timing.task_lease / 3;
+    let revisions = revisions(&view.fleet);
+    for (host, record) in &view.fleet.hosts {
+        let Some(report) = view.fleet.reports.get(host).filter(|report| report.live) else {
+            continue;
+        };
+        if !node.owns(view, &format!("host/{host}")) {
+            continue;
+        }
+        let mut assignment = assignment(&view.fleet, host, record, node.settings.timing.task_lease);
+        let placed = revisions.get(&record.pool).copied().unwrap_or_default();
+        assignment.revision = assignment.revision.max(placed);
+        if is_due(told.get(host), &assignment, report, renew, now) {
+            due.push((report.address.clone(), assignment));
+        }
+    }
+    due
+}
+
+/// The newest placement of each pool: one that took a task away from a host is newer than the one
+/// that put it there, so that an older command never brings the task back.
+fn revisions(fleet: &Fleet) -> HashMap<PoolId, Revision> {
+    let mut newest: HashMap<PoolId, Revision> = HashMap::new();
+    for (id, service) in &fleet.config.services {
+        let revision = fleet.revision(&Key::Placement(id.clone()));
+        let held = newest.entry(service.pool.clone()).or_default();
+        *held = revision.max(*held);
+    }
+    newest
+}
+
+fn is_due(
+    last: Option<&Told>,
+    assignment: &Assignment,
+    report: &HostReport,
+    renew: Duration,
+    now: Time,
+) -> bool {
+    let Some(last) = last else { return true };
+    let since = now.since(last.at);
+    if renew <= since || !is_same(&last.assignment, assignment) {
+        return true;
+    }
+    AGAIN <= since && !(last.taken && follows(report, assignment))
+}
+
+/// Whether two commands ask for the same, whatever they were made from.
+fn is_same(one: &Assignment, two: &Assignment) -> bool {
+    let asks = |a: &Assignment| (a.epoch, a.accept, a.reboot, a.tasks.clone());
+    asks(one) == asks(two)
+}
+
+/// Whether a report shows what a command asked for.
+fn follows(report: &HostReport, assignment: &Assignment) -> bool {
+    let runs = |order: &TaskOrder| {
+        report.tasks.iter().any(|task| {
+            task.index == order.index
+                && task.generation == order.generation
+                && task.service == order.service
+        })
+    };
+    assignment.epoch <= report.epoch && assignment.tasks.iter().all(runs)
+}
+
+/// All that a host should do.
+pub(crate) fn assignment(
+    fleet: &Fleet,
+    host: &HostId,
+    record: &HostRecord,
+    lease: Duration,
+) -> Assignment {
+    let may_run = matches!(record.state, HostState::Serving | HostState::Leaving);
+    let mut tasks = Vec::new();
+    for task in fleet.tasks_on(host).iter().filter(|_| may_run) {
+        let (Some(service), Some(assigned)) = (fleet.service(&task.service), fleet.assigned(task))
+        else {
+            continue;
+        };
+        tasks.push(TaskOrder {
+            service: task.service.clone(),
+            index: task.index,
+            generation: assigned.generation,
+            need: service.need,
+            slots: service.slots,
+            connections: service.connections,
+        });
+    }
+    Assignment {
+        host: host.clone(),
+        epoch: record.epoch,
+        revision: fleet.revision(&Key::Host(host.clone())),
+        accept: record.state == HostState::Serving,
+        reboot: record.state == HostState::Away,
+        lease,
+        tasks,
+    }
+}
--- /dev/null
+++ b/src/node/control.rs
@@ -0,0 +1,165 @@
+//! The control loop: joins hosts to pools, repairs placements, drives plans and folds old changes
+//! of the configuration, each where this node is the one to do it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    decide::{pools, repair, wave},
+    model::{
+        config::ConfigBase,
+        host::{HostRecord, HostState},
+        id::{HostId, OpId, PlanId, PoolId, ServiceId},
+        plan::PlanState,
+        record::{Key, Record},
+        unit::{Epoch, Revision, Time},
+    },
+    node::{
+        Node, drive,
+        view::View,
+        write::{self, Written},
+    },
+    platform::store::StoreError,
+};
+
+/// A loop that took longer than this was paused: what it knows may be void.
+const PAUSED: Duration = Duration::from_secs(2);
+/// Changes of the configuration that are kept one by one.
+const CHANGES_KEPT: usize = 256;
+/// Hosts that join pools in one round, to spread the writes over time.
+const JOINS: usize = 8;
+
+/// Runs for as long as the node does, and ends when the node leaves.
+pub(crate) async fn control(node: Arc<Node>) {
+    let mut changed = node.changed.subscribe();
+    let mut before = Time::now();
+    loop {
+        let wait = tokio::time::sleep(node.settings.timing.control);
+        tokio::select! {
+            () = wait => {}
+            () = node.leaving.cancelled() => return,
+        }
+        changed.borrow_and_update();
+        let now = Time::now();
+        let paused = PAUSED < now.since(before);
+        before = now;
+        if paused {
+            log::warn!("node {}: was paused; looking again before acting", node.id());
+            node.view().verified = Time::default();
+            continue;
+        }
+        if !node.is_current(&node.view(), now) {
+            continue;
+        }
+        if let Err(error) = round(&node, now).await {
+            log::info!("control: {error}");
+        }
+    }
+}
+
+async fn round(node: &Arc<Node>, now: Time) -> Result<(), StoreError> {
+    join_pools(node, now).await?;
+    repair_placements(node, now).await?;
+    drive::plans(node, now).await?;
+    fold_changes(node).await
+}
+
+async fn join_pools(node: &Node, now: Time) -> Result<(), StoreError> {
+    let joins: Vec<(HostId, PoolId)> = {
+        let view = node.view();
+        if !node.owns(&view, "pools") {
+            return Ok(());
+        }
+        pools::assign(&view.fleet).into_iter().take(JOINS).collect()
+    };
+    for (host, pool) in joins {
+        let record = HostRecord {
+            pool: pool.clone(),
+            state: HostState::Serving,
+            epoch: Epoch(1),
+            since: now,
+            op: OpId::fresh(),
+            plan: None,
+            last: None,
+        };
+        write::write(node, Record::Host(host.clone(), record), Revision(0)).await?;
+        log::info!("host {host}: joined pool {pool}");
+    }
+    Ok(())
+}
+
+async fn repair_placements(node: &Node, now: Time) -> Result<(), StoreError> {
+    let due: Vec<(ServiceId, repair::Moves, Revision)> = {
+        let view = node.view();
+        let owned = |id: &&ServiceId| node.owns(&view, &format!("service/{id}"));
+        let services = view.fleet.config.services.keys().filter(owned);
+        let repairs = services.map(|id| {
+            let (moves, refused) = repair::repair(&view.fleet, id, now, &node.settings.rules);
+            for reason in refused {
+                log::debug!("service {id}: {reason}");
+            }
+            (id.clone(), moves, view.fleet.revision(&Key::Placement(id.clone())))
+        });
+        repairs.filter(|(_, moves, _)| !moves.is_empty()).collect()
+    };
+    for (id, moves, expect) in due {
+        let record = wave::change_placement(&node.view().fleet, &id, &OpId::fresh(), |placement| {
+            wave::relocate(placement, &moves, None, now);
+        });
+        let Some(record) = record else { continue };
+        if let Written::Yes(_) = write::write(node, record, expect).await? {
+            log::info!("service {id}: placed {} tasks", moves.len());
+        }
+    }
+    Ok(())
+}
+
+async fn fold_changes(node: &Node) -> Result<(), StoreError> {
+    let (base, expect, folded) = {
+        let view = node.view();
+        let fleet = &view.fleet;
+        if fleet.changes.len() <= CHANGES_KEPT || !node.owns(&view, "config") {
+            return Ok(());
+        }
+        let base = ConfigBase { through: fleet.through, config: fleet.config.clone() };
+        let folded: BTreeMap<u64, Revision> = fleet
+            .changes
+            .range(..=fleet.through)
+            .map(|(number, _)| (*number, fleet.revision(&Key::Change(*number))))
+            .collect();
+        (base, fleet.revision(&Key::Base), folded)
+    };
+    // The base stands before the first change goes: at every moment all changes can be read.
+    let Written::Yes(_) = write::write(node, Record::Base(base), expect).await? else {
+        return Ok(());
+    };
+    for (number, revision) in folded {
+        write::delete(node, &Key::Change(number).path(), revision).await?;
+    }
+    Ok(())
+}
+
+/// Whether every node sends nothing to a host of this epoch, as far as this node can tell.
+pub(crate) fn is_quiet(node: &Node, view: &View, host: &HostId, epoch: Epoch) -> bool {
+    let others = view.fleet.nodes.keys().filter(|id| *id != node.id());
+    let mut silent = others.filter(|id| !node.peers.is_quiet(id, host, epoch));
+    node.routes.in_flight(host) == 0 && silent.next().is_none()
+}
+
+/// Why hosts of a plan wait, for operators.
+pub(crate) fn waiting(node: &Node, id: &PlanId, now: Time) -> HashMap<HostId, String> {
+    let view = node.view();
+    let Some(plan) = view.fleet.plans.get(id).filter(|p| p.state == PlanState::Running) else {
+        return HashMap::new();
+    };
+    let quiet = |host: &HostId, epoch| is_quiet(node, &view, host, epoch);
+    let rules = &node.settings.rules;
+    let waits = plan
+        .pools
+        .keys()
+        .flat_map(|pool| wave::advance(&view.fleet, plan, pool, &quiet, now, rules).1.into_iter());
+    waits.map(|(host, wait)| (host, wait.to_string())).collect()
+}
--- /dev/null
+++ b/src/operator/api.rs
@@ -0,0 +1,384 @@
+//! The operators' API of a node: HTTP with JSON.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use poem::{
+    Request, Response,
+    http::{Method, StatusCode},
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::{
+    decide::{
+        apply,
+        plan::{self, PlanError},
+        wave,
+    },
+    http,
+    model::{
+        config::{Change, ChangeRecord},
+        host::HostState,
+        id::{HostId, OpId, PlanId},
+        plan::{Intent, Plan},
+        record::{Key, Record},
+        unit::{Revision, Time},
+    },
+    node::{
+        Node,
+        write::{self, Written},
+    },
+    operator::{
+        message::{
+            ApplyAnswer, ApplyRequest, Decision, IntentRequest, PlanView, Refusal, Selection,
+        },
+        status,
+    },
+    platform::store::StoreError,
+};
+
+/// Largest body that is read.
+const MOST_BODY: usize = 4 << 20;
+
+/// Why a call is refused.
+#[derive(Debug)]
+struct Refused {
+    status: StatusCode,
+    refusal: Refusal,
+}
+
+impl Refused {
+    fn new(status: StatusCode, error: impl Into<String>) -> Refused {
+        Refused { status, refusal: Refusal { error: error.into(), fresh: None } }
+    }
+}
+
+impl From<StoreError> for Refused {
+    fn from(error: StoreError) -> Refused {
+        let text = if error.is_unknown() {
+            format!("{error}; look at the status before you try again")
+        } else {
+            format!("{error}; nothing was changed")
+        };
+        Refused::new(StatusCode::SERVICE_UNAVAILABLE, text)
+    }
+}
+
+impl From<http::BodyError> for Refused {
+    fn from(error: http::BodyError) -> Refused {
+        Refused::new(StatusCode::BAD_REQUEST, error.to_string())
+    }
+}
+
+/// Who does a thing to a host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ByWhom {
+    pub(crate) by: String,
+}
+
+/// Answers one call.
+pub(crate) async fn answer(node: Arc<Node>, mut request: Request) -> Response {
+    let path = request.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let is_post = request.method() == Method::POST;
+    let now = Time::now();
+    let answered = match parts.as_slice() {
+        ["metrics"] => return metrics(&node, now),
+        ["v1", "status", list] => reply(status::rows(&node, list, now).ok_or_else(|| {
+            let text = format!(
+                "there is no list {list}: hosts, pools, services, plans, nodes or changes are"
+            );
+            Refused::new(StatusCode::NOT_FOUND, text)
+        })),
+        ["v1", "plans", id] => reply(show(&node, id, now)),
+        ["v1", "apply"] if is_post => reply(apply(&node, &mut request, now).await),
+        ["v1", "intents"] if is_post => reply(intent(&node, &mut request, now).await),
+        ["v1", "plans", id, "confirm"] if is_post => {
+            reply(confirm(&node, id, &mut request, now).await)
+        }
+        ["v1", "plans", id, "cancel"] if is_post => {
+            reply(cancel(&node, id, &mut request, now).await)
+        }
+        ["v1", "hosts", id, "release"] if is_post => {
+            reply(release(&node, id, &mut request, now).await)
+        }
+        _ => Err(Refused::new(StatusCode::NOT_FOUND, format!("there is no call {path}"))),
+    };
+    answered.unwrap_or_else(|refused| http::json(refused.status, &refused.refusal))
+}
+
+fn reply<T: Serialize>(result: Result<T, Refused>) -> Result<Response, Refused> {
+    result.map(|value| http::json(StatusCode::OK, &value))
+}
+
+async fn read<T: DeserializeOwned>(request: &mut Request) -> Result<T, Refused> {
+    Ok(http::read_json(request, MOST_BODY).await?)
+}
+
+fn metrics(node: &Node, now: Time) -> Response {
+    {
+        let view = node.view();
+        node.metrics.view(now.since(view.verified), view.fleet.through);
+        for (id, placement) in &view.fleet.placements {
+            node.metrics.permits(id.as_str(), placement.permits.len());
+        }
+    }
+    let mut response = http::text(StatusCode::OK, node.metrics.text());
+    if let Ok(kind) = "application/openmetrics-text; version=1.0.0; charset=utf-8".parse() {
+        response.headers_mut().insert("content-type", kind);
+    }
+    response
+}
+
+/// Accepts a configuration: one write, of which the number is the place in the order of changes.
+async fn apply(node: &Node, request: &mut Request, now: Time) -> Result<ApplyAnswer, Refused> {
+    let asked: ApplyRequest = read(request).await?;
+    let (change, next) = {
+        let view = node.view();
+        let change = apply::check(&view.fleet, &asked.config, now, &node.settings.rules)
+            .map_err(|reasons| Refused::new(StatusCode::CONFLICT, reasons.join("\n")))?;
+        (change, view.fleet.through + 1)
+    };
+    let changes = lines(&change);
+    if asked.dry || change.is_empty() {
+        return Ok(ApplyAnswer { changes, number: None });
+    }
+    let record = ChangeRecord { op: OpId::fresh(), by: asked.by, at: now, change };
+    let written = write::write(node, Record::Change(next, record), Revision(0)).await?;
+    if written == Written::Conflict {
+        let view = node.view();
+        let by = view.fleet.changes.get(&next).map(|other| other.by.clone()).unwrap_or_default();
+        let text = format!(
+            "{by} made change {next} at the same time; nothing of yours was applied: look at the \
+             differences and apply again"
+        );
+        return Err(Refused::new(StatusCode::CONFLICT, text));
+    }
+    log::info!("configuration: change {next} accepted");
+    Ok(ApplyAnswer { changes, number: Some(next) })
+}
+
+fn lines(change: &Change) -> Vec<String> {
+    let pools = change.pools.iter().map(|(id, pool)| match pool {
+        Some(pool) => format!("set pool {id}: {} hosts", pool.hosts),
+        None => format!("remove pool {id}"),
+    });
+    let teams = change.teams.iter().map(|(id, team)| match team {
+        Some(team) => format!("set team {id}: {}", team.rate),
+        None => format!("remove team {id}"),
+    });
+    let services = change.services.iter().map(|(id, service)| match service {
+        Some(s) => format!(
+            "set service {id}: {} tasks in pool {}, at most {} unavailable",
+            s.tasks, s.pool, s.max_down
+        ),
+        None => format!("remove service {id}"),
+    });
+    pools.chain(teams).chain(services).collect()
+}
+
+/// Works out a plan and stores it as proposed: nothing else happens until it is confirmed.
+async fn intent(node: &Node, request: &mut Request, now: Time) -> Result<Plan, Refused> {
+    let asked: IntentRequest = read(request).await?;
+    let plan = {
+        let view = node.view();
+        let hosts = select(&view.fleet, &asked.selection)?;
+        let intent = Intent {
+            action: asked.action,
+            hosts,
+            deadline: asked.deadline,
+            reason: asked.reason,
+            by: asked.by,
+        };
+        let (id, op) = (PlanId::fresh(), OpId::fresh());
+        plan::propose(&view.fleet, id, op, intent, now, &node.settings.rules)
+    };
+    let record = Record::Plan(plan.id.clone(), Box::new(plan.clone()));
+    match write::write(node, record, Revision(0)).await? {
+        Written::Yes(_) => Ok(plan),
+        Written::Conflict => {
+            Err(Refused::new(StatusCode::CONFLICT, "the identifier is taken: try again"))
+        }
+    }
+}
+
+/// The hosts that a selection names. A name that is unknown refuses the whole.
+fn select(
+    fleet: &crate::model::fleet::Fleet,
+    selection: &Selection,
+) -> Result<Vec<HostId>, Refused> {
+    let mut hosts: BTreeSet<HostId> = BTreeSet::new();
+    let mut unknown = Vec::new();
+    for host in &selection.hosts {
+        if fleet.hosts.contains_key(host) {
+            hosts.insert(host.clone());
+        } else {
+            unknown.push(format!("host {host}"));
+        }
+    }
+    let mut add = |kind: &str, name: &str, found: Vec<HostId>| {
+        if found.is_empty() {
+            unknown.push(format!("{kind} {name}"));
+        }
+        hosts.extend(found);
+    };
+    let placed = |is_in: &dyn Fn(&HostId) -> bool| -> Vec<HostId> {
+        fleet.hosts.keys().filter(|host| is_in(host)).cloned().collect()
+    };
+    for rack in &selection.racks {
+        let found = placed(&|host| fleet.reports.get(host).is_some_and(|r| r.rack == *rack));
+        add("rack", rack.as_str(), found);
+    }
+    for zone in &selection.zones {
+        let found = placed(&|host| fleet.reports.get(host).is_some_and(|r| r.zone == *zone));
+        add("availability zone", zone.as_str(), found);
+    }
+    for pool in &selection.pools {
+        add("pool", pool.as_str(), fleet.hosts_of(pool).cloned().collect());
+    }
+    if !unknown.is_empty() {
+        let text = format!("no host is known for: {}; nothing was planned", unknown.join(", "));
+        return Err(Refused::new(StatusCode::NOT_FOUND, text));
+    }
+    if hosts.is_empty() {
+        return Err(Refused::new(StatusCode::BAD_REQUEST, "the intent names no hosts"));
+    }
+    Ok(hosts.into_iter().collect())
+}
+
+fn show(node: &Node, id: &str, now: Time) -> Result<PlanView, Refused> {
+    let id = plan_id(id)?;
+    status::plan_view(node, &id, now).ok_or_else(|| unknown_plan(&id))
+}
+
+fn plan_id(id: &str) -> Result<PlanId, Refused> {
+    id.parse().map_err(|error| Refused::new(StatusCode::BAD_REQUEST, format!("{error}")))
+}
+
+fn unknown_plan(id: &PlanId) -> Refused {
+    Refused::new(StatusCode::NOT_FOUND, format!("there is no plan {id}"))
+}
+
+async fn confirm(node: &Node, id: &str, request: &mut Request, now: Time) -> Result<Plan, Refused> {
+    let id = plan_id(id)?;
+    let asked: Decision = read(request).await?;
+    let Some(digest) = asked.digest else {
+        return Err(Refused::new(StatusCode::BAD_REQUEST, "a confirmation names the digest"));
+    };
+    let rules = &node.settings.rules;
+    let (decided, expect) = {
+        let view = node.view();
+        let op = OpId::fresh();
+        let decided = plan::confirm(&view.fleet, &id, &digest, &asked.by, op, now, rules);
+        (decided, view.fleet.revision(&Key::Plan(id.clone())))
+    };
+    match decided {
+        Ok(plan) => store_plan(node, plan, expect).await,
+        Err(error @ PlanError::Stale { .. }) => Err(replaced(node, &id, error, now).await?),
+        Err(error) => Err(refused(error)),
+    }
+}
+
+/// Stores a fresh plan next to one that no longer holds, and tells both.
+async fn replaced(
+    node: &Node,
+    id: &PlanId,
+    error: PlanError,
+    now: Time,
+) -> Result<Refused, Refused> {
+    let fresh = {
+        let view = node.view();
+        let Some(old) = view.fleet.plans.get(id) else {
+            return Err(unknown_plan(id));
+        };
+        let (new, op) = (PlanId::fresh(), OpId::fresh());
+        plan::propose(&view.fleet, new, op, old.intent.clone(), now, &node.settings.rules)
+    };
+    let record = Record::Plan(fresh.id.clone(), Box::new(fresh.clone()));
+    write::write(node, record, Revision(0)).await?;
+    let refusal = Refusal { error: error.to_string(), fresh: Some(Box::new(fresh)) };
+    Ok(Refused { status: StatusCode::CONFLICT, refusal })
+}
+
+async fn cancel(node: &Node, id: &str, request: &mut Request, now: Time) -> Result<Plan, Refused> {
+    let id = plan_id(id)?;
+    let asked: Decision = read(request).await?;
+    let (decided, expect) = {
+        let view = node.view();
+        let decided = plan::cancel(&view.fleet, &id, &asked.by, OpId::fresh(), now);
+        (decided, view.fleet.revision(&Key::Plan(id.clone())))
+    };
+    store_plan(node, decided.map_err(refused)?, expect).await
+}
+
+async fn store_plan(node: &Node, plan: Plan, expect: Revision) -> Result<Plan, Refused> {
+    let record = Record::Plan(plan.id.clone(), Box::new(plan.clone()));
+    match write::write(node, record, expect).await? {
+        Written::Yes(_) => {
+            log::info!("plan {}: {} by {}", plan.id, plan.state.as_str(), plan.by);
+            Ok(plan)
+        }
+        Written::Conflict => {
+            let view = node.view();
+            let now = view.fleet.plans.get(&plan.id);
+            let text = match now {
+                Some(now) => {
+                    format!("{} was faster: plan {} is {} now", now.by, plan.id, now.state.as_str())
+                }
+                None => format!("plan {} is gone", plan.id),
+            };
+            Err(Refused::new(StatusCode::CONFLICT, text))
+        }
+    }
+}
+
+fn refused(error: PlanError) -> Refused {
+    let status = match error {
+        PlanError::Unknown(_) => StatusCode::NOT_FOUND,
+        _ => StatusCode::CONFLICT,
+    };
+    Refused::new(status, error.to_string())
+}
+
+/// Has a quarantined host serve again.
+async fn release(
+    node: &Node,
+    id: &str,
+    request: &mut Request,
+    now: Time,
+) -> Result<String, Refused> {
+    let host: HostId =
+        id.parse().map_err(|error| Refused::new(StatusCode::BAD_REQUEST, format!("{error}")))?;
+    let asked: ByWhom = read(request).await?;
+    let (record, expect) = {
+        let view = node.view();
+        let state = view.fleet.hosts.get(&host).map(|record| record.state);
+        match state {
+            None => {
+                let text = format!("there is no host {host}");
+                return Err(Refused::new(StatusCode::NOT_FOUND, text));
+            }
+            Some(HostState::Quarantined) => {}
+            Some(state) => {
+                let text = format!("host {host} is {state:?}, not quarantined").to_lowercase();
+                return Err(Refused::new(StatusCode::CONFLICT, text));
+            }
+        }
+        let record = wave::change_host(&view.fleet, &host, &OpId::fresh(), now, |record| {
+            record.state = HostState::Serving;
+        });
+        (record, view.fleet.revision(&Key::Host(host.clone())))
+    };
+    let Some(record) = record else {
+        return Err(Refused::new(StatusCode::NOT_FOUND, "gone"));
+    };
+    match write::write(node, record, expect).await? {
+        Written::Yes(_) => {
+            log::info!("host {host}: released by {}", asked.by);
+            Ok(format!("host {host} serves again"))
+        }
+        Written::Conflict => {
+            let text = format!("host {host} was changed at the same time: look again");
+            Err(Refused::new(StatusCode::CONFLICT, text))
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/message.rs
@@ -0,0 +1,168 @@
+//! What operators' commands and nodes say to each other, in JSON.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{
+    config::Config,
+    id::{HostId, NodeId, PlanId, PoolId, RackId, ServiceId, ZoneId},
+    plan::{Action, Plan},
+    unit::{Epoch, Time},
+};
+
+/// Asks for a configuration to be accepted, or with `dry` only looked at.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ApplyRequest {
+    pub(crate) config: Config,
+    pub(crate) by: String,
+    pub(crate) dry: bool,
+}
+
+/// What applying a configuration changes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ApplyAnswer {
+    /// The entries that change, one line each.
+    pub(crate) changes: Vec<String>,
+    /// The number of the change, once it is accepted.
+    pub(crate) number: Option<u64>,
+}
+
+/// Hosts by name, rack, zone and pool.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub(crate) struct Selection {
+    pub(crate) hosts: Vec<HostId>,
+    pub(crate) racks: Vec<RackId>,
+    pub(crate) zones: Vec<ZoneId>,
+    pub(crate) pools: Vec<PoolId>,
+}
+
+/// States an intent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct IntentRequest {
+    pub(crate) action: Action,
+    pub(crate) selection: Selection,
+    pub(crate) deadline: Option<Time>,
+    pub(crate) reason: String,
+    pub(crate) by: String,
+}
+
+/// Confirms or cancels a plan.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Decision {
+    /// The digest that the operator was shown; not needed to cancel.
+    pub(crate) digest: Option<String>,
+    pub(crate) by: String,
+}
+
+/// A plan with how far it is.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PlanView {
+    pub(crate) plan: Plan,
+    /// What each host of the plan is doing.
+    pub(crate) hosts: BTreeMap<HostId, String>,
+    pub(crate) done: usize,
+    pub(crate) skipped: usize,
+}
+
+/// Why a node refused, as it is told.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Refusal {
+    pub(crate) error: String,
+    /// A fresh plan in place of one that no longer holds.
+    pub(crate) fresh: Option<Box<Plan>>,
+}
+
+/// One host.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct HostRow {
+    pub(crate) host: HostId,
+    pub(crate) rack: String,
+    pub(crate) zone: String,
+    pub(crate) pool: String,
+    pub(crate) state: String,
+    pub(crate) epoch: Epoch,
+    pub(crate) live: bool,
+    pub(crate) tasks: usize,
+    pub(crate) plan: Option<PlanId>,
+    pub(crate) last: String,
+}
+
+/// One pool.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PoolRow {
+    pub(crate) pool: PoolId,
+    pub(crate) wanted: u32,
+    pub(crate) hosts: usize,
+    pub(crate) serving: usize,
+    pub(crate) live: usize,
+    pub(crate) services: usize,
+    /// Share of the pool's cores that its tasks need, in hundredths.
+    pub(crate) used_percent: u32,
+}
+
+/// One service against its budget.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ServiceRow {
+    pub(crate) service: ServiceId,
+    pub(crate) pool: PoolId,
+    pub(crate) team: String,
+    pub(crate) tasks: u32,
+    pub(crate) available: u32,
+    pub(crate) max_down: u32,
+    /// Available tasks in the worst failure domain.
+    pub(crate) reserve: u32,
+    pub(crate) permits: usize,
+    pub(crate) moves: u64,
+    pub(crate) holds: bool,
+}
+
+/// One plan.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PlanRow {
+    pub(crate) plan: PlanId,
+    pub(crate) state: String,
+    pub(crate) action: String,
+    pub(crate) hosts: usize,
+    pub(crate) done: usize,
+    pub(crate) skipped: usize,
+    pub(crate) by: String,
+    pub(crate) reason: String,
+}
+
+/// One node, as the node that was asked sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct NodeRow {
+    pub(crate) node: NodeId,
+    pub(crate) zone: ZoneId,
+    pub(crate) registered: bool,
+    /// The last change of the configuration in force there.
+    pub(crate) config: u64,
+    /// How old its view is.
+    pub(crate) view_age: Option<Duration>,
+    /// How long ago it was heard.
+    pub(crate) heard: Option<Duration>,
+}
+
+/// When a change of the configuration came into force on each node.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ChangeRow {
+    pub(crate) number: u64,
+    pub(crate) by: String,
+    pub(crate) accepted: Option<Time>,
+    pub(crate) nodes: BTreeMap<NodeId, Time>,
+    /// Whether every registered node has it.
+    pub(crate) everywhere: bool,
+}
+
+/// Any list that `status` shows.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(crate) enum Rows {
+    Hosts(Vec<HostRow>),
+    Pools(Vec<PoolRow>),
+    Services(Vec<ServiceRow>),
+    Plans(Vec<PlanRow>),
+    Nodes(Vec<NodeRow>),
+    Changes(Vec<ChangeRow>),
+}
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,278 @@
+//! What the command line asks for, checked.
+
+use std::{fmt, path::PathBuf, str::FromStr, time::Duration};
+
+use clap::ArgMatches;
+
+use crate::{
+    cli::{self, given},
+    demo,
+    error::Error,
+    logging::{self, LogFormat},
+    measure,
+    model::plan::Action,
+    node::run::{self, Sockets},
+    operator::{
+        commands::{self, Command, Verb},
+        message::{IntentRequest, Selection},
+        show::Format,
+    },
+    preset, settings,
+    standin::{endpoint, platform, worker},
+};
+
+/// A whole command line.
+pub(crate) struct Options {
+    level: log::LevelFilter,
+    format: LogFormat,
+    job: Job,
+}
+
+/// What is to be done.
+enum Job {
+    Serve { settings: PathBuf },
+    Check { file: PathBuf, fleet: bool },
+    Demo(demo::Options),
+    Operate(Box<Command>),
+    Measure(measure::Options),
+    Platform(platform::Options),
+    Worker(Box<worker::Options>),
+    Endpoint(endpoint::Options),
+    Completions(clap_complete::Shell),
+}
+
+fn usage<T: FromStr<Err: fmt::Display>>(name: &str, text: &str) -> Result<T, Error> {
+    text.parse().map_err(|error| Error::Usage(format!("--{name}: {error}")))
+}
+
+fn text(matches: &ArgMatches, name: &str) -> String {
+    given::<String>(matches, name).clone()
+}
+
+/// Reads the command line's matches.
+pub(crate) fn read(matches: &ArgMatches) -> Result<Options, Error> {
+    let level = usage("log-level", given::<String>(matches, "log-level"))?;
+    let format = usage("log-format", given::<String>(matches, "log-format"))?;
+    let Some((verb, inner)) = matches.subcommand() else {
+        return Err(Error::Usage("a command must be given".to_owned()));
+    };
+    let job = match verb {
+        "serve" => Job::Serve { settings: given::<PathBuf>(inner, "settings").clone() },
+        "check" => Job::Check {
+            file: given::<PathBuf>(inner, "file").clone(),
+            fleet: inner.get_flag("fleet"),
+        },
+        "demo" => Job::Demo(demo_options(inner)?),
+        "measure" => Job::Measure(measure_options(inner)?),
+        "standin" => standin(inner)?,
+        "completions" => Job::Completions(*given::<clap_complete::Shell>(inner, "shell")),
+        _ => Job::Operate(Box::new(operate(verb, inner)?)),
+    };
+    Ok(Options { level, format, job })
+}
+
+fn demo_options(matches: &ArgMatches) -> Result<demo::Options, Error> {
+    Ok(demo::Options {
+        preset: preset_of(matches)?,
+        seed: *given::<u64>(matches, "seed"),
+        export: matches.get_one::<PathBuf>("export-json").cloned(),
+    })
+}
+
+fn preset_of(matches: &ArgMatches) -> Result<preset::Preset, Error> {
+    let name = text(matches, "preset");
+    preset::by_name(&name).ok_or_else(|| Error::Usage(format!("--preset: there is no {name}")))
+}
+
+fn measure_options(matches: &ArgMatches) -> Result<measure::Options, Error> {
+    let Some((verb, inner)) = matches.subcommand() else {
+        return Err(Error::Usage("an experiment must be named".to_owned()));
+    };
+    let export = measure::Export {
+        json: inner.get_one::<PathBuf>("export-json").cloned(),
+        markdown: inner.get_one::<PathBuf>("export-markdown").cloned(),
+    };
+    let many = |name: &str| -> Vec<String> {
+        inner.get_many::<String>(name).into_iter().flatten().cloned().collect()
+    };
+    let experiment = match verb {
+        "waves" => measure::Experiment::Waves {
+            preset: text(inner, "preset"),
+            policies: many("policy"),
+            seeds: inner.get_many::<u64>("seed").into_iter().flatten().copied().collect(),
+        },
+        "path" => measure::Experiment::Path {
+            callers: *given::<u32>(inner, "callers"),
+            requests: *given::<u32>(inner, "requests"),
+        },
+        _ => measure::Experiment::Node,
+    };
+    Ok(measure::Options { experiment, export })
+}
+
+fn standin(matches: &ArgMatches) -> Result<Job, Error> {
+    let Some((kind, inner)) = matches.subcommand() else {
+        return Err(Error::Usage("a stand-in must be named".to_owned()));
+    };
+    let listen = text(inner, "listen");
+    Ok(match kind {
+        "platform" => Job::Platform(platform::Options {
+            listen,
+            writes: *given::<u32>(inner, "writes"),
+            reads: *given::<u32>(inner, "reads"),
+            ..platform::Options::default()
+        }),
+        "worker" => Job::Worker(Box::new(worker::Options {
+            listen,
+            platform: text(inner, "platform"),
+            hosts: *given::<u32>(inner, "hosts"),
+            zones: *given::<u32>(inner, "zones"),
+            reboot: Duration::from_millis(*given::<u64>(inner, "reboot-ms")),
+            ..worker::Options::default()
+        })),
+        _ => Job::Endpoint(endpoint::Options {
+            listen,
+            slots: 8,
+            connections: 64,
+            work: Duration::from_millis(*given::<u64>(inner, "work-ms")),
+        }),
+    })
+}
+
+fn operate(verb: &str, matches: &ArgMatches) -> Result<Command, Error> {
+    // Verbs with verbs of their own have their options there.
+    let (inner_verb, inner) = matches.subcommand().unwrap_or((verb, matches));
+    let by = || text(inner, "by");
+    let plan = || usage("plan", given::<String>(inner, "plan"));
+    let host = || usage("host", given::<String>(inner, "host"));
+    let verb = match (verb, inner_verb) {
+        ("status", _) => Verb::Status { list: text(inner, "list") },
+        ("apply", _) => Verb::Apply {
+            file: given::<PathBuf>(inner, "file").clone(),
+            yes: inner.get_flag("yes"),
+            by: by(),
+        },
+        ("intent", action) => Verb::Intent(Box::new(intent(action, inner)?)),
+        ("plan", "show") => Verb::ShowPlan(plan()?),
+        ("plan", "watch") => Verb::WatchPlan(plan()?),
+        ("plan", "cancel") => Verb::Cancel { plan: plan()?, by: by() },
+        ("plan", _) => Verb::Confirm { plan: plan()?, digest: text(inner, "digest"), by: by() },
+        ("host", "quarantine") => {
+            Verb::Quarantine { host: host()?, reason: text(inner, "reason"), by: by() }
+        }
+        _ => Verb::Release { host: host()?, by: by() },
+    };
+    let format = usage::<Format>("format", given::<String>(inner, "format"))?;
+    Ok(Command { node: text(inner, "node"), format, verb })
+}
+
+fn intent(action: &str, matches: &ArgMatches) -> Result<IntentRequest, Error> {
+    fn names<T: FromStr<Err: fmt::Display>>(
+        matches: &ArgMatches,
+        name: &str,
+    ) -> Result<Vec<T>, Error> {
+        let texts = matches.get_many::<String>(name).into_iter().flatten();
+        texts.map(|text| usage(name, text)).collect()
+    }
+    let selection = Selection {
+        hosts: names(matches, "host")?,
+        racks: names(matches, "rack")?,
+        zones: names(matches, "zone")?,
+        pools: names(matches, "pool")?,
+    };
+    if selection == Selection::default() {
+        let text = "name what the intent is for: --host, --rack, --zone or --pool";
+        return Err(Error::Usage(text.to_owned()));
+    }
+    let deadline = matches.get_one::<String>("deadline");
+    let deadline = deadline.map(|text| usage("deadline", text)).transpose()?;
+    let action = match action {
+        "move" => Action::Move(usage("to", given::<String>(matches, "to"))?),
+        _ => Action::Drain,
+    };
+    let (reason, by) = (text(matches, "reason"), text(matches, "by"));
+    Ok(IntentRequest { action, selection, deadline, reason, by })
+}
+
+impl Options {
+    /// Does what is asked for.
+    pub(crate) fn run(self) -> Result<(), Error> {
+        logging::start(self.level, self.format)?;
+        match self.job {
+            Job::Check { file, fleet } => check(&file, fleet),
+            Job::Completions(shell) => {
+                cli::complete(shell, &mut std::io::stdout());
+                Ok(())
+            }
+            Job::Demo(options) => demo::run(options),
+            Job::Measure(options) => measure::run(options),
+            Job::Serve { settings } => {
+                let settings = settings::node::load(&settings)?;
+                block_on(serve(settings))
+            }
+            Job::Operate(command) => block_on(commands::run(*command)),
+            Job::Platform(options) => block_on(async {
+                let platform = platform::start(options).await;
+                let platform = platform.map_err(|error| Error::system("listen", error))?;
+                println!("platform at {}", platform.url);
+                until_told().await
+            }),
+            Job::Worker(options) => block_on(async {
+                let workers = worker::start(*options).await;
+                let workers = workers.map_err(|error| Error::system("listen", error))?;
+                println!("workers at {}", workers.address);
+                until_told().await
+            }),
+            Job::Endpoint(options) => block_on(async {
+                let endpoint = endpoint::start(&options, Default::default()).await;
+                let endpoint = endpoint.map_err(|error| Error::system("listen", error))?;
+                println!("endpoint at {}", endpoint.address);
+                until_told().await
+            }),
+        }
+    }
+}
+
+fn block_on(job: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.map_err(|error| Error::system("start threads", error))?.block_on(job)
+}
+
+fn check(file: &std::path::Path, fleet: bool) -> Result<(), Error> {
+    if fleet {
+        let config = settings::fleet::load(file)?;
+        println!(
+            "{}: right: {} pools, {} services, {} teams",
+            file.display(),
+            config.pools.len(),
+            config.services.len(),
+            config.teams.len()
+        );
+    } else {
+        let settings = settings::node::load(file)?;
+        println!("{}: right: node {}", file.display(), settings.node);
+    }
+    Ok(())
+}
+
+async fn serve(settings: settings::node::NodeSettings) -> Result<(), Error> {
+    let sockets = Sockets::open(&settings).await;
+    let sockets = sockets.map_err(|error| Error::system("listen", error))?;
+    let running = run::start(settings, sockets);
+    until_told().await?;
+    running.leave().await;
+    Ok(())
+}
+
+/// Waits until the process is told to end.
+async fn until_told() -> Result<(), Error> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let failed = |error| Error::system("wait for signals", error);
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/settings/node.rs
@@ -0,0 +1,282 @@
+//! A node's settings.
+
+use std::{net::SocketAddr, path::Path, str::FromStr, time::Duration};
+
+use crate::{
+    decide::{
+        claim::Keep,
+        rules::{Expected, Rules, Weights},
+    },
+    model::id::{NodeId, ZoneId},
+    settings::{
+        Problem, Problems,
+        reader::{self, Section},
+    },
+};
+
+/// All that a node is told when it starts.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct NodeSettings {
+    pub(crate) node: NodeId,
+    pub(crate) zone: ZoneId,
+    pub(crate) listen: Listen,
+    pub(crate) platform: PlatformSettings,
+    /// Addresses at which other nodes listen for peers, for when the store is down.
+    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) limits: Limits,
+    pub(crate) timing: Timing,
+    pub(crate) claims: Claims,
+    pub(crate) rules: Rules,
+}
+
+/// Where a node listens.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Listen {
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// Where the platform is.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct PlatformSettings {
+    pub(crate) store: Url,
+    pub(crate) hosts: Url,
+}
+
+/// Bounds on what callers may ask of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Limits {
+    /// Bytes of a request's body.
+    pub(crate) request: usize,
+    /// Bytes of an answer.
+    pub(crate) answer: usize,
+    /// Bytes of all bodies and answers that are held at one time.
+    pub(crate) held: usize,
+    /// Requests that wait for an endpoint, for each service.
+    pub(crate) queue: usize,
+    /// Connections of callers.
+    pub(crate) connections: usize,
+    /// The deadline of a request that names none.
+    pub(crate) deadline: Duration,
+}
+
+/// How often things are done, and how long they may take.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Timing {
+    /// Between two looks at plans, pools and tasks.
+    pub(crate) control: Duration,
+    /// Between two heartbeats to peers.
+    pub(crate) heartbeat: Duration,
+    /// Between two reads of the list of hosts.
+    pub(crate) hosts: Duration,
+    /// Between two comparisons of the view with the store.
+    pub(crate) verify: Duration,
+    /// How long a call of the store may take.
+    pub(crate) store: Duration,
+    /// How long a registration lasts without renewal.
+    pub(crate) lease: Duration,
+    /// How long tasks run without a command.
+    pub(crate) task_lease: Duration,
+}
+
+/// How claims of requests that are not repeatable are kept.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Claims {
+    /// Values of the store that claims are spread over.
+    pub(crate) buckets: u32,
+    pub(crate) keep: Keep,
+    /// Writes a second that this node spends on claims.
+    pub(crate) writes: u32,
+}
+
+/// The address of an HTTP server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Url(String);
+
+impl Url {
+    /// The address as text, without a slash at its end.
+    pub(crate) fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for Url {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Url, String> {
+        let rest = text.strip_prefix("http://").map(|rest| rest.trim_end_matches('/'));
+        match rest.map(str::parse::<SocketAddr>) {
+            Some(Ok(address)) => Ok(Url(format!("http://{address}"))),
+            _ => Err(format!("`{text}` is not an address such as http://10.0.0.1:2379")),
+        }
+    }
+}
+
+/// The policies that weights can be taken from by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    BufferFirst,
+    TimeFirst,
+}
+
+impl FromStr for Policy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Policy, String> {
+        match text {
+            "buffer-first" => Ok(Policy::BufferFirst),
+            "time-first" => Ok(Policy::TimeFirst),
+            _ => Err(format!("`{text}` is not a policy: buffer-first or time-first are allowed")),
+        }
+    }
+}
+
+impl Policy {
+    pub(crate) fn weights(self) -> Weights {
+        match self {
+            Policy::BufferFirst => Weights::BUFFER_FIRST,
+            Policy::TimeFirst => Weights::TIME_FIRST,
+        }
+    }
+}
+
+/// Reads the settings in a file.
+pub(crate) fn load(path: &Path) -> Result<NodeSettings, Problems> {
+    let file = path.display().to_string();
+    let text = read_file(path, &file)?;
+    parse(&file, &text)
+}
+
+/// Reads a file's text.
+pub(super) fn read_file(path: &Path, file: &str) -> Result<String, Problems> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let message = format!("it cannot be read: {error}");
+        let problem = Problem { line: 1, column: 1, field: String::new(), message };
+        Problems { file: file.to_owned(), list: vec![problem] }
+    })
+}
+
+/// Reads settings from text.
+pub(crate) fn parse(file: &str, text: &str) -> Result<NodeSettings, Problems> {
+    reader::read(file, text, node)
+}
+
+fn node(section: &Section<'_>) -> Option<NodeSettings> {
+    // Every field is read before any is missed, so that all problems are told at once.
+    let node = section.text("node");
+    let zone = section.text("zone");
+    let listen = section.section("listen", listen);
+    let platform = section.section("platform", platform);
+    let peers = section.texts("peers");
+    let limits = section.section_or_default("limits", limits);
+    let timing = section.section_or_default("timing", timing);
+    let claims = section.section_or_default("claims", claims);
+    let rules = section.section_or_default("rules", rules);
+    Some(NodeSettings {
+        node: node?,
+        zone: zone?,
+        listen: listen?,
+        platform: platform?,
+        peers: peers?,
+        limits: limits?,
+        timing: timing?,
+        claims: claims?,
+        rules: rules?,
+    })
+}
+
+fn listen(section: &Section<'_>) -> Option<Listen> {
+    let callers = section.text("callers");
+    let operators = section.text("operators");
+    let peers = section.text("peers");
+    Some(Listen { callers: callers?, operators: operators?, peers: peers? })
+}
+
+fn platform(section: &Section<'_>) -> Option<PlatformSettings> {
+    let store = section.text("store");
+    let hosts = section.text("hosts");
+    Some(PlatformSettings { store: store?, hosts: hosts? })
+}
+
+fn limits(section: &Section<'_>) -> Option<Limits> {
+    const MB: u64 = 1 << 20;
+    let request = section.number_or("request_bytes", 1024..=64 * MB, MB);
+    let answer = section.number_or("answer_bytes", 1024..=64 * MB, 8 * MB);
+    let held = section.number_or("held_bytes", MB..=1024 * MB, 64 * MB);
+    let queue = section.number_or("queue", 1..=100_000, 256);
+    let connections = section.number_or("connections", 1..=100_000, 4096);
+    let deadline = section.millis_or("deadline_ms", 10..=3_600_000, Duration::from_secs(30));
+    Some(Limits {
+        request: request? as usize,
+        answer: answer? as usize,
+        held: held? as usize,
+        queue: queue? as usize,
+        connections: connections? as usize,
+        deadline: deadline?,
+    })
+}
+
+fn timing(section: &Section<'_>) -> Option<Timing> {
+    let control = section.millis_or("control_ms", 20..=10_000, Duration::from_millis(200));
+    let heartbeat = section.millis_or("heartbeat_ms", 50..=5_000, Duration::from_millis(500));
+    let hosts = section.millis_or("hosts_ms", 100..=10_000, Duration::from_millis(500));
+    let verify = section.millis_or("verify_ms", 100..=10_000, Duration::from_millis(1500));
+    let store = section.millis_or("store_ms", 50..=30_000, Duration::from_secs(1));
+    let lease = section.millis_or("lease_ms", 2_000..=120_000, Duration::from_secs(6));
+    let task_lease = section.millis_or("task_lease_ms", 5_000..=600_000, Duration::from_secs(60));
+    Some(Timing {
+        control: control?,
+        heartbeat: heartbeat?,
+        hosts: hosts?,
+        verify: verify?,
+        store: store?,
+        lease: lease?,
+        task_lease: task_lease?,
+    })
+}
+
+fn claims(section: &Section<'_>) -> Option<Claims> {
+    let buckets = section.number_or("buckets", 1..=1024, 8);
+    let span =
+        section.millis_or("keep_ms", 60_000..=30 * 86_400_000, Duration::from_secs(24 * 3600));
+    let most = section.number_or("most", 100..=5_000, 5_000);
+    let writes = section.number_or("writes", 1..=100, 12);
+    Some(Claims {
+        buckets: buckets? as u32,
+        keep: Keep { span: span?, most: most? as usize },
+        writes: writes? as u32,
+    })
+}
+
+fn rules(section: &Section<'_>) -> Option<Rules> {
+    let default = Rules::default();
+    let list_limit = section.millis_or("list_limit_ms", 1_000..=60_000, default.list_limit);
+    let start_limit = section.millis_or("start_limit_ms", 1_000..=3_600_000, default.start_limit);
+    let leave_limit = section.millis_or("leave_limit_ms", 1_000..=3_600_000, default.leave_limit);
+    let away_limit = section.millis_or("away_limit_ms", 1_000..=86_400_000, default.away_limit);
+    let policy = section.text_or("policy", Policy::BufferFirst);
+    let weights = section.section_or_default("weights", |inner| {
+        let base = policy.unwrap_or(Policy::BufferFirst).weights();
+        let buffer = inner.weight_or("buffer", 1000.0, base.buffer);
+        let time = inner.weight_or("time", 1000.0, base.time);
+        let moves = inner.weight_or("moves", 1000.0, base.moves);
+        Some(Weights { buffer: buffer?, time: time?, moves: moves? })
+    });
+    let expected = section.section_or_default("expected", |inner| {
+        let base = default.expected;
+        let quiet = inner.millis_or("quiet_ms", 100..=3_600_000, base.quiet);
+        let start = inner.millis_or("start_ms", 100..=3_600_000, base.start);
+        let reboot = inner.millis_or("reboot_ms", 100..=86_400_000, base.reboot);
+        Some(Expected { quiet: quiet?, start: start?, reboot: reboot? })
+    });
+    policy?;
+    Some(Rules {
+        list_limit: list_limit?,
+        start_limit: start_limit?,
+        leave_limit: leave_limit?,
+        away_limit: away_limit?,
+        weights: weights?,
+        expected: expected?,
+    })
+}
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins for the systems that the program works with: the platform's store and list of
+//! hosts, workers, and endpoints. They speak the real protocols over real sockets, and fail when
+//! they are told to. Nothing but `main`, `measure`, `demo` and tests uses them.
+
+pub(crate) mod endpoint;
+pub(crate) mod kv;
+pub(crate) mod platform;
+pub(crate) mod worker;
