--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,7 @@
 pub(crate) mod repair;
 pub(crate) mod route;
 pub(crate) mod rules;
+pub(crate) mod share;
 pub(crate) mod wave;
 
 #[cfg(test)]
--- a/src/decide/budget.rs
+++ b/src/decide/budget.rs
@@ -12,7 +12,6 @@
     model::{
         config::{Domain, Service},
         fleet::{Fleet, TaskRef},
-        host::HostState,
         id::{HostId, RackId, ServiceId, ZoneId},
         record::Placement,
         unit::Time,
@@ -50,8 +49,7 @@
     let Some(assigned) = fleet.assigned(task) else {
         return false;
     };
-    let serving =
-        fleet.hosts.get(&assigned.host).is_some_and(|host| host.state == HostState::Serving);
+    let serving = fleet.hosts.get(&assigned.host).is_some_and(|host| host.state.serves());
     let live = fleet.is_live(&assigned.host, now, rules.list_limit);
     serving && live && fleet.reported(task).is_some_and(|report| report.ready)
 }
@@ -98,6 +96,21 @@
         if self.by_zone { zone.max(rack) } else { rack }
     }
 
+    /// Whether a rack or zone is the failure domain that the reserve is for.
+    pub(crate) fn is_worst(&self, rack: &RackId, zone: &ZoneId) -> bool {
+        let reserve = self.reserve();
+        let rack = self.up_by_rack.get(rack).copied().unwrap_or(0);
+        let zone = self.up_by_zone.get(zone).copied().unwrap_or(0);
+        rack == reserve || (self.by_zone && zone == reserve)
+    }
+
+    /// Available tasks in the domain of a rack and zone if one more were there.
+    pub(crate) fn reserve_with(&self, rack: &RackId, zone: &ZoneId) -> u32 {
+        let rack = self.up_by_rack.get(rack).copied().unwrap_or(0) + 1;
+        let zone = self.up_by_zone.get(zone).copied().unwrap_or(0) + 1;
+        if self.by_zone { zone.max(rack) } else { rack }
+    }
+
     /// Whether the service is within its budget now.
     pub(crate) fn holds(&self) -> bool {
         self.down.len() as u32 <= self.max_down
--- a/src/decide/pools.rs
+++ b/src/decide/pools.rs
@@ -19,7 +19,7 @@
         }
     }
     let mut free: Vec<_> =
-        fleet.reports.values().filter(|report| !fleet.hosts.contains_key(&report.host)).collect();
+        fleet.reports.values().filter(|r| r.live && !fleet.hosts.contains_key(&r.host)).collect();
     let mut assigned = Vec::new();
     while !free.is_empty() {
         let Some(pool) = neediest(fleet, &sizes) else {
@@ -50,3 +50,13 @@
     });
     lacking.max_by_key(|(share, id)| (*share, std::cmp::Reverse(*id))).map(|(_, id)| id)
 }
+
+/// Whether a pool lacks hosts that are there and will join it.
+pub(crate) fn is_filling(fleet: &Fleet, pool: &PoolId) -> bool {
+    if fleet.reports.len() <= fleet.hosts.len() {
+        return false;
+    }
+    let wanted = fleet.config.pools.get(pool).map_or(0, |pool| pool.hosts as usize);
+    let free = fleet.reports.values().any(|r| r.live && !fleet.hosts.contains_key(&r.host));
+    free && fleet.hosts_of(pool).count() < wanted
+}
--- a/src/decide/rehearse.rs
+++ b/src/decide/rehearse.rs
@@ -12,7 +12,7 @@
         budget::{self, Standing},
         repair,
         rules::Rules,
-        wave::{self, Step},
+        wave::{self, Outlook, Step},
     },
     model::{
         fleet::{Fleet, TaskRef},
@@ -160,13 +160,18 @@
 
     fn decide(&mut self) {
         let began = std::time::Instant::now();
-        self.repair();
         loop {
+            let repaired = self.repair();
             let quiet = &self.quiet;
             let is_quiet = |host: &HostId, epoch| quiet.contains(&(host.clone(), epoch));
-            let (steps, _) =
-                wave::advance(&self.fleet, self.plan, self.pool, &is_quiet, self.now, self.rules);
-            if steps.is_empty() {
+            let outlook = Outlook {
+                fleet: &self.fleet,
+                is_quiet: &is_quiet,
+                now: self.now,
+                rules: self.rules,
+            };
+            let (steps, _) = wave::advance(&outlook, self.plan, self.pool);
+            if steps.is_empty() && !repaired {
                 break;
             }
             for step in steps {
@@ -196,7 +201,12 @@
             }
             Step::Move { service, moves, .. } => {
                 self.report.moves += moves.len() as u32;
-                self.started(service, moves);
+                self.started(service, moves.keys());
+            }
+            Step::Prepare { service, moves, .. } => self.started(service, moves.keys()),
+            Step::Close { .. } => {
+                let limit = self.rules.start_limit + self.rules.leave_limit;
+                self.after(limit + Duration::from_secs(1), Event::Look);
             }
             Step::Away { host } => {
                 let epoch = self.fleet.hosts[host].epoch;
@@ -214,34 +224,42 @@
         self.events.push(Reverse((self.now + span, event)));
     }
 
-    fn started(&mut self, service: &ServiceId, moves: &repair::Moves) {
-        for index in moves.keys() {
+    /// Has tasks that were started become ready when their time has come.
+    fn started<'i>(&mut self, service: &ServiceId, indexes: impl Iterator<Item = &'i u32>) {
+        for index in indexes {
             let task = TaskRef { service: service.clone(), index: *index };
-            let Some(assigned) = self.fleet.assigned(&task) else {
-                continue;
-            };
-            let generation = assigned.generation;
-            self.after(self.rules.expected.start, Event::Ready(task, generation));
+            let successor = self.fleet.successor(&task).map(|successor| &successor.to);
+            let Some(newest) = successor.or(self.fleet.assigned(&task)).cloned() else { continue };
+            self.after(self.rules.expected.start, Event::Ready(task.clone(), newest.generation));
+            self.after(self.rules.start_limit + Duration::from_secs(1), Event::Look);
         }
     }
 
-    fn repair(&mut self) {
-        if self.failed.is_empty() {
-            return;
-        }
+    /// Cares for every service; tells whether anything was written.
+    fn repair(&mut self) -> bool {
         let services: Vec<ServiceId> = self.fleet.config.services.keys().cloned().collect();
+        let mut written = false;
         for id in services {
-            let (moves, _) = repair::repair(&self.fleet, &id, self.now, self.rules);
-            if moves.is_empty() {
+            let repair = repair::repair(&self.fleet, &id, self.now, self.rules);
+            if repair.is_empty() {
                 continue;
             }
-            self.report.repairs += moves.len() as u32;
+            written = true;
+            self.report.repairs += repair.moves.len() as u32;
+            let planned = |index: &&u32| {
+                let task = TaskRef { service: id.clone(), index: **index };
+                self.fleet.successor(&task).is_some_and(|successor| successor.plan.is_some())
+            };
+            let planned = repair.swaps.iter().filter(planned).count() as u32;
+            self.report.moves += planned;
+            self.report.repairs += repair.swaps.len() as u32 - planned;
             let record = wave::change_placement(&self.fleet, &id, &self.op, |placement| {
-                wave::relocate(placement, &moves, None, self.now);
+                wave::repaired(placement, &repair, self.now);
             });
             record.into_iter().for_each(|record| self.put(record));
-            self.started(&id, &moves);
+            self.started(&id, repair.moves.keys().chain(repair.successors.keys()));
         }
+        written
     }
 
     fn happen(&mut self, event: Event) {
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// A team's rate of requests at one node.
+/// A rate that may vary from one moment to the next, with a little saved up.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct RateLimit {
     tokens: f64,
@@ -116,28 +116,33 @@
 }
 
 impl RateLimit {
-    /// A full limit.
-    pub(crate) fn new(rate: f64, now: Time) -> RateLimit {
-        RateLimit { tokens: burst(rate), at: now }
+    /// A limit with one to take.
+    pub(crate) fn new(now: Time) -> RateLimit {
+        RateLimit { tokens: 1.0, at: now }
     }
 
-    /// Lets one request through, or tells when the next one may come.
-    pub(crate) fn take(&mut self, rate: f64, now: Time) -> Result<(), Duration> {
+    /// Takes one if `keep` more are left, or tells when it may be taken.
+    pub(crate) fn take(&mut self, rate: f64, keep: f64, now: Time) -> Result<(), Duration> {
         let earned = now.since(self.at).as_secs_f64() * rate;
-        self.tokens = (self.tokens + earned).min(burst(rate));
+        self.tokens = (self.tokens + earned).min(saved(rate));
         self.at = now;
-        if 1.0 <= self.tokens {
+        // A rate so low that less is ever saved must not wait for ever.
+        let needed = (1.0 + keep).min(saved(rate));
+        if needed <= self.tokens {
             self.tokens -= 1.0;
             return Ok(());
         }
-        let wait = (1.0 - self.tokens) / rate.max(0.001);
-        Err(Duration::from_secs_f64(wait.min(3600.0)))
+        let wait = (needed - self.tokens) / rate.max(0.001);
+        Err(Duration::from_secs_f64(wait.clamp(0.001, 3600.0)))
     }
 }
 
-/// Requests that may come at once: a second's worth, and one at the least.
-fn burst(rate: f64) -> f64 {
-    rate.max(1.0)
+/// Seconds' worth of a rate that is saved up.
+const SAVED: f64 = 0.25;
+
+/// What may come at once.
+fn saved(rate: f64) -> f64 {
+    (rate * SAVED).max(1.0)
 }
 
 /// A request that waits for an endpoint.
--- a/src/decide/rules.rs
+++ b/src/decide/rules.rs
@@ -34,6 +34,9 @@
     /// A host that has not come back from its reboot by then is quarantined.
     pub(crate) away_limit: Duration,
     pub(crate) weights: Weights,
+    /// Whether the spare that failures need and the spare that maintenance needs are one and the
+    /// same: a host that is out for a plan comes back in bounded time, and counts as spare.
+    pub(crate) share_spare: bool,
     /// How long a leave, a start and a reboot are expected to take, for the estimate of a plan.
     pub(crate) expected: Expected,
 }
@@ -57,6 +60,7 @@
             leave_limit: Duration::from_secs(120),
             away_limit: Duration::from_secs(900),
             weights: Weights::BUFFER_FIRST,
+            share_spare: true,
             expected: Expected {
                 quiet: Duration::from_secs(5),
                 start: Duration::from_secs(10),
--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -1,8 +1,10 @@
 //! Waves: the next steps of a plan. Each step is one conditional write, so that a step done twice,
 //! or by a node that was away, is refused by the store.
 //!
-//! A host goes from serving to leaving when every service that it carries has given a permit; its
-//! tasks move when it is quiet; it reboots when it is empty, holding no permit; and it serves
+//! A host closes when there is room for its tasks elsewhere: it gets no new ones, and successors
+//! of those that it has start on other hosts and take their places when they are ready. Tasks
+//! whose service allows no successor need a permit of its budget, and move when the host is quiet.
+//! A host leaves when it holds no other tasks, reboots when it is quiet and empty, and serves
 //! again when its worker reports the reboot. Where a host is, its own record says: the plan's
 //! record is written only when its state changes.
 
@@ -15,15 +17,15 @@
     decide::{
         budget::{self, OverBudget, Standing},
         place::{NoHost, Placer},
-        repair::Moves,
+        repair::{Moves, Repair},
         rules::Rules,
     },
     model::{
         fleet::Fleet,
         host::{HostOutcome, HostRecord, HostState},
-        id::{HostId, OpId, PlanId, PoolId, ServiceId},
+        id::{HostId, OpId, PlanId, PoolId, RackId, ServiceId},
         plan::{Action, Plan, PlanState, PoolPlan},
-        record::{Assigned, Permit, Placement, Record},
+        record::{Assigned, Key, Permit, Placement, Record, Successor},
         unit::{Epoch, Time},
     },
 };
@@ -31,9 +33,13 @@
 /// One conditional write of a plan.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Step {
+    /// Gives a host no new tasks.
+    Close { host: HostId },
+    /// Starts successors of a service's tasks on a host that is closing.
+    Prepare { host: HostId, service: ServiceId, moves: Moves },
     /// Takes a permit from a service for its tasks on a host.
     Permit { host: HostId, service: ServiceId },
-    /// Gives a permit back that is of no use any more.
+    /// Gives back a permit and ends successors that are of no use any more.
     GiveBack { host: HostId, service: ServiceId },
     /// Lets no new request go to a host.
     Leave { host: HostId },
@@ -49,7 +55,7 @@
     Return { host: HostId, outcome: HostOutcome },
 }
 
-/// Why a host is not started now.
+/// Why a host makes no progress now.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Wait {
     #[error("the plan has as many hosts out as it may")]
@@ -68,47 +74,46 @@
     Reserve,
 }
 
-/// The next steps of one pool of a plan, and why hosts wait. `is_quiet` tells whether every node
-/// has acknowledged that it sends nothing to a host of that epoch and has nothing in flight there.
+/// What is known when a plan's next steps are worked out.
+pub(crate) struct Outlook<'a> {
+    pub(crate) fleet: &'a Fleet,
+    /// Whether every node has acknowledged that it sends nothing to a host of that epoch and has
+    /// nothing in flight there.
+    pub(crate) is_quiet: &'a dyn Fn(&HostId, Epoch) -> bool,
+    pub(crate) now: Time,
+    pub(crate) rules: &'a Rules,
+}
+
+/// The next steps of one pool of a plan, and why hosts wait.
 pub(crate) fn advance(
-    fleet: &Fleet,
+    outlook: &Outlook<'_>,
     plan: &Plan,
     pool: &PoolId,
-    is_quiet: &dyn Fn(&HostId, Epoch) -> bool,
-    now: Time,
-    rules: &Rules,
 ) -> (Vec<Step>, BTreeMap<HostId, Wait>) {
-    let Some(part) = plan.pools.get(pool) else {
-        return Default::default();
-    };
-    let mut steps = Vec::new();
+    let Some(part) = plan.pools.get(pool) else { return Default::default() };
+    let mut round =
+        Round { outlook, plan, part, scene: None, steps: Vec::new(), waiting: BTreeMap::new() };
     for host in part.hosts() {
-        let Some(record) = fleet.hosts.get(host) else {
-            continue;
-        };
+        let Some(record) = outlook.fleet.hosts.get(host) else { continue };
         if record.plan.as_ref() == Some(&plan.id) {
-            steps.extend(carry_on(fleet, plan, host, record, is_quiet, now, rules));
-        } else if !(plan.state == PlanState::Running && may_start(plan, record)) {
-            steps.extend(give_back(fleet, plan, host));
+            round.carry_on(host, record);
+        } else {
+            round.steps.extend(give_back(outlook.fleet, plan, host));
         }
     }
-    if plan.state != PlanState::Running {
-        return (steps, BTreeMap::new());
+    if plan.state == PlanState::Running {
+        round.start();
     }
-    let (started, waiting) = start(fleet, plan, part, now, rules);
-    steps.extend(started);
-    (steps, waiting)
+    (round.steps, round.waiting)
 }
 
 /// Whether nothing is left to do for a plan, so that it may be marked done or forgotten.
 pub(crate) fn is_finished(fleet: &Fleet, plan: &Plan) -> bool {
     let ended = |host: &HostId| {
-        let Some(record) = fleet.hosts.get(host) else {
-            return true;
-        };
+        let Some(record) = fleet.hosts.get(host) else { return true };
         let held = record.plan.as_ref() == Some(&plan.id);
         let left = plan.state == PlanState::Running && !is_ended(plan, record);
-        !held && !left && own_permits(fleet, plan, host).is_empty()
+        !held && !left && held_by(fleet, plan, host).is_empty()
     };
     plan.hosts().all(ended)
 }
@@ -117,219 +122,249 @@
     record.last.as_ref().is_some_and(|(id, _)| *id == plan.id)
 }
 
-fn may_start(plan: &Plan, record: &HostRecord) -> bool {
-    !is_ended(plan, record) && record.plan.is_none() && record.state == HostState::Serving
+/// Services of which the plan holds a permit for a host, or successors of tasks there.
+fn held_by(fleet: &Fleet, plan: &Plan, host: &HostId) -> BTreeSet<ServiceId> {
+    let permits = permits_of(fleet, plan, host);
+    let tasks = fleet.tasks_on(host).iter();
+    let succeeded = tasks.filter(|task| {
+        let successor = fleet.successor(task);
+        successor.is_some_and(|successor| successor.plan.as_ref() == Some(&plan.id))
+    });
+    permits.into_iter().chain(succeeded.map(|task| task.service.clone())).collect()
 }
 
-fn own_permits(fleet: &Fleet, plan: &Plan, host: &HostId) -> Vec<ServiceId> {
+fn permits_of(fleet: &Fleet, plan: &Plan, host: &HostId) -> BTreeSet<ServiceId> {
     let is_own = |service: &&ServiceId| {
         let permit = fleet.placements.get(*service).and_then(|p| p.permits.get(host));
         permit.is_some_and(|permit| permit.plan == plan.id)
     };
-    let mut services: Vec<_> = fleet.permits_for(host).filter(is_own).cloned().collect();
-    services.sort();
-    services
+    fleet.permits_for(host).filter(is_own).cloned().collect()
 }
 
 fn give_back(fleet: &Fleet, plan: &Plan, host: &HostId) -> Vec<Step> {
-    let services = own_permits(fleet, plan, host).into_iter();
+    let services = held_by(fleet, plan, host).into_iter();
     services.map(|service| Step::GiveBack { host: host.clone(), service }).collect()
 }
 
-/// The next steps for a host that the plan holds.
-fn carry_on(
-    fleet: &Fleet,
-    plan: &Plan,
-    host: &HostId,
-    record: &HostRecord,
-    is_quiet: &dyn Fn(&HostId, Epoch) -> bool,
-    now: Time,
-    rules: &Rules,
-) -> Vec<Step> {
-    let skipped = |reason: String| HostOutcome::Skipped(reason);
-    let host = host.clone();
-    match record.state {
-        HostState::Away => {
-            let report = fleet.reports.get(&host);
-            let back = report.is_some_and(|report| record.epoch <= report.booted && report.live);
-            if back {
-                return vec![Step::Return { host, outcome: HostOutcome::Done }];
+/// One look at a pool's part of a plan.
+struct Round<'a> {
+    outlook: &'a Outlook<'a>,
+    plan: &'a Plan,
+    part: &'a PoolPlan,
+    scene: Option<Scene<'a>>,
+    steps: Vec<Step>,
+    waiting: BTreeMap<HostId, Wait>,
+}
+
+impl<'a> Round<'a> {
+    /// The next steps for a host that the plan holds.
+    fn carry_on(&mut self, host: &HostId, record: &HostRecord) {
+        let Outlook { fleet, now, rules, .. } = *self.outlook;
+        let spent = now.since(record.since);
+        let cancelled = self.plan.state == PlanState::Cancelled;
+        match record.state {
+            HostState::Away => self.away(host, record),
+            HostState::Closing | HostState::Leaving if cancelled => {
+                self.skip(host, "the plan was cancelled".to_owned());
             }
-            if rules.away_limit < now.since(record.since) {
-                let outcome = skipped(format!(
-                    "did not come back within {}",
-                    humantime::format_duration(rules.away_limit)
-                ));
-                return vec![Step::Quarantine { host, outcome }];
+            HostState::Closing if rules.start_limit + rules.leave_limit < spent => {
+                let limit = humantime::format_duration(rules.start_limit + rules.leave_limit);
+                let wait = self.closing_wait(host);
+                self.skip(host, format!("it was not empty within {limit}{wait}"));
+            }
+            HostState::Closing => self.closing(host),
+            HostState::Leaving => self.leaving(host, record),
+            HostState::Serving | HostState::Quarantined => {
+                self.steps.extend(give_back(fleet, self.plan, host));
             }
-            Vec::new()
-        }
-        HostState::Leaving if plan.state == PlanState::Cancelled => {
-            vec![Step::Return { host, outcome: skipped("the plan was cancelled".to_owned()) }]
         }
-        HostState::Leaving => leaving(fleet, plan, host, record, is_quiet, now, rules),
-        HostState::Serving | HostState::Quarantined => Vec::new(),
     }
-}
 
-fn leaving(
-    fleet: &Fleet,
-    plan: &Plan,
-    host: HostId,
-    record: &HostRecord,
-    is_quiet: &dyn Fn(&HostId, Epoch) -> bool,
-    now: Time,
-    rules: &Rules,
-) -> Vec<Step> {
-    let report = fleet.reports.get(&host);
-    let dead = fleet.is_dead(&host, now, rules.list_limit);
-    let worker_quiet =
-        report.is_some_and(|report| record.epoch <= report.epoch && report.in_flight() == 0);
-    let quiet = dead || (worker_quiet && is_quiet(&host, record.epoch));
-    let empty = fleet.tasks_on(&host).is_empty();
-    if quiet && empty {
-        let mut steps = give_back(fleet, plan, &host);
-        steps.push(match &plan.intent.action {
-            Action::Drain => Step::Away { host },
-            Action::Move(pool) => Step::Join { host, pool: pool.clone() },
-            Action::Quarantine => Step::Quarantine { host, outcome: HostOutcome::Done },
-        });
-        return steps;
+    fn closing_wait(&mut self, host: &HostId) -> String {
+        let budget = self.scene().admit_budget(host).err().map(Wait::from);
+        budget.map(|wait| format!(": {wait}")).unwrap_or_default()
     }
-    if rules.leave_limit < now.since(record.since) {
-        let reason = if quiet { "its tasks found no room" } else { "it did not become quiet" };
-        let limit = humantime::format_duration(rules.leave_limit);
-        let outcome = HostOutcome::Skipped(format!("{reason} within {limit}"));
-        return vec![Step::Return { host, outcome }];
+
+    fn skip(&mut self, host: &HostId, reason: String) {
+        let outcome = HostOutcome::Skipped(reason);
+        self.steps.push(Step::Return { host: host.clone(), outcome });
     }
-    if !quiet {
-        return Vec::new();
+
+    fn scene(&mut self) -> &mut Scene<'a> {
+        let (outlook, part) = (self.outlook, self.part);
+        self.scene.get_or_insert_with(|| Scene::new(outlook, part))
     }
-    move_off(fleet, &host, now, rules)
-}
 
-/// Moves the tasks of a quiet host, one write a service.
-fn move_off(fleet: &Fleet, host: &HostId, now: Time, rules: &Rules) -> Vec<Step> {
-    let mut placer = Placer::new(fleet, now, rules);
-    let mut by_service: BTreeMap<ServiceId, Moves> = BTreeMap::new();
-    for task in fleet.tasks_on(host) {
-        let Some(service) = fleet.service(&task.service) else {
-            continue;
-        };
-        if let Ok(target) = placer.place(&task.service, service, Some(host)) {
-            by_service.entry(task.service.clone()).or_default().insert(task.index, target);
+    fn away(&mut self, host: &HostId, record: &HostRecord) {
+        let Outlook { fleet, now, rules, .. } = *self.outlook;
+        let report = fleet.reports.get(host);
+        if report.is_some_and(|report| record.epoch <= report.booted && report.live) {
+            let outcome = HostOutcome::Done;
+            self.steps.push(Step::Return { host: host.clone(), outcome });
+        } else if rules.away_limit < now.since(record.since) {
+            let limit = humantime::format_duration(rules.away_limit);
+            let outcome = HostOutcome::Skipped(format!("did not come back within {limit}"));
+            self.steps.push(Step::Quarantine { host: host.clone(), outcome });
         }
     }
-    let step = |(service, moves)| Step::Move { host: host.clone(), service, moves };
-    by_service.into_iter().map(step).collect()
-}
 
-/// Starts as many hosts as budgets, room and the plan's bound allow now.
-fn start(
-    fleet: &Fleet,
-    plan: &Plan,
-    part: &PoolPlan,
-    now: Time,
-    rules: &Rules,
-) -> (Vec<Step>, BTreeMap<HostId, Wait>) {
-    let mut steps = Vec::new();
-    let mut waiting = BTreeMap::new();
-    let mut out = count_out(fleet, plan, part, now, rules);
-    let mut scene = None;
-    let mut blocked = false;
-    let mut silent = Vec::new();
-    for batch in &part.batches {
-        let mut unfinished = false;
-        for host in batch {
-            let Some(record) = fleet.hosts.get(host) else {
-                continue;
-            };
-            unfinished |= !is_ended(plan, record);
-            if is_ended(plan, record) || record.plan.as_ref() == Some(&plan.id) {
+    /// Starts successors; when none is needed any more, takes permits for the rest and leaves.
+    fn closing(&mut self, host: &HostId) {
+        let fleet = self.outlook.fleet;
+        let mut missing: BTreeMap<ServiceId, Moves> = BTreeMap::new();
+        let mut surging = false;
+        for task in fleet.tasks_on(host) {
+            let Some(service) = fleet.service(&task.service).filter(|s| s.surge) else { continue };
+            surging = true;
+            if fleet.successor(task).is_some() {
                 continue;
             }
-            let live = fleet.is_live(host, now, rules.list_limit);
-            if record.plan.is_some() || record.state != HostState::Serving {
-                waiting.insert(host.clone(), Wait::Held);
-            } else if !live {
-                silent.push(host.clone());
-                waiting.insert(host.clone(), Wait::Silent);
-            } else if blocked {
-                waiting.insert(host.clone(), Wait::Batch);
-            } else if part.max_out <= out {
-                waiting.insert(host.clone(), Wait::Others);
-            } else {
-                let scene = scene.get_or_insert_with(|| Scene::new(fleet, part, now, rules));
-                match scene.admit(host) {
-                    Ok(()) => {
-                        out += 1;
-                        steps.extend(permits(fleet, plan, host));
-                        steps.push(Step::Leave { host: host.clone() });
+            match self.scene().placer.place(&task.service, service, Some(host)) {
+                Ok(target) => {
+                    let moves = missing.entry(task.service.clone()).or_default();
+                    moves.insert(task.index, target);
+                }
+                Err(error) => {
+                    self.waiting.insert(host.clone(), error.into());
+                }
+            }
+        }
+        let prepare = |(service, moves)| Step::Prepare { host: host.clone(), service, moves };
+        self.steps.extend(missing.into_iter().map(prepare));
+        if surging {
+            return;
+        }
+        match self.scene().admit_budget(host) {
+            Ok(()) => {
+                let held = permits_of(fleet, self.plan, host);
+                let services = budget::services_on(fleet, host).into_iter();
+                // Sorted order keeps two plans from waiting for each other's permits.
+                let permit = |service| Step::Permit { host: host.clone(), service };
+                self.steps.extend(services.filter(|s| !held.contains(s)).map(permit));
+                self.steps.push(Step::Leave { host: host.clone() });
+            }
+            Err(over) => {
+                // Permits that wait for others would hold up other plans.
+                self.steps.extend(give_back(fleet, self.plan, host));
+                self.waiting.insert(host.clone(), over.into());
+            }
+        }
+    }
+
+    fn leaving(&mut self, host: &HostId, record: &HostRecord) {
+        let Outlook { fleet, is_quiet, now, rules } = *self.outlook;
+        let report = fleet.reports.get(host);
+        let dead = fleet.is_dead(host, now, rules.list_limit);
+        let worker_quiet =
+            report.is_some_and(|report| record.epoch <= report.epoch && report.in_flight() == 0);
+        let quiet = dead || (worker_quiet && is_quiet(host, record.epoch));
+        if quiet && fleet.tasks_on(host).is_empty() {
+            self.steps.extend(give_back(fleet, self.plan, host));
+            let host = host.clone();
+            self.steps.push(match &self.plan.intent.action {
+                Action::Drain => Step::Away { host },
+                Action::Move(pool) => Step::Join { host, pool: pool.clone() },
+                Action::Quarantine => Step::Quarantine { host, outcome: HostOutcome::Done },
+            });
+        } else if rules.leave_limit < now.since(record.since) {
+            let reason = if quiet { "its tasks found no room" } else { "it did not become quiet" };
+            let limit = humantime::format_duration(rules.leave_limit);
+            self.skip(host, format!("{reason} within {limit}"));
+        } else if quiet {
+            self.move_off(host);
+        }
+    }
+
+    /// Moves the tasks of a quiet host, one write a service.
+    fn move_off(&mut self, host: &HostId) {
+        let fleet = self.outlook.fleet;
+        let mut by_service: BTreeMap<ServiceId, Moves> = BTreeMap::new();
+        for task in fleet.tasks_on(host) {
+            let Some(service) = fleet.service(&task.service) else { continue };
+            if let Ok(target) = self.scene().placer.place(&task.service, service, Some(host)) {
+                by_service.entry(task.service.clone()).or_default().insert(task.index, target);
+            }
+        }
+        let step = |(service, moves)| Step::Move { host: host.clone(), service, moves };
+        self.steps.extend(by_service.into_iter().map(step));
+    }
+
+    /// Starts as many hosts as room and the plan's bound allow now.
+    fn start(&mut self) {
+        let Outlook { fleet, now, rules, .. } = *self.outlook;
+        let mut out = self.count_out();
+        let idle = out == 0;
+        let mut blocked = false;
+        for batch in &self.part.batches {
+            let mut unfinished = false;
+            for host in batch {
+                let Some(record) = fleet.hosts.get(host) else { continue };
+                if is_ended(self.plan, record) {
+                    continue;
+                }
+                unfinished = true;
+                if record.plan.as_ref() == Some(&self.plan.id) {
+                    continue;
+                }
+                let live = fleet.is_live(host, now, rules.list_limit);
+                let wait = if record.plan.is_some() || record.state != HostState::Serving {
+                    Some(Wait::Held)
+                } else if !live {
+                    Some(Wait::Silent)
+                } else if blocked {
+                    Some(Wait::Batch)
+                } else if self.part.max_out <= out {
+                    Some(Wait::Others)
+                } else {
+                    self.scene().admit_room(host).err()
+                };
+                match wait {
+                    Some(wait) => {
+                        self.waiting.insert(host.clone(), wait);
                     }
-                    Err(wait) => {
-                        // Permits that wait for others would hold up other plans.
-                        steps.extend(give_back(fleet, plan, host));
-                        waiting.insert(host.clone(), wait);
+                    None => {
+                        out += 1;
+                        self.steps.push(Step::Close { host: host.clone() });
                     }
                 }
             }
+            blocked |= self.part.barrier && unfinished;
+        }
+        if idle && self.steps.is_empty() {
+            self.skip_hopeless();
         }
-        blocked |= part.barrier && unfinished;
-    }
-    if out == 0 && steps.is_empty() {
-        steps.extend(skip_hopeless(plan, &waiting, silent, fleet));
     }
-    (steps, waiting)
-}
 
-/// When nothing else is left to do, hosts that do not report or are held elsewhere end the wave
-/// for themselves, so that one of them never keeps a plan open for good.
-fn skip_hopeless(
-    plan: &Plan,
-    waiting: &BTreeMap<HostId, Wait>,
-    silent: Vec<HostId>,
-    fleet: &Fleet,
-) -> Vec<Step> {
-    let hopeless = |wait: &Wait| matches!(wait, Wait::Silent | Wait::Held);
-    if !waiting.values().all(hopeless) {
-        return Vec::new();
+    /// When nothing else is left to do, hosts that are dead or quarantined end the wave for
+    /// themselves, so that one of them never keeps a plan open for good.
+    fn skip_hopeless(&mut self) {
+        let Outlook { fleet, now, rules, .. } = *self.outlook;
+        let hosts: Vec<HostId> = self.waiting.keys().cloned().collect();
+        for host in hosts {
+            let Some(record) = fleet.hosts.get(&host).filter(|r| r.plan.is_none()) else {
+                continue;
+            };
+            if record.state == HostState::Quarantined {
+                let outcome = HostOutcome::Skipped("it is quarantined".to_owned());
+                self.steps.push(Step::Quarantine { host, outcome });
+            } else if fleet.is_dead(&host, now, rules.list_limit) {
+                self.skip(&host, "its worker does not report".to_owned());
+            }
+        }
     }
-    let skip = |host: HostId| Step::Return {
-        host,
-        outcome: HostOutcome::Skipped("its worker does not report".to_owned()),
-    };
-    let quarantined = waiting.keys().filter(|host| {
-        let record = fleet.hosts.get(*host);
-        record.is_some_and(|r| r.state == HostState::Quarantined && r.plan.is_none())
-    });
-    let outcome = HostOutcome::Skipped("it is quarantined".to_owned());
-    let mut steps: Vec<Step> = quarantined
-        .filter(|_| plan.state == PlanState::Running)
-        .map(|host| Step::Quarantine { host: host.clone(), outcome: outcome.clone() })
-        .collect();
-    steps.extend(silent.into_iter().map(skip));
-    steps
-}
 
-/// Hosts that the plan has out. One whose reboot takes twice as long as expected does not hold up
-/// the others.
-fn count_out(fleet: &Fleet, plan: &Plan, part: &PoolPlan, now: Time, rules: &Rules) -> u32 {
-    let overdue = rules.expected.reboot * 2 + Duration::from_secs(1);
-    let is_out = |host: &&HostId| {
-        let Some(record) = fleet.hosts.get(*host) else {
-            return false;
+    /// Hosts that the plan has out. One whose reboot takes twice as long as expected does not
+    /// hold up the others.
+    fn count_out(&self) -> u32 {
+        let Outlook { fleet, now, rules, .. } = *self.outlook;
+        let overdue = rules.expected.reboot * 2 + Duration::from_secs(1);
+        let is_out = |host: &&HostId| {
+            let Some(record) = fleet.hosts.get(*host) else { return false };
+            let held = record.plan.as_ref() == Some(&self.plan.id);
+            held && !(record.state == HostState::Away && overdue < now.since(record.since))
         };
-        let held = record.plan.as_ref() == Some(&plan.id);
-        held && !(record.state == HostState::Away && overdue < now.since(record.since))
-    };
-    part.hosts().filter(is_out).count() as u32
-}
-
-fn permits(fleet: &Fleet, plan: &Plan, host: &HostId) -> Vec<Step> {
-    let held: BTreeSet<ServiceId> = own_permits(fleet, plan, host).into_iter().collect();
-    // Sorted order keeps two plans from waiting for each other's permits.
-    let missing = budget::services_on(fleet, host).into_iter().filter(|s| !held.contains(s));
-    missing.map(|service| Step::Permit { host: host.clone(), service }).collect()
+        self.part.hosts().filter(is_out).count() as u32
+    }
 }
 
 /// Standings and room of a pool, with the hosts that are started in this round taken out.
@@ -343,41 +378,42 @@
 }
 
 impl<'a> Scene<'a> {
-    fn new(fleet: &'a Fleet, part: &PoolPlan, now: Time, rules: &'a Rules) -> Scene<'a> {
-        let pool = part.hosts().find_map(|host| fleet.hosts.get(host)).map(|r| r.pool.clone());
+    fn new(outlook: &Outlook<'a>, part: &PoolPlan) -> Scene<'a> {
+        let Outlook { fleet, now, rules, .. } = *outlook;
+        let pool = part.hosts().find_map(|host| fleet.hosts.get(host)).map(|r| &r.pool);
         Scene {
             fleet,
             now,
             rules,
             standings: HashMap::new(),
             placer: Placer::new(fleet, now, rules),
-            room: Room::new(fleet, pool.as_ref(), now, rules),
+            room: Room::new(fleet, pool, now, rules),
         }
     }
 
-    /// Takes a host out if every budget and the room allow it; else changes nothing that matters
-    /// to later hosts but the room that was set aside.
-    fn admit(&mut self, host: &HostId) -> Result<(), Wait> {
+    /// Takes the room of a host and of its tasks, if enough is left.
+    fn admit_room(&mut self, host: &HostId) -> Result<(), Wait> {
+        let room = self.room.without(self.fleet, host, self.rules).ok_or(Wait::Reserve)?;
+        self.placer.avoid(host);
+        for task in self.fleet.tasks_on(host) {
+            let Some(service) = self.fleet.service(&task.service) else { continue };
+            self.placer.place(&task.service, service, Some(host))?;
+        }
+        self.room = room;
+        Ok(())
+    }
+
+    /// Takes the tasks of a host out, if every budget allows it.
+    fn admit_budget(&mut self, host: &HostId) -> Result<(), OverBudget> {
         let mut next = Vec::new();
         for id in budget::services_on(self.fleet, host) {
-            let Some(service) = self.fleet.service(&id) else {
-                continue;
-            };
+            let Some(service) = self.fleet.service(&id) else { continue };
             let standing = self.standings.entry(id.clone()).or_insert_with(|| {
                 budget::standing(self.fleet, &id, service, self.now, self.rules)
             });
             next.push((id.clone(), standing.without(self.fleet, &id, host)?));
         }
-        let room = self.room.without(self.fleet, host).ok_or(Wait::Reserve)?;
-        self.placer.avoid(host);
-        for task in self.fleet.tasks_on(host) {
-            let Some(service) = self.fleet.service(&task.service) else {
-                continue;
-            };
-            self.placer.place(&task.service, service, Some(host))?;
-        }
         self.standings.extend(next);
-        self.room = room;
         Ok(())
     }
 }
@@ -386,53 +422,88 @@
 /// its tasks must find room.
 #[derive(Debug, Clone, Default)]
 struct Room {
+    /// Free on serving hosts.
     free: u64,
-    used: BTreeMap<String, u64>,
-    spare: BTreeMap<String, u64>,
+    /// On hosts that are out for a plan, and come back in bounded time.
+    returning: u64,
+    used: BTreeMap<RackId, u64>,
+    spare: BTreeMap<RackId, u64>,
 }
 
 impl Room {
     fn new(fleet: &Fleet, pool: Option<&PoolId>, now: Time, rules: &Rules) -> Room {
         let mut room = Room::default();
         for host in pool.into_iter().flat_map(|pool| fleet.hosts_of(pool)) {
-            let Some(report) = fleet.reports.get(host) else {
-                continue;
-            };
-            let serving = fleet.hosts[host].state == HostState::Serving;
-            if !serving || !fleet.is_live(host, now, rules.list_limit) {
+            let Some(report) = fleet.reports.get(host) else { continue };
+            let record = &fleet.hosts[host];
+            let capacity = u64::from(report.capacity.cores.0);
+            if record.plan.is_some() {
+                room.returning += capacity;
+            }
+            let live = fleet.is_live(host, now, rules.list_limit);
+            if record.state != HostState::Serving || !live {
                 continue;
             }
             let used = u64::from(fleet.used(host).cores.0);
-            let free = u64::from(report.capacity.cores.0).saturating_sub(used);
+            let free = capacity.saturating_sub(used);
             room.free += free;
-            *room.used.entry(report.rack.to_string()).or_default() += used;
-            *room.spare.entry(report.rack.to_string()).or_default() += free;
+            *room.used.entry(report.rack.clone()).or_default() += used;
+            *room.spare.entry(report.rack.clone()).or_default() += free;
         }
         room
     }
 
     /// The room when a host has left and its tasks are elsewhere; nothing if too little is left.
-    fn without(&self, fleet: &Fleet, host: &HostId) -> Option<Room> {
+    fn without(&self, fleet: &Fleet, host: &HostId, rules: &Rules) -> Option<Room> {
         let report = fleet.reports.get(host)?;
-        let rack = report.rack.to_string();
+        let capacity = u64::from(report.capacity.cores.0);
         let used = u64::from(fleet.used(host).cores.0);
-        let spare = u64::from(report.capacity.cores.0).saturating_sub(used);
+        let spare = capacity.saturating_sub(used);
         let mut next = self.clone();
         next.free = next.free.checked_sub(spare + used)?;
-        if let Some(load) = next.used.get_mut(&rack) {
+        next.returning += capacity;
+        if let Some(load) = next.used.get_mut(&report.rack) {
             *load = load.saturating_sub(used);
         }
-        if let Some(free) = next.spare.get_mut(&rack) {
+        if let Some(free) = next.spare.get_mut(&report.rack) {
             *free = free.saturating_sub(spare);
         }
+        let counted = next.free + if rules.share_spare { next.returning } else { 0 };
         let holds = next.used.iter().all(|(rack, load)| {
             let own = next.spare.get(rack).copied().unwrap_or(0);
-            *load + own <= next.free
+            load + own <= counted
         });
         holds.then_some(next)
     }
 }
 
+/// The host that a step is for.
+pub(crate) fn host_of(step: &Step) -> &HostId {
+    match step {
+        Step::Close { host }
+        | Step::Prepare { host, .. }
+        | Step::Permit { host, .. }
+        | Step::GiveBack { host, .. }
+        | Step::Leave { host }
+        | Step::Move { host, .. }
+        | Step::Away { host }
+        | Step::Join { host, .. }
+        | Step::Quarantine { host, .. }
+        | Step::Return { host, .. } => host,
+    }
+}
+
+/// The key of the record that a step writes.
+pub(crate) fn key_of(step: &Step) -> Key {
+    match step {
+        Step::Prepare { service, .. }
+        | Step::Permit { service, .. }
+        | Step::GiveBack { service, .. }
+        | Step::Move { service, .. } => Key::Placement(service.clone()),
+        _ => Key::Host(host_of(step).clone()),
+    }
+}
+
 /// The record that a step writes, from the one that stands now. Nothing if the step does not apply
 /// any more.
 pub(crate) fn effect(
@@ -448,6 +519,16 @@
         }
         Step::GiveBack { host, service } => change_placement(fleet, service, op, |placement| {
             placement.permits.remove(host);
+            recall(placement, host, plan);
+        }),
+        Step::Prepare { host, service, moves } => {
+            change_placement(fleet, service, op, |placement| {
+                succeed(placement, moves, Some(host), Some(plan), now);
+            })
+        }
+        Step::Close { host } => change_host(fleet, host, op, now, |record| {
+            record.state = HostState::Closing;
+            record.plan = Some(plan.clone());
         }),
         Step::Move { host, service, moves } => change_placement(fleet, service, op, |placement| {
             relocate(placement, moves, Some(host), now);
@@ -455,7 +536,6 @@
         }),
         Step::Leave { host } => change_host(fleet, host, op, now, |record| {
             record.state = HostState::Leaving;
-            record.plan = Some(plan.clone());
         }),
         Step::Away { host } => change_host(fleet, host, op, now, |record| {
             record.state = HostState::Away;
@@ -490,8 +570,62 @@
     placement.permits.insert(host.clone(), Permit { plan: plan.clone(), tasks, since: now });
 }
 
+/// Ends the successors that a plan started for the tasks on a host.
+fn recall(placement: &mut Placement, host: &HostId, plan: &PlanId) {
+    let Placement { tasks, successors, .. } = placement;
+    successors.retain(|index, successor| {
+        let here = tasks.get(*index as usize).and_then(Option::as_ref);
+        let here = here.is_some_and(|assigned| assigned.host == *host);
+        !(here && successor.plan.as_ref() == Some(plan))
+    });
+}
+
+/// Starts successors of tasks on new hosts. With `from`, only of those that are still there.
+fn succeed(
+    placement: &mut Placement,
+    moves: &Moves,
+    from: Option<&HostId>,
+    plan: Option<&PlanId>,
+    now: Time,
+) {
+    for (index, host) in moves {
+        let Some(Some(assigned)) = placement.tasks.get(*index as usize) else { continue };
+        if from.is_some_and(|from| *from != assigned.host) {
+            continue;
+        }
+        let before = placement.successors.get(index).map_or(0, |s| s.to.generation);
+        let generation = assigned.generation.max(before) + 1;
+        let to = Assigned { host: host.clone(), generation, since: now };
+        placement.successors.insert(*index, Successor { to, plan: plan.cloned() });
+    }
+}
+
+/// Writes down what a service's repair needs.
+pub(crate) fn repaired(placement: &mut Placement, repair: &Repair, now: Time) {
+    swap_in(placement, &repair.swaps);
+    relocate(placement, &repair.moves, None, now);
+    let plans: BTreeMap<u32, Option<PlanId>> =
+        placement.successors.iter().map(|(index, s)| (*index, s.plan.clone())).collect();
+    for (index, host) in &repair.successors {
+        let plan = plans.get(index).cloned().flatten();
+        let moves = Moves::from([(*index, host.clone())]);
+        succeed(placement, &moves, None, plan.as_ref(), now);
+    }
+}
+
+/// Has successors take the places of their tasks.
+fn swap_in(placement: &mut Placement, indexes: &[u32]) {
+    for index in indexes {
+        let Some(successor) = placement.successors.remove(index) else { continue };
+        if let Some(slot) = placement.tasks.get_mut(*index as usize) {
+            *slot = Some(successor.to);
+            placement.moves += 1;
+        }
+    }
+}
+
 /// Places tasks on new hosts. With `from`, only those that are still there.
-pub(crate) fn relocate(placement: &mut Placement, moves: &Moves, from: Option<&HostId>, now: Time) {
+fn relocate(placement: &mut Placement, moves: &Moves, from: Option<&HostId>, now: Time) {
     for (index, host) in moves {
         let index = *index as usize;
         if placement.tasks.len() <= index {
@@ -503,7 +637,9 @@
             continue;
         }
         placement.moves += u64::from(here.is_some());
-        let generation = slot.as_ref().map_or(1, |assigned| assigned.generation + 1);
+        let successor = placement.successors.remove(&(index as u32));
+        let newest = slot.as_ref().map_or(0, |assigned| assigned.generation);
+        let generation = successor.map_or(0, |s| s.to.generation).max(newest) + 1;
         *slot = Some(Assigned { host: host.clone(), generation, since: now });
     }
 }
--- a/src/demo/callers.rs
+++ b/src/demo/callers.rs
@@ -1,6 +1,7 @@
 //! A steady load of callers, who note what they were told of each request.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
@@ -26,6 +27,8 @@
 
 /// The caller's wait between two requests.
 const THINK: Duration = Duration::from_millis(12);
+/// How long the balancer leaves a node out that did not answer.
+const LEFT_OUT: Duration = Duration::from_secs(2);
 /// How long a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Times that a caller sends a request, to one node after the other.
@@ -69,6 +72,18 @@
     nodes: Vec<SocketAddr>,
     services: Vec<Offer>,
     client: reqwest::Client,
+    /// Nodes that did not answer, and when: the platform's balancer leaves them out for a while.
+    silent: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+impl Shared {
+    fn node(&self, rng: &mut Pcg64) -> Option<SocketAddr> {
+        let silent = self.silent.lock().unwrap_or_else(PoisonError::into_inner);
+        let left_out =
+            |node: &&SocketAddr| silent.get(node).is_some_and(|at| at.elapsed() < LEFT_OUT);
+        let open: Vec<&SocketAddr> = self.nodes.iter().filter(|node| !left_out(node)).collect();
+        open.choose(rng).map(|node| **node)
+    }
 }
 
 #[derive(Clone)]
@@ -102,6 +117,7 @@
             nodes: fleet.nodes.iter().map(|node| node.callers).collect(),
             services: services.collect(),
             client: reqwest::Client::new(),
+            silent: Mutex::default(),
         });
         let tasks = (0..count).map(|number| {
             let rng = Pcg64::seed_from_u64(seed.wrapping_mul(1_000_003) + u64::from(number));
@@ -135,10 +151,12 @@
         }
         let name = format!("{caller}-{number}");
         for attempt in 0..TRIES {
-            let Some(node) = shared.nodes.choose(&mut rng).copied() else {
-                return;
-            };
+            let Some(node) = shared.node(&mut rng) else { return };
             let told = ask(&shared, node, &offer, &name, attempt).await;
+            if told == Told::Silence {
+                let mut silent = shared.silent.lock().unwrap_or_else(PoisonError::into_inner);
+                silent.insert(node, Instant::now());
+            }
             if matches!(told, Told::Whole | Told::Wrong | Told::RanBefore) {
                 break;
             }
@@ -191,7 +209,7 @@
     if told == Told::Whole
         && let Some((_, histogram)) = served.latency.iter_mut().find(|(c, _)| *c == offer.class)
     {
-        histogram.saturating_record(began.elapsed().as_micros() as u64);
+        let _ = histogram.record(began.elapsed().as_micros() as u64);
     }
     served.seen.push(Seen { request, key, told });
     told
--- a/src/entry/gate.rs
+++ b/src/entry/gate.rs
@@ -10,11 +10,14 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    decide::route::{self, RateLimit, RetryBudget, Waiting},
+    decide::{
+        route::{self, RetryBudget, Waiting},
+        share::{Others, Share},
+    },
     model::{
         id::{ServiceId, TeamId},
         request::Class,
-        unit::Time,
+        unit::{PerSecond, Time},
     },
 };
 
@@ -23,8 +26,6 @@
 const CLASS_SHARE: [u32; 3] = [100, 90, 70];
 /// Weight of the newest request in the typical time.
 const NEWEST: f64 = 0.1;
-/// The time over which the demand of a team is measured.
-const DEMAND_SPAN: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Default)]
 struct State {
@@ -42,19 +43,11 @@
     state: Mutex<State>,
 }
 
-#[derive(Debug)]
-struct TeamState {
-    limit: RateLimit,
-    asked: u32,
-    since: Time,
-    rate: u32,
-}
-
 /// The gates of all services, and the rates of all teams.
 #[derive(Debug, Default)]
 pub(crate) struct Gates {
     gates: Mutex<HashMap<ServiceId, Arc<Gate>>>,
-    teams: Mutex<HashMap<TeamId, TeamState>>,
+    teams: Mutex<HashMap<TeamId, Share>>,
 }
 
 /// What limits a class at a service now.
@@ -245,53 +238,24 @@
         gates.values().for_each(|gate| gate.wake(count));
     }
 
-    /// Lets a team's request through, or tells when to come back. Nodes share a team's rate by
-    /// what each of them is asked for.
+    /// Lets a team's request through, or tells when to come back.
     pub(crate) fn admit(
         &self,
         team: &TeamId,
-        rate: u32,
-        nodes: u32,
-        elsewhere: u32,
+        rate: PerSecond,
+        others: Others,
         now: Time,
     ) -> Result<(), Duration> {
         let mut teams = self.teams.lock().unwrap_or_else(PoisonError::into_inner);
-        let state = teams.entry(team.clone()).or_insert_with(|| TeamState {
-            limit: RateLimit::new(f64::from(rate) / f64::from(nodes.max(1)), now),
-            asked: 0,
-            since: now,
-            rate: 0,
-        });
-        state.note(now);
-        let own = f64::from(state.rate.max(1));
-        let wanted = own + f64::from(elsewhere);
-        let fair = f64::from(rate) / f64::from(nodes.max(1));
-        // In proportion to demand, and all of it while the others ask for little.
-        let share =
-            (f64::from(rate) * own / wanted).max(fair.min(f64::from(rate) - f64::from(elsewhere)));
-        state.limit.take(share, now)
+        let share = teams.entry(team.clone()).or_insert_with(|| Share::new(now));
+        share.ask(now);
+        share.take(f64::from(rate.0), others, 0.0, now)
     }
 
     /// Requests a second that this node was lately asked for, by team.
     pub(crate) fn demand(&self, now: Time) -> Vec<(TeamId, u32)> {
         let mut teams = self.teams.lock().unwrap_or_else(PoisonError::into_inner);
-        teams.values_mut().for_each(|state| state.settle(now));
-        let rates = teams.iter().map(|(team, state)| (team.clone(), state.rate));
+        let rates = teams.iter_mut().map(|(team, share)| (team.clone(), share.demand(now)));
         rates.filter(|(_, rate)| *rate != 0).collect()
     }
 }
-
-impl TeamState {
-    fn note(&mut self, now: Time) {
-        self.settle(now);
-        self.asked += 1;
-    }
-
-    fn settle(&mut self, now: Time) {
-        let span = now.since(self.since);
-        if DEMAND_SPAN <= span {
-            self.rate = (f64::from(self.asked) / span.as_secs_f64()).round() as u32;
-            (self.asked, self.since) = (0, now);
-        }
-    }
-}
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -3,7 +3,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -14,10 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    decide::{
-        claim::{self, Bucket, Claim, ClaimState, Granted, Wish},
-        route::RateLimit,
-    },
+    decide::claim::{self, Bucket, Claim, ClaimState, Granted, Wish},
     model::{
         id::{NodeId, OpId, TeamId},
         record::CLAIMS,
@@ -68,8 +65,6 @@
     node: NodeId,
     key: String,
     settings: Claims,
-    /// The node's writes a second, over all buckets.
-    rate: Arc<Mutex<RateLimit>>,
     known: Option<(Revision, Bucket)>,
     pending: Arc<AtomicUsize>,
 }
@@ -77,8 +72,6 @@
 impl Once {
     /// Starts a writer for each bucket.
     pub(crate) fn start(store: &Store, node: &NodeId, settings: &Claims) -> Once {
-        let rate = RateLimit::new(f64::from(settings.writes), Time::now());
-        let rate = Arc::new(Mutex::new(rate));
         let pending = Arc::new(AtomicUsize::new(0));
         let writers = (0..settings.buckets).map(|number| {
             let (sender, receiver) = mpsc::channel(WAITING);
@@ -87,7 +80,6 @@
                 node: node.clone(),
                 key: format!("{CLAIMS}{number:04}"),
                 settings: settings.clone(),
-                rate: rate.clone(),
                 known: None,
                 pending: pending.clone(),
             };
@@ -158,7 +150,6 @@
             if wishes.is_empty() {
                 continue;
             }
-            self.wait_for_rate().await;
             match self.write(&wishes).await {
                 Ok(granted) => {
                     self.pending.fetch_sub(ends.len(), Ordering::AcqRel);
@@ -184,19 +175,6 @@
         }
     }
 
-    async fn wait_for_rate(&self) {
-        loop {
-            let taken = {
-                let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
-                rate.take(f64::from(self.settings.writes), Time::now())
-            };
-            match taken {
-                Ok(()) => return,
-                Err(wait) => tokio::time::sleep(wait).await,
-            }
-        }
-    }
-
     async fn write(&mut self, wishes: &[Wish]) -> Result<Vec<Granted>, StoreError> {
         for _ in 0..CONFLICTS {
             let (revision, bucket) = match self.known.take() {
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -17,7 +17,6 @@
     model::{
         config::Service,
         fleet::{Fleet, TaskRef},
-        host::HostState,
         id::{HostId, ServiceId},
         unit::Time,
     },
@@ -187,8 +186,7 @@
         let Some(report) = fleet.reported(&task).filter(|report| report.ready) else {
             continue;
         };
-        let serving =
-            fleet.hosts.get(&assigned.host).is_some_and(|h| h.state == HostState::Serving);
+        let serving = fleet.hosts.get(&assigned.host).is_some_and(|h| h.state.serves());
         // A list that cannot be read takes no endpoint away: requests go on.
         let dead = fleet.is_dead(&assigned.host, now, rules.list_limit);
         if !serving || dead {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -12,7 +12,10 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
-    decide::claim::{Claim, ClaimState},
+    decide::{
+        claim::{Claim, ClaimState},
+        share::Others,
+    },
     entry::{
         forward::{self, Answer, Attempt, Hold, Outgoing},
         gate::{Bound, Gate, InFlight},
@@ -25,7 +28,7 @@
         config::Service,
         id::{OpId, ServiceId},
         request::{Class, Outcome},
-        unit::Time,
+        unit::{PerSecond, Time},
     },
     node::Node,
 };
@@ -73,7 +76,6 @@
 /// A request that has been read and admitted.
 struct Job {
     service: ServiceId,
-    spec: Service,
     class: Class,
     deadline: Time,
     outgoing: Outgoing,
@@ -148,8 +150,8 @@
             );
             return Err(Told::refusal(StatusCode::BAD_REQUEST, text));
         }
-        let elsewhere = self.node.peers.demand(&wishes.team);
-        self.node.gates.admit(&wishes.team, rate, nodes, elsewhere, now).map_err(|after| Told {
+        let others = Others { nodes, demand: self.node.peers.demand(&wishes.team) };
+        self.node.gates.admit(&wishes.team, rate, others, now).map_err(|after| Told {
             status: StatusCode::TOO_MANY_REQUESTS,
             ..Told::later(format!("team {} has used up its rate", wishes.team), after)
         })?;
@@ -166,7 +168,6 @@
         };
         Ok(Job {
             service: id,
-            spec,
             class,
             deadline: now + limit,
             outgoing,
@@ -177,7 +178,11 @@
         })
     }
 
-    fn look_up(&self, name: &str, wishes: &Wishes) -> Result<(ServiceId, Service, u32, u32), Told> {
+    fn look_up(
+        &self,
+        name: &str,
+        wishes: &Wishes,
+    ) -> Result<(ServiceId, Service, PerSecond, u32), Told> {
         let view = self.node.view();
         let config = &view.fleet.config;
         if view.fleet.through == 0 {
@@ -194,7 +199,7 @@
             Told::refusal(StatusCode::FORBIDDEN, text)
         })?;
         let nodes = u32::try_from(view.fleet.nodes.len()).unwrap_or(u32::MAX).max(1);
-        Ok((id, spec, team.rate.0, nodes))
+        Ok((id, spec, team.rate, nodes))
     }
 
     async fn read_body(
--- a/src/model/config.rs
+++ b/src/model/config.rs
@@ -78,6 +78,9 @@
     pub(crate) connections: u32,
     /// Whether a request runs at most once (true: not repeatable).
     pub(crate) once: bool,
+    /// Whether a task's successor may start before the task ends. Without it, a task that moves
+    /// is unavailable meanwhile, and its host needs a permit.
+    pub(crate) surge: bool,
 }
 
 /// What an operator asks of a pool.
--- a/src/model/fleet.rs
+++ b/src/model/fleet.rs
@@ -11,7 +11,7 @@
     host::{HostRecord, HostReport, TaskReport},
     id::{HostId, NodeId, PlanId, PoolId, ServiceId},
     plan::Plan,
-    record::{Assigned, Key, NodeRecord, Placement, Record},
+    record::{Assigned, Key, NodeRecord, Placement, Record, Successor},
     unit::{Revision, Time},
 };
 
@@ -40,6 +40,7 @@
     pub(crate) heard: Time,
     revisions: HashMap<Key, Revision>,
     by_host: HashMap<HostId, Vec<TaskRef>>,
+    coming: HashMap<HostId, Vec<TaskRef>>,
     permitted: HashMap<HostId, HashSet<ServiceId>>,
     by_pool: HashMap<PoolId, BTreeSet<HostId>>,
 }
@@ -115,6 +116,11 @@
         now.since(self.heard) < limit && self.reports.get(host).is_some_and(|r| !r.live)
     }
 
+    /// Tasks whose successors are starting on a host.
+    pub(crate) fn coming_to(&self, host: &HostId) -> &[TaskRef] {
+        self.coming.get(host).map_or(&[], Vec::as_slice)
+    }
+
     /// The hosts of a pool.
     pub(crate) fn hosts_of(&self, pool: &PoolId) -> impl Iterator<Item = &HostId> {
         self.by_pool.get(pool).into_iter().flatten()
@@ -152,9 +158,18 @@
         self.placements.get(&task.service)?.tasks.get(task.index as usize)?.as_ref()
     }
 
+    /// The successor of a task that is starting.
+    pub(crate) fn successor(&self, task: &TaskRef) -> Option<&Successor> {
+        self.placements.get(&task.service)?.successors.get(&task.index)
+    }
+
     /// What its worker says of a task at the place and start that it is assigned to.
     pub(crate) fn reported(&self, task: &TaskRef) -> Option<&TaskReport> {
-        let assigned = self.assigned(task)?;
+        self.reported_at(task, self.assigned(task)?)
+    }
+
+    /// What its worker says of a task's start at a place.
+    pub(crate) fn reported_at(&self, task: &TaskRef, assigned: &Assigned) -> Option<&TaskReport> {
         let report = self.reports.get(&assigned.host)?;
         let same = |t: &&TaskReport| {
             t.index == task.index
@@ -164,9 +179,10 @@
         report.tasks.iter().find(same)
     }
 
-    /// What the tasks assigned to a host need together.
+    /// What the tasks assigned to a host, and the successors starting there, need together.
     pub(crate) fn used(&self, host: &HostId) -> Resources {
-        let needs = self.tasks_on(host).iter().filter_map(|t| self.service(&t.service));
+        let tasks = self.tasks_on(host).iter().chain(self.coming_to(host));
+        let needs = tasks.filter_map(|t| self.service(&t.service));
         needs.fold(Resources::default(), |sum, service| sum.plus(service.need))
     }
 
@@ -212,6 +228,10 @@
             let at = tasks.partition_point(|other| *other < task);
             tasks.insert(at, task);
         }
+        for (index, successor) in &placement.successors {
+            let task = TaskRef { service: id.clone(), index: *index };
+            self.coming.entry(successor.to.host.clone()).or_default().push(task);
+        }
         for host in placement.permits.keys() {
             self.permitted.entry(host.clone()).or_default().insert(id.clone());
         }
@@ -227,6 +247,11 @@
                 tasks.retain(|task| task.service != *id);
             }
         }
+        for successor in old.successors.values() {
+            if let Some(tasks) = self.coming.get_mut(&successor.to.host) {
+                tasks.retain(|task| task.service != *id);
+            }
+        }
         for host in old.permits.keys() {
             if let Some(services) = self.permitted.get_mut(host) {
                 services.remove(id);
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -14,6 +14,8 @@
 pub(crate) enum HostState {
     /// It may run tasks, and their endpoints get requests.
     Serving,
+    /// Its endpoints serve, but it gets no new tasks: the successors of its tasks are starting.
+    Closing,
     /// Its endpoints get no new requests; its tasks move away.
     Leaving,
     /// It runs nothing and is being rebooted.
@@ -22,6 +24,13 @@
     Quarantined,
 }
 
+impl HostState {
+    /// Whether endpoints on a host in this state get requests.
+    pub(crate) fn serves(self) -> bool {
+        matches!(self, HostState::Serving | HostState::Closing)
+    }
+}
+
 /// The last thing a plan did with a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/model/record.rs
+++ b/src/model/record.rs
@@ -26,6 +26,14 @@
     pub(crate) since: Time,
 }
 
+/// A second start of a task, which takes the first one's place when it is ready.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Successor {
+    pub(crate) to: Assigned,
+    /// The plan that empties the task's host; nothing if the task moves to spread its service.
+    pub(crate) plan: Option<PlanId>,
+}
+
 /// The right to take a host's tasks of one service out for a while.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Permit {
@@ -41,6 +49,8 @@
 pub(crate) struct Placement {
     /// By index of the task.
     pub(crate) tasks: Vec<Option<Assigned>>,
+    /// Successors that are starting, by index of the task.
+    pub(crate) successors: BTreeMap<u32, Successor>,
     /// Permits that are out, by the host that they let go.
     pub(crate) permits: BTreeMap<HostId, Permit>,
     /// Moves so far, for the operators' figures.
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 pub(crate) mod hosts;
 pub(crate) mod members;
 pub(crate) mod metrics;
+pub(crate) mod pace;
 pub(crate) mod peers;
 pub(crate) mod run;
 pub(crate) mod sync;
@@ -13,7 +14,7 @@
 pub(crate) mod write;
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -24,7 +25,7 @@
     decide::rendezvous,
     entry::{gate::Gates, once::Once, routes::Routes},
     model::{id::NodeId, unit::Time},
-    node::{metrics::Metrics, peers::Peers, view::View},
+    node::{metrics::Metrics, pace::Pace, peers::Peers, view::View},
     platform::store::Store,
     settings::node::NodeSettings,
 };
@@ -34,6 +35,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) started: Time,
     pub(crate) store: Store,
+    pub(crate) pace: Arc<Pace>,
     /// For calls to workers and the list of hosts.
     pub(crate) client: reqwest::Client,
     view: Mutex<View>,
--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -151,11 +151,13 @@
     record: &HostRecord,
     lease: Duration,
 ) -> Assignment {
-    let may_run = matches!(record.state, HostState::Serving | HostState::Leaving);
+    let may_run = record.state.serves() || record.state == HostState::Leaving;
     let mut tasks = Vec::new();
-    for task in fleet.tasks_on(host).iter().filter(|_| may_run) {
-        let (Some(service), Some(assigned)) = (fleet.service(&task.service), fleet.assigned(task))
-        else {
+    let own = fleet.tasks_on(host).iter().map(|task| (task, fleet.assigned(task)));
+    let coming = fleet.coming_to(host).iter();
+    let coming = coming.map(|task| (task, fleet.successor(task).map(|successor| &successor.to)));
+    for (task, assigned) in own.chain(coming).filter(|_| may_run) {
+        let (Some(service), Some(assigned)) = (fleet.service(&task.service), assigned) else {
             continue;
         };
         tasks.push(TaskOrder {
@@ -171,7 +173,7 @@
         host: host.clone(),
         epoch: record.epoch,
         revision: fleet.revision(&Key::Host(host.clone())),
-        accept: record.state == HostState::Serving,
+        accept: record.state.serves(),
         reboot: record.state == HostState::Away,
         lease,
         tasks,
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -8,7 +8,11 @@
 };
 
 use crate::{
-    decide::{pools, repair, wave},
+    decide::{
+        pools,
+        repair::{self, Repair},
+        wave::{self, Outlook},
+    },
     model::{
         config::ConfigBase,
         host::{HostRecord, HostState},
@@ -92,26 +96,41 @@
 }
 
 async fn repair_placements(node: &Node, now: Time) -> Result<(), StoreError> {
-    let due: Vec<(ServiceId, repair::Moves, Revision)> = {
+    let due: Vec<(ServiceId, Repair, Revision)> = {
         let view = node.view();
         let owned = |id: &&ServiceId| node.owns(&view, &format!("service/{id}"));
         let services = view.fleet.config.services.keys().filter(owned);
         let repairs = services.map(|id| {
-            let (moves, refused) = repair::repair(&view.fleet, id, now, &node.settings.rules);
-            for reason in refused {
-                log::debug!("service {id}: {reason}");
-            }
-            (id.clone(), moves, view.fleet.revision(&Key::Placement(id.clone())))
+            let repair = repair::repair(&view.fleet, id, now, &node.settings.rules);
+            (id.clone(), repair, view.fleet.revision(&Key::Placement(id.clone())))
         });
-        repairs.filter(|(_, moves, _)| !moves.is_empty()).collect()
+        repairs.collect()
     };
-    for (id, moves, expect) in due {
-        let record = wave::change_placement(&node.view().fleet, &id, &OpId::fresh(), |placement| {
-            wave::relocate(placement, &moves, None, now);
-        });
+    for (id, repair, expect) in due {
+        for reason in &repair.refused {
+            log::debug!("service {id}: {reason}");
+        }
+        if repair.is_empty() {
+            continue;
+        }
+        let record = {
+            let view = node.view();
+            // What was worked out from an older placement is worked out anew.
+            let same = view.fleet.revision(&Key::Placement(id.clone())) == expect;
+            let op = OpId::fresh();
+            let record = wave::change_placement(&view.fleet, &id, &op, |placement| {
+                wave::repaired(placement, &repair, now);
+            });
+            record.filter(|_| same)
+        };
         let Some(record) = record else { continue };
         if let Written::Yes(_) = write::write(node, record, expect).await? {
-            log::info!("service {id}: placed {} tasks", moves.len());
+            log::info!(
+                "service {id}: {} tasks placed, {} taken over, {} successors started",
+                repair.moves.len(),
+                repair.swaps.len(),
+                repair.successors.len()
+            );
         }
     }
     Ok(())
@@ -157,9 +176,7 @@
     };
     let quiet = |host: &HostId, epoch| is_quiet(node, &view, host, epoch);
     let rules = &node.settings.rules;
-    let waits = plan
-        .pools
-        .keys()
-        .flat_map(|pool| wave::advance(&view.fleet, plan, pool, &quiet, now, rules).1.into_iter());
+    let outlook = Outlook { fleet: &view.fleet, is_quiet: &quiet, now, rules };
+    let waits = plan.pools.keys().flat_map(|pool| wave::advance(&outlook, plan, pool).1);
     waits.map(|(host, wait)| (host, wait.to_string())).collect()
 }
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -1,14 +1,17 @@
 //! Drives the plans that this node owns: takes their next steps, one conditional write each.
 
-use std::{collections::HashSet, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use crate::{
-    decide::wave::{self, Step},
+    decide::wave::{self, Outlook, Step},
     model::{
-        id::{HostId, OpId, PoolId},
+        id::{HostId, OpId},
         plan::{Plan, PlanState},
         record::{Key, Record},
-        unit::Time,
+        unit::{Revision, Time},
     },
     node::{
         Node, control,
@@ -23,14 +26,21 @@
 
 /// Takes the next steps of every plan that this node owns.
 pub(crate) async fn plans(node: &Arc<Node>, now: Time) -> Result<(), StoreError> {
-    for (plan, steps) in due(node, now) {
-        take(node, &plan, steps, now).await?;
+    for Due { plan, steps, expected } in due(node, now) {
+        take(node, &plan, steps, expected, now).await?;
         finish(node, &plan, now).await?;
     }
     Ok(())
 }
 
-fn due(node: &Node, now: Time) -> Vec<(Plan, Vec<Step>)> {
+/// A plan's next steps, with the revisions of the records that they were worked out from.
+struct Due {
+    plan: Plan,
+    steps: Vec<Step>,
+    expected: HashMap<Key, Revision>,
+}
+
+fn due(node: &Node, now: Time) -> Vec<Due> {
     let view = node.view();
     let moving = |plan: &&Plan| match plan.state {
         PlanState::Running => true,
@@ -40,36 +50,54 @@
     };
     let owned = |plan: &&Plan| node.owns(&view, &format!("plan/{}", plan.id));
     let plans = view.fleet.plans.values().filter(moving).filter(owned);
-    plans.map(|plan| (plan.clone(), next_steps(node, &view, plan, now))).collect()
+    let due = plans.map(|plan| {
+        let steps = next_steps(node, &view, plan, now);
+        let keys = steps.iter().map(wave::key_of);
+        let expected = keys.map(|key| (key.clone(), view.fleet.revision(&key))).collect();
+        Due { plan: plan.clone(), steps, expected }
+    });
+    due.collect()
 }
 
 fn next_steps(node: &Node, view: &View, plan: &Plan, now: Time) -> Vec<Step> {
     let quiet = |host: &HostId, epoch| control::is_quiet(node, view, host, epoch);
     let rules = &node.settings.rules;
-    let pools: Vec<&PoolId> = plan.pools.keys().collect();
-    let steps = pools
-        .into_iter()
-        .flat_map(|pool| wave::advance(&view.fleet, plan, pool, &quiet, now, rules).0);
+    let outlook = Outlook { fleet: &view.fleet, is_quiet: &quiet, now, rules };
+    let steps = plan.pools.keys().flat_map(|pool| wave::advance(&outlook, plan, pool).0);
     steps.take(STEPS).collect()
 }
 
-async fn take(node: &Node, plan: &Plan, steps: Vec<Step>, now: Time) -> Result<(), StoreError> {
+/// Takes steps, each only if nobody else has changed its record since it was worked out.
+async fn take(
+    node: &Node,
+    plan: &Plan,
+    steps: Vec<Step>,
+    mut expected: HashMap<Key, Revision>,
+    now: Time,
+) -> Result<(), StoreError> {
     let mut refused: HashSet<HostId> = HashSet::new();
     for step in steps {
-        let host = host_of(&step).clone();
+        let host = wave::host_of(&step).clone();
         // A host whose earlier step was refused is looked at again in the next round.
         if refused.contains(&host) {
             continue;
         }
-        let (record, expect) = {
+        let key = wave::key_of(&step);
+        let expect = expected.get(&key).copied().unwrap_or_default();
+        let record = {
             let view = node.view();
-            let record = wave::effect(&view.fleet, &plan.id, &step, &OpId::fresh(), now);
-            let Some(record) = record else { continue };
-            let expect = view.fleet.revision(&record.key());
-            (record, expect)
+            let same = view.fleet.revision(&key) == expect;
+            wave::effect(&view.fleet, &plan.id, &step, &OpId::fresh(), now).filter(|_| same)
+        };
+        let Some(record) = record else {
+            refused.insert(host);
+            continue;
         };
         match write::write(node, record, expect).await? {
-            Written::Yes(_) => log::info!("plan {}: host {host}: {}", plan.id, describe(&step)),
+            Written::Yes(revision) => {
+                expected.insert(key, revision);
+                log::info!("plan {}: host {host}: {}", plan.id, describe(&step));
+            }
             Written::Conflict => {
                 refused.insert(host);
             }
@@ -100,21 +128,12 @@
     Ok(())
 }
 
-fn host_of(step: &Step) -> &HostId {
-    match step {
-        Step::Permit { host, .. }
-        | Step::GiveBack { host, .. }
-        | Step::Leave { host }
-        | Step::Move { host, .. }
-        | Step::Away { host }
-        | Step::Join { host, .. }
-        | Step::Quarantine { host, .. }
-        | Step::Return { host, .. } => host,
-    }
-}
-
 fn describe(step: &Step) -> String {
     match step {
+        Step::Close { .. } => "closes".to_owned(),
+        Step::Prepare { service, moves, .. } => {
+            format!("{} successors of service {service} start", moves.len())
+        }
         Step::Permit { service, .. } => format!("permit of service {service} taken"),
         Step::GiveBack { service, .. } => format!("permit of service {service} given back"),
         Step::Leave { .. } => "leaves".to_owned(),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -21,7 +21,6 @@
 
 use crate::{
     model::{
-        host::HostState,
         id::{HostId, NodeId, ServiceId, TeamId, ZoneId},
         unit::{Epoch, Revision, Time},
     },
@@ -60,6 +59,8 @@
     pub(crate) busy: Vec<(ServiceId, [u32; 3])>,
     /// Requests lately asked for, a second, by team.
     pub(crate) demand: Vec<(TeamId, u32)>,
+    /// Writes of the store lately asked for, a second.
+    pub(crate) writes: u32,
 }
 
 /// One node's acknowledgement that a host is leaving.
@@ -156,6 +157,13 @@
         counts.flatten().sum()
     }
 
+    /// Writes of the store a second that other nodes ask for.
+    fn writes(&self, now: Time) -> u32 {
+        let state = self.lock();
+        let heard = state.peers.values().filter(|peer| now.since(peer.at) < SILENCE);
+        heard.map(|peer| peer.said.writes).sum()
+    }
+
     /// Requests a second that other nodes are asked for by a team.
     pub(crate) fn demand(&self, team: &TeamId) -> u32 {
         let state = self.lock();
@@ -200,6 +208,7 @@
             }
         }
         let heartbeat = heartbeat(&node, now);
+        node.pace.hear(node.view().fleet.nodes.len() as u32, node.peers.writes(now));
         node.peers.note_in_force(node.id(), heartbeat.through, now);
         node.peers.send(&wanted, &Message::Heartbeat(Box::new(heartbeat)));
     }
@@ -220,7 +229,7 @@
 
 fn heartbeat(node: &Node, now: Time) -> Heartbeat {
     let view = node.view();
-    let out = view.fleet.hosts.iter().filter(|(_, record)| record.state != HostState::Serving);
+    let out = view.fleet.hosts.iter().filter(|(_, record)| !record.state.serves());
     let leaving = out.map(|(host, record)| Quiet {
         host: host.clone(),
         epoch: record.epoch,
@@ -236,6 +245,7 @@
         leaving: leaving.collect(),
         busy: node.gates.busy(),
         demand: node.gates.demand(now),
+        writes: node.pace.demand(now),
     }
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -14,8 +14,8 @@
     http,
     model::unit::Time,
     node::{
-        Node, assign, control, hosts, members, metrics::Metrics, peers, peers::Peers, sync,
-        view::View,
+        Node, assign, control, hosts, members, metrics::Metrics, pace::Pace, peers, peers::Peers,
+        sync, view::View,
     },
     operator::api,
     platform::store::Store,
@@ -65,10 +65,17 @@
     let metrics = Metrics::new();
     let store = Store::over_http(settings.platform.store.as_str(), settings.timing.store)
         .counting(metrics.store_counter());
+    let pace = Arc::new(Pace::new(settings.platform.writes, Time::now()));
+    let turn = pace.clone();
+    let store = store.paced(move |priority| {
+        let pace = turn.clone();
+        Box::pin(async move { pace.turn(priority).await })
+    });
     let once = Once::start(&store, &settings.node, &settings.claims);
     let node = Arc::new(Node {
         started: Time::now(),
         store,
+        pace,
         client: reqwest::Client::new(),
         view: std::sync::Mutex::new(View::default()),
         changed: watch::Sender::new(0),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,7 +15,7 @@
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::model::unit::Revision;
+use crate::model::{record::CLAIMS, unit::Revision};
 
 /// A lease of the store.
 pub(crate) type LeaseId = i64;
@@ -54,6 +54,31 @@
     }
 }
 
+/// How urgent a write is, when there are more than the store takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Priority {
+    /// Claims of requests: others wait for at most one of each bucket.
+    Claims,
+    /// Plans, placements and configuration.
+    Control,
+    /// A node's registration.
+    Registration,
+}
+
+impl Call {
+    /// How urgent the call is; nothing if it does not count as a write.
+    fn priority(&self) -> Option<Priority> {
+        match self {
+            Call::Swap { key, .. } if key.starts_with(CLAIMS) => Some(Priority::Claims),
+            Call::Swap { lease: None, .. } => Some(Priority::Control),
+            Call::Swap { .. } | Call::Grant { .. } | Call::Revoke { .. } => {
+                Some(Priority::Registration)
+            }
+            Call::Get { .. } | Call::List { .. } | Call::Newest { .. } | Call::Renew { .. } => None,
+        }
+    }
+}
+
 /// A key with its value, or without one if it was deleted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Entry {
@@ -172,6 +197,27 @@
         )
     }
 
+    /// This store with each call that counts as a write held back until `turn` lets it go.
+    pub(crate) fn paced(
+        self,
+        turn: impl Fn(Priority) -> BoxFuture<'static, ()> + Send + Sync + 'static,
+    ) -> Store {
+        let turn = Arc::new(turn);
+        let (call, watch) = (self.call, self.watch);
+        Store::new(
+            move |one| {
+                let (call, turn) = (call.clone(), turn.clone());
+                Box::pin(async move {
+                    if let Some(priority) = one.priority() {
+                        turn(priority).await;
+                    }
+                    call(one).await
+                })
+            },
+            move |prefix, from| watch(prefix, from),
+        )
+    }
+
     /// Reads one key.
     pub(crate) async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
         match (self.call)(Call::Get { key: key.to_owned() }).await? {
--- a/src/preset.rs
+++ b/src/preset.rs
@@ -117,6 +117,7 @@
             slots: 8,
             connections: 64,
             once: *once,
+            surge: true,
         };
         config.services.insert(id(name), service);
     }
@@ -153,6 +154,7 @@
                 slots: 8,
                 connections: 64,
                 once: letter != 0,
+                surge: true,
             };
             let name = format!("service-{number:03}-{letter}");
             config.services.insert(name.parse().expect("the text is an identifier"), service);
--- a/src/settings/fleet.rs
+++ b/src/settings/fleet.rs
@@ -54,7 +54,8 @@
     let survive = section.text_or("survive", Domain::Rack);
     let slots = section.number_or("slots", 1..=10_000, 8);
     let connections = section.number_or("connections", 1..=100_000, 64);
-    let once = section.flag("once");
+    let once = section.flag_or("once", false);
+    let surge = section.flag_or("surge", true);
     let need = Resources {
         cores: Millicores(cores? as u32),
         memory: Megabytes(memory? as u32),
@@ -71,5 +72,6 @@
         slots: slots? as u32,
         connections: connections? as u32,
         once: once?,
+        surge: surge?,
     })
 }
--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -7,7 +7,10 @@
         claim::Keep,
         rules::{Expected, Rules, Weights},
     },
-    model::id::{NodeId, ZoneId},
+    model::{
+        id::{NodeId, ZoneId},
+        unit::PerSecond,
+    },
     settings::{
         Problem, Problems,
         reader::{self, Section},
@@ -42,6 +45,8 @@
 pub(crate) struct PlatformSettings {
     pub(crate) store: Url,
     pub(crate) hosts: Url,
+    /// Writes a second that all nodes together may spend.
+    pub(crate) writes: PerSecond,
 }
 
 /// Bounds on what callers may ask of a node.
@@ -86,8 +91,6 @@
     /// Values of the store that claims are spread over.
     pub(crate) buckets: u32,
     pub(crate) keep: Keep,
-    /// Writes a second that this node spends on claims.
-    pub(crate) writes: u32,
 }
 
 /// The address of an HTTP server.
@@ -196,7 +199,9 @@
 fn platform(section: &Section<'_>) -> Option<PlatformSettings> {
     let store = section.text("store");
     let hosts = section.text("hosts");
-    Some(PlatformSettings { store: store?, hosts: hosts? })
+    let writes = section.number_or("writes", 10..=100_000, 75);
+    let writes = PerSecond(writes? as u32);
+    Some(PlatformSettings { store: store?, hosts: hosts?, writes })
 }
 
 fn limits(section: &Section<'_>) -> Option<Limits> {
@@ -241,12 +246,7 @@
     let span =
         section.millis_or("keep_ms", 60_000..=30 * 86_400_000, Duration::from_secs(24 * 3600));
     let most = section.number_or("most", 100..=5_000, 5_000);
-    let writes = section.number_or("writes", 1..=100, 12);
-    Some(Claims {
-        buckets: buckets? as u32,
-        keep: Keep { span: span?, most: most? as usize },
-        writes: writes? as u32,
-    })
+    Some(Claims { buckets: buckets? as u32, keep: Keep { span: span?, most: most? as usize } })
 }
 
 fn rules(section: &Section<'_>) -> Option<Rules> {
@@ -270,6 +270,7 @@
         let reboot = inner.millis_or("reboot_ms", 100..=86_400_000, base.reboot);
         Some(Expected { quiet: quiet?, start: start?, reboot: reboot? })
     });
+    let share_spare = section.flag_or("share_spare", default.share_spare);
     policy?;
     Some(Rules {
         list_limit: list_limit?,
@@ -277,6 +278,7 @@
         leave_limit: leave_limit?,
         away_limit: away_limit?,
         weights: weights?,
+        share_spare: share_spare?,
         expected: expected?,
     })
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -196,10 +196,10 @@
         allowed
     }
 
-    /// True or false; false if left out.
-    pub(super) fn flag(&self, name: &'static str) -> Option<bool> {
+    /// True or false, which may be left out.
+    pub(super) fn flag_or(&self, name: &'static str, default: bool) -> Option<bool> {
         let Some(prop) = self.get(name) else {
-            return Some(false);
+            return Some(default);
         };
         if let Value::BooleanLit(literal) = &prop.value {
             return Some(literal.value);
