Experiments: waves against baselines and bounds, path, cost of control

The first plan's estimate was wrong as well (0 moves): the rehearsal looked for a successor's report at its task's old place; shown by decide::tests::rehearsal_moves_each_task_of_a_drained_host, failing before (0 of 9 moves), passing now.

Change: measure waves, path and node, with text, Markdown and JSON.

--- a/src/decide/plan.rs
+++ b/src/decide/plan.rs
@@ -137,13 +137,13 @@
         let score = score(fleet, pool, hosts, &report, rules);
         trades.push(Trade {
             max_out,
-            buffer: buffer(&report),
+            buffer: buffer(&report, rules),
             seconds: report.seconds,
             moves: report.moves,
             chosen: false,
         });
         let same = trades.iter().rev().nth(1).is_some_and(|before| {
-            before.seconds == report.seconds && before.buffer == buffer(&report)
+            before.seconds == report.seconds && before.buffer == buffer(&report, rules)
         });
         if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
             best = Some((score, max_out, report));
@@ -161,7 +161,7 @@
         part.max_out = max_out;
         part.trades = trades;
     }
-    add_cost(fleet, plan, &report);
+    add_cost(fleet, plan, &report, rules);
 }
 
 /// One, two, four and so on, and all.
@@ -180,8 +180,10 @@
     trial
 }
 
-fn buffer(report: &Report) -> Millicores {
-    Millicores(u32::try_from(report.peak_out).unwrap_or(u32::MAX))
+/// Spare capacity that a pool's part of a plan holds back.
+fn buffer(report: &Report, rules: &Rules) -> Millicores {
+    let buffer = if rules.share_spare { report.shared_buffer } else { report.separate_buffer };
+    Millicores(u32::try_from(buffer).unwrap_or(u32::MAX))
 }
 
 fn score(fleet: &Fleet, pool: &PoolId, hosts: u32, report: &Report, rules: &Rules) -> f64 {
@@ -191,14 +193,14 @@
     let capacities = fleet.hosts_of(pool).filter_map(|host| fleet.reports.get(host));
     let total: u64 = capacities.map(|report| u64::from(report.capacity.cores.0)).sum();
     let weights = rules.weights;
-    weights.buffer * (report.peak_out as f64) * 1000.0 / (total.max(1) as f64)
+    weights.buffer * f64::from(buffer(report, rules).0) * 1000.0 / (total.max(1) as f64)
         + weights.time * (report.seconds as f64) / f64::from(hosts.max(1))
         + weights.moves * f64::from(report.moves) / f64::from(hosts.max(1))
 }
 
-fn add_cost(fleet: &Fleet, plan: &mut Plan, report: &Report) {
+fn add_cost(fleet: &Fleet, plan: &mut Plan, report: &Report, rules: &Rules) {
     let cost = &mut plan.cost;
-    cost.buffer.0 = cost.buffer.0.saturating_add(buffer(report).0);
+    cost.buffer.0 = cost.buffer.0.saturating_add(buffer(report, rules).0);
     cost.seconds = cost.seconds.max(report.seconds);
     cost.moves += report.moves;
     for (service, fared) in &report.services {
--- a/src/decide/rehearse.rs
+++ b/src/decide/rehearse.rs
@@ -16,8 +16,8 @@
     },
     model::{
         fleet::{Fleet, TaskRef},
-        host::TaskReport,
-        id::{HostId, OpId, PoolId, ServiceId},
+        host::{HostState, TaskReport},
+        id::{HostId, OpId, PoolId, RackId, ServiceId},
         plan::Plan,
         record::Record,
         unit::{Epoch, Revision, Time},
@@ -67,8 +67,14 @@
     pub(crate) moves: u32,
     /// Tasks that repair moved.
     pub(crate) repairs: u32,
-    /// Most processor capacity that the plan had out at one time, in millicores.
-    pub(crate) peak_out: u64,
+    /// Most hosts that the plan had out at one time.
+    pub(crate) peak_out: u32,
+    /// Spare capacity that was needed at the most, in millicores, when spare for failures and for
+    /// maintenance is one and the same: the greater of the load of hosts that are out and the load
+    /// of the worst rack.
+    pub(crate) shared_buffer: u64,
+    /// The same when each has a spare of its own: the sum of the two.
+    pub(crate) separate_buffer: u64,
     pub(crate) services: BTreeMap<ServiceId, Fared>,
     /// Leaves after which a service could not have survived its worst failure domain.
     pub(crate) voluntary_breaches: u32,
@@ -90,6 +96,8 @@
     began: Time,
     events: BinaryHeap<Reverse<(Time, Event)>>,
     quiet: HashSet<(HostId, Epoch)>,
+    /// What hosts that are out carried when they closed, in millicores.
+    displaced: BTreeMap<HostId, u64>,
     failed: HashSet<HostId>,
     report: Report,
     revision: u64,
@@ -118,6 +126,7 @@
             began: now,
             events: BinaryHeap::new(),
             quiet: HashSet::new(),
+            displaced: BTreeMap::new(),
             failed: HashSet::new(),
             report: Report::default(),
             revision: 1,
@@ -175,6 +184,9 @@
                 break;
             }
             for step in steps {
+                if std::env::var("DBG").is_ok() {
+                    eprintln!("{} {:?}", self.now.since(self.began).as_secs(), step);
+                }
                 self.take(&step);
             }
         }
@@ -204,7 +216,10 @@
                 self.started(service, moves.keys());
             }
             Step::Prepare { service, moves, .. } => self.started(service, moves.keys()),
-            Step::Close { .. } => {
+            Step::Close { host } => {
+                let load = u64::from(self.fleet.used(host).cores.0);
+                self.displaced.insert(host.clone(), load);
+                self.observe(None);
                 let limit = self.rules.start_limit + self.rules.leave_limit;
                 self.after(limit + Duration::from_secs(1), Event::Look);
             }
@@ -216,7 +231,10 @@
                 self.after(expected.reboot * 2 + Duration::from_secs(2), Event::Look);
                 self.after(self.rules.away_limit + Duration::from_secs(1), Event::Look);
             }
-            _ => {}
+            Step::Return { host, .. } | Step::Quarantine { host, .. } | Step::Join { host, .. } => {
+                self.displaced.remove(host);
+            }
+            Step::GiveBack { .. } | Step::Permit { .. } => {}
         }
     }
 
@@ -300,14 +318,19 @@
         }
     }
 
+    /// Where a start of a task is, as its placement has it.
+    fn host_of(&self, task: &TaskRef, generation: u64) -> Option<HostId> {
+        let successor = self.fleet.successor(task).map(|successor| &successor.to);
+        let mut starts = [successor, self.fleet.assigned(task)].into_iter().flatten();
+        let started = starts.find(|start| start.generation == generation);
+        started.map(|start| start.host.clone())
+    }
+
     fn ready(&mut self, task: TaskRef, generation: u64) {
-        let Some(assigned) = self.fleet.assigned(&task) else {
-            return;
-        };
-        if assigned.generation != generation || self.failed.contains(&assigned.host) {
+        let Some(host) = self.host_of(&task, generation) else { return };
+        if self.failed.contains(&host) {
             return;
         }
-        let host = assigned.host.clone();
         let Some(report) = self.fleet.reports.get_mut(&host) else {
             return;
         };
@@ -325,14 +348,11 @@
     /// that it carries must be able to survive their worst failure domain.
     fn observe(&mut self, left: Option<&HostId>) {
         let leaving = left.map(|host| budget::services_on(&self.fleet, host));
-        let mut out_cores = 0;
-        for (host, record) in &self.fleet.hosts {
-            if record.plan.is_some() {
-                let capacity = self.fleet.reports.get(host).map(|r| r.capacity.cores.0);
-                out_cores += u64::from(capacity.unwrap_or(0));
-            }
-        }
-        self.report.peak_out = self.report.peak_out.max(out_cores);
+        let out: u64 = self.displaced.values().sum();
+        let worst = worst_rack(&self.fleet);
+        self.report.peak_out = self.report.peak_out.max(self.displaced.len() as u32);
+        self.report.shared_buffer = self.report.shared_buffer.max(out.max(worst));
+        self.report.separate_buffer = self.report.separate_buffer.max(out + worst);
         for (id, service) in &self.fleet.config.services {
             let standing = budget::standing(&self.fleet, id, service, self.now, self.rules);
             let fared = self.report.services.entry(id.clone()).or_default();
@@ -358,6 +378,17 @@
     }
 }
 
+/// The load of the rack that carries the most, in millicores.
+fn worst_rack(fleet: &Fleet) -> u64 {
+    let mut racks: BTreeMap<&RackId, u64> = BTreeMap::new();
+    for (host, report) in &fleet.reports {
+        if fleet.hosts.get(host).is_some_and(|record| record.state == HostState::Serving) {
+            *racks.entry(&report.rack).or_default() += u64::from(fleet.used(host).cores.0);
+        }
+    }
+    racks.into_values().max().unwrap_or(0)
+}
+
 /// Tasks of a service that stand on failed hosts.
 fn failed_tasks(fleet: &Fleet, failed: &HashSet<HostId>, id: &ServiceId) -> u32 {
     let Some(placement) = fleet.placements.get(id) else {
--- a/src/demo/nodes.rs
+++ b/src/demo/nodes.rs
@@ -1,7 +1,7 @@
 //! The embedded fleet: stand-ins, and nodes that each have threads of their own, so that one can
 //! be killed without the others noticing anything but its silence.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::runtime::Runtime;
 
@@ -9,7 +9,10 @@
     decide::rules::{Expected, Rules},
     error::Error,
     model::id::{NodeId, ZoneId},
-    node::run::{self, Sockets},
+    node::{
+        Node,
+        run::{self, Sockets},
+    },
     operator::client::Client,
     preset::Preset,
     settings::node::{self as settings, NodeSettings},
@@ -25,6 +28,7 @@
     pub(crate) callers: SocketAddr,
     pub(crate) operators: SocketAddr,
     runtime: Option<Runtime>,
+    running: Arc<Node>,
 }
 
 /// Stand-ins and nodes.
@@ -103,6 +107,11 @@
         Client::new(&self.nodes[node].operators.to_string())
     }
 
+    /// Bytes that all nodes' control has sent and received.
+    pub(crate) fn traffic(&self) -> u64 {
+        self.nodes.iter().map(|node| node.running.traffic.total()).sum()
+    }
+
     /// Ends a node at once, as if its process were killed.
     pub(crate) fn kill(&mut self, node: usize) -> NodeId {
         let node = &mut self.nodes[node];
@@ -130,11 +139,10 @@
         .build()?;
     let started = runtime.spawn(async move {
         let sockets = bound.sockets()?;
-        run::start(settings, sockets);
-        Ok::<_, std::io::Error>(())
+        Ok::<_, std::io::Error>(run::start(settings, sockets).node)
     });
-    started.await.map_err(std::io::Error::other)??;
-    Ok(DemoNode { id, callers, operators, runtime: Some(runtime) })
+    let running = started.await.map_err(std::io::Error::other)??;
+    Ok(DemoNode { id, callers, operators, runtime: Some(runtime), running })
 }
 
 fn settings(
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -1,24 +1,64 @@
 //! Experiments: policies over drawn failures, the path of a request, and the cost of control.
 
+mod bound;
+mod export;
+mod node;
+mod path;
+mod sample;
+pub(crate) mod shape;
+mod target;
+mod waves;
+
 use std::path::PathBuf;
 
 use crate::error::Error;
 
+pub(crate) use export::Export;
+pub(crate) use waves::POLICIES;
+
 /// How an experiment is run.
 pub(crate) struct Options {
     pub(crate) experiment: Experiment,
     pub(crate) export: Export,
 }
+
+/// What is measured.
 pub(crate) enum Experiment {
+    /// Waves under policies, over seeds.
     Waves { preset: String, policies: Vec<String>, seeds: Vec<u64> },
+    /// Calls through a node against calls straight to the endpoint.
     Path { callers: u32, requests: u32 },
+    /// What control costs a node.
     Node,
 }
-pub(crate) struct Export {
-    pub(crate) json: Option<PathBuf>,
-    pub(crate) markdown: Option<PathBuf>,
+
+/// Seeds that are run when none is named.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=10;
+
+/// Runs an experiment, prints its figures and writes them where they are asked for.
+pub(crate) fn run(options: Options) -> Result<(), Error> {
+    let figures = match options.experiment {
+        Experiment::Waves { preset, .. } if preset == "target" => target::measure(),
+        Experiment::Waves { preset, policies, seeds } => {
+            let seeds = if seeds.is_empty() { SEEDS.collect() } else { seeds };
+            let all = || POLICIES.map(str::to_owned).to_vec();
+            let policies = if policies.is_empty() { all() } else { policies };
+            waves::measure(&preset, &policies, &seeds)?
+        }
+        Experiment::Path { callers, requests } => path::measure(callers, requests)?,
+        Experiment::Node => node::measure()?,
+    };
+    println!("{}", figures.text());
+    options.export.write(&figures)
 }
-pub(crate) const POLICIES: [&str; 4] = ["ours", "one-at-a-time", "rack-by-rack", "random"];
-pub(crate) fn run(_options: Options) -> Result<(), Error> {
-    Ok(())
+
+/// A table of figures, with what they mean.
+pub(crate) struct Figures {
+    pub(crate) title: String,
+    pub(crate) heading: Vec<&'static str>,
+    pub(crate) rows: Vec<Vec<String>>,
+    pub(crate) notes: Vec<String>,
 }
+
+/// The file to which an export goes, if any.
+pub(crate) type Target = Option<PathBuf>;
--- /dev/null
+++ b/src/measure/shape.rs
@@ -0,0 +1,86 @@
+//! Fleets of a shape, as they stand when everything runs: where experiments begin.
+
+use crate::{
+    decide::{pools, repair, rules::Rules, wave},
+    model::{
+        fleet::Fleet,
+        host::{HostRecord, HostReport, HostState, TaskReport},
+        id::{OpId, ServiceId},
+        record::Record,
+        unit::{Epoch, Revision, Time},
+    },
+    preset::Preset,
+    standin::worker,
+};
+
+/// When experiments begin. Any moment would do.
+pub(crate) const BEGIN: Time = Time::from_millis(1_000_000_000_000);
+
+/// A fleet of a shape in which every task is placed and ready.
+pub(crate) fn build(preset: &Preset, rules: &Rules) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.config = preset.config.clone();
+    fleet.through = 1;
+    fleet.heard = BEGIN;
+    for number in 0..preset.hosts {
+        let report = report(preset, number);
+        fleet.reports.insert(report.host.clone(), report);
+    }
+    for (host, pool) in pools::assign(&fleet) {
+        let record = HostRecord {
+            pool,
+            state: HostState::Serving,
+            epoch: Epoch(1),
+            since: BEGIN,
+            op: op(),
+            plan: None,
+            last: None,
+        };
+        fleet.put(Record::Host(host, record), Revision(1));
+    }
+    let services: Vec<ServiceId> = fleet.config.services.keys().cloned().collect();
+    for id in services {
+        place(&mut fleet, &id, rules);
+    }
+    fleet
+}
+
+fn op() -> OpId {
+    "shape".parse().expect("the text is an identifier")
+}
+
+fn report(preset: &Preset, number: u32) -> HostReport {
+    HostReport {
+        host: worker::host_id(number),
+        rack: worker::rack_id(number, preset.rack_size),
+        zone: worker::zone_id(number, preset.rack_size, preset.zones),
+        address: String::new(),
+        capacity: preset.capacity,
+        live: true,
+        booted: Epoch(0),
+        epoch: Epoch(1),
+        tasks: Vec::new(),
+    }
+}
+
+/// Places the tasks of a service, and has them be ready.
+fn place(fleet: &mut Fleet, id: &ServiceId, rules: &Rules) {
+    let repair = repair::repair(fleet, id, BEGIN, rules);
+    let record = wave::change_placement(fleet, id, &op(), |placement| {
+        wave::repaired(placement, &repair, BEGIN);
+    });
+    record.into_iter().for_each(|record| fleet.put(record, Revision(1)));
+    let placed = fleet.placements.get(id).cloned().unwrap_or_default();
+    for (index, assigned) in placed.tasks.iter().enumerate() {
+        let Some(assigned) = assigned else { continue };
+        let Some(report) = fleet.reports.get_mut(&assigned.host) else { continue };
+        report.tasks.push(TaskReport {
+            service: id.clone(),
+            index: index as u32,
+            generation: assigned.generation,
+            ready: true,
+            address: String::new(),
+            in_flight: 0,
+        });
+    }
+}
--- /dev/null
+++ b/src/measure/target.rs
@@ -0,0 +1,127 @@
+//! Planning at the size of two years from now: how time and memory grow with the fleet.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    decide::{
+        plan, repair,
+        rules::Rules,
+        wave::{self, Outlook},
+    },
+    measure::{
+        Figures, sample,
+        shape::{self, BEGIN},
+    },
+    model::{
+        fleet::Fleet,
+        id::{HostId, OpId, PlanId},
+        plan::{Action, Intent, Plan, PlanState},
+        record::Record,
+        unit::{Epoch, Revision},
+    },
+    preset,
+};
+
+/// Fleets that are planned.
+const SIZES: [u32; 4] = [50, 500, 2_000, 6_800];
+/// Events after which a decision is timed.
+const EVENTS: usize = 400;
+
+/// Plans a rotation of all hosts, and times single decisions.
+pub(crate) fn measure() -> Figures {
+    let rows = SIZES.into_iter().map(row).collect();
+    Figures {
+        title: "A rotation of all hosts, planned on one core".to_owned(),
+        heading: vec![
+            "hosts",
+            "pools",
+            "tasks",
+            "plan s",
+            "wave h",
+            "moves",
+            "decision us (p50)",
+            "decision us (max)",
+            "view MB",
+        ],
+        rows,
+        notes: vec![format!(
+            "Plan: the whole rotation with its cost, each pool rehearsed with several bounds. \
+                 Decision: repair of a failed host's services and the next steps of its pool, \
+                 over {EVENTS} hosts. View: growth of the process's memory when the fleet is \
+                 built."
+        )],
+    }
+}
+
+fn row(hosts: u32) -> Vec<String> {
+    let rules = Rules { weights: preset::target(hosts).weights(), ..Rules::default() };
+    let before = resident();
+    let fleet = shape::build(&preset::target(hosts), &rules);
+    let size = resident().saturating_sub(before);
+    let began = Instant::now();
+    let plan = rotation(&fleet, &rules);
+    let planned = began.elapsed();
+    let decisions = decisions(fleet.clone(), &plan, &rules);
+    let micros: Vec<f64> = decisions.iter().map(|took| took.as_secs_f64() * 1e6).collect();
+    let tasks: u32 = fleet.config.services.values().map(|service| service.tasks).sum();
+    vec![
+        hosts.to_string(),
+        fleet.config.pools.len().to_string(),
+        tasks.to_string(),
+        format!("{:.2}", planned.as_secs_f64()),
+        format!("{:.1}", plan.cost.seconds as f64 / 3600.0),
+        plan.cost.moves.to_string(),
+        format!("{:.0}", sample::median(&micros)),
+        format!("{:.0}", sample::greatest(&micros)),
+        format!("{:.1}", size as f64 / f64::from(1 << 20)),
+    ]
+}
+
+fn rotation(fleet: &Fleet, rules: &Rules) -> Plan {
+    let intent = Intent {
+        action: Action::Drain,
+        hosts: fleet.hosts.keys().cloned().collect(),
+        deadline: None,
+        reason: "rotation".to_owned(),
+        by: "measure".to_owned(),
+    };
+    let (id, op): (PlanId, OpId) =
+        ("p-1".parse().expect("an identifier"), "op".parse().expect("an identifier"));
+    plan::propose(fleet, id, op, intent, BEGIN, rules)
+}
+
+/// Fails one host after the other, and times what follows from each.
+fn decisions(mut fleet: Fleet, plan: &Plan, rules: &Rules) -> Vec<Duration> {
+    let mut running = plan.clone();
+    running.state = PlanState::Running;
+    fleet.put(Record::Plan(running.id.clone(), Box::new(running.clone())), Revision(2));
+    let step = (fleet.hosts.len() / EVENTS).max(1);
+    let hosts: Vec<HostId> = fleet.hosts.keys().step_by(step).take(EVENTS).cloned().collect();
+    let never = |_: &HostId, _: Epoch| false;
+    let mut took = Vec::new();
+    for host in hosts {
+        if let Some(report) = fleet.reports.get_mut(&host) {
+            report.live = false;
+        }
+        let began = Instant::now();
+        for task in fleet.tasks_on(&host) {
+            std::hint::black_box(repair::repair(&fleet, &task.service, BEGIN, rules));
+        }
+        let outlook = Outlook { fleet: &fleet, is_quiet: &never, now: BEGIN, rules };
+        let pool = &fleet.hosts[&host].pool;
+        std::hint::black_box(wave::advance(&outlook, &running, pool));
+        took.push(began.elapsed());
+        if let Some(report) = fleet.reports.get_mut(&host) {
+            report.live = true;
+        }
+    }
+    took
+}
+
+/// Memory that the process holds, in bytes.
+pub(crate) fn resident() -> u64 {
+    const PAGE: u64 = 4096;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
--- /dev/null
+++ b/src/measure/waves.rs
@@ -0,0 +1,242 @@
+//! Waves over a whole fleet, under our policy and simple ones, with the same drawn failures.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{RngExt, SeedableRng, seq::IteratorRandom};
+use rand_pcg::Pcg64;
+
+use crate::{
+    decide::{
+        baseline, plan,
+        rehearse::{Event, Rehearsal, Report},
+        rules::Rules,
+    },
+    error::Error,
+    measure::{
+        Figures, bound, sample,
+        shape::{self, BEGIN},
+    },
+    model::{
+        fleet::Fleet,
+        id::{HostId, OpId, PlanId, PoolId, RackId},
+        plan::{Action, Intent, Plan, PlanState},
+    },
+    preset::{self, Preset},
+};
+
+/// Policies that are compared.
+pub(crate) const POLICIES: [&str; 4] = ["ours", "one-at-a-time", "rack-by-rack", "random"];
+
+/// Hosts that fail by themselves in a wave, as a share of all.
+const FAILING: f64 = 0.06;
+/// How long a failed host is gone.
+const REPAIRED_AFTER: Duration = Duration::from_secs(1200);
+/// A wave that takes longer counts as one that did not end.
+const LONGEST: Duration = Duration::from_secs(7 * 86_400);
+
+/// What one wave came to, over all pools.
+#[derive(Debug, Clone, Default)]
+struct Outcome {
+    seconds: f64,
+    /// The least time that capacity allows at all.
+    capacity: f64,
+    /// The least time for the buffer that was held back.
+    least: f64,
+    moves: u32,
+    repairs: u32,
+    tasks: u32,
+    shared_buffer: u64,
+    separate_buffer: u64,
+    voluntary: u32,
+    breaches: u32,
+    finished: bool,
+    decisions: Vec<f64>,
+}
+
+/// A failure of a host, with the time from the start of the wave.
+struct Failure {
+    host: HostId,
+    after: Duration,
+}
+
+/// Runs the waves.
+pub(crate) fn measure(name: &str, policies: &[String], seeds: &[u64]) -> Result<Figures, Error> {
+    let preset = preset::by_name(name)
+        .ok_or_else(|| Error::Usage(format!("--preset: there is no {name}")))?;
+    let rules = Rules { weights: preset.weights(), ..Rules::default() };
+    let fleet = shape::build(&preset, &rules);
+    let least = bound::of(&fleet, &rules);
+    let mut rows = vec![bound_row(&least)];
+    let mut failed = Vec::new();
+    for policy in policies {
+        let runs: Vec<Outcome> =
+            seeds.iter().map(|seed| run(&preset, &fleet, policy, *seed, &rules)).collect();
+        failed.extend(unfinished(policy, seeds, &runs));
+        rows.push(row(policy, &runs));
+    }
+    Ok(Figures {
+        title: format!(
+            "Waves over all {} hosts of {name}, {} seeds, medians (greatest in brackets)",
+            preset.hosts,
+            seeds.len()
+        ),
+        heading: vec![
+            "policy",
+            "roll-out s",
+            "over least",
+            "over least at its buffer",
+            "moves a task",
+            "repairs",
+            "buffer cores",
+            "if spares were separate",
+            "voluntary breaches",
+            "moments below budget",
+            "decision us",
+        ],
+        rows,
+        notes: notes(&rules).into_iter().chain(failed).collect(),
+    })
+}
+
+fn notes(rules: &Rules) -> Vec<String> {
+    vec![
+        format!(
+            "A start takes {}, a leave {}, a reboot {}. In each wave {:.0}% of the hosts and one \
+             rack fail at drawn times, and come back after {}.",
+            humantime::format_duration(rules.expected.start),
+            humantime::format_duration(rules.expected.quiet),
+            humantime::format_duration(rules.expected.reboot),
+            FAILING * 100.0,
+            humantime::format_duration(REPAIRED_AFTER),
+        ),
+        "Voluntary breaches: hosts that left although a service that they carried could not have \
+         survived its worst failure domain then. Moments below budget: looks at which a service \
+         was below its budget through failures."
+            .to_owned(),
+    ]
+}
+
+fn bound_row(least: &bound::Bound) -> Vec<String> {
+    let mut row = vec![
+        "lower bound".to_owned(),
+        format!("{:.0}", least.seconds),
+        "1.00".to_owned(),
+        String::new(),
+        "1.00".to_owned(),
+        String::new(),
+        format!("{}", least.buffer / 1000),
+    ];
+    row.resize(11, String::new());
+    row
+}
+
+fn unfinished(policy: &str, seeds: &[u64], runs: &[Outcome]) -> Vec<String> {
+    let failed = seeds.iter().zip(runs).filter(|(_, run)| !run.finished);
+    failed.map(|(seed, _)| format!("NOT FINISHED: {policy}, seed {seed}")).collect()
+}
+
+fn row(policy: &str, runs: &[Outcome]) -> Vec<String> {
+    let of = |figure: &dyn Fn(&Outcome) -> f64| -> (f64, f64) {
+        let numbers: Vec<f64> = runs.iter().map(figure).collect();
+        (sample::median(&numbers), sample::greatest(&numbers))
+    };
+    let shown = |(median, greatest): (f64, f64), digits: usize| {
+        format!("{median:.digits$} ({greatest:.digits$})")
+    };
+    let total = |figure: &dyn Fn(&Outcome) -> u32| runs.iter().map(figure).sum::<u32>().to_string();
+    let decisions: Vec<f64> = runs.iter().flat_map(|run| run.decisions.iter().copied()).collect();
+    let cores = |millicores: u64| millicores as f64 / 1000.0;
+    vec![
+        policy.to_owned(),
+        shown(of(&|run| run.seconds), 0),
+        shown(of(&|run| run.seconds / run.capacity), 2),
+        shown(of(&|run| run.seconds / run.least), 2),
+        shown(of(&|run| f64::from(run.moves) / f64::from(run.tasks.max(1))), 2),
+        shown(of(&|run| f64::from(run.repairs)), 0),
+        shown(of(&|run| cores(run.shared_buffer)), 0),
+        shown(of(&|run| cores(run.separate_buffer)), 0),
+        total(&|run| run.voluntary),
+        total(&|run| run.breaches),
+        format!("{:.0} ({:.0})", sample::median(&decisions), sample::greatest(&decisions)),
+    ]
+}
+
+fn run(preset: &Preset, fleet: &Fleet, policy: &str, seed: u64, rules: &Rules) -> Outcome {
+    let plan = planned(fleet, policy, seed, rules);
+    let failures = draw(preset, fleet, seed, rules);
+    let mut outcome = Outcome { finished: true, ..Outcome::default() };
+    outcome.capacity = bound::of(fleet, rules).seconds;
+    for pool in plan.pools.keys() {
+        let mut rehearsal = Rehearsal::new(fleet, &plan, pool, rules, BEGIN);
+        for failure in failures.iter().filter(|f| fleet.hosts[&f.host].pool == *pool) {
+            rehearsal.schedule(failure.after, Event::Fail(failure.host.clone()));
+            let back = failure.after + REPAIRED_AFTER;
+            rehearsal.schedule(back, Event::Recover(failure.host.clone()));
+        }
+        let report = rehearsal.run(LONGEST);
+        outcome.add(fleet, pool, &report, rules);
+    }
+    outcome
+}
+
+impl Outcome {
+    fn add(&mut self, fleet: &Fleet, pool: &PoolId, report: &Report, rules: &Rules) {
+        let least = bound::seconds_with(fleet, pool, report.shared_buffer, rules);
+        self.seconds = self.seconds.max(report.seconds as f64);
+        self.least = self.least.max(least);
+        self.moves += report.moves;
+        self.repairs += report.repairs;
+        self.tasks += fleet.hosts_of(pool).map(|h| fleet.tasks_on(h).len() as u32).sum::<u32>();
+        self.shared_buffer += report.shared_buffer;
+        self.separate_buffer += report.separate_buffer;
+        self.voluntary += report.voluntary_breaches;
+        self.breaches += report.breaches;
+        self.finished &= report.finished;
+        self.decisions.extend(report.decisions.iter().map(|took| took.as_secs_f64() * 1e6));
+    }
+}
+
+/// A running plan for all hosts, ordered and bounded by a policy.
+fn planned(fleet: &Fleet, policy: &str, seed: u64, rules: &Rules) -> Plan {
+    let intent = Intent {
+        action: Action::Drain,
+        hosts: fleet.hosts.keys().cloned().collect(),
+        deadline: None,
+        reason: "patching".to_owned(),
+        by: "measure".to_owned(),
+    };
+    let (id, op): (PlanId, OpId) =
+        ("p-1".parse().expect("an identifier"), "op".parse().expect("an identifier"));
+    let mut plan = plan::propose(fleet, id, op, intent, BEGIN, rules);
+    plan.state = PlanState::Running;
+    for (pool, part) in &mut plan.pools {
+        let hosts: Vec<HostId> = fleet.hosts_of(pool).cloned().collect();
+        match policy {
+            "one-at-a-time" => *part = baseline::one_at_a_time(&hosts),
+            "rack-by-rack" => *part = baseline::rack_by_rack(fleet, &hosts),
+            "random" => *part = baseline::random(&hosts, seed),
+            _ => {}
+        }
+    }
+    plan
+}
+
+/// Failures of single hosts and of one rack, all within the time that our wave takes.
+fn draw(preset: &Preset, fleet: &Fleet, seed: u64, rules: &Rules) -> Vec<Failure> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let span = bound::cycle(rules) * 3;
+    let hosts: Vec<&HostId> = fleet.hosts.keys().collect();
+    let count = (f64::from(preset.hosts) * FAILING).ceil() as usize;
+    let mut failures: BTreeMap<HostId, Duration> = BTreeMap::new();
+    for host in hosts.into_iter().sample(&mut rng, count) {
+        failures.insert(host.clone(), span.mul_f64(rng.random::<f64>()));
+    }
+    let racks: std::collections::BTreeSet<&RackId> =
+        fleet.reports.values().map(|report| &report.rack).collect();
+    if let Some(rack) = racks.into_iter().choose(&mut rng) {
+        let at = span.mul_f64(rng.random::<f64>());
+        let in_rack = fleet.reports.values().filter(|report| report.rack == *rack);
+        failures.extend(in_rack.map(|report| (report.host.clone(), at)));
+    }
+    failures.into_iter().map(|(host, after)| Failure { host, after }).collect()
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 pub(crate) mod peers;
 pub(crate) mod run;
 pub(crate) mod sync;
+pub(crate) mod traffic;
 pub(crate) mod view;
 pub(crate) mod write;
 
@@ -25,7 +26,7 @@
     decide::rendezvous,
     entry::{gate::Gates, once::Once, routes::Routes},
     model::{id::NodeId, unit::Time},
-    node::{metrics::Metrics, pace::Pace, peers::Peers, view::View},
+    node::{metrics::Metrics, pace::Pace, peers::Peers, traffic::Traffic, view::View},
     platform::store::Store,
     settings::node::NodeSettings,
 };
@@ -46,6 +47,8 @@
     pub(crate) gates: Gates,
     pub(crate) once: Once,
     pub(crate) metrics: Metrics,
+    /// Bytes that control sent and received.
+    pub(crate) traffic: Arc<Traffic>,
     /// Cancelled when the node is to leave.
     pub(crate) leaving: CancellationToken,
 }
--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -50,6 +50,8 @@
         let sent = stream::iter(due).map(|(address, assignment)| {
             let node = node.clone();
             async move {
+                let size = serde_json::to_vec(&assignment).map_or(0, |body| body.len());
+                node.traffic.note(size);
                 let sent = worker::command(&node.client, &address, &assignment, LIMIT).await;
                 (assignment, sent)
             }
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -14,7 +14,8 @@
     loop {
         let address = node.settings.platform.hosts.as_str();
         let began = Time::now();
-        match hosts::read(&node.client, address, next, node.settings.timing.store).await {
+        let note = |bytes| node.traffic.note(bytes);
+        match hosts::read(&node.client, address, next, node.settings.timing.store, note).await {
             Ok(list) => {
                 next = list.next;
                 take_in(&node, list, began);
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -252,7 +252,7 @@
 /// Keeps one link open for as long as its node is wanted.
 async fn keep_link(node: Arc<Node>, address: SocketAddr, mut messages: mpsc::Receiver<Message>) {
     loop {
-        if let Err(error) = send_over_link(address, &mut messages).await {
+        if let Err(error) = send_over_link(&node, address, &mut messages).await {
             log::debug!("peer {address}: link: {error}");
         }
         if !wanted(&node).contains(&address) {
@@ -266,6 +266,7 @@
 }
 
 async fn send_over_link(
+    node: &Node,
     address: SocketAddr,
     messages: &mut mpsc::Receiver<Message>,
 ) -> eyre::Result<()> {
@@ -280,6 +281,7 @@
                 let Some(message) = message else { return Ok(()) };
                 let mut bytes = Vec::new();
                 ciborium::into_writer(&message, &mut bytes)?;
+                node.traffic.note(bytes.len());
                 let sent = link.send(tungstenite::Message::binary(bytes));
                 tokio::time::timeout(SILENCE, sent).await??;
             }
@@ -324,6 +326,7 @@
     while let Some(message) = tokio::time::timeout(SILENCE, link.next()).await? {
         match message? {
             tungstenite::Message::Binary(bytes) => {
+                node.traffic.note(bytes.len());
                 take_in(node, ciborium::from_reader(&bytes[..])?, Time::now());
             }
             tungstenite::Message::Close(_) => break,
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -15,7 +15,7 @@
     model::unit::Time,
     node::{
         Node, assign, control, hosts, members, metrics::Metrics, pace::Pace, peers, peers::Peers,
-        sync, view::View,
+        sync, traffic::Traffic, view::View,
     },
     operator::api,
     platform::store::Store,
@@ -63,7 +63,10 @@
 /// Starts a node on its sockets.
 pub(crate) fn start(settings: NodeSettings, sockets: Sockets) -> Running {
     let metrics = Metrics::new();
-    let store = Store::over_http(settings.platform.store.as_str(), settings.timing.store)
+    let traffic = Arc::new(Traffic::default());
+    let noted = traffic.clone();
+    let note = move |bytes| noted.note(bytes);
+    let store = Store::over_http(settings.platform.store.as_str(), settings.timing.store, note)
         .counting(metrics.store_counter());
     let pace = Arc::new(Pace::new(settings.platform.writes, Time::now()));
     let turn = pace.clone();
@@ -84,6 +87,7 @@
         gates: Gates::default(),
         once,
         metrics,
+        traffic,
         leaving: CancellationToken::new(),
         settings,
     });
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -31,11 +31,13 @@
     address: &str,
     since: u64,
     limit: Duration,
+    note: impl Fn(usize),
 ) -> Result<HostList, ListError> {
     let failed = |cause: String| ListError { peer: address.to_owned(), cause };
     let url = format!("{address}/hosts?since={since}");
     let sent = client.get(url).timeout(limit).send().await;
     let answer = sent.and_then(|a| a.error_for_status()).map_err(|error| failed(chain(&error)))?;
     let body = answer.bytes().await.map_err(|error| failed(chain(&error)))?;
+    note(body.len());
     serde_json::from_slice(&body).map_err(|error| failed(error.to_string()))
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -128,6 +128,8 @@
     }
 }
 
+/// Told the size of each body that is sent or received.
+type Note = Arc<dyn Fn(usize) + Send + Sync>;
 type CallFn = dyn Fn(Call) -> BoxFuture<'static, Result<Reply, StoreError>> + Send + Sync;
 type WatchStream = BoxStream<'static, Result<Events, StoreError>>;
 type WatchFn =
@@ -161,22 +163,29 @@
         Store { call: Arc::new(call), watch: Arc::new(watch) }
     }
 
-    /// The store at an address, over HTTP. No call takes longer than `limit`.
-    pub(crate) fn over_http(address: &str, limit: Duration) -> Store {
+    /// The store at an address, over HTTP. No call takes longer than `limit`. `note` is told the
+    /// size of each body that is sent or received.
+    pub(crate) fn over_http(
+        address: &str,
+        limit: Duration,
+        note: impl Fn(usize) + Send + Sync + 'static,
+    ) -> Store {
+        let note: Note = Arc::new(note);
         let peer: Arc<str> = address.into();
         let client = reqwest::Client::builder()
             .connect_timeout(limit)
             .build()
             .expect("a client without TLS needs nothing of the system");
-        let (call_peer, call_client) = (peer.clone(), client.clone());
+        let (call_peer, call_client, call_note) = (peer.clone(), client.clone(), note.clone());
         Store::new(
             move |call| {
                 let (peer, client) = (call_peer.clone(), call_client.clone());
-                Box::pin(async move { etcd::call(&client, &peer, call, limit).await })
+                let note = call_note.clone();
+                Box::pin(async move { etcd::call(&client, &peer, call, limit, &note).await })
             },
             move |prefix, from| {
-                let (peer, client) = (peer.clone(), client.clone());
-                Box::pin(async move { etcd::watch(client, peer, prefix, from, limit).await })
+                let (peer, client, note) = (peer.clone(), client.clone(), note.clone());
+                Box::pin(async move { etcd::watch(client, peer, prefix, from, limit, note).await })
             },
         )
     }
@@ -545,8 +554,9 @@
         peer: &str,
         call: Call,
         limit: Duration,
+        note: &Note,
     ) -> Result<Reply, StoreError> {
-        let link = Link { client, peer, step: call.kind(), limit };
+        let link = Link { client, peer, step: call.kind(), limit, note };
         match call {
             Call::Get { key } => {
                 let request = RangeRequest { key: encode(key.as_bytes()), ..Default::default() };
@@ -591,6 +601,7 @@
         peer: &'a str,
         step: &'static str,
         limit: Duration,
+        note: &'a Note,
     }
 
     impl Link<'_> {
@@ -645,11 +656,14 @@
             request: &Q,
         ) -> Result<A, StoreError> {
             let (step, peer) = (self.step, self.peer.to_owned());
+            let body = serde_json::to_vec(request).expect("requests hold plain values");
+            (self.note)(body.len());
             let sent = self
                 .client
                 .post(format!("{}/v3/{path}", self.peer))
                 .timeout(self.limit)
-                .json(request)
+                .header("content-type", "application/json")
+                .body(body)
                 .send()
                 .await;
             let answer = sent.map_err(|error| self.lost(&error))?;
@@ -658,6 +672,7 @@
                 return Err(StoreError::Refused { step, peer, status });
             }
             let body = answer.bytes().await.map_err(|error| self.lost(&error))?;
+            (self.note)(body.len());
             serde_json::from_slice(&body).map_err(|error| {
                 let cause = error.to_string();
                 StoreError::Garbled { step, peer, cause }
@@ -680,6 +695,7 @@
         prefix: String,
         from: Revision,
         limit: Duration,
+        note: Note,
     ) -> Result<WatchStream, StoreError> {
         let request = WatchRequest {
             create_request: WatchCreate {
@@ -705,16 +721,19 @@
             return Err(StoreError::Refused { step, peer: peer.to_string(), status });
         }
         let body = answer.bytes_stream().boxed();
-        let state = (body, BytesMut::new(), peer);
-        let events = stream::try_unfold(state, |(mut body, mut buffer, peer)| async move {
+        let state = (body, BytesMut::new(), peer, note);
+        let events = stream::try_unfold(state, |(mut body, mut buffer, peer, note)| async move {
             loop {
                 if let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
                     let line = buffer.split_to(end + 1);
                     let events = read_events(&line, &peer)?;
-                    return Ok(Some((events, (body, buffer, peer))));
+                    return Ok(Some((events, (body, buffer, peer, note))));
                 }
                 match body.next().await {
-                    Some(Ok(chunk)) => buffer.extend_from_slice(&chunk),
+                    Some(Ok(chunk)) => {
+                        note(chunk.len());
+                        buffer.extend_from_slice(&chunk);
+                    }
                     Some(Err(error)) => {
                         let cause = chain(&error);
                         return Err(StoreError::Unreached {
