Frugal waves, batches across racks, plans weighed by likeness

Found: (1) bounds were powers of two only; (2) the first batch's tasks could only go to hosts still to be done, and batches by rack left few targets that did not crowd a rack; (3) each decision walked the hosts of all plans; (4) each trial cloned the whole plan, and stale look-again events were decided on.

Change: a frugal choice for each pool (a first batch of one host in ten, then only hosts that are done as targets); batches take one host of each rack; placement prefers hosts that are done as long as no rack holds more than the budget less one; hosts of running plans are indexed; pools that are alike are weighed once; all trades are printed.

--- a/src/decide/baseline.rs
+++ b/src/decide/baseline.rs
@@ -9,7 +9,7 @@
 /// One host at a time, in the order of names.
 pub(crate) fn one_at_a_time(hosts: &[HostId]) -> PoolPlan {
     let batches = hosts.iter().map(|host| vec![host.clone()]).collect();
-    PoolPlan { batches, max_out: 1, barrier: true, trades: Vec::new() }
+    PoolPlan { batches, max_out: 1, barrier: true, frugal: false, trades: Vec::new() }
 }
 
 /// One rack after the other, in the order of names.
@@ -20,7 +20,7 @@
         racks.entry(rack).or_insert_with(Vec::new).push(host.clone());
     }
     let batches = racks.into_values().collect();
-    PoolPlan { batches, max_out: u32::MAX, barrier: true, trades: Vec::new() }
+    PoolPlan { batches, max_out: u32::MAX, barrier: true, frugal: false, trades: Vec::new() }
 }
 
 /// Any host that its budgets let go, in a drawn order.
@@ -31,5 +31,5 @@
     let at = rng.random_range(0..hosts.len().max(1));
     hosts.rotate_left(at);
     let batches = hosts.into_iter().map(|host| vec![host]).collect();
-    PoolPlan { batches, max_out: u32::MAX, barrier: false, trades: Vec::new() }
+    PoolPlan { batches, max_out: u32::MAX, barrier: false, frugal: false, trades: Vec::new() }
 }
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -11,32 +11,41 @@
     },
 };
 
-/// Hosts in batches by rack. Racks with the fewest tasks come first, because their hosts are then
-/// there as targets that need no second move; racks that carry the services with the least left
-/// of their budgets come last, when the most spare is there.
-pub(crate) fn by_rack(
+/// Hosts in batches that take one host of each rack. Hosts that are done are then spread over
+/// racks, and can take in the tasks of the next batch without crowding one of them. Racks with the
+/// fewest tasks come first, because their hosts need the fewest moves; racks that carry the
+/// services with the least left of their budgets come last, when the most spare is there.
+pub(crate) fn across_racks(
     fleet: &Fleet,
     hosts: &[HostId],
     now: Time,
     rules: &Rules,
 ) -> Vec<Vec<HostId>> {
+    let racks = racks(fleet, hosts, now, rules);
+    let longest = racks.iter().map(Vec::len).max().unwrap_or(0);
+    let batch = |at: usize| racks.iter().filter_map(|rack| rack.get(at).cloned()).collect();
+    (0..longest).map(batch).collect()
+}
+
+/// Hosts by rack, in the order of racks and within them.
+fn racks(fleet: &Fleet, hosts: &[HostId], now: Time, rules: &Rules) -> Vec<Vec<HostId>> {
     let mut racks: BTreeMap<Option<&RackId>, Vec<HostId>> = BTreeMap::new();
     for host in hosts {
         let rack = fleet.reports.get(host).map(|report| &report.rack);
         racks.entry(rack).or_default().push(host.clone());
     }
     let mut left: BTreeMap<ServiceId, i64> = BTreeMap::new();
-    let mut batches: Vec<_> = racks.into_values().collect();
-    for batch in &mut batches {
-        batch.sort_by_key(|host| (fleet.tasks_on(host).len(), host.clone()));
+    let mut racks: Vec<_> = racks.into_values().collect();
+    for rack in &mut racks {
+        rack.sort_by_key(|host| (fleet.tasks_on(host).len(), host.clone()));
     }
-    batches.sort_by_cached_key(|batch| {
-        let tasks: usize = batch.iter().map(|host| fleet.tasks_on(host).len()).sum();
-        let services = batch.iter().flat_map(|host| budget::services_on(fleet, host));
+    racks.sort_by_cached_key(|rack| {
+        let tasks: usize = rack.iter().map(|host| fleet.tasks_on(host).len()).sum();
+        let services = rack.iter().flat_map(|host| budget::services_on(fleet, host));
         let least = services.map(|id| budget_left(fleet, id, &mut left, now, rules)).min();
-        (tasks, Reverse(least.unwrap_or(i64::MAX)), batch.first().cloned())
+        (tasks, Reverse(least.unwrap_or(i64::MAX)), rack.first().cloned())
     });
-    batches
+    racks
 }
 
 /// What a service's budget leaves for permits.
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -7,9 +7,8 @@
     model::{
         config::{Resources, Service},
         fleet::Fleet,
-        host::{HostOutcome, HostState},
+        host::HostState,
         id::{HostId, RackId, ServiceId, ZoneId},
-        plan::PlanState,
         unit::Time,
     },
 };
@@ -32,8 +31,6 @@
     added: HashMap<HostId, Resources>,
     placed: HashMap<(ServiceId, RackId), i64>,
     zoned: HashMap<(ServiceId, ZoneId), i64>,
-    /// Hosts that running plans have still to do: a task placed there would move twice.
-    pending: BTreeSet<HostId>,
     avoid: BTreeSet<HostId>,
 }
 
@@ -47,7 +44,6 @@
             added: HashMap::new(),
             placed: HashMap::new(),
             zoned: HashMap::new(),
-            pending: pending(fleet),
             avoid: BTreeSet::new(),
         }
     }
@@ -65,6 +61,8 @@
         from: Option<&HostId>,
     ) -> Result<HostId, NoHost> {
         let by_rack = self.spread(id, from);
+        // One failure domain's tasks, and one more that is out, must stay within the budget.
+        let most_a_rack = i64::from(service.max_down.saturating_sub(1).max(1));
         let mut best = None;
         for host in self.fleet.hosts_of(&service.pool) {
             if from == Some(host) || self.avoid.contains(host) {
@@ -80,13 +78,16 @@
             let rack = by_rack.0.get(&report.rack).copied().unwrap_or(0);
             let zone = by_rack.1.get(&report.zone).copied().unwrap_or(0);
             let left = free.less(service.need).cores;
-            // Spread first, then no second move, then zones, then the most room left.
-            let rank = (rack, self.pending.contains(host), zone, std::cmp::Reverse(left), host);
+            // What the budget survives comes first, then no second move, then spread, then the
+            // most room left.
+            let crowded = most_a_rack < rack + 1;
+            let pending = self.fleet.is_pending(host);
+            let rank = (crowded, pending, rack, zone, std::cmp::Reverse(left), host);
             if best.as_ref().is_none_or(|best| rank < *best) {
                 best = Some(rank);
             }
         }
-        let Some((_, _, _, _, host)) = best else {
+        let Some((_, _, _, _, _, host)) = best else {
             return Err(self.no_host(service));
         };
         let host = host.clone();
@@ -162,13 +163,3 @@
     let mut capacities = fleet.hosts_of(&service.pool).filter_map(|host| fleet.reports.get(host));
     capacities.any(|report| report.capacity.fits(service.need))
 }
-
-fn pending(fleet: &Fleet) -> BTreeSet<HostId> {
-    let running = fleet.plans.values().filter(|plan| plan.state == PlanState::Running);
-    let hosts = running.flat_map(|plan| plan.hosts().map(move |host| (plan, host)));
-    let todo = hosts.filter(|(plan, host)| {
-        let last = fleet.hosts.get(*host).and_then(|record| record.last.as_ref());
-        !last.is_some_and(|(id, outcome)| *id == plan.id && *outcome == HostOutcome::Done)
-    });
-    todo.map(|(_, host)| host.clone()).collect()
-}
--- a/src/decide/plan.rs
+++ b/src/decide/plan.rs
@@ -75,11 +75,12 @@
             None => by_pool.entry(fleet.hosts[&host].pool.clone()).or_default().push(host),
         }
     }
+    let mut known = Known::default();
     for (pool, hosts) in by_pool {
-        let batches = order::by_rack(fleet, &hosts, now, rules);
-        let part = PoolPlan { batches, max_out: 1, barrier: false, trades: Vec::new() };
+        let batches = order::across_racks(fleet, &hosts, now, rules);
+        let part = PoolPlan { batches, max_out: 1, ..PoolPlan::default() };
         plan.pools.insert(pool.clone(), part);
-        choose_max_out(fleet, &mut plan, &pool, now, rules);
+        weigh(fleet, &mut plan, &pool, &mut known, now, rules);
     }
     plan.cost.tightest.sort_by_key(|t| {
         (i64::from(t.max_down) - i64::from(t.peak_out + t.reserve), t.service.clone())
@@ -98,10 +99,9 @@
     if let Some(plan) = &record.plan {
         return Some(format!("plan {plan} holds it"));
     }
-    let other = fleet.plans.values().find(|plan| {
-        let ended = record.last.as_ref().is_some_and(|(id, _)| *id == plan.id);
-        plan.state == PlanState::Running && !ended && plan.hosts().any(|h| h == host)
-    });
+    let other = fleet
+        .planned(host)
+        .filter(|plan| !record.last.as_ref().is_some_and(|(id, _)| *id == plan.id));
     if let Some(plan) = other {
         return Some(format!("plan {} is to do it, confirmed by {}", plan.id, plan.by));
     }
@@ -125,59 +125,120 @@
     Some(format!("its task {}/{} fits no other host", stuck.service, stuck.index))
 }
 
-/// Rehearses the pool's part with several bounds, and takes the one that costs least by the
-/// weights.
-fn choose_max_out(fleet: &Fleet, plan: &mut Plan, pool: &PoolId, now: Time, rules: &Rules) {
-    let hosts = plan.pools[pool].hosts().count() as u32;
-    let mut best: Option<(f64, u32, Report)> = None;
-    let mut trades = Vec::new();
-    for max_out in bounds(hosts) {
-        let trial = running(plan, pool, max_out);
-        let report = Rehearsal::new(fleet, &trial, pool, rules, now).run(LONGEST_WAVE);
-        let score = score(fleet, pool, hosts, &report, rules);
-        trades.push(Trade {
-            max_out,
-            buffer: buffer(&report, rules),
-            seconds: report.seconds,
-            moves: report.moves,
-            chosen: false,
-        });
-        let same = trades.iter().rev().nth(1).is_some_and(|before| {
-            before.seconds == report.seconds && before.buffer == buffer(&report, rules)
-        });
-        if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
-            best = Some((score, max_out, report));
-        }
-        // A higher bound that changes nothing is not reached: neither are those above it.
-        if same {
-            break;
+/// What was chosen for pools that are alike, so that a plan over many is not weighed many times.
+type Known = BTreeMap<Likeness, Trade>;
+
+/// What makes two pools alike: hosts, hosts of the plan, and services by size and budget.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Likeness {
+    hosts: usize,
+    planned: usize,
+    services: Vec<(u32, u32, Millicores, bool)>,
+}
+
+fn likeness(fleet: &Fleet, pool: &PoolId, planned: usize) -> Likeness {
+    let services = fleet.config.services.values().filter(|service| service.pool == *pool);
+    let services = services.map(|s| (s.tasks, s.max_down, s.need.cores, s.surge)).collect();
+    Likeness { hosts: fleet.hosts_of(pool).count(), planned, services }
+}
+
+/// Chooses how a pool's part is carried out, and adds its cost.
+fn weigh(
+    fleet: &Fleet,
+    plan: &mut Plan,
+    pool: &PoolId,
+    known: &mut Known,
+    now: Time,
+    rules: &Rules,
+) {
+    let part = fleet.only(pool);
+    let planned = plan.pools[pool].hosts().count();
+    let likeness = likeness(&part, pool, planned);
+    let rehearse = |plan: &Plan, max_out, frugal| {
+        let trial = trial(plan, pool, max_out, frugal);
+        Rehearsal::new(&part, &trial, pool, rules, now).run(LONGEST_WAVE)
+    };
+    if let Some(like) = known.get(&likeness) {
+        let report = rehearse(plan, like.max_out, like.frugal);
+        let trade = Trade { chosen: true, ..trade(like.max_out, like.frugal, &report, rules) };
+        return settle(fleet, plan, pool, vec![trade], &report, rules);
+    }
+    let mut best: Option<(f64, usize, Report)> = None;
+    let mut trades: Vec<Trade> = Vec::new();
+    for frugal in [true, false] {
+        let mut before: Option<(u64, u32)> = None;
+        for max_out in bounds(planned as u32) {
+            let report = rehearse(plan, max_out, frugal);
+            let score = score(&part, pool, planned as u32, &report, rules);
+            let figures = (report.seconds, report.moves);
+            trades.push(trade(max_out, frugal, &report, rules));
+            if best.as_ref().is_none_or(|(least, _, _)| score < *least) {
+                best = Some((score, trades.len() - 1, report));
+            }
+            // A higher bound that changes nothing is not reached: neither are those above it.
+            if before == Some(figures) {
+                break;
+            }
+            before = Some(figures);
         }
     }
-    let Some((_, max_out, report)) = best else {
-        return;
-    };
-    trades.iter_mut().for_each(|trade| trade.chosen = trade.max_out == max_out);
-    if let Some(part) = plan.pools.get_mut(pool) {
-        part.max_out = max_out;
+    let Some((_, at, report)) = best else { return };
+    trades[at].chosen = true;
+    known.insert(likeness, trades[at].clone());
+    settle(fleet, plan, pool, trades, &report, rules);
+}
+
+fn trade(max_out: u32, frugal: bool, report: &Report, rules: &Rules) -> Trade {
+    Trade {
+        max_out,
+        frugal,
+        buffer: buffer(report, rules),
+        seconds: report.seconds,
+        moves: report.moves,
+        chosen: false,
+    }
+}
+
+/// Puts down what was chosen for a pool, and what it costs.
+fn settle(
+    fleet: &Fleet,
+    plan: &mut Plan,
+    pool: &PoolId,
+    trades: Vec<Trade>,
+    report: &Report,
+    rules: &Rules,
+) {
+    let chosen = trades.iter().find(|trade| trade.chosen);
+    if let (Some(part), Some(chosen)) = (plan.pools.get_mut(pool), chosen) {
+        (part.max_out, part.frugal) = (chosen.max_out, chosen.frugal);
         part.trades = trades;
     }
-    add_cost(fleet, plan, &report, rules);
+    add_cost(fleet, plan, report, rules);
 }
 
-/// One, two, four and so on, and all.
+/// Bounds that are tried: each a half more than the one before, and all hosts.
 fn bounds(hosts: u32) -> Vec<u32> {
-    let powers = (0..).map(|power| 1u32 << power).take_while(|bound| *bound < hosts);
-    powers.chain([hosts.max(1)]).collect()
+    let grown = std::iter::successors(Some(1u32), |bound| Some((bound * 3).div_ceil(2)));
+    grown.take_while(|bound| *bound < hosts).chain([hosts.max(1)]).collect()
 }
 
-fn running(plan: &Plan, pool: &PoolId, max_out: u32) -> Plan {
-    let mut trial = plan.clone();
-    trial.state = PlanState::Running;
-    trial.pools.retain(|id, _| id == pool);
-    if let Some(part) = trial.pools.get_mut(pool) {
-        part.max_out = max_out;
+/// A running plan that holds one pool's part and no more.
+fn trial(plan: &Plan, pool: &PoolId, max_out: u32, frugal: bool) -> Plan {
+    let part = PoolPlan { max_out, frugal, ..plan.pools[pool].clone() };
+    let intent = Intent { hosts: Vec::new(), ..plan.intent.clone() };
+    Plan {
+        id: plan.id.clone(),
+        intent,
+        state: PlanState::Running,
+        pools: BTreeMap::from([(pool.clone(), part)]),
+        cost: Cost::default(),
+        base: BTreeMap::new(),
+        digest: String::new(),
+        created: plan.created,
+        since: plan.since,
+        op: plan.op.clone(),
+        by: plan.by.clone(),
     }
-    trial
 }
 
 /// Spare capacity that a pool's part of a plan holds back.
--- a/src/decide/rehearse.rs
+++ b/src/decide/rehearse.rs
@@ -40,8 +40,10 @@
     Fail(HostId),
     /// A failed host is there again, empty.
     Recover(HostId),
-    /// Look again: a limit may have passed.
-    Look,
+    /// Look again, if the host is still at this epoch: a limit may have passed.
+    Look(HostId, Epoch),
+    /// Look again, if this start of a task is still not ready.
+    Late(TaskRef, u64),
 }
 
 /// How a service fared.
@@ -114,7 +116,7 @@
         now: Time,
     ) -> Rehearsal<'a> {
         let mut fleet = fleet.only(pool);
-        fleet.plans.insert(plan.id.clone(), plan.clone());
+        fleet.put(Record::Plan(plan.id.clone(), Box::new(plan.clone())), Revision(1));
         fleet.heard = ALWAYS_FRESH;
         let op = "rehearsal".parse().expect("the text is an identifier");
         Rehearsal {
@@ -149,6 +151,9 @@
             if limit < at.since(self.began) {
                 break;
             }
+            if !self.matters(&event) {
+                continue;
+            }
             self.now = at;
             self.happen(event);
             while let Some(Reverse((next, _))) = self.events.peek() {
@@ -208,7 +213,7 @@
             Step::Leave { host } => {
                 let epoch = self.fleet.hosts[host].epoch;
                 self.after(expected.quiet, Event::Quiet(host.clone(), epoch));
-                self.after(self.rules.leave_limit + Duration::from_secs(1), Event::Look);
+                self.look(host, self.rules.leave_limit);
                 self.observe(Some(host));
             }
             Step::Move { service, moves, .. } => {
@@ -220,16 +225,15 @@
                 let load = u64::from(self.fleet.used(host).cores.0);
                 self.displaced.insert(host.clone(), load);
                 self.observe(None);
-                let limit = self.rules.start_limit + self.rules.leave_limit;
-                self.after(limit + Duration::from_secs(1), Event::Look);
+                self.look(host, self.rules.start_limit + self.rules.leave_limit);
             }
             Step::Away { host } => {
                 let epoch = self.fleet.hosts[host].epoch;
                 if !self.failed.contains(host) {
                     self.after(expected.reboot, Event::Back(host.clone(), epoch));
                 }
-                self.after(expected.reboot * 2 + Duration::from_secs(2), Event::Look);
-                self.after(self.rules.away_limit + Duration::from_secs(1), Event::Look);
+                self.look(host, expected.reboot * 2 + Duration::from_secs(1));
+                self.look(host, self.rules.away_limit);
             }
             Step::Return { host, .. } | Step::Quarantine { host, .. } | Step::Join { host, .. } => {
                 self.displaced.remove(host);
@@ -238,6 +242,33 @@
         }
     }
 
+    /// Has the host be looked at when a limit has passed, if it is as it is now.
+    fn look(&mut self, host: &HostId, limit: Duration) {
+        let epoch = self.fleet.hosts[host].epoch;
+        self.after(limit + Duration::from_secs(1), Event::Look(host.clone(), epoch));
+    }
+
+    /// Whether an event can change what is decided.
+    fn matters(&self, event: &Event) -> bool {
+        match event {
+            Event::Look(host, epoch) => {
+                self.fleet.hosts.get(host).is_some_and(|record| record.epoch == *epoch)
+            }
+            Event::Late(task, generation) => {
+                let host = self.host_of(task, *generation);
+                let report = host.and_then(|host| self.fleet.reports.get(&host));
+                report.is_some_and(|report| {
+                    !report.tasks.iter().any(|t| {
+                        t.index == task.index
+                            && t.generation == *generation
+                            && t.service == task.service
+                    })
+                })
+            }
+            _ => true,
+        }
+    }
+
     fn after(&mut self, span: Duration, event: Event) {
         self.events.push(Reverse((self.now + span, event)));
     }
@@ -249,7 +280,8 @@
             let successor = self.fleet.successor(&task).map(|successor| &successor.to);
             let Some(newest) = successor.or(self.fleet.assigned(&task)).cloned() else { continue };
             self.after(self.rules.expected.start, Event::Ready(task.clone(), newest.generation));
-            self.after(self.rules.start_limit + Duration::from_secs(1), Event::Look);
+            let late = Event::Late(task, newest.generation);
+            self.after(self.rules.start_limit + Duration::from_secs(1), late);
         }
     }
 
@@ -314,7 +346,7 @@
                     report.booted = epoch.unwrap_or_default();
                 }
             }
-            Event::Look => {}
+            Event::Look(..) | Event::Late(..) => {}
         }
     }
 
--- a/src/decide/rules.rs
+++ b/src/decide/rules.rs
@@ -17,9 +17,9 @@
 
 impl Weights {
     /// Buffer first: for thin margins.
-    pub(crate) const BUFFER_FIRST: Weights = Weights { buffer: 4.0, time: 1.0, moves: 1.0 };
+    pub(crate) const BUFFER_FIRST: Weights = Weights { buffer: 3.0, time: 1.0, moves: 60.0 };
     /// Moves and roll-out time first: for poor links and no staff on watch.
-    pub(crate) const TIME_FIRST: Weights = Weights { buffer: 0.25, time: 4.0, moves: 4.0 };
+    pub(crate) const TIME_FIRST: Weights = Weights { buffer: 0.25, time: 4.0, moves: 240.0 };
 }
 
 /// Bounds that decisions keep to.
--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -70,10 +70,15 @@
     Budget(#[from] OverBudget),
     #[error(transparent)]
     Room(#[from] NoHost),
+    #[error("its tasks would have to move twice")]
+    Twice,
     #[error("too little room would be left to take in the worst rack of the pool")]
     Reserve,
 }
 
+/// A frugal plan's first batch is one in so many of its hosts.
+const FIRST_BATCH: u32 = 10;
+
 /// What is known when a plan's next steps are worked out.
 pub(crate) struct Outlook<'a> {
     pub(crate) fleet: &'a Fleet,
@@ -294,6 +299,8 @@
         let Outlook { fleet, now, rules, .. } = *self.outlook;
         let mut out = self.count_out();
         let idle = out == 0;
+        let first = self.first_batch();
+        let most = first.unwrap_or(u32::MAX).min(self.part.max_out);
         let mut blocked = false;
         for batch in &self.part.batches {
             let mut unfinished = false;
@@ -313,10 +320,12 @@
                     Some(Wait::Silent)
                 } else if blocked {
                     Some(Wait::Batch)
-                } else if self.part.max_out <= out {
+                } else if most <= out {
                     Some(Wait::Others)
                 } else {
-                    self.scene().admit_room(host).err()
+                    // With nothing out, a second move is better than none.
+                    let strict = self.part.frugal && first.is_none() && out != 0;
+                    self.scene().admit_room(host, strict).err()
                 };
                 match wait {
                     Some(wait) => {
@@ -335,6 +344,19 @@
         }
     }
 
+    /// How many hosts may be out while the plan is done with none, if it is frugal: their tasks
+    /// can only go to hosts that are still to be done.
+    fn first_batch(&self) -> Option<u32> {
+        let fleet = self.outlook.fleet;
+        let done = |host: &&HostId| {
+            let last = fleet.hosts.get(*host).and_then(|record| record.last.as_ref());
+            last.is_some_and(|(id, how)| *id == self.plan.id && *how == HostOutcome::Done)
+        };
+        let none_done = self.part.frugal && !self.part.hosts().any(|host| done(&host));
+        let hosts = self.part.hosts().count() as u32;
+        none_done.then(|| (hosts / FIRST_BATCH).max(1))
+    }
+
     /// When nothing else is left to do, hosts that are dead or quarantined end the wave for
     /// themselves, so that one of them never keeps a plan open for good.
     fn skip_hopeless(&mut self) {
@@ -391,13 +413,17 @@
         }
     }
 
-    /// Takes the room of a host and of its tasks, if enough is left.
-    fn admit_room(&mut self, host: &HostId) -> Result<(), Wait> {
+    /// Takes the room of a host and of its tasks, if enough is left; if `strict`, only where no
+    /// task would move twice.
+    fn admit_room(&mut self, host: &HostId, strict: bool) -> Result<(), Wait> {
         let room = self.room.without(self.fleet, host, self.rules).ok_or(Wait::Reserve)?;
         self.placer.avoid(host);
         for task in self.fleet.tasks_on(host) {
             let Some(service) = self.fleet.service(&task.service) else { continue };
-            self.placer.place(&task.service, service, Some(host))?;
+            let target = self.placer.place(&task.service, service, Some(host))?;
+            if strict && self.fleet.is_pending(&target) {
+                return Err(Wait::Twice);
+            }
         }
         self.room = room;
         Ok(())
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -29,7 +29,7 @@
 /// Wishes that wait for a bucket's writer.
 const WAITING: usize = 4096;
 /// How long the ends of requests wait for claims to share a write with.
-const END_WAIT: Duration = Duration::from_millis(300);
+const END_WAIT: Duration = Duration::from_secs(3);
 /// Times that a write is tried anew because others wrote first.
 const CONFLICTS: usize = 20;
 /// Wait before ends are tried again when the store does not take them.
@@ -65,6 +65,7 @@
     node: NodeId,
     key: String,
     settings: Claims,
+    /// What a refused write found.
     known: Option<(Revision, Bucket)>,
     pending: Arc<AtomicUsize>,
 }
@@ -177,6 +178,7 @@
 
     async fn write(&mut self, wishes: &[Wish]) -> Result<Vec<Granted>, StoreError> {
         for _ in 0..CONFLICTS {
+            // Other nodes write here too, and a read costs the store less than a lost write.
             let (revision, bucket) = match self.known.take() {
                 Some(known) => known,
                 None => read_bucket(self.store.get(&self.key).await?),
@@ -184,24 +186,14 @@
             let keep = self.settings.keep;
             let (mut next, granted) = claim::decide(&bucket, wishes, &self.node, keep, Time::now());
             if granted.iter().all(|granted| *granted != Granted::Yes) {
-                // Refusals need no write, but must not rest on an old reading.
-                let fresh = read_bucket(self.store.get(&self.key).await?);
-                let same = fresh.0 == revision;
-                self.known = Some(fresh);
-                if same {
-                    return Ok(granted);
-                }
-                continue;
+                return Ok(granted);
             }
             next.op = Some(OpId::fresh());
             let value: Bytes = serde_json::to_vec(&next)
                 .expect("buckets hold no value that JSON cannot write")
                 .into();
             match self.store.swap_surely(&self.key, revision, value, None).await? {
-                Swap::Done(revision) => {
-                    self.known = Some((revision, next));
-                    return Ok(granted);
-                }
+                Swap::Done(_) => return Ok(granted),
                 Swap::Conflict(entry) => self.known = Some(read_bucket(entry)),
             }
         }
--- a/src/measure/export.rs
+++ b/src/measure/export.rs
@@ -36,7 +36,9 @@
         let mut table = Table::new();
         table.load_style(NOTHING);
         table.set_header(&self.heading);
-        self.rows.iter().for_each(|row| drop(table.add_row(row)));
+        self.rows.iter().for_each(|row| {
+            table.add_row(row);
+        });
         let mut lines = vec![self.title.clone(), table.trim_fmt()];
         lines.extend(self.notes.iter().cloned());
         lines.join("\n")
--- a/src/measure/waves.rs
+++ b/src/measure/waves.rs
@@ -19,7 +19,7 @@
     model::{
         fleet::Fleet,
         id::{HostId, OpId, PlanId, PoolId, RackId},
-        plan::{Action, Intent, Plan, PlanState},
+        plan::{Action, Intent, Plan, PlanState, PoolPlan},
     },
     preset::{self, Preset},
 };
@@ -68,6 +68,7 @@
     let least = bound::of(&fleet, &rules);
     let mut rows = vec![bound_row(&least)];
     let mut failed = Vec::new();
+    let chosen = choices(&planned(&fleet, "ours", 0, &rules));
     for policy in policies {
         let runs: Vec<Outcome> =
             seeds.iter().map(|seed| run(&preset, &fleet, policy, *seed, &rules)).collect();
@@ -94,10 +95,29 @@
             "decision us",
         ],
         rows,
-        notes: notes(&rules).into_iter().chain(failed).collect(),
+        notes: notes(&rules).into_iter().chain(chosen).chain(failed).collect(),
     })
 }
 
+/// What our policy weighed, and chose, for each pool.
+fn choices(plan: &Plan) -> Vec<String> {
+    let line = |(pool, part): (&PoolId, &PoolPlan)| {
+        let trades = part.trades.iter().map(|trade| {
+            format!(
+                "{}{} out{}: {} cores, {} s, {} moves",
+                if trade.chosen { "CHOSEN " } else { "" },
+                trade.max_out,
+                if trade.frugal { ", few second moves" } else { "" },
+                trade.buffer.0 / 1000,
+                trade.seconds,
+                trade.moves
+            )
+        });
+        format!("Pool {pool}: {}.", trades.collect::<Vec<_>>().join("; "))
+    };
+    plan.pools.iter().map(line).collect()
+}
+
 fn notes(rules: &Rules) -> Vec<String> {
     vec![
         format!(
--- a/src/model/config.rs
+++ b/src/model/config.rs
@@ -135,11 +135,6 @@
     pub(crate) fn is_empty(&self) -> bool {
         self.pools.is_empty() && self.services.is_empty() && self.teams.is_empty()
     }
-
-    /// How many entries the change touches.
-    pub(crate) fn len(&self) -> usize {
-        self.pools.len() + self.services.len() + self.teams.len()
-    }
 }
 
 impl Config {
--- a/src/model/fleet.rs
+++ b/src/model/fleet.rs
@@ -8,9 +8,9 @@
 
 use crate::model::{
     config::{ChangeRecord, Config, ConfigBase, Resources, Service},
-    host::{HostRecord, HostReport, TaskReport},
+    host::{HostOutcome, HostRecord, HostReport, TaskReport},
     id::{HostId, NodeId, PlanId, PoolId, ServiceId},
-    plan::Plan,
+    plan::{Plan, PlanState},
     record::{Assigned, Key, NodeRecord, Placement, Record, Successor},
     unit::{Revision, Time},
 };
@@ -43,6 +43,8 @@
     coming: HashMap<HostId, Vec<TaskRef>>,
     permitted: HashMap<HostId, HashSet<ServiceId>>,
     by_pool: HashMap<PoolId, BTreeSet<HostId>>,
+    /// Running plans by host.
+    planned: HashMap<HostId, PlanId>,
 }
 
 impl Fleet {
@@ -58,9 +60,7 @@
             }
             Record::Host(id, host) => self.put_host(id, host),
             Record::Placement(id, placement) => self.put_placement(id, placement),
-            Record::Plan(id, plan) => {
-                self.plans.insert(id, *plan);
-            }
+            Record::Plan(id, plan) => self.put_plan(id, *plan),
             Record::Node(id, node) => {
                 self.nodes.insert(id, node);
             }
@@ -87,6 +87,7 @@
                 self.placements.remove(id);
             }
             Key::Plan(id) => {
+                self.planned.retain(|_, plan| plan != id);
                 self.plans.remove(id);
             }
             Key::Node(id) => {
@@ -116,6 +117,18 @@
         now.since(self.heard) < limit && self.reports.get(host).is_some_and(|r| !r.live)
     }
 
+    /// Whether a running plan has still to do a host: a task placed there would move again.
+    pub(crate) fn is_pending(&self, host: &HostId) -> bool {
+        let Some(plan) = self.planned.get(host) else { return false };
+        let last = self.hosts.get(host).and_then(|record| record.last.as_ref());
+        !last.is_some_and(|(id, outcome)| id == plan && *outcome == HostOutcome::Done)
+    }
+
+    /// The running plan that names a host.
+    pub(crate) fn planned(&self, host: &HostId) -> Option<&Plan> {
+        self.plans.get(self.planned.get(host)?)
+    }
+
     /// Tasks whose successors are starting on a host.
     pub(crate) fn coming_to(&self, host: &HostId) -> &[TaskRef] {
         self.coming.get(host).map_or(&[], Vec::as_slice)
@@ -191,6 +204,19 @@
         self.config.services.get(id)
     }
 
+    fn put_plan(&mut self, id: PlanId, plan: Plan) {
+        if plan.state == PlanState::Running {
+            for host in plan.hosts() {
+                self.planned.insert(host.clone(), id.clone());
+            }
+        } else {
+            let named = |host: &HostId| self.planned.get(host) == Some(&id);
+            let hosts: Vec<HostId> = plan.hosts().filter(|host| named(host)).cloned().collect();
+            hosts.iter().for_each(|host| drop(self.planned.remove(host)));
+        }
+        self.plans.insert(id, plan);
+    }
+
     fn put_host(&mut self, id: HostId, host: HostRecord) {
         self.by_pool.entry(host.pool.clone()).or_default().insert(id.clone());
         let pool = host.pool.clone();
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -85,6 +85,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Trade {
     pub(crate) max_out: u32,
+    pub(crate) frugal: bool,
     pub(crate) buffer: Millicores,
     pub(crate) seconds: u64,
     pub(crate) moves: u32,
@@ -101,6 +102,9 @@
     pub(crate) max_out: u32,
     /// Whether a batch must be finished before the next one starts.
     pub(crate) barrier: bool,
+    /// Whether tasks move only to hosts that the plan is done with, but for a small first batch,
+    /// so that few move twice.
+    pub(crate) frugal: bool,
     /// The choices of `max_out` that were weighed.
     pub(crate) trades: Vec<Trade>,
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -5,10 +5,7 @@
 use bytes::Bytes;
 
 use crate::{
-    model::{
-        record::{Key, NodeRecord, Record},
-        unit::Time,
-    },
+    model::record::{Key, NodeRecord, Record},
     node::{Node, sync::jittered},
     platform::store::{Entry, LeaseId, StoreError, Swap},
 };
@@ -77,8 +74,3 @@
         }
     }
 }
-
-/// How long a node has run.
-pub(crate) fn uptime(node: &Node, now: Time) -> Duration {
-    now.since(node.started)
-}
--- a/src/node/pace.rs
+++ b/src/node/pace.rs
@@ -21,17 +21,17 @@
 }
 
 impl Pace {
-    /// A pace at which nothing was written yet.
-    pub(crate) fn new(rate: PerSecond, now: Time) -> Pace {
-        let (nodes, elsewhere) = (AtomicU32::new(1), AtomicU32::new(0));
+    /// A pace at which nothing was written yet, among so many nodes.
+    pub(crate) fn new(rate: PerSecond, nodes: u32, now: Time) -> Pace {
+        let (nodes, elsewhere) = (AtomicU32::new(nodes), AtomicU32::new(0));
         Pace { rate, share: Mutex::new(Share::new(now)), nodes, elsewhere }
     }
 
     /// Waits until a write may go.
     pub(crate) async fn turn(&self, priority: Priority) {
         let keep = match priority {
-            Priority::Claims => 2.0,
-            Priority::Control => 1.0,
+            Priority::Claims => 1.0,
+            Priority::Control => 0.5,
             Priority::Registration => 0.0,
         };
         self.share().ask(Time::now());
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -63,6 +63,13 @@
     pub(crate) writes: u32,
 }
 
+impl Heartbeat {
+    /// Whether nothing of it concerns other nodes' work now.
+    fn is_quiet(&self) -> bool {
+        self.leaving.is_empty() && self.busy.is_empty() && self.demand.is_empty()
+    }
+}
+
 /// One node's acknowledgement that a host is leaving.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Quiet {
@@ -196,6 +203,7 @@
 pub(crate) async fn dial(node: Arc<Node>) {
     let mut tick = tokio::time::interval(node.settings.timing.heartbeat);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut quiet = 0;
     loop {
         tick.tick().await;
         let now = Time::now();
@@ -208,9 +216,15 @@
             }
         }
         let heartbeat = heartbeat(&node, now);
-        node.pace.hear(node.view().fleet.nodes.len() as u32, node.peers.writes(now));
+        // Nodes that are not registered yet write as well.
+        let nodes = node.view().fleet.nodes.len().max(wanted.len() + 1) as u32;
+        node.pace.hear(nodes, node.peers.writes(now));
         node.peers.note_in_force(node.id(), heartbeat.through, now);
-        node.peers.send(&wanted, &Message::Heartbeat(Box::new(heartbeat)));
+        // A node with nothing to tell says so half as often.
+        quiet = if heartbeat.is_quiet() { quiet + 1 } else { 0 };
+        if quiet % 2 == 0 {
+            node.peers.send(&wanted, &Message::Heartbeat(Box::new(heartbeat)));
+        }
     }
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -68,7 +68,11 @@
     let note = move |bytes| noted.note(bytes);
     let store = Store::over_http(settings.platform.store.as_str(), settings.timing.store, note)
         .counting(metrics.store_counter());
-    let pace = Arc::new(Pace::new(settings.platform.writes, Time::now()));
+    let pace = Arc::new(Pace::new(
+        settings.platform.writes,
+        settings.peers.len().max(1) as u32,
+        Time::now(),
+    ));
     let turn = pace.clone();
     let store = store.paced(move |priority| {
         let pace = turn.clone();
--- a/src/operator/show.rs
+++ b/src/operator/show.rs
@@ -223,10 +223,11 @@
             (t.buffer.0 / 1000).to_string(),
             span(Duration::from_secs(t.seconds)),
             t.moves.to_string(),
+            if t.frugal { "few" } else { "" }.to_owned(),
             if t.chosen { "chosen" } else { "" }.to_owned(),
         ]
     });
-    table(["hosts out", "buffer cores", "roll-out", "moves", ""], rows)
+    table(["hosts out", "buffer cores", "roll-out", "moves", "second moves", ""], rows)
 }
 
 fn indented(text: &str) -> String {
