--- a/src/decide/repair.rs
+++ b/src/decide/repair.rs
@@ -125,8 +125,8 @@
         let report = assigned.and_then(|assigned| fleet.reports.get(&assigned.host));
         report.is_some_and(|report| standing.is_worst(&report.rack, &report.zone))
     };
-    let up = (0..service.tasks).filter(|index| !standing.down.contains(index));
-    let Some(index) = up.filter(in_worst).next_back() else { return none };
+    let mut up = (0..service.tasks).filter(|index| !standing.down.contains(index));
+    let Some(index) = up.rfind(in_worst) else { return none };
     let task = TaskRef { service: id.clone(), index };
     let Some(from) = fleet.assigned(&task).map(|assigned| &assigned.host) else { return none };
     let Ok(to) = Placer::new(fleet, now, rules).place(id, service, Some(from)) else {
--- a/src/decide/tests/fuzz.rs
+++ b/src/decide/tests/fuzz.rs
@@ -585,31 +585,37 @@
 fn lively(ops: &[Op], surge: bool) {
     const EVERYDAY: usize = 3;
     let mut world = World::new(surge);
-    for (plan, host) in [(0, 0), (1, 8)] {
-        world.apply(Op::Propose { node: 0, host, count: 7, action: 3 });
+    for (plan, host, action) in [(0, 0, 3), (1, 8, 0)] {
+        world.apply(Op::Propose { node: 0, host, count: 7, action });
         world.apply(Op::Hear { node: 0, count: 0 });
         world.apply(Op::Confirm { node: 0, plan });
     }
     for (at, op) in ops.iter().enumerate() {
         world.apply(*op);
         if at % EVERYDAY == 0 {
-            everyday(&mut world);
+            everyday(&mut world, at as u8);
         }
     }
 }
 
-fn everyday(world: &mut World) {
+/// What nodes do in their loops. Each is interrupted in the middle of its steps, and goes on after
+/// the others have taken theirs.
+fn everyday(world: &mut World, steps: u8) {
     let awake = (0..NODES as u8).filter(|node| !world.nodes[usize::from(*node)].frozen);
-    for node in awake.collect::<Vec<u8>>() {
+    let awake: Vec<u8> = awake.collect();
+    for node in awake.iter().copied() {
         for op in [
             Op::Hear { node, count: 0 },
             Op::List { node },
             Op::Repair { node },
-            Op::Drive { node, steps: 15 },
+            Op::Drive { node, steps },
         ] {
             world.apply(op);
         }
     }
+    for node in awake {
+        world.apply(Op::Drive { node, steps: 15 });
+    }
     world.apply(Op::Pass(4));
 }
 
--- a/src/measure/node.rs
+++ b/src/measure/node.rs
@@ -91,7 +91,8 @@
 
 fn slopes(measured: &[(&Point, Cost)]) -> Vec<String> {
     type Axis = fn(&Point) -> f64;
-    let axes: [(&str, Axis, fn(&Point) -> bool); 3] = [
+    type Chosen = fn(&Point) -> bool;
+    let axes: [(&str, Axis, Chosen); 3] = [
         ("host", |p| f64::from(p.hosts), |p| p.nodes == 6 && p.changes == 0.0),
         ("node", |p| f64::from(p.nodes), |p| p.hosts == 50 && p.changes == 0.0),
         ("change a second", |p| p.changes, |p| p.hosts == 50 && p.nodes == 6),
--- a/src/measure/shape.rs
+++ b/src/measure/shape.rs
@@ -60,6 +60,7 @@
         booted: Epoch(0),
         epoch: Epoch(1),
         tasks: Vec::new(),
+        ending: 0,
     }
 }
 
--- a/src/model/host.rs
+++ b/src/model/host.rs
@@ -108,11 +108,13 @@
     /// The newest host epoch that the worker has been told.
     pub(crate) epoch: Epoch,
     pub(crate) tasks: Vec<TaskReport>,
+    /// Requests that still run at endpoints of tasks that have ended.
+    pub(crate) ending: u32,
 }
 
 impl HostReport {
     /// Requests that run on the host.
     pub(crate) fn in_flight(&self) -> u32 {
-        self.tasks.iter().map(|task| task.in_flight).sum()
+        self.tasks.iter().map(|task| task.in_flight).sum::<u32>() + self.ending
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -52,6 +52,7 @@
     store_calls: Family<Called, Counter>,
     view_age: Gauge<f64, std::sync::atomic::AtomicU64>,
     config: Gauge,
+    view_bytes: Gauge,
 }
 
 impl Metrics {
@@ -65,6 +66,7 @@
         let store_calls = Family::default();
         let view_age = Gauge::default();
         let config = Gauge::default();
+        let view_bytes = Gauge::default();
         registry.register(
             "request_seconds",
             "Time from a request to its final answer, by team and class",
@@ -84,8 +86,19 @@
             view_age.clone(),
         );
         registry.register("config_change", "The last change in force", config.clone());
+        registry.register("view_bytes", "Bytes of all records held", view_bytes.clone());
         let registry = Mutex::new(registry);
-        Metrics { registry, latency, outcomes, retries, permits, store_calls, view_age, config }
+        Metrics {
+            registry,
+            latency,
+            outcomes,
+            retries,
+            permits,
+            store_calls,
+            view_age,
+            config,
+            view_bytes,
+        }
     }
 
     /// Notes a request that got its final answer.
@@ -122,9 +135,10 @@
         self.permits.get_or_create(&label).set(out as i64);
     }
 
-    /// Notes the age of the view and the change of the configuration that is in force.
-    pub(crate) fn view(&self, age: Duration, through: u64) {
+    /// Notes the age and size of the view and the change of the configuration that is in force.
+    pub(crate) fn view(&self, age: Duration, bytes: usize, through: u64) {
         self.view_age.set(age.as_secs_f64());
+        self.view_bytes.set(bytes as i64);
         self.config.set(through as i64);
     }
 
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -117,7 +117,8 @@
 fn metrics(node: &Node, now: Time) -> Response {
     {
         let view = node.view();
-        node.metrics.view(now.since(view.verified), view.fleet.through);
+        let age = now.since(view.verified);
+        node.metrics.view(age, view.size(), view.fleet.through);
         for (id, placement) in &view.fleet.placements {
             node.metrics.permits(id.as_str(), placement.permits.len());
         }
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -167,12 +167,6 @@
     pub(crate) fn set_faults(&self, faults: Faults) {
         *self.inner.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
-
-    /// Stops accepting connections, and ends when the last request has.
-    pub(crate) fn finish(&self) {
-        self.accept(false);
-        self.stop.gently.cancel();
-    }
 }
 
 /// Takes one of a fault's remaining occurrences.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -164,11 +164,6 @@
 }
 
 impl Platform {
-    /// What fails now.
-    pub(crate) fn faults(&self, change: impl FnOnce(&mut Faults)) {
-        change(&mut self.lock().faults);
-    }
-
     /// Has something happen once.
     pub(crate) fn once(&self, once: Once) {
         let mut state = self.lock();
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -24,6 +24,9 @@
 
 /// Largest body that is read.
 const MOST_BODY: usize = 4 << 20;
+/// How long an endpoint that has ended goes on refusing newcomers, so that each is told that it
+/// did not run.
+const REFUSING: Duration = Duration::from_secs(5);
 /// Connections that commands may come over.
 const MOST_CONNECTIONS: usize = 4096;
 
@@ -111,8 +114,8 @@
     accept: bool,
     lease_until: Time,
     tasks: BTreeMap<(ServiceId, u32), Running>,
-    /// Endpoints that end when their last request has.
-    ending: Vec<Endpoint>,
+    /// Endpoints that refuse newcomers, since when, and end when their last request has.
+    ending: Vec<(Endpoint, Time)>,
     faults: HostFaults,
 }
 
@@ -347,6 +350,7 @@
             booted: self.booted,
             epoch: self.epoch,
             tasks: tasks.collect(),
+            ending: self.ending_in_flight(),
         }
     }
 
@@ -354,6 +358,10 @@
         self.tasks.values().map(Running::in_flight).sum()
     }
 
+    fn ending_in_flight(&self) -> u32 {
+        self.ending.iter().map(|(endpoint, _)| endpoint.in_flight()).sum()
+    }
+
     /// Takes a command; returns how many requests in flight it cut off.
     fn assign(&mut self, assignment: Assignment, options: &Options, now: Time) -> u32 {
         self.epoch = assignment.epoch;
@@ -371,7 +379,7 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in stale {
-            self.end(&key);
+            self.end(&key, now);
         }
         for (key, order) in wanted {
             let ready_at = now + options.start;
@@ -386,8 +394,7 @@
         if !assignment.reboot || self.epoch <= self.booted || self.away_until.is_some() {
             return 0;
         }
-        let ending: u32 = self.ending.iter().map(Endpoint::in_flight).sum();
-        let cut = self.in_flight() + ending;
+        let cut = self.in_flight() + self.ending_in_flight();
         self.tasks.clear();
         self.ending.clear();
         self.away_until = Some(now + options.reboot);
@@ -403,10 +410,10 @@
             self.away_until = None;
             self.booted = self.epoch;
         }
-        self.ending.retain(|endpoint| endpoint.in_flight() != 0);
+        self.ending.retain(|(endpoint, at)| endpoint.in_flight() != 0 || now.since(*at) < REFUSING);
         if self.lease_until < now && !self.tasks.is_empty() {
             let keys: Vec<_> = self.tasks.keys().cloned().collect();
-            keys.iter().for_each(|key| self.end(key));
+            keys.iter().for_each(|key| self.end(key, now));
         }
         let mut due = Vec::new();
         for task in self.tasks.values_mut() {
@@ -418,10 +425,10 @@
         due
     }
 
-    fn end(&mut self, key: &(ServiceId, u32)) {
+    fn end(&mut self, key: &(ServiceId, u32), now: Time) {
         if let Some(endpoint) = self.tasks.remove(key).and_then(|task| task.endpoint) {
-            endpoint.finish();
-            self.ending.push(endpoint);
+            endpoint.accept(false);
+            self.ending.push((endpoint, now));
         }
     }
 
