--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -175,3 +175,22 @@
     assert!(!steps.contains(&Step::Leave { host: host.clone() }), "{steps:?}");
     assert!(steps.iter().any(|step| matches!(step, Step::GiveBack { .. })), "{steps:?}");
 }
+
+/// A permit that another node has taken, and not used yet, counts as down: its host may leave at
+/// any moment.
+#[test]
+fn permits_of_others_count_as_down() {
+    let (mut fleet, rules, plan, host) = closing();
+    let leave = Step::Leave { host: host.clone() };
+    assert!(next_steps(&fleet, &plan, &rules, BEGIN).contains(&leave));
+    let quotes = fleet.placements[&"quotes".parse().unwrap()].clone();
+    let others = quotes.tasks.iter().flatten().map(|assigned| assigned.host.clone());
+    let others: Vec<HostId> = others.filter(|other| *other != host).take(2).collect();
+    for other in others {
+        let step = Step::Permit { host: other, service: "quotes".parse().unwrap() };
+        let (other_plan, op) = ("p-2".parse().unwrap(), "op".parse().unwrap());
+        let record = wave::effect(&fleet, &other_plan, &step, &op, BEGIN).unwrap();
+        fleet.put(record, Revision(4));
+    }
+    assert!(!next_steps(&fleet, &plan, &rules, BEGIN).contains(&leave));
+}
--- a/src/decide/tests/claims.rs
+++ b/src/decide/tests/claims.rs
@@ -46,13 +46,16 @@
     Lost,
 }
 
+/// What a node wrote, what it would have been granted, and what it asked for.
+type Doubt = (Bucket, Vec<Granted>, Vec<(String, OpId)>);
+
 #[derive(Debug, Clone, Default)]
 struct Node {
     wanted: Vec<(String, OpId)>,
     ends: Vec<Wish>,
     read: Option<(u64, Bucket)>,
     /// A write whose answer was lost: what it wrote, and what it would have granted.
-    doubt: Option<(Bucket, Vec<Granted>, Vec<(String, OpId)>)>,
+    doubt: Option<Doubt>,
     granted: Vec<(String, OpId)>,
     /// A write that may arrive late, with the revision that it expects.
     late: Option<(u64, Bucket)>,
--- a/src/decide/tests/fuzz.rs
+++ b/src/decide/tests/fuzz.rs
@@ -594,7 +594,7 @@
         world.apply(*op);
         if at % EVERYDAY == 0 {
             // Wherever the writes so far happen to lead: at other places in every sequence.
-            let steps = (world.log.len() * 5 % 7) as u8;
+            let steps = (world.log.len() * 5 % 16) as u8;
             everyday(&mut world, steps);
         }
     }
--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -8,52 +8,34 @@
 //! again when its worker reports the reboot. Where a host is, its own record says: the plan's
 //! record is written only when its state changes.
 
+mod scene;
+mod step;
+
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use crate::{
     decide::{
-        budget::{self, OverBudget, Standing},
-        place::{NoHost, Placer},
-        repair::{Moves, Repair},
+        budget::{self, OverBudget},
+        place::NoHost,
+        repair::Moves,
         rules::Rules,
+        wave::scene::Scene,
     },
     model::{
         fleet::Fleet,
         host::{HostOutcome, HostRecord, HostState},
-        id::{HostId, OpId, PlanId, PoolId, RackId, ServiceId},
+        id::{HostId, PlanId, PoolId, ServiceId},
         plan::{Action, Plan, PlanState, PoolPlan},
-        record::{Assigned, Key, Permit, Placement, Record, Successor},
         unit::{Epoch, Time},
     },
 };
 
-/// One conditional write of a plan.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Step {
-    /// Gives a host no new tasks.
-    Close { host: HostId },
-    /// Starts successors of a service's tasks on a host that is closing.
-    Prepare { host: HostId, service: ServiceId, moves: Moves },
-    /// Takes a permit from a service for its tasks on a host.
-    Permit { host: HostId, service: ServiceId },
-    /// Gives back a permit and ends successors that are of no use any more.
-    GiveBack { host: HostId, service: ServiceId },
-    /// Lets no new request go to a host.
-    Leave { host: HostId },
-    /// Places tasks of a service that are on a quiet host elsewhere, and ends the permit.
-    Move { host: HostId, service: ServiceId, moves: Moves },
-    /// Has an empty host reboot.
-    Away { host: HostId },
-    /// Has an empty host join a pool.
-    Join { host: HostId, pool: PoolId },
-    /// Has an empty host stay out.
-    Quarantine { host: HostId, outcome: HostOutcome },
-    /// Has a host serve again.
-    Return { host: HostId, outcome: HostOutcome },
-}
+pub(crate) use step::{
+    Step, change_host, change_placement, effect, host_of, is_timely, key_of, repaired,
+};
 
 /// Why a host makes no progress now.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -410,316 +392,3 @@
         self.part.hosts().filter(is_out).count() as u32
     }
 }
-
-/// Standings and room of a pool, with the hosts that are started in this round taken out.
-struct Scene<'a> {
-    fleet: &'a Fleet,
-    now: Time,
-    rules: &'a Rules,
-    standings: HashMap<ServiceId, Standing>,
-    placer: Placer<'a>,
-    room: Room,
-}
-
-impl<'a> Scene<'a> {
-    fn new(outlook: &Outlook<'a>, part: &PoolPlan) -> Scene<'a> {
-        let Outlook { fleet, now, rules, .. } = *outlook;
-        let pool = part.hosts().find_map(|host| fleet.hosts.get(host)).map(|r| &r.pool);
-        Scene {
-            fleet,
-            now,
-            rules,
-            standings: HashMap::new(),
-            placer: Placer::new(fleet, now, rules),
-            room: Room::new(fleet, pool, now, rules),
-        }
-    }
-
-    /// Takes the room of a host and of its tasks, if enough is left; if `strict`, only where no
-    /// task would move twice.
-    fn admit_room(&mut self, host: &HostId, strict: bool) -> Result<(), Wait> {
-        let room = self.room.without(self.fleet, host, self.rules).ok_or(Wait::Reserve)?;
-        self.placer.avoid(host);
-        for task in self.fleet.tasks_on(host) {
-            let Some(service) = self.fleet.service(&task.service) else { continue };
-            let target = self.placer.place(&task.service, service, Some(host))?;
-            if strict && self.fleet.is_pending(&target) {
-                return Err(Wait::Twice);
-            }
-        }
-        self.room = room;
-        Ok(())
-    }
-
-    /// Takes the tasks of a host out, if every budget allows it.
-    fn admit_budget(&mut self, host: &HostId) -> Result<(), OverBudget> {
-        let mut next = Vec::new();
-        for id in budget::services_on(self.fleet, host) {
-            let Some(service) = self.fleet.service(&id) else { continue };
-            let standing = self.standings.entry(id.clone()).or_insert_with(|| {
-                budget::standing(self.fleet, &id, service, self.now, self.rules)
-            });
-            next.push((id.clone(), standing.without(self.fleet, &id, host, self.now, self.rules)?));
-        }
-        self.standings.extend(next);
-        Ok(())
-    }
-}
-
-/// Processor room of a pool against the load of its worst rack: after any one more rack is lost,
-/// its tasks must find room.
-#[derive(Debug, Clone, Default)]
-struct Room {
-    /// Free on serving hosts.
-    free: u64,
-    /// On hosts that are out for a plan, and come back in bounded time.
-    returning: u64,
-    used: BTreeMap<RackId, u64>,
-    spare: BTreeMap<RackId, u64>,
-}
-
-impl Room {
-    fn new(fleet: &Fleet, pool: Option<&PoolId>, now: Time, rules: &Rules) -> Room {
-        let mut room = Room::default();
-        for host in pool.into_iter().flat_map(|pool| fleet.hosts_of(pool)) {
-            let Some(report) = fleet.reports.get(host) else { continue };
-            let record = &fleet.hosts[host];
-            let capacity = u64::from(report.capacity.cores.0);
-            if record.plan.is_some() {
-                room.returning += capacity;
-            }
-            let live = fleet.is_live(host, now, rules.list_limit);
-            if record.state != HostState::Serving || !live {
-                continue;
-            }
-            let used = u64::from(fleet.used(host).cores.0);
-            let free = capacity.saturating_sub(used);
-            room.free += free;
-            *room.used.entry(report.rack.clone()).or_default() += used;
-            *room.spare.entry(report.rack.clone()).or_default() += free;
-        }
-        room
-    }
-
-    /// The room when a host has left and its tasks are elsewhere; nothing if too little is left.
-    fn without(&self, fleet: &Fleet, host: &HostId, rules: &Rules) -> Option<Room> {
-        let report = fleet.reports.get(host)?;
-        let capacity = u64::from(report.capacity.cores.0);
-        let used = u64::from(fleet.used(host).cores.0);
-        let spare = capacity.saturating_sub(used);
-        let mut next = self.clone();
-        next.free = next.free.checked_sub(spare + used)?;
-        next.returning += capacity;
-        if let Some(load) = next.used.get_mut(&report.rack) {
-            *load = load.saturating_sub(used);
-        }
-        if let Some(free) = next.spare.get_mut(&report.rack) {
-            *free = free.saturating_sub(spare);
-        }
-        let counted = next.free + if rules.share_spare { next.returning } else { 0 };
-        let holds = next.used.iter().all(|(rack, load)| {
-            let own = next.spare.get(rack).copied().unwrap_or(0);
-            load + own <= counted
-        });
-        holds.then_some(next)
-    }
-}
-
-/// How long a step may be taken after it was worked out: what it rests on may be void later.
-const TIMELY: Duration = Duration::from_secs(2);
-
-/// Whether a step that was worked out at one time may still be taken at another.
-pub(crate) fn is_timely(worked_out: Time, now: Time) -> bool {
-    now.since(worked_out) <= TIMELY
-}
-
-/// The host that a step is for.
-pub(crate) fn host_of(step: &Step) -> &HostId {
-    match step {
-        Step::Close { host }
-        | Step::Prepare { host, .. }
-        | Step::Permit { host, .. }
-        | Step::GiveBack { host, .. }
-        | Step::Leave { host }
-        | Step::Move { host, .. }
-        | Step::Away { host }
-        | Step::Join { host, .. }
-        | Step::Quarantine { host, .. }
-        | Step::Return { host, .. } => host,
-    }
-}
-
-/// The key of the record that a step writes.
-pub(crate) fn key_of(step: &Step) -> Key {
-    match step {
-        Step::Prepare { service, .. }
-        | Step::Permit { service, .. }
-        | Step::GiveBack { service, .. }
-        | Step::Move { service, .. } => Key::Placement(service.clone()),
-        _ => Key::Host(host_of(step).clone()),
-    }
-}
-
-/// The record that a step writes, from the one that stands now. Nothing if the step does not apply
-/// any more.
-pub(crate) fn effect(
-    fleet: &Fleet,
-    plan: &PlanId,
-    step: &Step,
-    op: &OpId,
-    now: Time,
-) -> Option<Record> {
-    match step {
-        Step::Permit { host, service } => {
-            change_placement(fleet, service, op, |placement| permit(placement, host, plan, now))
-        }
-        Step::GiveBack { host, service } => change_placement(fleet, service, op, |placement| {
-            placement.permits.remove(host);
-            recall(placement, host, plan);
-        }),
-        Step::Prepare { host, service, moves } => {
-            change_placement(fleet, service, op, |placement| {
-                succeed(placement, moves, Some(host), Some(plan), now);
-            })
-        }
-        Step::Close { host } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Closing;
-            record.plan = Some(plan.clone());
-        }),
-        Step::Move { host, service, moves } => change_placement(fleet, service, op, |placement| {
-            relocate(placement, moves, Some(host), now);
-            placement.permits.remove(host);
-        }),
-        Step::Leave { host } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Leaving;
-        }),
-        Step::Away { host } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Away;
-        }),
-        Step::Join { host, pool } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Serving;
-            record.pool = pool.clone();
-            record.end(plan, HostOutcome::Done);
-        }),
-        Step::Quarantine { host, outcome } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Quarantined;
-            record.end(plan, outcome.clone());
-        }),
-        Step::Return { host, outcome } => change_host(fleet, host, op, now, |record| {
-            record.state = HostState::Serving;
-            record.end(plan, outcome.clone());
-        }),
-    }
-}
-
-fn permit(placement: &mut Placement, host: &HostId, plan: &PlanId, now: Time) {
-    let on_host = |(index, assigned): (usize, &Option<Assigned>)| {
-        let here = assigned.as_ref().is_some_and(|assigned| assigned.host == *host);
-        here.then_some(index as u32)
-    };
-    let tasks = placement.tasks.iter().enumerate().filter_map(on_host).collect();
-    placement.permits.insert(host.clone(), Permit { plan: plan.clone(), tasks, since: now });
-}
-
-/// Ends the successors that a plan started for the tasks on a host.
-fn recall(placement: &mut Placement, host: &HostId, plan: &PlanId) {
-    let Placement { tasks, successors, .. } = placement;
-    successors.retain(|index, successor| {
-        let here = tasks.get(*index as usize).and_then(Option::as_ref);
-        let here = here.is_some_and(|assigned| assigned.host == *host);
-        !(here && successor.plan.as_ref() == Some(plan))
-    });
-}
-
-/// Starts successors of tasks on new hosts. With `from`, only of those that are still there.
-fn succeed(
-    placement: &mut Placement,
-    moves: &Moves,
-    from: Option<&HostId>,
-    plan: Option<&PlanId>,
-    now: Time,
-) {
-    for (index, host) in moves {
-        let Some(Some(assigned)) = placement.tasks.get(*index as usize) else { continue };
-        if from.is_some_and(|from| *from != assigned.host) {
-            continue;
-        }
-        let before = placement.successors.get(index).map_or(0, |s| s.to.generation);
-        let generation = assigned.generation.max(before) + 1;
-        let to = Assigned { host: host.clone(), generation, since: now };
-        placement.successors.insert(*index, Successor { to, plan: plan.cloned() });
-    }
-}
-
-/// Writes down what a service's repair needs.
-pub(crate) fn repaired(placement: &mut Placement, repair: &Repair, now: Time) {
-    swap_in(placement, &repair.swaps);
-    relocate(placement, &repair.moves, None, now);
-    let plans: BTreeMap<u32, Option<PlanId>> =
-        placement.successors.iter().map(|(index, s)| (*index, s.plan.clone())).collect();
-    for (index, host) in &repair.successors {
-        let plan = plans.get(index).cloned().flatten();
-        let moves = Moves::from([(*index, host.clone())]);
-        succeed(placement, &moves, None, plan.as_ref(), now);
-    }
-}
-
-/// Has successors take the places of their tasks.
-fn swap_in(placement: &mut Placement, indexes: &[u32]) {
-    for index in indexes {
-        let Some(successor) = placement.successors.remove(index) else { continue };
-        if let Some(slot) = placement.tasks.get_mut(*index as usize) {
-            *slot = Some(successor.to);
-            placement.moves += 1;
-        }
-    }
-}
-
-/// Places tasks on new hosts. With `from`, only those that are still there.
-fn relocate(placement: &mut Placement, moves: &Moves, from: Option<&HostId>, now: Time) {
-    for (index, host) in moves {
-        let index = *index as usize;
-        if placement.tasks.len() <= index {
-            placement.tasks.resize(index + 1, None);
-        }
-        let slot = &mut placement.tasks[index];
-        let here = slot.as_ref().map(|assigned| &assigned.host);
-        if from.is_some() && here != from {
-            continue;
-        }
-        placement.moves += u64::from(here.is_some());
-        let successor = placement.successors.remove(&(index as u32));
-        let newest = slot.as_ref().map_or(0, |assigned| assigned.generation);
-        let generation = successor.map_or(0, |s| s.to.generation).max(newest) + 1;
-        *slot = Some(Assigned { host: host.clone(), generation, since: now });
-    }
-}
-
-/// A service's placement, changed.
-pub(crate) fn change_placement(
-    fleet: &Fleet,
-    service: &ServiceId,
-    op: &OpId,
-    change: impl FnOnce(&mut Placement),
-) -> Option<Record> {
-    let mut placement = fleet.placements.get(service).cloned().unwrap_or_default();
-    change(&mut placement);
-    placement.op = Some(op.clone());
-    Some(Record::Placement(service.clone(), placement))
-}
-
-/// A host's record, changed and raised to its next epoch.
-pub(crate) fn change_host(
-    fleet: &Fleet,
-    host: &HostId,
-    op: &OpId,
-    now: Time,
-    change: impl FnOnce(&mut HostRecord),
-) -> Option<Record> {
-    let mut record = fleet.hosts.get(host)?.clone();
-    change(&mut record);
-    record.epoch = record.epoch.next();
-    record.since = now;
-    record.op = op.clone();
-    Some(Record::Host(host.clone(), record))
-}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -265,3 +265,138 @@
     })
     .await;
 }
+
+/// Hosts with their states and epochs, as a node sees them.
+async fn hosts(fleet: &Fleet, node: usize) -> Option<Vec<(String, String, u64)>> {
+    let rows = fleet.status(node, "hosts").await?;
+    let row = |row: &Value| {
+        let text = |name: &str| row[name].as_str().unwrap().to_owned();
+        (text("host"), text("state"), row["epoch"].as_u64().unwrap())
+    };
+    Some(rows["hosts"].as_array()?.iter().map(row).collect())
+}
+
+/// Moves of each service so far.
+async fn moves(fleet: &Fleet) -> Vec<Value> {
+    let rows = fleet.status(0, "services").await.unwrap();
+    rows["services"].as_array().unwrap().iter().map(|row| row["moves"].clone()).collect()
+}
+
+/// Waits until some host is no longer as it was when everything served.
+async fn wait_until_begun(fleet: &Fleet) {
+    eventually("the wave to begin", || async {
+        let hosts = hosts(fleet, 0).await?;
+        hosts.iter().any(|(_, state, _)| state != "serving").then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn while_the_store_is_down_nothing_voluntary_moves_and_the_wave_ends_after_it() {
+    let fleet = Fleet::start(2).await;
+    let id = fleet.drain(0, &["w0000", "w0001", "w0002", "w0003"]).await;
+    wait_until_begun(&fleet).await;
+    fleet.platform_faults(json!({ "outage": true })).await;
+    // A node's view ages for as long as the store does not answer.
+    eventually("the view to be known to be old", || async {
+        let rows = fleet.status(0, "nodes").await?;
+        let own = rows["nodes"].as_array()?.iter().find(|row| row["node"] == "entry-0")?.clone();
+        (2 < own["view_age"]["secs"].as_u64()?).then_some(())
+    })
+    .await;
+    let before = hosts(&fleet, 0).await.unwrap();
+    eventually("the view to be older still", || async {
+        let rows = fleet.status(0, "nodes").await?;
+        let own = rows["nodes"].as_array()?.iter().find(|row| row["node"] == "entry-0")?.clone();
+        (5 < own["view_age"]["secs"].as_u64()?).then_some(())
+    })
+    .await;
+    assert_eq!(hosts(&fleet, 0).await.unwrap(), before);
+    let answer = send(fleet.request(0, "GET", "echo/x")).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "ran"), "{answer:?}");
+    fleet.platform_faults(json!({})).await;
+    let view = fleet.wait_until_done(1, &id).await;
+    assert_eq!(view["done"], 4, "{view}");
+}
+
+#[tokio::test]
+async fn without_the_list_of_hosts_requests_go_on_and_waves_wait() {
+    let fleet = Fleet::start(1).await;
+    let before = moves(&fleet).await;
+    fleet.platform_faults(json!({ "list_outage": true })).await;
+    let id = fleet.drain(0, &["w0000", "w0001", "w0002", "w0003"]).await;
+    eventually("the wave to wait for the list", || async {
+        let view = fleet.plan(0, &id).await?;
+        let waits = view["hosts"].as_object()?.values().any(|text| {
+            text.as_str().is_some_and(|text| text.contains("list of hosts cannot be read"))
+        });
+        waits.then_some(())
+    })
+    .await;
+    // A list that cannot be read kills no host: nothing is repaired, and requests go on.
+    assert_eq!(moves(&fleet).await, before);
+    let answer = send(fleet.request(0, "GET", "echo/x")).await;
+    assert_eq!((answer.status, answer.outcome.as_str()), (200, "ran"), "{answer:?}");
+    fleet.platform_faults(json!({})).await;
+    let view = fleet.wait_until_done(0, &id).await;
+    assert_eq!(view["done"], 4, "{view}");
+}
+
+#[tokio::test]
+async fn all_nodes_replaced_at_once_carry_a_wave_on() {
+    let mut fleet = Fleet::start(3).await;
+    let id = fleet.drain(0, &["w0000", "w0001", "w0002"]).await;
+    wait_until_begun(&fleet).await;
+    for node in 0..3 {
+        fleet.nodes[node].process.kill();
+    }
+    for node in 0..3 {
+        fleet.restart(node);
+    }
+    let view = fleet.wait_until_done(2, &id).await;
+    assert_eq!(view["done"], 3, "{view}");
+    fleet.wait_until_ready().await;
+    for node in 0..3 {
+        eventually("the node to serve", || async {
+            let answer = fleet.request(node, "GET", "echo/x").send().await.ok()?;
+            (answer.status() == 200).then_some(())
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn nodes_whose_leases_lapse_register_again_and_the_wave_ends() {
+    let fleet = Fleet::start(2).await;
+    let id = fleet.drain(0, &["w0000", "w0001"]).await;
+    wait_until_begun(&fleet).await;
+    fleet.platform_once("lapse-leases").await;
+    let view = fleet.wait_until_done(0, &id).await;
+    assert_eq!(view["done"], 2, "{view}");
+    eventually("both nodes to be registered", || async {
+        let rows = fleet.status(0, "nodes").await?;
+        let rows = rows["nodes"].as_array()?.clone();
+        let registered = rows.iter().filter(|row| row["registered"] == true).count();
+        (registered == 2).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_compacted_history_loses_no_change() {
+    let fleet = Fleet::start(2).await;
+    let before = own_change(&fleet, 1).await;
+    fleet.nodes[1].process.signal(Signal::SIGSTOP);
+    for rate in [70_001, 70_002] {
+        fleet.apply(&config_with_rate(rate)).await;
+    }
+    fleet.platform_once("compact").await;
+    fleet.platform_once("cut-watches").await;
+    fleet.nodes[1].process.signal(Signal::SIGCONT);
+    eventually("the frozen node to have every change", || async {
+        let now = own_change(&fleet, 1).await;
+        assert!(before <= now, "went back from change {before} to {now}");
+        (before + 2 <= now).then_some(())
+    })
+    .await;
+}
