--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -9,7 +9,7 @@
     model::{
         fleet::Fleet,
         host::{HostRecord, HostReport, HostState},
-        id::{HostId, PoolId},
+        id::{HostId, NodeId, PoolId},
         record::Key,
         unit::{Revision, Time},
     },
@@ -24,6 +24,32 @@
 /// The least time between two equal commands to a host that does not follow.
 const AGAIN: Duration = Duration::from_secs(1);
 
+/// How long further changes are waited for, so that many cause one look.
+const GATHER: Duration = Duration::from_millis(20);
+/// Between two looks when nothing has changed: time alone makes commands due again.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// The hosts that this node commands, worked out anew only when nodes or hosts have changed.
+#[derive(Default)]
+struct Owned {
+    hosts: Vec<HostId>,
+    nodes: Vec<NodeId>,
+    count: usize,
+}
+
+impl Owned {
+    fn refresh(&mut self, node: &Node, view: &View) {
+        let fleet = &view.fleet;
+        if self.count == fleet.hosts.len() && fleet.nodes.keys().eq(&self.nodes) {
+            return;
+        }
+        let is_own = |host: &&HostId| node.owns(view, &format!("host/{host}"));
+        self.hosts = fleet.hosts.keys().filter(is_own).cloned().collect();
+        self.nodes = fleet.nodes.keys().cloned().collect();
+        self.count = fleet.hosts.len();
+    }
+}
+
 struct Told {
     assignment: Assignment,
     at: Time,
@@ -33,19 +59,21 @@
 /// Commands the hosts that this node owns for as long as it runs.
 pub(crate) async fn command(node: Arc<Node>) {
     let mut told: HashMap<HostId, Told> = HashMap::new();
+    let mut owned = Owned::default();
     let mut changed = node.changed.subscribe();
     loop {
-        let wait = tokio::time::sleep(node.settings.timing.control);
+        let wait = tokio::time::sleep(IDLE);
         tokio::select! {
             () = wait => {}
-            _ = changed.changed() => {}
+            _ = changed.changed() => tokio::time::sleep(GATHER).await,
         }
         changed.borrow_and_update();
         let now = Time::now();
         let due = {
             let view = node.view();
             told.retain(|host, _| view.fleet.hosts.contains_key(host));
-            due(&node, &view, &told, now)
+            owned.refresh(&node, &view);
+            due(&node, &view, &owned, &told, now)
         };
         let sent = stream::iter(due).map(|(address, assignment)| {
             let node = node.clone();
@@ -78,19 +106,18 @@
 fn due(
     node: &Node,
     view: &View,
+    owned: &Owned,
     told: &HashMap<HostId, Told>,
     now: Time,
 ) -> Vec<(String, Assignment)> {
     let mut due = Vec::new();
     let renew = node.settings.timing.task_lease / 3;
     let revisions = revisions(&view.fleet);
-    for (host, record) in &view.fleet.hosts {
+    for host in &owned.hosts {
+        let Some(record) = view.fleet.hosts.get(host) else { continue };
         let Some(report) = view.fleet.reports.get(host).filter(|report| report.live) else {
             continue;
         };
-        if !node.owns(view, &format!("host/{host}")) {
-            continue;
-        }
         let mut assignment = assignment(&view.fleet, host, record, node.settings.timing.task_lease);
         let placed = revisions.get(&record.pool).copied().unwrap_or_default();
         assignment.revision = assignment.revision.max(placed);
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -31,6 +31,8 @@
 
 /// A loop that took longer than this was paused: what it knows may be void.
 const PAUSED: Duration = Duration::from_secs(2);
+/// Between two rounds when nothing has changed and no plan is under way.
+const IDLE: Duration = Duration::from_secs(1);
 /// Changes of the configuration that are kept one by one.
 const CHANGES_KEPT: usize = 256;
 /// Hosts that join pools in one round, to spread the writes over time.
@@ -40,13 +42,13 @@
 pub(crate) async fn control(node: Arc<Node>) {
     let mut changed = node.changed.subscribe();
     let mut before = Time::now();
+    let mut acted = Time::default();
     loop {
         let wait = tokio::time::sleep(node.settings.timing.control);
         tokio::select! {
             () = wait => {}
             () = node.leaving.cancelled() => return,
         }
-        changed.borrow_and_update();
         let now = Time::now();
         let paused = PAUSED < now.since(before);
         before = now;
@@ -58,12 +60,26 @@
         if !node.is_current(&node.view(), now) {
             continue;
         }
+        // Without a change or a plan that is under way, only the passing of time matters.
+        let new = changed.has_changed().unwrap_or(true);
+        if !new && !has_work(&node) && now.since(acted) < IDLE {
+            continue;
+        }
+        changed.borrow_and_update();
+        acted = now;
         if let Err(error) = round(&node, now).await {
             log::info!("control: {error}");
         }
     }
 }
 
+/// Whether a plan is under way, whose next step may depend on nodes' words alone.
+fn has_work(node: &Node) -> bool {
+    let view = node.view();
+    view.fleet.hosts.values().any(|record| record.plan.is_some())
+        || view.fleet.plans.values().any(|plan| plan.state == PlanState::Running)
+}
+
 async fn round(node: &Arc<Node>, now: Time) -> Result<(), StoreError> {
     join_pools(node, now).await?;
     repair_placements(node, now).await?;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -28,6 +28,8 @@
 const NOTICE: Duration = Duration::from_millis(500);
 /// How long a leaving node waits for the ends of claims to be written.
 const SETTLE: Duration = Duration::from_secs(5);
+/// How old routes may become.
+const REBUILT: Duration = Duration::from_secs(1);
 /// Requests that may find a place when routes change.
 const WOKEN: usize = 64;
 /// Idle connections that are kept to an endpoint.
@@ -140,9 +142,13 @@
 /// Keeps the routes those of the view, and has waiting requests look again.
 async fn route(node: Arc<Node>) {
     let mut changed = node.changed.subscribe();
+    let mut built = Time::default();
     loop {
         let now = Time::now();
-        {
+        // Without a change, only the age of what is known alters the routes.
+        if changed.has_changed().unwrap_or(true) || REBUILT <= now.since(built) {
+            changed.borrow_and_update();
+            built = now;
             let view = node.view();
             node.routes.rebuild(&view.fleet, node.id().as_str(), now, &node.settings.rules);
         }
@@ -150,9 +156,9 @@
         let wait = tokio::time::sleep(node.settings.timing.control);
         tokio::select! {
             () = wait => {}
-            _ = changed.changed() => {}
+            // Seen again above.
+            _ = changed.changed() => changed.mark_changed(),
         }
-        changed.borrow_and_update();
     }
 }
 
