One way to have a configuration accepted; shared options of commands

Cause: reading as a newcomer: the loop that has a configuration accepted stood three times (demo, measure path, measure node), and the options of operators' commands were repeated with each verb.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -145,6 +145,24 @@
         .help("Sign what is done with this name.")
 }
 
+/// The options of every command that asks a node.
+fn asking() -> [Arg; 2] {
+    [node(), format()]
+}
+
+/// The options of every command that has a node do something.
+fn signed() -> [Arg; 3] {
+    [by(), node(), format()]
+}
+
+fn reason() -> Arg {
+    Arg::new("reason")
+        .long("reason")
+        .value_name("TEXT")
+        .required(true)
+        .help("Say why, for those who read the plan later.")
+}
+
 fn yes(help: &'static str) -> Arg {
     Arg::new("yes").long("yes").action(ArgAction::SetTrue).help(help)
 }
@@ -159,8 +177,7 @@
                 .default_value("services")
                 .help("What to show."),
         )
-        .arg(node())
-        .arg(format())
+        .args(asking())
 }
 
 fn apply() -> Command {
@@ -174,9 +191,7 @@
                 .help("The configuration: pools, services with their budgets, and teams."),
         )
         .arg(yes("Have the changes accepted; without it they are only shown."))
-        .arg(by())
-        .arg(node())
-        .arg(format())
+        .args(signed())
 }
 
 fn intent() -> Command {
@@ -197,16 +212,8 @@
             .arg(Arg::new("deadline").long("deadline").value_name("TIME").help(
                 "Tell if the work would not be done by this time, such as 2026-01-31T12:00:00Z.",
             ))
-            .arg(
-                Arg::new("reason")
-                    .long("reason")
-                    .value_name("TEXT")
-                    .required(true)
-                    .help("Say why, for those who read the plan later."),
-            )
-            .arg(by())
-            .arg(node())
-            .arg(format())
+            .arg(reason())
+            .args(signed())
     };
     Command::new("intent")
         .about("State what is to be done with hosts, and get the plan and its cost. Nothing moves until the plan is confirmed.")
@@ -236,8 +243,7 @@
             Command::new("show")
                 .about("Show a plan, its cost and what each of its hosts does.")
                 .arg(id())
-                .arg(node())
-                .arg(format()),
+                .args(asking()),
         )
         .subcommand(
             Command::new("confirm")
@@ -250,24 +256,19 @@
                         .required(true)
                         .help("The digest that was shown with the plan."),
                 )
-                .arg(by())
-                .arg(node())
-                .arg(format()),
+                .args(signed()),
         )
         .subcommand(
             Command::new("cancel")
                 .about("End a plan, and give back what it holds.")
                 .arg(id())
-                .arg(by())
-                .arg(node())
-                .arg(format()),
+                .args(signed()),
         )
         .subcommand(
             Command::new("watch")
                 .about("Follow a plan until it has ended.")
                 .arg(id())
-                .arg(node())
-                .arg(format()),
+                .args(asking()),
         )
 }
 
@@ -281,24 +282,14 @@
             Command::new("quarantine")
                 .about("Get the plan for taking a host out until it is released.")
                 .arg(id())
-                .arg(
-                    Arg::new("reason")
-                        .long("reason")
-                        .value_name("TEXT")
-                        .required(true)
-                        .help("Say why, for those who read the plan later."),
-                )
-                .arg(by())
-                .arg(node())
-                .arg(format()),
+                .arg(reason())
+                .args(signed()),
         )
         .subcommand(
             Command::new("release")
                 .about("Have a quarantined host serve again.")
                 .arg(id())
-                .arg(by())
-                .arg(node())
-                .arg(format()),
+                .args(signed()),
         )
 }
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -128,7 +128,8 @@
     Ok(summary)
 }
 
-async fn accept(client: &Client, config: &Config) -> Result<u64, Error> {
+/// Has a configuration accepted, as soon as the node can; returns the number of the change.
+pub(crate) async fn accept(client: &Client, config: &Config) -> Result<u64, Error> {
     let by = "demo".to_owned();
     let request = ApplyRequest { config: config.clone(), by, dry: false };
     let deadline = Instant::now() + READY_LIMIT;
--- a/src/measure/node.rs
+++ b/src/measure/node.rs
@@ -7,10 +7,7 @@
     error::Error,
     measure::{Figures, path, sample, target::resident},
     model::unit::PerSecond,
-    operator::{
-        client::Client,
-        message::{ApplyAnswer, ApplyRequest},
-    },
+    operator::{client::Client, message::Rows},
     preset::{self, Preset},
 };
 
@@ -130,7 +127,7 @@
     let before = resident();
     let fleet = Fleet::start(&preset, point.nodes).await?;
     let client = fleet.client(0);
-    apply(&client, &preset).await?;
+    demo::accept(&client, &preset.config).await?;
     demo::wait_until_ready(&client, &preset.config).await?;
     tokio::time::sleep(SETTLE).await;
     let memory = resident().saturating_sub(before) as f64 / f64::from(1 << 20);
@@ -157,23 +154,9 @@
     })
 }
 
-async fn apply(client: &Client, preset: &Preset) -> Result<(), Error> {
-    let by = "measure".to_owned();
-    let request = ApplyRequest { config: preset.config.clone(), by, dry: false };
-    let deadline = Instant::now() + Duration::from_secs(20);
-    loop {
-        match client.post::<_, ApplyAnswer>("apply", "apply", &request).await {
-            Ok(_) => return Ok(()),
-            Err(error) if deadline < Instant::now() => return Err(error),
-            Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
-        }
-    }
-}
-
 /// Changes the configuration so many times a second; returns the longest time until a change was
 /// in force on every node.
 async fn change(client: &Client, preset: &Preset, rate: f64) -> Result<f64, Error> {
-    use crate::operator::message::Rows;
     if rate == 0.0 {
         return Ok(0.0);
     }
@@ -185,9 +168,7 @@
         for team in config.teams.values_mut().take(1) {
             team.rate = PerSecond(20_000 + number);
         }
-        let by = "measure".to_owned();
-        let request = ApplyRequest { config: config.clone(), by, dry: false };
-        let _: ApplyAnswer = client.post("apply", "apply", &request).await?;
+        demo::accept(client, &config).await?;
     }
     tokio::time::sleep(Duration::from_secs(2)).await;
     let rows: Rows = client.get("status", "status/changes").await?;
--- a/src/measure/path.rs
+++ b/src/measure/path.rs
@@ -20,10 +20,6 @@
         request::Class,
         unit::{Megabytes, Millicores, PerSecond},
     },
-    operator::{
-        client::Client,
-        message::{ApplyAnswer, ApplyRequest},
-    },
     preset::{HOST, Preset},
     settings::node::Policy,
     standin::endpoint,
@@ -55,7 +51,7 @@
     let preset = preset();
     let fleet = Fleet::start(&preset, 1).await?;
     let client = fleet.client(0);
-    accept(&client, &preset.config).await?;
+    demo::accept(&client, &preset.config).await?;
     demo::wait_until_ready(&client, &preset.config).await?;
     let options = endpoint::Options {
         listen: "127.0.0.1:0".to_owned(),
@@ -113,19 +109,6 @@
     }
 }
 
-async fn accept(client: &Client, config: &Config) -> Result<(), Error> {
-    let by = "measure".to_owned();
-    let request = ApplyRequest { config: config.clone(), by, dry: false };
-    let deadline = Instant::now() + Duration::from_secs(20);
-    loop {
-        match client.post::<_, ApplyAnswer>("apply", "apply", &request).await {
-            Ok(_) => return Ok(()),
-            Err(error) if deadline < Instant::now() => return Err(error),
-            Err(_) => tokio::time::sleep(Duration::from_millis(200)).await,
-        }
-    }
-}
-
 fn preset() -> Preset {
     let id = "only";
     let mut config = Config::default();
