One rotation plan for experiments; one wait for an old view

Cause: a last read of the whole change: the plan that drains every host was built in measure waves and measure target alike, the wait for a view to age stood twice in one test, and a comment on claims that cannot be read told the wrong reason why none is granted (it is the revision, which no write can match, and not a full bucket).

The other pairs of alike lines are data types and constants that only look alike.

--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -212,7 +212,7 @@
         Some(Ok(bucket)) => (entry.revision, bucket),
         Some(Err(error)) => {
             // Written by no version that this one knows: its claims cannot be told, so none may
-            // be granted. A full bucket grants nothing.
+            // be granted. No write is ever accepted at this revision.
             log::error!("claims {}: not understood: {error}", entry.key);
             (Revision(u64::MAX), Bucket::default())
         }
--- a/src/measure/shape.rs
+++ b/src/measure/shape.rs
@@ -1,11 +1,12 @@
 //! Fleets of a shape, as they stand when everything runs: where experiments begin.
 
 use crate::{
-    decide::{pools, repair, rules::Rules, wave},
+    decide::{plan, pools, repair, rules::Rules, wave},
     model::{
         fleet::Fleet,
         host::{HostRecord, HostReport, HostState, TaskReport},
         id::{OpId, ServiceId},
+        plan::{Action, Intent, Plan},
         record::Record,
         unit::{Epoch, Revision, Time},
     },
@@ -93,3 +94,16 @@
         });
     }
 }
+
+/// The plan of a rotation: every host of the fleet is drained.
+pub(crate) fn rotation(fleet: &Fleet, rules: &Rules) -> Plan {
+    let intent = Intent {
+        action: Action::Drain,
+        hosts: fleet.hosts.keys().cloned().collect(),
+        deadline: None,
+        reason: "rotation".to_owned(),
+        by: "measure".to_owned(),
+    };
+    let id = "p-1".parse().expect("the text is an identifier");
+    plan::propose(fleet, id, op(), intent, BEGIN, rules)
+}
--- a/src/measure/target.rs
+++ b/src/measure/target.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     decide::{
-        plan, repair,
+        repair,
         rules::Rules,
         wave::{self, Outlook},
     },
@@ -14,8 +14,8 @@
     },
     model::{
         fleet::Fleet,
-        id::{HostId, OpId, PlanId},
-        plan::{Action, Intent, Plan, PlanState},
+        id::HostId,
+        plan::{Plan, PlanState},
         record::Record,
         unit::{Epoch, Revision},
     },
@@ -59,7 +59,7 @@
     let fleet = shape::build(&preset::target(hosts), &rules);
     let size = resident().saturating_sub(before);
     let began = Instant::now();
-    let plan = rotation(&fleet, &rules);
+    let plan = shape::rotation(&fleet, &rules);
     let planned = began.elapsed();
     let decisions = decisions(fleet.clone(), &plan, &rules);
     let micros: Vec<f64> = decisions.iter().map(|took| took.as_secs_f64() * 1e6).collect();
@@ -77,19 +77,6 @@
     ]
 }
 
-fn rotation(fleet: &Fleet, rules: &Rules) -> Plan {
-    let intent = Intent {
-        action: Action::Drain,
-        hosts: fleet.hosts.keys().cloned().collect(),
-        deadline: None,
-        reason: "rotation".to_owned(),
-        by: "measure".to_owned(),
-    };
-    let (id, op): (PlanId, OpId) =
-        ("p-1".parse().expect("an identifier"), "op".parse().expect("an identifier"));
-    plan::propose(fleet, id, op, intent, BEGIN, rules)
-}
-
 /// Fails one host after the other, and times what follows from each.
 fn decisions(mut fleet: Fleet, plan: &Plan, rules: &Rules) -> Vec<Duration> {
     let mut running = plan.clone();
--- a/src/measure/waves.rs
+++ b/src/measure/waves.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     decide::{
-        baseline, plan,
+        baseline,
         rehearse::{Event, Rehearsal, Report},
         rules::Rules,
     },
@@ -18,8 +18,8 @@
     },
     model::{
         fleet::Fleet,
-        id::{HostId, OpId, PlanId, PoolId, RackId},
-        plan::{Action, Intent, Plan, PlanState, PoolPlan},
+        id::{HostId, PoolId, RackId},
+        plan::{Plan, PlanState, PoolPlan},
     },
     preset::{self, Preset},
 };
@@ -218,16 +218,7 @@
 
 /// A running plan for all hosts, ordered and bounded by a policy.
 fn planned(fleet: &Fleet, policy: &str, seed: u64, rules: &Rules) -> Plan {
-    let intent = Intent {
-        action: Action::Drain,
-        hosts: fleet.hosts.keys().cloned().collect(),
-        deadline: None,
-        reason: "patching".to_owned(),
-        by: "measure".to_owned(),
-    };
-    let (id, op): (PlanId, OpId) =
-        ("p-1".parse().expect("an identifier"), "op".parse().expect("an identifier"));
-    let mut plan = plan::propose(fleet, id, op, intent, BEGIN, rules);
+    let mut plan = shape::rotation(fleet, rules);
     plan.state = PlanState::Running;
     for (pool, part) in &mut plan.pools {
         let hosts: Vec<HostId> = fleet.hosts_of(pool).cloned().collect();
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -282,6 +282,16 @@
     rows["services"].as_array().unwrap().iter().map(|row| row["moves"].clone()).collect()
 }
 
+/// Waits until the first node's view is known to be older than so many seconds.
+async fn wait_until_view_is_older(fleet: &Fleet, seconds: u64) {
+    eventually("the view to be known to be old", || async {
+        let rows = fleet.status(0, "nodes").await?;
+        let own = rows["nodes"].as_array()?.iter().find(|row| row["node"] == "entry-0")?.clone();
+        (seconds < own["view_age"]["secs"].as_u64()?).then_some(())
+    })
+    .await;
+}
+
 /// Waits until some host is no longer as it was when everything served.
 async fn wait_until_begun(fleet: &Fleet) {
     eventually("the wave to begin", || async {
@@ -298,19 +308,9 @@
     wait_until_begun(&fleet).await;
     fleet.platform_faults(json!({ "outage": true })).await;
     // A node's view ages for as long as the store does not answer.
-    eventually("the view to be known to be old", || async {
-        let rows = fleet.status(0, "nodes").await?;
-        let own = rows["nodes"].as_array()?.iter().find(|row| row["node"] == "entry-0")?.clone();
-        (2 < own["view_age"]["secs"].as_u64()?).then_some(())
-    })
-    .await;
+    wait_until_view_is_older(&fleet, 2).await;
     let before = hosts(&fleet, 0).await.unwrap();
-    eventually("the view to be older still", || async {
-        let rows = fleet.status(0, "nodes").await?;
-        let own = rows["nodes"].as_array()?.iter().find(|row| row["node"] == "entry-0")?.clone();
-        (5 < own["view_age"]["secs"].as_u64()?).then_some(())
-    })
-    .await;
+    wait_until_view_is_older(&fleet, 5).await;
     assert_eq!(hosts(&fleet, 0).await.unwrap(), before);
     let answer = send(fleet.request(0, "GET", "echo/x")).await;
     assert_eq!((answer.status, answer.outcome.as_str()), (200, "ran"), "{answer:?}");
