Waves, hosts that change pools, and a roster of workers

Change: the fleet's owner marks hosts to be emptied, their pools' owners move the work away and say so, and only then is a host maintained or moved; pools give hosts to and take them from the pool that is off. Each pool's owner keeps the workers it gives work to in a roster before they get any; a later owner asks all of them. SIGHUP reads the settings again.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -9,6 +9,7 @@
 //!   owner's token, or everything that it may run has lapsed.
 
 pub(crate) mod event;
+pub(crate) mod fleet;
 pub(crate) mod job;
 pub(crate) mod owner;
 pub(crate) mod place;
--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -36,6 +36,8 @@
     Job(StoredJob),
     Cancelled(JobId),
     Worker(WorkerReport),
+    /// A worker of another pool, which may have taken the place of one of this pool.
+    Elsewhere(WorkerReport),
     /// The worker's report is no longer listed.
     Unlisted(WorkerId),
     Started {
--- /dev/null
+++ b/src/jobs/fleet.rs
@@ -0,0 +1,394 @@
+//! The work of all pools together: hosts are emptied for upkeep and for other pools, maintained,
+//! and moved to where they are needed. Decisions only: what is known and the present time go in.
+//!
+//! A host is touched only after its pool's owner has written that nothing runs there any more, and
+//! that owner starts nothing there while the host is marked to leave.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::{
+    id::{HostId, PoolId, WorkerId},
+    queue::QueueConfig,
+    unit::Steady,
+    worker::{HostPhase, ListedHost, Upkeep},
+};
+
+/// How often the list of hosts is read while something is under way, in milliseconds.
+const LIST_BUSY_MS: u64 = 400;
+
+/// How often it is read otherwise, in milliseconds.
+const LIST_IDLE_MS: u64 = 2_000;
+
+/// How long after a call without an answer it is made again, in milliseconds. A call that was
+/// carried out is answered as done.
+const CALL_AGAIN_MS: u64 = 300;
+
+/// Hosts that are emptied ahead for a wave, beside those that are away for it.
+const AHEAD: usize = 2;
+
+/// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
+const LEAVING_PERCENT: usize = 34;
+
+/// Demand is kept for so long before a pool gives hosts back, in milliseconds: as long as a
+/// host that was given back too early takes to return, twice.
+const SHRINK_AFTER_MS: u64 = 3_000;
+
+/// The share of a pool's processor time that demand may take before hosts are added, in percent:
+/// tasks do not fill hosts to the brim.
+const FULL_PERCENT: u64 = 80;
+
+/// Hosts that a pool has beside those that its demand fills.
+const MARGIN_HOSTS: usize = 1;
+
+/// Why a host is to be emptied.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Leave {
+    /// For upkeep, as part of a wave.
+    Upkeep(u64),
+    /// For another pool.
+    Move(PoolId),
+}
+
+/// What a pool asks for now.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Demand {
+    /// Processor time of what runs or could run, in millicores.
+    pub(crate) cpu: u64,
+    /// Hosts over which its tasks must be spread.
+    pub(crate) spread: usize,
+}
+
+/// What is known when the fleet's owner decides.
+pub(crate) struct Scene<'a> {
+    pub(crate) config: &'a QueueConfig,
+    pub(crate) demands: &'a BTreeMap<PoolId, Demand>,
+    pub(crate) leaves: &'a BTreeMap<HostId, Leave>,
+    /// Hosts that are empty, by the worker that was.
+    pub(crate) empties: &'a BTreeMap<HostId, WorkerId>,
+    pub(crate) upkeeps: &'a [Upkeep],
+    /// Hosts that had their upkeep, by wave.
+    pub(crate) maintained: &'a BTreeMap<u64, BTreeSet<HostId>>,
+    /// Waves that were reported as done.
+    pub(crate) reported: &'a BTreeSet<u64>,
+}
+
+/// What the fleet's owner wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum FleetEffect {
+    /// Read the list of hosts.
+    List,
+    /// Mark a host to leave.
+    Mark(HostId, Leave),
+    /// Take the mark away.
+    Unmark(HostId),
+    /// Have a host maintained.
+    Maintain(HostId, u64),
+    /// Move a host.
+    Move(HostId, PoolId),
+    /// Keep that a host has had its upkeep, and take its mark away.
+    Maintained(HostId, u64),
+    /// Tell the operator how far a wave is.
+    Report(u64, bool),
+}
+
+/// A call that changes a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    OnItsWay,
+    /// No answer, or none that counts: to be made again.
+    Again(Steady),
+    /// Begun for certain.
+    Begun(Steady),
+}
+
+/// The owner of the fleet's work.
+pub(crate) struct Fleet {
+    pub(crate) token: u64,
+    /// No host is touched before: the owner before may just have done so.
+    calls_from: Steady,
+    calls: BTreeMap<HostId, Call>,
+    hosts: BTreeMap<HostId, ListedHost>,
+    /// When the newest list was asked for.
+    listed: Option<Steady>,
+    listing: bool,
+    next_list: Steady,
+    /// Demand of late, by pool.
+    demands: BTreeMap<PoolId, VecDeque<(Steady, usize)>>,
+    /// Waves that were reported to have begun.
+    begun: BTreeSet<u64>,
+}
+
+impl Fleet {
+    /// The owner after `earlier` others; `handover_ms` must pass between two owners' calls.
+    pub(crate) fn new(token: u64, earlier: u32, handover_ms: u64, now: Steady) -> Fleet {
+        Fleet {
+            token,
+            calls_from: now.after(if earlier == 0 { 0 } else { handover_ms }),
+            calls: BTreeMap::new(),
+            hosts: BTreeMap::new(),
+            listed: None,
+            listing: false,
+            next_list: now,
+            demands: BTreeMap::new(),
+            begun: BTreeSet::new(),
+        }
+    }
+
+    /// Takes note of a list that was asked for at a moment; nothing if it was not read.
+    pub(crate) fn heard_list(&mut self, sent: Steady, hosts: Option<Vec<ListedHost>>) {
+        self.listing = false;
+        if let Some(hosts) = hosts {
+            self.hosts = hosts.into_iter().map(|host| (host.host.clone(), host)).collect();
+            self.listed = Some(sent);
+        }
+    }
+
+    /// Takes note of what became of a call: whether it was begun for certain.
+    pub(crate) fn called(&mut self, host: &HostId, begun: Option<bool>, now: Steady) {
+        match begun {
+            Some(true) => self.calls.insert(host.clone(), Call::Begun(now)),
+            // Not done, and never will be: the next decision is free again.
+            Some(false) => self.calls.remove(host),
+            None => self.calls.insert(host.clone(), Call::Again(now.after(CALL_AGAIN_MS))),
+        };
+    }
+
+    /// What is to be done now.
+    pub(crate) fn plan(&mut self, scene: &Scene<'_>, now: Steady) -> Vec<FleetEffect> {
+        let mut out = Vec::new();
+        self.note_demand(scene, now);
+        self.list(scene, now, &mut out);
+        if self.listed.is_none() {
+            return out;
+        }
+        self.finish(scene, &mut out);
+        self.call(scene, now, &mut out);
+        for upkeep in scene.upkeeps {
+            self.wave(scene, upkeep, &mut out);
+        }
+        self.size(scene, now, &mut out);
+        out
+    }
+
+    fn list(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
+        if self.listing || now < self.next_list {
+            return;
+        }
+        let waves = scene.upkeeps.iter().any(|upkeep| !scene.reported.contains(&upkeep.wave));
+        let busy = waves || !scene.leaves.is_empty() || !self.calls.is_empty();
+        self.listing = true;
+        self.next_list = now.after(if busy { LIST_BUSY_MS } else { LIST_IDLE_MS });
+        out.push(FleetEffect::List);
+    }
+
+    /// Ends what the list shows to be over.
+    fn finish(&mut self, scene: &Scene<'_>, out: &mut Vec<FleetEffect>) {
+        let Some(listed) = self.listed else {
+            return;
+        };
+        for (host, leave) in scene.leaves {
+            let Some(known) = self.hosts.get(host) else {
+                // It has gone for good.
+                self.calls.remove(host);
+                out.push(FleetEffect::Unmark(host.clone()));
+                continue;
+            };
+            let begun = matches!(self.calls.get(host), Some(Call::Begun(at)) if *at < listed);
+            let back = begun && known.phase == HostPhase::Up;
+            match leave {
+                Leave::Upkeep(wave) => {
+                    let kept = scene.maintained.get(wave).is_some_and(|hosts| hosts.contains(host));
+                    if back && !kept {
+                        out.push(FleetEffect::Maintained(host.clone(), *wave));
+                    }
+                    if kept {
+                        self.calls.remove(host);
+                        out.push(FleetEffect::Unmark(host.clone()));
+                    }
+                }
+                Leave::Move(pool) => {
+                    if known.phase == HostPhase::Up && known.pool == *pool {
+                        self.calls.remove(host);
+                        out.push(FleetEffect::Unmark(host.clone()));
+                    }
+                }
+            }
+        }
+        let leaves = scene.leaves;
+        self.calls.retain(|host, call| leaves.contains_key(host) || *call == Call::OnItsWay);
+    }
+
+    /// Makes the calls for hosts that are empty.
+    fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
+        if now < self.calls_from {
+            return;
+        }
+        for (host, leave) in scene.leaves {
+            let again = match self.calls.get(host) {
+                None => false,
+                Some(Call::Again(at)) if *at <= now => true,
+                Some(_) => continue,
+            };
+            let Some(known) = self.hosts.get(host) else {
+                continue;
+            };
+            let ready = known.phase == HostPhase::Up && self.is_empty(scene, known);
+            if !again && !ready {
+                continue;
+            }
+            match leave {
+                Leave::Upkeep(wave) => {
+                    let kept = scene.maintained.get(wave).is_some_and(|hosts| hosts.contains(host));
+                    let most = scene.upkeeps.iter().find(|upkeep| upkeep.wave == *wave);
+                    let most = most.map_or(0, |upkeep| upkeep.at_once as usize);
+                    if kept || (!again && most <= self.away(scene, *wave)) {
+                        continue;
+                    }
+                    out.push(FleetEffect::Maintain(host.clone(), *wave));
+                }
+                Leave::Move(pool) => out.push(FleetEffect::Move(host.clone(), pool.clone())),
+            }
+            self.calls.insert(host.clone(), Call::OnItsWay);
+        }
+    }
+
+    /// Whether nothing runs on a host: its owner has said so of its present worker, or it is off.
+    fn is_empty(&self, scene: &Scene<'_>, known: &ListedHost) -> bool {
+        let off = scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
+        match &known.worker {
+            Some(worker) => off || scene.empties.get(&known.host) == Some(worker),
+            None => off,
+        }
+    }
+
+    /// Hosts that are or may be away for a wave.
+    fn away(&self, scene: &Scene<'_>, wave: u64) -> usize {
+        let away = |(host, leave): &(&HostId, &Leave)| {
+            let called = self.calls.contains_key(*host);
+            let listed = self.hosts.get(*host).map(|known| known.phase);
+            **leave == Leave::Upkeep(wave) && (called || listed == Some(HostPhase::Upkeep))
+        };
+        scene.leaves.iter().filter(away).count()
+    }
+
+    /// Marks the next hosts of a wave, and reports how far it is.
+    fn wave(&mut self, scene: &Scene<'_>, upkeep: &Upkeep, out: &mut Vec<FleetEffect>) {
+        if scene.reported.contains(&upkeep.wave) {
+            return;
+        }
+        let none = BTreeSet::new();
+        let kept = scene.maintained.get(&upkeep.wave).unwrap_or(&none);
+        let left: Vec<&ListedHost> = upkeep
+            .hosts
+            .iter()
+            .filter(|host| !kept.contains(*host))
+            .filter_map(|host| self.hosts.get(host))
+            .collect();
+        if left.is_empty() {
+            out.push(FleetEffect::Report(upkeep.wave, true));
+            return;
+        }
+        if self.begun.insert(upkeep.wave) {
+            out.push(FleetEffect::Report(upkeep.wave, false));
+        }
+        let marked = scene.leaves.values().filter(|leave| **leave == Leave::Upkeep(upkeep.wave));
+        let room = (upkeep.at_once as usize + AHEAD).saturating_sub(marked.count());
+        let mut next: Vec<&ListedHost> = left
+            .into_iter()
+            .filter(|known| known.phase == HostPhase::Up)
+            .filter(|known| !scene.leaves.contains_key(&known.host))
+            .collect();
+        let is_off =
+            |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
+        next.sort_by_key(|known| (!is_off(known), self.leaving(scene, &known.pool)));
+        let mut taken: BTreeMap<PoolId, usize> = BTreeMap::new();
+        let mut count = 0;
+        for known in next {
+            if room <= count {
+                break;
+            }
+            let pool = self.hosts.values().filter(|host| host.pool == known.pool).count();
+            let most = (pool * LEAVING_PERCENT / 100).max(1);
+            let leaving = taken.entry(known.pool.clone()).or_default();
+            if !is_off(known) && most <= self.leaving(scene, &known.pool) + *leaving {
+                continue;
+            }
+            *leaving += 1;
+            count += 1;
+            out.push(FleetEffect::Mark(known.host.clone(), Leave::Upkeep(upkeep.wave)));
+        }
+    }
+
+    /// Hosts of a pool that are marked to leave for upkeep.
+    fn leaving(&self, scene: &Scene<'_>, pool: &PoolId) -> usize {
+        let leaves = scene.leaves.iter();
+        let here = leaves.filter(|(host, leave)| {
+            matches!(leave, Leave::Upkeep(_))
+                && self.hosts.get(*host).is_some_and(|known| known.pool == *pool)
+        });
+        here.count()
+    }
+
+    fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
+        for (pool, demand) in scene.demands {
+            let hosts = self.wanted(pool, demand);
+            let late = self.demands.entry(pool.clone()).or_default();
+            late.push_back((now, hosts));
+            while late.front().is_some_and(|(at, _)| SHRINK_AFTER_MS < now.since(*at)) {
+                late.pop_front();
+            }
+        }
+    }
+
+    /// Hosts that a pool should have for a demand.
+    fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
+        let room = self.hosts.values().find(|host| host.pool == *pool).map(|host| host.room);
+        let room = room.or_else(|| self.hosts.values().next().map(|host| host.room));
+        let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
+        let filled = (demand.cpu * 100).div_ceil(host_cpu * FULL_PERCENT) as usize;
+        filled.max(demand.spread) + MARGIN_HOSTS
+    }
+
+    /// Moves hosts between the pools and the one whose hosts are off.
+    fn size(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
+        let Some(off) = scene.config.pools.iter().find(|(_, rules)| rules.off) else {
+            return;
+        };
+        let off = off.0.clone();
+        let mut spare: VecDeque<HostId> = self.free_hosts(scene, &off).into();
+        for (pool, demand) in scene.demands.iter().filter(|(pool, _)| **pool != off) {
+            let here = self.free_hosts(scene, pool);
+            let coming = scene.leaves.values().filter(|l| **l == Leave::Move(pool.clone())).count();
+            let wanted = self.wanted(pool, demand);
+            let have = here.len() + coming;
+            if have < wanted {
+                for host in spare.drain(..(wanted - have).min(spare.len())) {
+                    out.push(FleetEffect::Mark(host, Leave::Move(pool.clone())));
+                }
+                continue;
+            }
+            let late = self.demands.get(pool).into_iter().flatten();
+            let most = late.map(|(_, hosts)| *hosts).max().unwrap_or(wanted);
+            let known = self.demands.get(pool).and_then(|late| late.front());
+            let long = known.is_some_and(|(at, _)| SHRINK_AFTER_MS * 9 / 10 <= now.since(*at));
+            let surplus = have.saturating_sub(most);
+            if long && coming == 0 && surplus != 0 {
+                for host in here.into_iter().take(surplus) {
+                    out.push(FleetEffect::Mark(host, Leave::Move(off.clone())));
+                }
+            }
+        }
+    }
+
+    /// Hosts of a pool that are up and not marked to leave.
+    fn free_hosts(&self, scene: &Scene<'_>, pool: &PoolId) -> Vec<HostId> {
+        let free = self.hosts.values().filter(|known| {
+            known.pool == *pool
+                && known.phase == HostPhase::Up
+                && !scene.leaves.contains_key(&known.host)
+        });
+        free.map(|known| known.host.clone()).collect()
+    }
+}
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -77,6 +77,7 @@
             Event::Job(stored) => self.add(stored, now),
             Event::Cancelled(id) => self.cancel(id, now.steady, out),
             Event::Worker(report) => self.list(report, now.steady),
+            Event::Elsewhere(report) => self.supersede(&report),
             Event::Unlisted(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.listed = false;
@@ -260,16 +261,38 @@
             worker.listed = true;
             return;
         }
-        // A host runs one worker at a time, and so does an address.
+        self.supersede(&report);
+        self.workers.insert(report.id.clone(), Worker::new(report, now));
+    }
+
+    /// Forgets the worker whose place another has taken: a host runs one at a time, and so does
+    /// an address.
+    fn supersede(&mut self, by: &WorkerReport) {
         let earlier = |worker: &&Worker| {
-            worker.report.host == report.host || worker.report.address == report.address
+            let place = worker.report.host == by.host || worker.report.address == by.address;
+            place && worker.report.id != by.id
         };
         let earlier: Vec<WorkerId> =
             self.workers.values().filter(earlier).map(|w| w.report.id.clone()).collect();
         for id in earlier {
             self.bury(&id, "another life has begun in its place");
         }
-        self.workers.insert(report.id.clone(), Worker::new(report, now));
+    }
+
+    /// The workers that a later owner must ask, if that is news; they get no work before it is
+    /// kept.
+    pub(crate) fn roster(&self) -> Option<Vec<WorkerReport>> {
+        let news = self.workers.values().any(|worker| worker.touched && !worker.rostered);
+        news.then(|| self.workers.values().map(|worker| worker.report.clone()).collect())
+    }
+
+    /// Takes note that the roster is kept.
+    pub(crate) fn rostered(&mut self, workers: &[WorkerReport]) {
+        for report in workers {
+            if let Some(worker) = self.workers.get_mut(&report.id) {
+                worker.rostered = true;
+            }
+        }
     }
 
     /// Forgets a worker that is certain to be over, and with it all that ran there.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -60,6 +60,8 @@
     pub(crate) listed: bool,
     /// Whether it has seen this owner's token and told what it runs.
     pub(crate) touched: bool,
+    /// Whether a later owner would find it in the roster.
+    pub(crate) rostered: bool,
     reading: Option<Reading>,
     /// The latest time given, on the worker's clock.
     until_ms: u64,
@@ -94,6 +96,7 @@
             report,
             listed: true,
             touched: false,
+            rostered: false,
             reading: None,
             until_ms: 0,
             looking: None,
@@ -167,6 +170,7 @@
     /// Whether the worker may get new work.
     pub(crate) fn takes_work(&self, now: Steady) -> bool {
         self.touched
+            && self.rostered
             && self.report.leaves_ms.is_none()
             && self.misses == 0
             && self.suspended_until <= now
--- a/src/model/worker.rs
+++ b/src/model/worker.rs
@@ -1,12 +1,14 @@
 //! What workers and hosts tell of themselves.
 
+use serde::{Deserialize, Serialize};
+
 use crate::model::{
     id::{HostId, PoolId, WorkerId, ZoneId},
     job::{Room, TaskId},
 };
 
 /// A worker's report on itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct WorkerReport {
     pub(crate) id: WorkerId,
     pub(crate) host: HostId,
--- a/src/options.rs
+++ b/src/options.rs
@@ -213,9 +213,9 @@
                 let settings = settings::node::load(&settings)?;
                 block_on(serve(settings))
             }
-            Job::Schedule { settings } => {
-                let settings = settings::scheduler::load(&settings)?;
-                block_on_one(scheduler::run::run(settings, until_told()))
+            Job::Schedule { settings: path } => {
+                let settings = settings::scheduler::load(&path)?;
+                block_on_one(scheduler::run::run(settings, path, until_told()))
             }
             Job::Operate(command) => block_on(commands::run(*command)),
             Job::Platform(options) => block_on(async {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -5,6 +5,7 @@
 pub(crate) mod accept;
 pub(crate) mod api;
 pub(crate) mod drive;
+pub(crate) mod fleet;
 pub(crate) mod keys;
 pub(crate) mod lease;
 pub(crate) mod mirror;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -14,23 +14,25 @@
 use crate::{
     jobs::{
         event::{Effect, Event, Save},
+        fleet::Fleet,
         owner::Owner,
     },
     model::{
         id::{HostId, PoolId, WorkerId},
-        unit::{Now, Revision},
-        worker::{OrderEnd, WorkerReport},
+        unit::{Now, Revision, Steady},
+        worker::{ListedHost, OrderEnd, WorkerReport},
     },
     platform::{
         advice::{Advised, Adviser},
         kv::{Committed, TXN_ENTRIES, Txn},
+        machines::Machines,
         runner::Runners,
         store::LeaseId,
     },
     scheduler::{
         Node, keys,
         lease::Lease,
-        view::{Delta, EmptyRecord, OwnerRecord, TermRecord},
+        view::{Delta, EmptyRecord, OwnerRecord, RosterRecord, TermRecord},
     },
 };
 
@@ -51,10 +53,6 @@
 /// How long after a failed try the next is made, in milliseconds.
 const REACH_AGAIN_MS: u64 = 300;
 
-/// How long a removed report still counts when a pool is taken over, in milliseconds: longer than
-/// its worker may run on.
-const UNLISTED_MS: u64 = 15_000;
-
 /// What the loop is told.
 pub(crate) enum Input {
     Deltas(Vec<Delta>),
@@ -76,6 +74,25 @@
         saves: Vec<Save>,
         end: SaveEnd,
     },
+    /// Whether a roster was written.
+    Rostered {
+        name: String,
+        token: u64,
+        workers: Vec<WorkerReport>,
+        kept: bool,
+    },
+    /// What became of a read of the list of hosts.
+    HostList {
+        token: u64,
+        sent: Steady,
+        hosts: Option<Vec<ListedHost>>,
+    },
+    /// What became of a call that changes a host: whether it was begun for certain.
+    HostCalled {
+        token: u64,
+        host: HostId,
+        begun: Option<bool>,
+    },
     /// The node is to give back all that it owns.
     Leave,
 }
@@ -95,40 +112,48 @@
     owner: Owner,
     saving: bool,
     /// When the next write may be made.
-    next_save: crate::model::unit::Steady,
+    next_save: Steady,
     /// Hosts that were told to be empty.
     told_empty: BTreeMap<HostId, WorkerId>,
+    /// Whether a roster is being written.
+    rostering: bool,
 }
 
 /// A piece of work that nobody owns.
 struct Vacancy {
-    since: crate::model::unit::Steady,
+    since: Steady,
     reaching: bool,
-    not_before: crate::model::unit::Steady,
+    not_before: Steady,
 }
 
 /// The loop's state.
 pub(crate) struct Drive {
-    node: Arc<Node>,
-    lease: Arc<Lease>,
+    pub(super) node: Arc<Node>,
+    pub(super) lease: Arc<Lease>,
     life: u64,
     runners: Runners,
     adviser: Option<Adviser>,
     advising: Arc<Semaphore>,
     owned: BTreeMap<String, Owned>,
+    pub(super) fleet: Option<Fleet>,
+    pub(super) next_fleet: Steady,
+    pub(super) machines: Machines,
     /// Won, but not yet seen in the view: name, token, owners before.
     won: BTreeMap<String, (u64, u32)>,
     vacant: BTreeMap<String, Vacancy>,
-    to: mpsc::UnboundedSender<Input>,
+    pub(super) to: mpsc::UnboundedSender<Input>,
     leaving: bool,
 }
 
 impl Drive {
+    /// The loop of a node.
     pub(crate) fn new(
         node: Arc<Node>,
         lease: Arc<Lease>,
         to: mpsc::UnboundedSender<Input>,
     ) -> Drive {
+        let hosts = node.settings.platform.hosts.to_string();
+        let machines = Machines::new(&hosts, node.settings.node.clone());
         let adviser = node.settings.platform.advice;
         let adviser = adviser.map(|address| Adviser::new(&address.to_string()));
         Drive {
@@ -140,6 +165,9 @@
             // The service answers one question of a node at a time.
             advising: Arc::new(Semaphore::new(1)),
             owned: BTreeMap::new(),
+            fleet: None,
+            next_fleet: Steady::default(),
+            machines,
             won: BTreeMap::new(),
             vacant: BTreeMap::new(),
             to,
@@ -194,6 +222,25 @@
                 }
             }
             Input::Saved { name, token, saves, end } => self.saved(&name, token, &saves, end, now),
+            Input::Rostered { name, token, workers, kept } => {
+                let owned = self.owned.get_mut(&name);
+                if let Some(owned) = owned.filter(|owned| owned.owner.token == token) {
+                    owned.rostering = false;
+                    if kept {
+                        owned.owner.rostered(&workers);
+                    }
+                }
+            }
+            Input::HostList { token, sent, hosts } => {
+                if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
+                    fleet.heard_list(sent, hosts);
+                }
+            }
+            Input::HostCalled { token, host, begun } => {
+                if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
+                    fleet.called(&host, begun, now.steady);
+                }
+            }
             Input::Leave => self.leave(),
         }
     }
@@ -217,8 +264,13 @@
                 }
             }
             Delta::Worker(report) => {
-                let name = keys::pool(&report.pool);
-                self.tell(&name, Event::Worker(report), now);
+                let own = keys::pool(&report.pool);
+                let others: Vec<String> =
+                    self.owned.keys().filter(|name| **name != own).cloned().collect();
+                for name in others {
+                    self.tell(&name, Event::Elsewhere(report.clone()), now);
+                }
+                self.tell(&own, Event::Worker(report), now);
             }
             Delta::Unlisted(id) => {
                 let names: Vec<String> = self.owned.keys().cloned().collect();
@@ -243,6 +295,13 @@
 
     /// Gives up what the store says is owned by another, or by nobody.
     fn check_owner(&mut self, name: &str) {
+        if name == keys::FLEET
+            && let Some(fleet) = &self.fleet
+            && !self.node.view().owns(name, fleet.token)
+        {
+            log::warn!("owner {name}: token {} is over", fleet.token);
+            self.fleet = None;
+        }
         let Some(owned) = self.owned.get(name) else {
             return;
         };
@@ -284,8 +343,10 @@
             }
             self.carry_out(&name, token, out);
             self.save(&name, now);
+            self.write_roster(&name);
             self.tell_empty(&name);
         }
+        self.fleet_step(now);
     }
 
     /// Starts to act on what was won, once the view has come so far.
@@ -305,6 +366,11 @@
             if !self.node.view().owns(&name, token) || self.leaving {
                 continue;
             }
+            if name == keys::FLEET {
+                let handover = self.node.settings.platform.handover.as_millis() as u64;
+                log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
+                self.fleet = Some(Fleet::new(token, earlier, handover, now.steady));
+            }
             if let Some(pool) = name.strip_prefix("pool-").and_then(|pool| pool.parse().ok()) {
                 self.take_up_pool(&name, pool, token, earlier, now);
             }
@@ -322,15 +388,16 @@
             .map(|at| (at.revision, at.value.clone()))
             .collect();
         workers.sort_by_key(|(revision, _)| *revision);
-        let gone: Vec<WorkerReport> = view
-            .unlisted
-            .values()
-            .filter(|(report, at)| report.pool == pool && now.steady.since(*at) < UNLISTED_MS)
-            .map(|(report, _)| report.clone())
-            .collect();
-        for report in &gone {
-            owner.handle(Event::Worker(report.clone()), now, &mut out);
-            owner.handle(Event::Unlisted(report.id.clone()), now, &mut out);
+        // Workers may run what earlier owners gave them, listed or not.
+        let roster = view.rosters.get(name).map(|at| at.value.workers.clone()).unwrap_or_default();
+        for report in roster {
+            let id = report.id.clone();
+            owner.handle(Event::Worker(report), now, &mut out);
+            owner.handle(Event::Unlisted(id), now, &mut out);
+        }
+        let elsewhere = view.workers.values().filter(|at| at.value.pool != pool);
+        for at in elsewhere {
+            owner.handle(Event::Elsewhere(at.value.clone()), now, &mut out);
         }
         for (_, report) in workers {
             owner.handle(Event::Worker(report), now, &mut out);
@@ -343,8 +410,13 @@
         owner.set_emptying(view.leaves.keys().cloned().collect());
         drop(view);
         log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
-        let owned =
-            Owned { owner, saving: false, next_save: now.steady, told_empty: BTreeMap::new() };
+        let owned = Owned {
+            owner,
+            saving: false,
+            next_save: now.steady,
+            told_empty: BTreeMap::new(),
+            rostering: false,
+        };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
     }
@@ -387,6 +459,7 @@
         let names = pools.chain([keys::FLEET.to_owned()]);
         names
             .filter(|name| !self.owned.contains_key(name) && !self.won.contains_key(name))
+            .filter(|name| name != keys::FLEET || self.fleet.is_none())
             .filter(|name| match view.owners.get(name) {
                 None => true,
                 Some(owner) => {
@@ -466,6 +539,33 @@
         }
     }
 
+    /// Keeps which workers this owner gives work to.
+    fn write_roster(&mut self, name: &str) {
+        let Some(owned) = self.owned.get_mut(name).filter(|owned| !owned.rostering) else {
+            return;
+        };
+        let Some(workers) = owned.owner.roster() else {
+            return;
+        };
+        owned.rostering = true;
+        let token = owned.owner.token;
+        let record = RosterRecord { workers: workers.clone() };
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(token))
+            .put(keys::roster(name), json(&record));
+        let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+        tokio::spawn(async move {
+            let kept = match node.kv.commit(&txn).await {
+                Ok(committed) => matches!(committed, Committed::Done(_)),
+                Err(error) => {
+                    log::warn!("owner {name}: roster not written: {error}");
+                    false
+                }
+            };
+            let _ = to.send(Input::Rostered { name, token, workers, kept });
+        });
+    }
+
     /// Tells the fleet's owner which hosts are empty.
     fn tell_empty(&mut self, name: &str) {
         let Some(owned) = self.owned.get_mut(name) else {
@@ -611,7 +711,7 @@
     SaveEnd::Rebase(moved.collect())
 }
 
-fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+pub(super) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Records of ours hold nothing that JSON cannot.
     serde_json::to_vec(value).unwrap_or_default()
 }
--- /dev/null
+++ b/src/scheduler/fleet.rs
@@ -0,0 +1,223 @@
+//! Feeds the owner of the fleet's work with what is known, and carries out what it wants done.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    jobs::fleet::{Demand, FleetEffect, Leave, Scene},
+    model::{
+        id::{HostId, PoolId, WorkerId},
+        job::{JobRecord, Progress},
+        queue::QueueConfig,
+        unit::{Now, Revision, Time},
+        worker::Upkeep,
+    },
+    platform::{
+        kv::{Committed, Txn},
+        machines::HostCall,
+        records,
+    },
+    scheduler::{
+        drive::{Drive, Input, json},
+        keys,
+        view::{KnownJob, View, WaveRecord},
+    },
+};
+
+/// How often the fleet's owner decides, in milliseconds.
+const PLAN_MS: u64 = 200;
+
+/// What is copied from the view for one decision.
+struct Known {
+    config: std::sync::Arc<QueueConfig>,
+    demands: BTreeMap<PoolId, Demand>,
+    leaves: BTreeMap<HostId, Leave>,
+    empties: BTreeMap<HostId, WorkerId>,
+    upkeeps: Vec<Upkeep>,
+    maintained: BTreeMap<u64, BTreeSet<HostId>>,
+    reported: BTreeSet<u64>,
+}
+
+impl Drive {
+    /// Decides for the fleet, if this node owns that work and it is time.
+    pub(super) fn fleet_step(&mut self, now: Now) {
+        if self.fleet.is_none() || now.steady < self.next_fleet {
+            return;
+        }
+        self.next_fleet = now.steady.after(PLAN_MS);
+        let Some(known) = known(&self.node.view(), now.wall) else {
+            return;
+        };
+        let Some(fleet) = self.fleet.as_mut() else {
+            return;
+        };
+        let scene = Scene {
+            config: &known.config,
+            demands: &known.demands,
+            leaves: &known.leaves,
+            empties: &known.empties,
+            upkeeps: &known.upkeeps,
+            maintained: &known.maintained,
+            reported: &known.reported,
+        };
+        let token = fleet.token;
+        let effects = fleet.plan(&scene, now.steady);
+        for effect in effects {
+            self.carry_out_fleet(effect, token, now);
+        }
+    }
+
+    fn carry_out_fleet(&self, effect: FleetEffect, token: u64, now: Now) {
+        let guard = Txn::default().expect(keys::owner(keys::FLEET), Revision(token));
+        match effect {
+            FleetEffect::List => self.list_hosts(token, now),
+            FleetEffect::Mark(host, leave) => {
+                log::info!("host {host}: to be emptied: {leave:?}");
+                let key = keys::leave(&host);
+                let txn = guard.expect(key.clone(), Revision(0)).put(key, json(&leave));
+                self.write(txn, format!("host {host}: mark"));
+            }
+            FleetEffect::Unmark(host) => {
+                let txn = guard.remove(keys::leave(&host)).remove(keys::empty(&host));
+                self.write(txn, format!("host {host}: unmark"));
+            }
+            FleetEffect::Maintained(host, wave) => {
+                log::info!("host {host}: maintained for wave {wave}");
+                let mut record = self.wave_record(wave);
+                record.value.hosts.insert(host.clone());
+                let key = keys::wave(wave);
+                let txn = guard
+                    .expect(key.clone(), record.revision)
+                    .put(key, json(&record.value))
+                    .remove(keys::leave(&host))
+                    .remove(keys::empty(&host));
+                self.write(txn, format!("host {host}: maintained"));
+            }
+            FleetEffect::Report(wave, done) => {
+                log::info!("wave {wave}: {}", if done { "done" } else { "begun" });
+                let status = records::wave_status(done);
+                let mut txn = guard.put(records::wave_status_key(wave), status);
+                if done {
+                    let mut record = self.wave_record(wave);
+                    record.value.reported = true;
+                    let key = keys::wave(wave);
+                    txn = txn.expect(key.clone(), record.revision).put(key, json(&record.value));
+                }
+                self.write(txn, format!("wave {wave}: report"));
+            }
+            FleetEffect::Maintain(host, wave) => self.call_host(token, host, Leave::Upkeep(wave)),
+            FleetEffect::Move(host, pool) => self.call_host(token, host, Leave::Move(pool)),
+        }
+    }
+
+    fn wave_record(&self, wave: u64) -> crate::scheduler::view::At<WaveRecord> {
+        let known = self.node.view().waves.get(&wave).cloned();
+        known.unwrap_or(crate::scheduler::view::At {
+            value: WaveRecord::default(),
+            revision: Revision(0),
+        })
+    }
+
+    fn list_hosts(&self, token: u64, now: Now) {
+        let (machines, to) = (self.machines.clone(), self.to.clone());
+        tokio::spawn(async move {
+            let hosts = machines.list().await;
+            let _ = to.send(Input::HostList { token, sent: now.steady, hosts });
+        });
+    }
+
+    fn call_host(&self, token: u64, host: HostId, leave: Leave) {
+        let (machines, to) = (self.machines.clone(), self.to.clone());
+        let (node, lease) = (self.node.clone(), self.lease.clone());
+        tokio::spawn(async move {
+            // Between the decision and this moment the process may have been paused.
+            if lease.held(node.now().steady).is_none() {
+                let _ = to.send(Input::HostCalled { token, host, begun: Some(false) });
+                return;
+            }
+            let end = match &leave {
+                Leave::Upkeep(wave) => machines.maintain(&host, *wave, token).await,
+                Leave::Move(pool) => machines.move_to(&host, pool, token).await,
+            };
+            log::info!("host {host}: {leave:?}: {end:?}");
+            let begun = match end {
+                HostCall::Done => Some(true),
+                HostCall::Unknown | HostCall::Busy | HostCall::Limited => None,
+                HostCall::Refused | HostCall::Invalid => Some(false),
+            };
+            let _ = to.send(Input::HostCalled { token, host, begun });
+        });
+    }
+
+    fn write(&self, txn: Txn, what: String) {
+        let node = self.node.clone();
+        tokio::spawn(async move {
+            match node.kv.commit(&txn).await {
+                Ok(Committed::Done(_)) => {}
+                // The next decision sees how it is and decides anew.
+                Ok(other) => log::debug!("{what}: {other:?}"),
+                Err(error) => log::warn!("{what}: not written: {error}"),
+            }
+        });
+    }
+}
+
+fn known(view: &View, wall: Time) -> Option<Known> {
+    let config = view.config.clone()?;
+    let mut demands: BTreeMap<PoolId, Demand> =
+        config.pools.keys().map(|pool| (pool.clone(), Demand::default())).collect();
+    for job in view.jobs.values().filter(|job| !job.state().is_final()) {
+        if let Some(record) = &job.record {
+            let demand = demands.entry(record.value.pool.clone()).or_default();
+            add_demand(demand, &record.value, job, wall);
+        }
+    }
+    let marks = |at: &crate::scheduler::view::At<Leave>| at.value.clone();
+    Some(Known {
+        config,
+        demands,
+        leaves: view.leaves.iter().map(|(host, at)| (host.clone(), marks(at))).collect(),
+        empties: view
+            .empties
+            .iter()
+            .map(|(host, at)| (host.clone(), at.value.worker.clone()))
+            .collect(),
+        upkeeps: view.upkeeps.values().map(|at| at.value.clone()).collect(),
+        maintained: view.waves.iter().map(|(wave, at)| (*wave, at.value.hosts.clone())).collect(),
+        reported: view
+            .waves
+            .iter()
+            .filter(|(_, at)| at.value.reported)
+            .map(|(wave, _)| *wave)
+            .collect(),
+    })
+}
+
+/// Adds what a job's steps ask for whose turn has come.
+fn add_demand(demand: &mut Demand, record: &JobRecord, job: &KnownJob, wall: Time) {
+    let none = Progress::default();
+    let progress = job.progress.as_ref().map_or(&none, |at| &*at.value);
+    let done = |time: u32, number: u32| {
+        progress.steps.get(&format!("{time}.{number}")).map_or(0, |note| note.done.len() as u32)
+    };
+    for time in 0..record.times() {
+        if wall < record.due(time) {
+            continue;
+        }
+        for (number, step) in record.steps.iter().enumerate() {
+            let ready = step.after.iter().all(|earlier| {
+                record
+                    .steps
+                    .get(*earlier as usize)
+                    .is_none_or(|step| step.count <= done(time, *earlier))
+            });
+            if !ready {
+                continue;
+            }
+            let left = step.count.saturating_sub(done(time, number as u32));
+            demand.cpu += u64::from(left) * u64::from(step.charge().cpu.0);
+            if step.apart != 0 && step.lasting {
+                demand.spread = demand.spread.max(left.div_ceil(step.apart) as usize);
+            }
+        }
+    }
+}
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -16,6 +16,7 @@
 const LEAVE: &str = "ch/leave/";
 const EMPTY: &str = "ch/empty/";
 const WAVE: &str = "ch/wave/";
+const ROSTER: &str = "ch/roster/";
 
 /// The work of all pools together: waves of upkeep, and hosts that change pools.
 pub(crate) const FLEET: &str = "fleet";
@@ -39,6 +40,8 @@
     Empty(HostId),
     /// What is known of a wave.
     Wave(u64),
+    /// The workers that a pool's owners have given work to.
+    Roster(String),
 }
 
 impl Key {
@@ -66,6 +69,9 @@
         if let Some(host) = rest(EMPTY) {
             return host.parse().ok().map(Key::Empty);
         }
+        if let Some(name) = rest(ROSTER) {
+            return Some(Key::Roster(name.to_owned()));
+        }
         rest(WAVE)?.parse().ok().map(Key::Wave)
     }
 }
@@ -106,3 +112,7 @@
 pub(crate) fn pool(pool: &PoolId) -> String {
     format!("pool-{pool}")
 }
+
+pub(crate) fn roster(name: &str) -> String {
+    format!("{ROSTER}{name}")
+}
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -25,7 +25,7 @@
 
 /// The least time between two answers of a watch of our own records, so that many small changes
 /// come in few answers.
-const OWN_PAUSE: Duration = Duration::from_millis(25);
+const OWN_PAUSE: Duration = Duration::from_millis(60);
 
 /// How long to wait after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -1,21 +1,29 @@
 //! Starts a scheduler node, and ends it so that no caller is cut off.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    time::sleep,
+};
 
 use crate::{
     error::Error,
     http,
     platform::kv::Kv,
     scheduler::{
-        accept,
+        Node, accept,
         api::{Api, Readiness},
         drive::{Drive, Input},
         lease::{self, Lease},
         mirror, node,
     },
-    settings::scheduler::SchedulerSettings,
+    settings::scheduler::{self, SchedulerSettings},
 };
 
 /// How long a call of the store may take: it answers in milliseconds, or is slow and answers in
@@ -31,6 +39,7 @@
 /// Runs a node until it is told to end.
 pub(crate) async fn run(
     settings: SchedulerSettings,
+    path: PathBuf,
     told: impl Future<Output = Result<(), Error>>,
 ) -> Result<(), Error> {
     let failed = |error| Error::system("listen", error);
@@ -53,6 +62,7 @@
     let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api, stop.clone()));
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
+    tokio::spawn(reload(node.clone(), path));
     told.await?;
     log::info!("node {}: told to end", node.settings.node);
     node.leaving.cancel();
@@ -65,3 +75,32 @@
     log::info!("node {}: ended", node.settings.node);
     Ok(())
 }
+
+/// Reads the settings again whenever the process is told that they have changed. What a running
+/// process cannot take on is told, and comes into force with its next start.
+async fn reload(node: Arc<Node>, path: PathBuf) {
+    let mut told = match signal(SignalKind::hangup()) {
+        Ok(told) => told,
+        Err(error) => {
+            log::error!("node {}: does not hear of new settings: {error}", node.settings.node);
+            return;
+        }
+    };
+    while told.recv().await.is_some() {
+        compare(&node.settings, &path);
+    }
+}
+
+fn compare(held: &SchedulerSettings, path: &Path) {
+    match scheduler::load(path) {
+        Ok(settings) if settings == *held => {
+            log::info!("node {}: settings read again: the same", held.node);
+        }
+        Ok(_) => {
+            log::warn!("node {}: settings read again: new ones need a restart", held.node);
+        }
+        Err(problems) => {
+            log::error!("node {}: settings read again: kept as they were: {problems}", held.node);
+        }
+    }
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -1,7 +1,7 @@
 //! What a node knows of the store: our own records, the operator's and the workers'.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::event::StoredJob,
+    jobs::{event::StoredJob, fleet::Leave},
     model::{
-        id::{HostId, PoolId, WorkerId},
+        id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
         unit::{Revision, Steady},
@@ -35,21 +35,27 @@
     pub(crate) count: u32,
 }
 
-/// Why a host is to be emptied.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum LeaveRecord {
-    /// For upkeep, as part of a wave.
-    Upkeep(u64),
-    /// For another pool.
-    Move(PoolId),
-}
-
 /// The worker on whose host nothing runs any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EmptyRecord {
     pub(crate) worker: WorkerId,
 }
 
+/// What is kept of a wave.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct WaveRecord {
+    /// The hosts that had their upkeep.
+    pub(crate) hosts: BTreeSet<HostId>,
+    /// Whether the wave was reported as done.
+    pub(crate) reported: bool,
+}
+
+/// The workers that a pool's owners have given work to, and that may not be over yet.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub(crate) struct RosterRecord {
+    pub(crate) workers: Vec<WorkerReport>,
+}
+
 /// A value with the revision at which it was written.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct At<T> {
@@ -109,10 +115,10 @@
     pub(crate) jobs: HashMap<JobId, KnownJob>,
     pub(crate) owners: BTreeMap<String, At<OwnerRecord>>,
     pub(crate) terms: BTreeMap<String, At<TermRecord>>,
-    pub(crate) leaves: BTreeMap<HostId, At<LeaveRecord>>,
+    pub(crate) leaves: BTreeMap<HostId, At<Leave>>,
     pub(crate) empties: BTreeMap<HostId, At<EmptyRecord>>,
-    /// Waves that are done, by what was kept of them.
-    pub(crate) waves_done: BTreeMap<u64, Revision>,
+    pub(crate) waves: BTreeMap<u64, At<WaveRecord>>,
+    pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     /// Workers whose reports were removed, and when this node heard of it.
     pub(crate) unlisted: BTreeMap<WorkerId, (WorkerReport, Steady)>,
@@ -196,10 +202,11 @@
                 None
             }
             Key::Wave(wave) => {
-                match value {
-                    Some(_) => self.waves_done.insert(wave, revision),
-                    None => self.waves_done.remove(&wave),
-                };
+                set(&mut self.waves, wave, read(&text, value, revision));
+                None
+            }
+            Key::Roster(name) => {
+                set(&mut self.rosters, name, read(&text, value, revision));
                 None
             }
         }
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -37,6 +37,8 @@
     pub(crate) hosts: SocketAddr,
     /// The service that gives tickets; none where no queue needs them.
     pub(crate) advice: Option<SocketAddr>,
+    /// What must pass between the calls of two nodes that change one host.
+    pub(crate) handover: Duration,
 }
 
 /// Reads the settings in a file.
@@ -80,7 +82,8 @@
     let store = section.text("store");
     let hosts = section.text("hosts");
     let advice = section.text_or::<Optional>("advice", Optional(None));
-    Some(PlatformAddresses { store: store?, hosts: hosts?, advice: advice?.0 })
+    let handover = section.millis_or("handover_ms", 0..=600_000, Duration::from_millis(3_000));
+    Some(PlatformAddresses { store: store?, hosts: hosts?, advice: advice?.0, handover: handover? })
 }
 
 /// An address, or an empty text for none.
