Ended jobs stay ended, silent workers count as away, hosts are shared by want

Change: the owner remembers which jobs ended; at work needs a worker that answers; each pool gets a share by want, idle hosts first; jobs with nothing to spare do not begin before those that can be in time.

--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -34,6 +34,8 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     Job(StoredJob),
+    /// The job's record is removed: its time to be asked for is over.
+    Removed(JobId),
     Cancelled(JobId),
     Worker(WorkerReport),
     /// A worker of another pool, which may have taken the place of one of this pool.
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -31,6 +31,9 @@
 /// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
 const LEAVING_PERCENT: usize = 34;
 
+/// How long a write may take to show in the view, in milliseconds.
+const WRITE_SHOWS_MS: u64 = 700;
+
 /// Demand is kept for so long before a pool gives hosts back, in milliseconds: as long as a
 /// host that was given back too early takes to return, twice.
 const SHRINK_AFTER_MS: u64 = 3_000;
@@ -72,6 +75,8 @@
     pub(crate) maintained: &'a BTreeMap<u64, BTreeSet<HostId>>,
     /// Waves that were reported as done.
     pub(crate) reported: &'a BTreeSet<u64>,
+    /// Hosts on which nothing runs, as their pools' owners last wrote.
+    pub(crate) idle: &'a BTreeSet<HostId>,
 }
 
 /// What the fleet's owner wants done.
@@ -118,6 +123,8 @@
     demands: BTreeMap<PoolId, VecDeque<(Steady, usize)>>,
     /// Waves that were reported to have begun.
     begun: BTreeSet<u64>,
+    /// Records of hosts and waves that were just written, and when: the view lags.
+    written: BTreeMap<String, Steady>,
 }
 
 impl Fleet {
@@ -133,6 +140,7 @@
             next_list: now,
             demands: BTreeMap::new(),
             begun: BTreeSet::new(),
+            written: BTreeMap::new(),
         }
     }
 
@@ -169,9 +177,27 @@
             self.wave(scene, upkeep, &mut out);
         }
         self.size(scene, now, &mut out);
+        self.drop_repeated(now, &mut out);
         out
     }
 
+    /// Leaves out writes that were made so lately that the view may not show them yet.
+    fn drop_repeated(&mut self, now: Steady, out: &mut Vec<FleetEffect>) {
+        self.written.retain(|_, at| now.since(*at) < WRITE_SHOWS_MS);
+        out.retain(|effect| {
+            let what = match effect {
+                FleetEffect::Mark(host, _) => format!("mark {host}"),
+                FleetEffect::Unmark(host) => format!("unmark {host}"),
+                FleetEffect::Maintained(host, _) => format!("maintained {host}"),
+                FleetEffect::Report(wave, done) => format!("report {wave} {done}"),
+                FleetEffect::List | FleetEffect::Maintain(..) | FleetEffect::Move(..) => {
+                    return true;
+                }
+            };
+            self.written.insert(what, now).is_none()
+        });
+    }
+
     fn list(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         if self.listing || now < self.next_list {
             return;
@@ -302,7 +328,10 @@
             .collect();
         let is_off =
             |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
-        next.sort_by_key(|known| (!is_off(known), self.leaving(scene, &known.pool)));
+        next.sort_by_key(|known| {
+            let busy = !scene.idle.contains(&known.host);
+            (!is_off(known), busy, self.leaving(scene, &known.pool))
+        });
         let mut taken: BTreeMap<PoolId, usize> = BTreeMap::new();
         let mut count = 0;
         for known in next {
@@ -333,7 +362,7 @@
 
     fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
         for (pool, demand) in scene.demands {
-            let hosts = self.wanted(pool, demand);
+            let hosts = self.wanted(demand);
             let late = self.demands.entry(pool.clone()).or_default();
             late.push_back((now, hosts));
             while late.front().is_some_and(|(at, _)| SHRINK_AFTER_MS < now.since(*at)) {
@@ -343,9 +372,8 @@
     }
 
     /// Hosts that a pool should have for a demand.
-    fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
-        let room = self.hosts.values().find(|host| host.pool == *pool).map(|host| host.room);
-        let room = room.or_else(|| self.hosts.values().next().map(|host| host.room));
+    fn wanted(&self, demand: &Demand) -> usize {
+        let room = self.hosts.values().next().map(|host| host.room);
         let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
         let filled = (demand.cpu * 100).div_ceil(host_cpu * FULL_PERCENT) as usize;
         filled.max(demand.spread) + MARGIN_HOSTS
@@ -356,30 +384,80 @@
         let Some(off) = scene.config.pools.iter().find(|(_, rules)| rules.off) else {
             return;
         };
-        let off = off.0.clone();
-        let mut spare: VecDeque<HostId> = self.free_hosts(scene, &off).into();
-        for (pool, demand) in scene.demands.iter().filter(|(pool, _)| **pool != off) {
+        let off = off.0;
+        let pools: Vec<&PoolId> = scene.demands.keys().filter(|pool| *pool != off).collect();
+        let mut have = BTreeMap::new();
+        let mut free = BTreeMap::new();
+        for pool in &pools {
             let here = self.free_hosts(scene, pool);
-            let coming = scene.leaves.values().filter(|l| **l == Leave::Move(pool.clone())).count();
-            let wanted = self.wanted(pool, demand);
-            let have = here.len() + coming;
-            if have < wanted {
-                for host in spare.drain(..(wanted - have).min(spare.len())) {
-                    out.push(FleetEffect::Mark(host, Leave::Move(pool.clone())));
+            let coming = scene.leaves.values().filter(|l| **l == Leave::Move((*pool).clone()));
+            have.insert((*pool).clone(), here.len() + coming.count());
+            free.insert((*pool).clone(), here);
+        }
+        let mut spare: VecDeque<HostId> = self.free_hosts(scene, off).into();
+        let total = spare.len() + have.values().sum::<usize>();
+        let shares = self.shares(scene, &pools, total);
+        for pool in &pools {
+            let (have, share) = (have[*pool], shares[*pool]);
+            for _ in have..share {
+                let host = spare.pop_front().or_else(|| self.borrowed(scene, &mut free, &shares));
+                let Some(host) = host else {
+                    break;
+                };
+                out.push(FleetEffect::Mark(host, Leave::Move((*pool).clone())));
+            }
+        }
+        for pool in &pools {
+            let late = self.demands.get(*pool);
+            let most = late.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
+            let first = late.and_then(|late| late.front());
+            let long = first.is_some_and(|(at, _)| SHRINK_AFTER_MS * 9 / 10 <= now.since(*at));
+            let here = &free[*pool];
+            let surplus = here.len().saturating_sub(most.max(shares[*pool]));
+            if long && have[*pool] == here.len() {
+                for host in here.iter().take(surplus) {
+                    out.push(FleetEffect::Mark(host.clone(), Leave::Move(off.clone())));
                 }
+            }
+        }
+    }
+
+    /// Hosts for each pool: what it wants, or where that is more than there are, hosts one by one
+    /// to the pool that has the smallest part of what it wants.
+    fn shares(
+        &self,
+        scene: &Scene<'_>,
+        pools: &[&PoolId],
+        total: usize,
+    ) -> BTreeMap<PoolId, usize> {
+        let wanted: Vec<usize> =
+            pools.iter().map(|pool| self.wanted(&scene.demands[*pool])).collect();
+        let mut shares = vec![0; pools.len()];
+        for _ in 0..total.min(wanted.iter().sum()) {
+            let open = (0..pools.len()).filter(|n| shares[*n] < wanted[*n]);
+            if let Some(n) = open.min_by_key(|n| shares[*n] * 1000 / wanted[*n]) {
+                shares[n] += 1;
+            }
+        }
+        pools.iter().map(|pool| (*pool).clone()).zip(shares).collect()
+    }
+
+    /// An idle host of a pool that has more than its share.
+    fn borrowed(
+        &self,
+        scene: &Scene<'_>,
+        free: &mut BTreeMap<PoolId, Vec<HostId>>,
+        shares: &BTreeMap<PoolId, usize>,
+    ) -> Option<HostId> {
+        for (pool, hosts) in free.iter_mut() {
+            if hosts.len() <= shares[pool] {
                 continue;
             }
-            let late = self.demands.get(pool).into_iter().flatten();
-            let most = late.map(|(_, hosts)| *hosts).max().unwrap_or(wanted);
-            let known = self.demands.get(pool).and_then(|late| late.front());
-            let long = known.is_some_and(|(at, _)| SHRINK_AFTER_MS * 9 / 10 <= now.since(*at));
-            let surplus = have.saturating_sub(most);
-            if long && coming == 0 && surplus != 0 {
-                for host in here.into_iter().take(surplus) {
-                    out.push(FleetEffect::Mark(host, Leave::Move(off.clone())));
-                }
+            if let Some(place) = hosts.iter().position(|host| scene.idle.contains(host)) {
+                return Some(hosts.remove(place));
             }
         }
+        None
     }
 
     /// Hosts of a pool that are up and not marked to leave.
@@ -389,6 +467,9 @@
                 && known.phase == HostPhase::Up
                 && !scene.leaves.contains_key(&known.host)
         });
-        free.map(|known| known.host.clone()).collect()
+        let mut free: Vec<HostId> = free.map(|known| known.host.clone()).collect();
+        // What is idle leaves at once.
+        free.sort_by_key(|host| !scene.idle.contains(host));
+        free
     }
 }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -11,7 +11,6 @@
         id::WorkerId,
         job::{JobId, JobRecord, JobState, Progress, Step, StepId, StepNote, TaskNote},
         unit::{Now, Revision, Steady, Time},
-        worker::HowEnded,
     },
 };
 
@@ -69,8 +68,6 @@
     /// A worker that has seen this owner's token has told of it, so that no worker that has not
     /// seen the token can hold a run of it.
     pub(crate) accounted: bool,
-    /// When it could first have been started.
-    pub(crate) ready_since: Option<Steady>,
 }
 
 impl Task {
@@ -97,7 +94,6 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) record: Arc<JobRecord>,
-    pub(crate) revision: Revision,
     pub(crate) state: JobState,
     pub(crate) ended: Time,
     pub(crate) cancelled: bool,
@@ -105,8 +101,6 @@
     pub(crate) steps: BTreeMap<(u32, u32), StepTasks>,
     /// Tasks that are not done.
     pub(crate) left: u32,
-    /// When this owner first knew of it.
-    pub(crate) known: Steady,
     /// Counts changes that must be kept.
     pub(crate) version: u64,
     /// The version that is durable.
@@ -115,17 +109,15 @@
 }
 
 impl Job {
-    pub(crate) fn new(stored: StoredJob, first_run: u32, now: Now) -> Job {
-        let StoredJob { id, record, revision, progress, saved_at, cancelled } = stored;
+    pub(crate) fn new(stored: StoredJob, first_run: u32) -> Job {
+        let StoredJob { id, record, progress, saved_at, cancelled, .. } = stored;
         let mut job = Job {
             id,
-            revision,
             state: JobState::Queued,
             ended: Time::default(),
             cancelled,
             steps: BTreeMap::new(),
             left: 0,
-            known: now.steady,
             version: 0,
             durable: 0,
             saved_at,
@@ -251,13 +243,6 @@
     }
 }
 
-impl HowEnded {
-    /// Whether the end counts as an attempt.
-    pub(crate) fn is_attempt(self) -> bool {
-        self == HowEnded::Failed
-    }
-}
-
 fn note_of(tasks: &StepTasks, step: &Step) -> StepNote {
     let mut note = StepNote::default();
     for (index, task) in tasks.tasks.iter().enumerate() {
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -6,7 +6,7 @@
 mod pace;
 mod plan;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use crate::{
     jobs::{
@@ -16,7 +16,7 @@
         worker::{HOLD_MS, Worker},
     },
     model::{
-        id::{HostId, PoolId, WorkerId},
+        id::{HostId, WorkerId},
         job::{JobId, TaskId},
         unit::{Now, Revision, Steady},
         worker::{OrderEnd, Refusal, WorkerReport},
@@ -25,7 +25,7 @@
 
 /// How long an earlier owner may go on giving orders after its ownership has passed on, in
 /// milliseconds: the time to live of a node's lease, since it may not be told.
-pub(crate) const PREDECESSOR_MS: u64 = 3_000;
+pub(crate) const PREDECESSOR_MS: u64 = 2_500;
 
 /// How long after a change of owners a worker that was not reached may still run something, in
 /// milliseconds: the last order of the earlier owner, held on a clock that is 2 % slow.
@@ -33,7 +33,6 @@
 
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
-    pub(crate) pool: PoolId,
     /// The revision of the ownership.
     pub(crate) token: u64,
     /// Runs of jobs from before this owner are numbered above this.
@@ -41,6 +40,8 @@
     /// Until then, a worker that has not seen the token may run tasks of earlier jobs.
     quiet_until: Steady,
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs that ended under this owner. What the store tells of them may be older than that.
+    ended: HashSet<JobId>,
     workers: BTreeMap<WorkerId, Worker>,
     /// Hosts that are being emptied.
     emptying: BTreeSet<HostId>,
@@ -51,13 +52,13 @@
 
 impl Owner {
     /// An owner that has just won its pool; `earlier` counts the owners before it.
-    pub(crate) fn new(pool: PoolId, token: u64, earlier: u32, now: Steady) -> Owner {
+    pub(crate) fn new(token: u64, earlier: u32, now: Steady) -> Owner {
         Owner {
-            pool,
             token,
             first_run: earlier * RUNS_PER_OWNER,
             quiet_until: now.after(if earlier == 0 { 0 } else { QUIET_MS }),
             jobs: BTreeMap::new(),
+            ended: HashSet::new(),
             workers: BTreeMap::new(),
             emptying: BTreeSet::new(),
             durations: Durations::default(),
@@ -74,7 +75,10 @@
     /// Takes note of an event.
     pub(crate) fn handle(&mut self, event: Event, now: Now, out: &mut Vec<Effect>) {
         match event {
-            Event::Job(stored) => self.add(stored, now),
+            Event::Job(stored) => self.add(stored),
+            Event::Removed(id) => {
+                self.ended.remove(&id);
+            }
             Event::Cancelled(id) => self.cancel(id, now.steady, out),
             Event::Worker(report) => self.list(report, now.steady),
             Event::Elsewhere(report) => self.supersede(&report),
@@ -124,6 +128,12 @@
         workers.map(|w| (w.report.host.clone(), w.report.id.clone())).collect()
     }
 
+    /// The hosts on whose workers nothing runs.
+    pub(crate) fn idle(&self) -> BTreeSet<HostId> {
+        let idle = self.workers.values().filter(|w| w.touched && w.copies.is_empty());
+        idle.map(|worker| worker.report.host.clone()).collect()
+    }
+
     /// Progress to be written, of at most so many jobs.
     pub(crate) fn saves(&mut self, most: usize) -> Vec<Save> {
         let jobs: Vec<JobId> = self.dirty.iter().copied().take(most).collect();
@@ -167,23 +177,29 @@
     }
 
     fn forget_ended(&mut self) {
-        self.jobs.retain(|_, job| {
-            let ended = job.state.is_final() && !job.is_dirty() || job.cancelled;
-            let copies = || job.steps.values().flat_map(|step| &step.tasks);
-            !ended || copies().any(|task| !task.copies.is_empty())
+        let ended = &mut self.ended;
+        self.jobs.retain(|id, job| {
+            let over = job.state.is_final() && !job.is_dirty() || job.cancelled;
+            let mut tasks = job.steps.values().flat_map(|step| &step.tasks);
+            let kept = !over || tasks.any(|task| !task.copies.is_empty());
+            if !kept {
+                ended.insert(*id);
+            }
+            kept
         });
     }
 
-    fn add(&mut self, stored: StoredJob, now: Now) {
+    fn add(&mut self, stored: StoredJob) {
         let ended = stored.progress.as_ref().is_some_and(|progress| progress.state.is_final());
         // Runs of jobs that are not known here are stopped where they are seen.
-        if ended || stored.cancelled || self.jobs.contains_key(&stored.id) {
+        let known = self.jobs.contains_key(&stored.id) || self.ended.contains(&stored.id);
+        if ended || stored.cancelled || known {
             return;
         }
         let earlier = stored.revision.0 < self.token;
         let first_run = if earlier { self.first_run } else { 0 };
         let id = stored.id;
-        let mut job = Job::new(stored, first_run, now);
+        let mut job = Job::new(stored, first_run);
         if !earlier {
             let tasks = job.steps.values_mut().flat_map(|step| &mut step.tasks);
             tasks.for_each(|task| task.accounted = true);
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -18,6 +18,10 @@
     platform::runner::Start,
 };
 
+/// A task that is thought to need less than this is let finish, in milliseconds: stopping and
+/// starting it again takes as long.
+const LET_FINISH_MS: u64 = 1_500;
+
 /// The percent at which a lasting task is at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -257,7 +261,11 @@
         for id in leaving {
             let tasks: Vec<TaskId> = self.workers[&id].copies.keys().copied().collect();
             for task in tasks {
-                if self.may_leave(task, &id) {
+                if self.may_leave(task, &id, now) {
+                    log::info!(
+                        "job {}: task {task} at {id}: stopped: its worker is to leave",
+                        task.of.job
+                    );
                     self.stop(task, &id, now, out);
                 }
             }
@@ -265,7 +273,7 @@
     }
 
     /// Whether a run may be ended so that its worker can leave.
-    fn may_leave(&self, task: TaskId, id: &WorkerId) -> bool {
+    fn may_leave(&self, task: TaskId, id: &WorkerId, now: Steady) -> bool {
         let Some(job) = self.jobs.get(&task.of.job) else {
             return false;
         };
@@ -276,19 +284,27 @@
         let Some(worker) = self.workers.get(id) else {
             return false;
         };
+        let copy = tasks.tasks.get(task.index as usize);
+        let copy = copy.and_then(|task| task.copies.iter().find(|copy| copy.worker == *id));
+        let Some(copy) = copy.filter(|copy| copy.phase == Phase::Running) else {
+            return false;
+        };
         if !step.lasting {
-            // Tasks that save go on from where they were; others are let finish.
-            return step.saves;
+            // Tasks that save go on from where they were; others, and those that are nearly done,
+            // are let finish.
+            let whole = self.durations.expect(&job.record.queue, step.estimate_ms);
+            let left = whole * u64::from(100 - copy.percent.min(100)) / 100;
+            return step.saves && LET_FINISH_MS < left;
         }
         if worker.report.leaves_ms.is_some() || step.may_miss == 0 {
             return true;
         }
-        let away = |task: &&crate::jobs::job::Task| {
-            !task
-                .copies
-                .iter()
-                .any(|copy| copy.phase == Phase::Running && AT_WORK_PERCENT <= copy.percent)
+        let at_work = |copy: &Copy| {
+            // A worker that is silent may be gone.
+            let heard = self.workers.get(&copy.worker).is_some_and(|worker| worker.is_heard(now));
+            heard && copy.phase == Phase::Running && AT_WORK_PERCENT <= copy.percent
         };
-        (tasks.tasks.iter().filter(away).count() as u32) < step.may_miss
+        let away = tasks.tasks.iter().filter(|task| !task.copies.iter().any(at_work)).count();
+        (away as u32) < step.may_miss
     }
 }
--- a/src/jobs/urgency.rs
+++ b/src/jobs/urgency.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 
-use crate::{jobs::job::Job, model::unit::Now};
+use crate::{
+    jobs::job::Job,
+    model::{job::JobState, unit::Now},
+};
 
 /// The share of the newest duration in the mean of a queue, in percent.
 const NEWEST_PERCENT: u64 = 10;
@@ -36,6 +39,10 @@
     }
 }
 
+/// What a job must have to spare to begin in the first class, as a share of the work left, in
+/// percent.
+const SPARE_PERCENT: i64 = 25;
+
 /// The order in which jobs get room: lower comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Urgency {
@@ -63,8 +70,11 @@
     let age = now.wall.since(record.due(0)).as_millis() as u64;
     let slack = objective as i64 - age as i64 - left as i64;
     let latest = (objective * LATE_FACTOR) as i64 - age as i64 - left as i64;
+    // A job that begins with no time to spare ends late as soon as one of its tasks waits.
+    let begun = job.state == JobState::Running;
+    let spare = if begun { 0 } else { left as i64 * SPARE_PERCENT / 100 };
     let hope = match () {
-        () if 0 <= slack => 0,
+        () if spare <= slack => 0,
         () if 0 <= latest => 1,
         () => 2,
     };
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -12,8 +12,9 @@
 };
 
 /// How long everything on a worker may run on after an order or a look, in milliseconds. Longer
-/// than a change of owners takes (lease and first look: 3.5 s), and within the platform's bound.
-pub(crate) const HOLD_MS: u64 = 6_000;
+/// than a change of owners takes (a look's wait, lease and first look: 3.9 s), and as short as
+/// that allows, since what ran on a worker that is lost begins elsewhere only after it.
+pub(crate) const HOLD_MS: u64 = 4_800;
 
 /// The slowest a worker's clock may run, in percent: 2 % slow, by the platform's contract.
 const SLOWEST_PERCENT: u64 = 98;
@@ -172,10 +173,15 @@
         self.touched
             && self.rostered
             && self.report.leaves_ms.is_none()
-            && self.misses == 0
             && self.suspended_until <= now
             && self.reading.is_some()
-            && self.looking.is_none_or(|sent| now.since(sent) < LOOK_WAIT_MS + OVERDUE_MS)
+            && self.is_heard(now)
+    }
+
+    /// Whether the worker answers, as far as that is known by now.
+    pub(crate) fn is_heard(&self, now: Steady) -> bool {
+        let overdue = LOOK_WAIT_MS + OVERDUE_MS;
+        self.misses == 0 && self.looking.is_none_or(|sent| now.since(sent) < overdue)
     }
 
     /// Whether the worker has failed tasks since it last did one.
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -53,6 +53,9 @@
 /// How long after a failed try the next is made, in milliseconds.
 const REACH_AGAIN_MS: u64 = 300;
 
+/// The least time between two words on which hosts are idle, in milliseconds: a hint only.
+const IDLE_PAUSE_MS: u64 = 400;
+
 /// What the loop is told.
 pub(crate) enum Input {
     Deltas(Vec<Delta>),
@@ -117,6 +120,8 @@
     told_empty: BTreeMap<HostId, WorkerId>,
     /// Whether a roster is being written.
     rostering: bool,
+    /// The idle hosts that were last written, and when.
+    told_idle: Option<(BTreeSet<HostId>, Steady)>,
 }
 
 /// A piece of work that nobody owns.
@@ -254,6 +259,12 @@
                     self.tell(&name, Event::Job(stored), now);
                 }
             }
+            Delta::Removed(id) => {
+                let names: Vec<String> = self.owned.keys().cloned().collect();
+                for name in names {
+                    self.tell(&name, Event::Removed(id), now);
+                }
+            }
             Delta::Cancelled(id) => {
                 let known = self.node.view().jobs.get(&id).cloned();
                 let record = known.as_ref().filter(|known| known.cancelled);
@@ -345,6 +356,7 @@
             self.save(&name, now);
             self.write_roster(&name);
             self.tell_empty(&name);
+            self.tell_idle(&name, now);
         }
         self.fleet_step(now);
     }
@@ -378,7 +390,7 @@
     }
 
     fn take_up_pool(&mut self, name: &str, pool: PoolId, token: u64, earlier: u32, now: Now) {
-        let mut owner = Owner::new(pool.clone(), token, earlier, now.steady);
+        let mut owner = Owner::new(token, earlier, now.steady);
         let view = self.node.view();
         let mut out = Vec::new();
         let mut workers: Vec<(Revision, WorkerReport)> = view
@@ -416,6 +428,7 @@
             next_save: now.steady,
             told_empty: BTreeMap::new(),
             rostering: false,
+            told_idle: None,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
@@ -590,6 +603,29 @@
         }
     }
 
+    /// Tells the fleet's owner which hosts are idle, now and then.
+    fn tell_idle(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        let idle = owned.owner.idle();
+        if let Some((told, at)) = &owned.told_idle
+            && (*told == idle || now.steady.since(*at) < IDLE_PAUSE_MS)
+        {
+            return;
+        }
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(owned.owner.token))
+            .put(keys::idle(name), json(&idle));
+        owned.told_idle = Some((idle, now.steady));
+        let (node, name) = (self.node.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::debug!("owner {name}: idle hosts not written: {error}");
+            }
+        });
+    }
+
     fn carry_out(&self, name: &str, token: u64, effects: Vec<Effect>) {
         for effect in effects {
             let (to, name) = (self.to.clone(), name.to_owned());
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -35,6 +35,7 @@
     upkeeps: Vec<Upkeep>,
     maintained: BTreeMap<u64, BTreeSet<HostId>>,
     reported: BTreeSet<u64>,
+    idle: BTreeSet<HostId>,
 }
 
 impl Drive {
@@ -58,6 +59,7 @@
             upkeeps: &known.upkeeps,
             maintained: &known.maintained,
             reported: &known.reported,
+            idle: &known.idle,
         };
         let token = fleet.token;
         let effects = fleet.plan(&scene, now.steady);
@@ -189,6 +191,7 @@
             .filter(|(_, at)| at.value.reported)
             .map(|(wave, _)| *wave)
             .collect(),
+        idle: view.idle.values().flat_map(|at| at.value.iter().cloned()).collect(),
     })
 }
 
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -16,6 +16,7 @@
 const LEAVE: &str = "ch/leave/";
 const EMPTY: &str = "ch/empty/";
 const WAVE: &str = "ch/wave/";
+const IDLE: &str = "ch/idle/";
 const ROSTER: &str = "ch/roster/";
 
 /// The work of all pools together: waves of upkeep, and hosts that change pools.
@@ -42,6 +43,8 @@
     Wave(u64),
     /// The workers that a pool's owners have given work to.
     Roster(String),
+    /// The hosts of a pool on which nothing runs.
+    Idle(String),
 }
 
 impl Key {
@@ -72,6 +75,9 @@
         if let Some(name) = rest(ROSTER) {
             return Some(Key::Roster(name.to_owned()));
         }
+        if let Some(name) = rest(IDLE) {
+            return Some(Key::Idle(name.to_owned()));
+        }
         rest(WAVE)?.parse().ok().map(Key::Wave)
     }
 }
@@ -116,3 +122,7 @@
 pub(crate) fn roster(name: &str) -> String {
     format!("{ROSTER}{name}")
 }
+
+pub(crate) fn idle(name: &str) -> String {
+    format!("{IDLE}{name}")
+}
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -18,7 +18,7 @@
 const TTL: Duration = Duration::from_millis(PREDECESSOR_MS);
 
 /// How often the lease is renewed: three tries fit into its time.
-const RENEW: Duration = Duration::from_millis(800);
+const RENEW: Duration = Duration::from_millis(600);
 
 /// How long before the lease's end the node stops acting on it, in milliseconds: an order that is
 /// about to be sent takes a few.
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -101,6 +101,7 @@
 #[derive(Debug, Clone)]
 pub(crate) enum Delta {
     Job(JobId),
+    Removed(JobId),
     Cancelled(JobId),
     Owner(String),
     Leave,
@@ -118,6 +119,8 @@
     pub(crate) leaves: BTreeMap<HostId, At<Leave>>,
     pub(crate) empties: BTreeMap<HostId, At<EmptyRecord>>,
     pub(crate) waves: BTreeMap<u64, At<WaveRecord>>,
+    /// By pool, the hosts on which nothing runs.
+    pub(crate) idle: BTreeMap<String, At<BTreeSet<HostId>>>,
     pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     /// Workers whose reports were removed, and when this node heard of it.
@@ -173,7 +176,7 @@
                 let known = self.jobs.entry(id).or_default();
                 known.record = read(&text, value, revision).map(share);
                 self.drop_empty(id);
-                Some(Delta::Job(id))
+                Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
             }
             Key::Progress(id) => {
                 self.jobs.entry(id).or_default().progress = read(&text, value, revision).map(share);
@@ -205,6 +208,10 @@
                 set(&mut self.waves, wave, read(&text, value, revision));
                 None
             }
+            Key::Idle(name) => {
+                set(&mut self.idle, name, read(&text, value, revision));
+                None
+            }
             Key::Roster(name) => {
                 set(&mut self.rosters, name, read(&text, value, revision));
                 None
