--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -46,7 +46,9 @@
                 true => LOOK_WAIT_MS,
                 false => 0,
             };
-            let until_ms = if worker.touched { worker.give(now) } else { None };
+            // A worker that is silent gets no more time: it may hear without being heard.
+            let gives = worker.touched && worker.misses == 0;
+            let until_ms = if gives { worker.give(now) } else { None };
             worker.looking = Some(now);
             worker.told = worker.acknowledged;
             out.push(Effect::Look {
