Hosts' lives are ordered by the revision of their reports; marks of hosts too

Change: reports carry the revision at which they were written, and of two that share a host or an address the higher one lives; a host's emptiness names the revision of its mark; calls that change a host first read who owns the fleet's work.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -31,6 +31,16 @@
 /// milliseconds: the last order of the earlier owner, held on a clock that is 2 % slow.
 const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS + HOLD_MS / 50 + 200;
 
+/// A host on which nothing runs or can begin, as long as its mark stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Emptied {
+    pub(crate) host: HostId,
+    /// The worker on which nothing runs.
+    pub(crate) worker: WorkerId,
+    /// The revision of the mark for which the host was emptied.
+    pub(crate) mark: Revision,
+}
+
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
     /// The revision of the ownership.
@@ -43,8 +53,10 @@
     /// Jobs that ended under this owner. What the store tells of them may be older than that.
     ended: HashSet<JobId>,
     workers: BTreeMap<WorkerId, Worker>,
-    /// Hosts that are being emptied.
-    emptying: BTreeSet<HostId>,
+    /// Workers that are certain to be over. Their reports may be listed a while longer.
+    over: HashSet<WorkerId>,
+    /// Hosts that are being emptied, by the revision of the mark that says so.
+    emptying: BTreeMap<HostId, Revision>,
     durations: Durations,
     dirty: BTreeSet<JobId>,
     deposed: bool,
@@ -60,7 +72,8 @@
             jobs: BTreeMap::new(),
             ended: HashSet::new(),
             workers: BTreeMap::new(),
-            emptying: BTreeSet::new(),
+            over: HashSet::new(),
+            emptying: BTreeMap::new(),
             durations: Durations::default(),
             dirty: BTreeSet::new(),
             deposed: false,
@@ -112,20 +125,24 @@
     }
 
     /// Says which hosts are to be emptied.
-    pub(crate) fn set_emptying(&mut self, hosts: BTreeSet<HostId>) {
+    pub(crate) fn set_emptying(&mut self, hosts: BTreeMap<HostId, Revision>) {
         self.emptying = hosts;
     }
 
     /// The hosts among those to be emptied on whose workers nothing runs or can begin.
-    pub(crate) fn emptied(&self) -> Vec<(HostId, WorkerId)> {
+    pub(crate) fn emptied(&self) -> Vec<Emptied> {
         let empty = |worker: &&Worker| {
-            self.emptying.contains(&worker.report.host)
+            self.emptying.contains_key(&worker.report.host)
                 && worker.touched
                 && worker.copies.is_empty()
                 && worker.unacknowledged.is_empty()
         };
         let workers = self.workers.values().filter(empty);
-        workers.map(|w| (w.report.host.clone(), w.report.id.clone())).collect()
+        let emptied = |worker: &Worker| {
+            let (host, worker) = (worker.report.host.clone(), worker.report.id.clone());
+            Emptied { mark: self.emptying[&host], host, worker }
+        };
+        workers.map(emptied).collect()
     }
 
     /// The hosts on whose workers nothing runs.
@@ -277,16 +294,20 @@
             worker.listed = true;
             return;
         }
+        let later = |worker: &Worker| {
+            shares_place(&worker.report, &report) && report.revision < worker.report.revision
+        };
+        if self.over.contains(&report.id) || self.workers.values().any(later) {
+            return;
+        }
         self.supersede(&report);
         self.workers.insert(report.id.clone(), Worker::new(report, now));
     }
 
-    /// Forgets the worker whose place another has taken: a host runs one at a time, and so does
-    /// an address.
+    /// Forgets the worker whose place a later one has taken.
     fn supersede(&mut self, by: &WorkerReport) {
         let earlier = |worker: &&Worker| {
-            let place = worker.report.host == by.host || worker.report.address == by.address;
-            place && worker.report.id != by.id
+            shares_place(&worker.report, by) && worker.report.revision < by.revision
         };
         let earlier: Vec<WorkerId> =
             self.workers.values().filter(earlier).map(|w| w.report.id.clone()).collect();
@@ -322,6 +343,7 @@
             self.drop_copy(task, id);
         }
         self.workers.remove(id);
+        self.over.insert(id.clone());
     }
 
     fn started(&mut self, at: &WorkerId, task: TaskId, run: u32, end: OrderEnd<u64>, now: Steady) {
@@ -408,6 +430,11 @@
 /// How long a task or worker is left alone after an order was refused, in milliseconds: one look.
 const REFUSED_PAUSE_MS: u64 = 150;
 
+/// Whether two different workers cannot live at one time: a host runs one, and so does an address.
+fn shares_place(one: &WorkerReport, other: &WorkerReport) -> bool {
+    one.id != other.id && (one.host == other.host || one.address == other.address)
+}
+
 /// Lets the ends be acknowledged that are counted durably.
 fn acknowledge(worker: &mut Worker, jobs: &BTreeMap<JobId, Job>) {
     while let Some(end) = worker.unacknowledged.front() {
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -37,7 +37,6 @@
         let Ended { task, run, how, saved, .. } = end;
         let is_copy = self.copy_mut(task, id).is_some_and(|copy| copy.run == run);
         let copy = if is_copy { self.drop_copy(task, id) } else { None };
-        log::debug!("job {}: task {task} run {run} at {id}: {}", task.of.job, how.word());
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
             return 0;
         };
@@ -45,6 +44,9 @@
             let step = job.step(task.of.step);
             (step.lasting, step.gang)
         };
+        if step_lasts || !matches!(how, HowEnded::Done) {
+            log::info!("job {}: task {task} run {run} at {id}: {}", job.id, how.word());
+        }
         let before = job.version;
         if let Some(entry) = job.task_mut(task.of, task.index) {
             entry.run = entry.run.max(run);
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -215,7 +215,7 @@
         let Some(until_ms) = worker.give(now.steady) else {
             return;
         };
-        let charge = job.step(of.step).charge();
+        let (charge, lasting) = (job.step(of.step).charge(), job.step(of.step).lasting);
         let payload = job.record.payload.clone();
         let ticket = job.steps.get(&(of.time, of.step)).and_then(|step| step.tickets.get(id));
         let ticket = ticket.map(|(ticket, _)| ticket.clone()).unwrap_or_default();
@@ -237,6 +237,9 @@
         });
         let task = TaskId { of, index };
         worker.occupy(task, run, &charge);
+        if lasting {
+            log::info!("job {}: task {task} run {run} at {id}: started", of.job);
+        }
         if job.state == JobState::Queued {
             job.state = JobState::Running;
             job.change();
@@ -253,7 +256,7 @@
             .workers
             .values()
             .filter(|worker| {
-                worker.report.leaves_ms.is_some() || self.emptying.contains(&worker.report.host)
+                worker.report.leaves_ms.is_some() || self.emptying.contains_key(&worker.report.host)
             })
             .filter(|worker| !worker.copies.is_empty())
             .map(|worker| worker.report.id.clone())
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,6 +1,6 @@
 //! Which worker a task goes to.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::{
     jobs::{
@@ -10,7 +10,7 @@
     model::{
         id::{HostId, WorkerId},
         job::Step,
-        unit::Steady,
+        unit::{Revision, Steady},
     },
 };
 
@@ -21,7 +21,7 @@
 pub(crate) struct Scene<'a> {
     pub(crate) workers: &'a BTreeMap<WorkerId, Worker>,
     /// Hosts that are being emptied.
-    pub(crate) emptying: &'a BTreeSet<HostId>,
+    pub(crate) emptying: &'a BTreeMap<HostId, Revision>,
     pub(crate) now: Steady,
 }
 
@@ -29,7 +29,7 @@
     /// Whether a worker may run a step at all, room and tickets aside.
     pub(crate) fn is_eligible(&self, worker: &Worker, step: &Step) -> bool {
         worker.takes_work(self.now)
-            && !self.emptying.contains(&worker.report.host)
+            && !self.emptying.contains_key(&worker.report.host)
             && (step.label.is_empty() || worker.report.labels.contains(&step.label))
     }
 
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,1 +1,386 @@
-//! Tests of the owner of a pool.
+//! Tests of the owner of a pool, event by event.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{
+    jobs::{
+        event::{Effect, Event, StoredJob},
+        owner::Owner,
+    },
+    model::{
+        id::WorkerId,
+        job::{JobId, JobRecord, JobState, Progress, Room, Step, TaskId},
+        unit::{Megabytes, Millicores, Now, Revision, Steady, Time},
+        worker::{Ended, HowEnded, Look, OrderEnd, Present, WorkerReport},
+    },
+};
+
+const TOKEN: u64 = 100;
+
+/// An owner with what it wanted done.
+struct Bench {
+    owner: Owner,
+    now: u64,
+    clock: BTreeMap<WorkerId, u64>,
+    effects: Vec<Effect>,
+}
+
+fn id(number: u64) -> JobId {
+    format!("{number:016x}").parse().unwrap()
+}
+
+fn worker_id(name: &str) -> WorkerId {
+    name.parse().unwrap()
+}
+
+fn report(name: &str, host: &str, revision: u64) -> WorkerReport {
+    WorkerReport {
+        id: worker_id(name),
+        host: host.parse().unwrap(),
+        pool: "pool".parse().unwrap(),
+        address: format!("{host}:80"),
+        zone: "hall-a".parse().unwrap(),
+        room: Room { cpu: Millicores(4_000), memory: Megabytes(8_000), gpus: 0 },
+        labels: vec!["a".to_owned(), "r1".to_owned()],
+        leaves_ms: None,
+        revision: Revision(revision),
+    }
+}
+
+fn step(count: u32) -> Step {
+    let need = Room { cpu: Millicores(1_000), memory: Megabytes(100), gpus: 0 };
+    Step { count, need, estimate_ms: 1_000, ..Step::default() }
+}
+
+fn stored(number: u64, steps: Vec<Step>, revision: u64) -> StoredJob {
+    let record = JobRecord {
+        queue: "q".to_owned(),
+        pool: "pool".parse().unwrap(),
+        payload: "payload".into(),
+        steps,
+        repeats: 0,
+        first: Time::default(),
+        every_ms: 0,
+        priority: 0,
+        attempts: 3,
+        stretch: 200,
+        target_ms: 600,
+        advice: None,
+        accepted: Time::from_millis(1_000_000),
+    };
+    StoredJob {
+        id: id(number),
+        record: Arc::new(record),
+        revision: Revision(revision),
+        progress: None,
+        saved_at: Revision(0),
+        cancelled: false,
+    }
+}
+
+impl Bench {
+    fn new(earlier: u32) -> Bench {
+        let owner = Owner::new(TOKEN, earlier, Steady::from_millis(0));
+        Bench { owner, now: 0, clock: BTreeMap::new(), effects: Vec::new() }
+    }
+
+    fn at(&self) -> Now {
+        let wall = Time::from_millis(1_000_000 + self.now);
+        Now { steady: Steady::from_millis(self.now), wall }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let now = self.at();
+        self.owner.handle(event, now, &mut self.effects);
+    }
+
+    fn work(&mut self) {
+        let now = self.at();
+        self.owner.work(now, &mut self.effects);
+    }
+
+    /// A worker that answers its first look with what runs there.
+    fn touch(&mut self, name: &str, present: Vec<Present>) {
+        self.work();
+        self.look(name, present, vec![]);
+        let workers = self.owner.roster().unwrap_or_default();
+        self.owner.rostered(&workers);
+    }
+
+    fn look(&mut self, name: &str, present: Vec<Present>, ended: Vec<Ended>) {
+        let clock_ms = 1_000 + self.now;
+        self.clock.insert(worker_id(name), clock_ms);
+        let look = Look { clock_ms, present, ended };
+        let sent = Steady::from_millis(self.now);
+        self.tell(Event::Looked { worker: worker_id(name), sent, end: OrderEnd::Done(look) });
+    }
+
+    /// The starts that were ordered since the last question, with their workers.
+    fn starts(&mut self) -> Vec<(TaskId, u32, WorkerId)> {
+        let effects = std::mem::take(&mut self.effects);
+        let starts = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Start { to, start } => Some((start.task, start.run, to.worker)),
+            _ => None,
+        });
+        starts.collect()
+    }
+
+    fn stops(&mut self) -> Vec<TaskId> {
+        let effects = std::mem::take(&mut self.effects);
+        let stops = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Stop { task, .. } => Some(task),
+            _ => None,
+        });
+        stops.collect()
+    }
+
+    fn started(&mut self, task: TaskId, run: u32, worker: &WorkerId) {
+        let end = OrderEnd::Done(1_000 + self.now);
+        self.tell(Event::Started { worker: worker.clone(), task, run, end });
+    }
+
+    /// Makes all that is to be kept durable.
+    fn save(&mut self) -> Vec<(JobId, Progress)> {
+        let saves = self.owner.saves(100);
+        self.owner.saved(&saves, Revision(200));
+        saves
+            .into_iter()
+            .map(|save| (save.job, serde_json::from_slice(&save.value).unwrap()))
+            .collect()
+    }
+}
+
+fn done(number: u64, task: TaskId, run: u32) -> Ended {
+    Ended { number, task, run, how: HowEnded::Done, saved: String::new() }
+}
+
+fn present(task: TaskId, run: u32, percent: u32) -> Present {
+    Present { task, run, saved: String::new(), percent, gauge: 0 }
+}
+
+fn one_worker() -> Bench {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Worker(report("w1", "h1", 10)));
+    bench.touch("w1", vec![]);
+    bench
+}
+
+#[test]
+fn a_job_is_started_and_shown_as_succeeded_once_that_is_durable() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 1);
+    let (task, run, worker) = starts[0].clone();
+    assert_eq!(run, 1);
+    bench.started(task, run, &worker);
+    bench.now += 500;
+    bench.look("w1", vec![], vec![done(1, task, run)]);
+    let saved = bench.save();
+    assert_eq!(saved.len(), 1);
+    assert_eq!(saved[0].1.state, JobState::Succeeded);
+}
+
+#[test]
+fn an_end_is_acknowledged_only_once_it_is_durable() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    bench.now += 500;
+    bench.look("w1", vec![], vec![done(1, task, run)]);
+    let acknowledged = |bench: &mut Bench| {
+        bench.now += 1_100;
+        bench.work();
+        let effects = std::mem::take(&mut bench.effects);
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Look { acknowledged, .. } => Some(acknowledged),
+            _ => None,
+        })
+    };
+    assert_eq!(acknowledged(&mut bench), Some(0));
+    bench.look("w1", vec![], vec![done(1, task, run)]);
+    bench.save();
+    assert_eq!(acknowledged(&mut bench), Some(1));
+}
+
+/// Found by the bench: the store's view lags behind what the owner has written, and told of the
+/// job as it was before its end.
+#[test]
+fn a_job_that_ended_is_not_run_again_when_an_older_view_tells_of_it() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    bench.now += 500;
+    bench.look("w1", vec![], vec![done(1, task, run)]);
+    bench.save();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// Found by the bench: a prefix that is read anew still lists the worker that was there before.
+#[test]
+fn a_worker_is_not_superseded_by_the_one_before_it() {
+    let mut bench = Bench::new(0);
+    bench.tell(Event::Worker(report("old", "h1", 5)));
+    bench.tell(Event::Worker(report("new", "h1", 10)));
+    bench.touch("new", vec![]);
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    assert_eq!(worker, worker_id("new"));
+    bench.started(task, run, &worker);
+    bench.tell(Event::Worker(report("old", "h1", 5)));
+    bench.tell(Event::Worker(report("new", "h1", 10)));
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// The same at a takeover: the roster names the later one, the list both.
+#[test]
+fn a_worker_of_the_roster_outlives_an_older_report_of_its_host() {
+    let mut bench = Bench::new(1);
+    bench.tell(Event::Worker(report("new", "h1", 10)));
+    bench.tell(Event::Worker(report("old", "h1", 5)));
+    bench.tell(Event::Worker(report("new", "h1", 10)));
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    let task: TaskId = format!("{}.0.0.0", id(1)).parse().unwrap();
+    bench.touch("new", vec![present(task, 1, 30)]);
+    bench.now += 20_000;
+    bench.look("new", vec![present(task, 1, 60)], vec![]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// Found by the bench: after all nodes were killed while the store was away, the workers' reports
+/// had lapsed, and a new owner did not know who still ran tasks.
+#[test]
+fn tasks_of_earlier_jobs_wait_until_every_worker_was_asked() {
+    let mut bench = Bench::new(1);
+    bench.tell(Event::Worker(report("w1", "h1", 10)));
+    bench.tell(Event::Worker(report("w2", "h2", 11)));
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    bench.touch("w1", vec![]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+    let task: TaskId = format!("{}.0.0.0", id(1)).parse().unwrap();
+    bench.touch("w2", vec![present(task, 1, 30)]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+#[test]
+fn tasks_of_new_jobs_need_not_wait_for_workers_that_are_silent() {
+    let mut bench = Bench::new(1);
+    bench.tell(Event::Worker(report("w1", "h1", 10)));
+    bench.tell(Event::Worker(report("w2", "h2", 11)));
+    bench.tell(Event::Job(stored(1, vec![step(1)], TOKEN + 10)));
+    bench.touch("w1", vec![]);
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// Found by the bench: each look at a silent worker went on giving it time.
+#[test]
+fn a_task_on_a_worker_that_falls_silent_is_started_elsewhere_once_its_time_is_over() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    bench.tell(Event::Worker(report("w2", "h2", 11)));
+    bench.touch("w2", vec![]);
+    let mut begun = Vec::new();
+    for _ in 0..100 {
+        bench.now += 100;
+        let sent = Steady::from_millis(bench.now);
+        bench.tell(Event::Looked { worker: worker_id("w1"), sent, end: OrderEnd::Unknown });
+        bench.look("w2", vec![], vec![]);
+        bench.work();
+        begun.extend(bench.starts().into_iter().map(|(_, run, at)| (bench.now, run, at)));
+    }
+    assert_eq!(begun.len(), 1, "{begun:?}");
+    let (at, run, worker) = &begun[0];
+    assert_eq!((*run, worker), (2, &worker_id("w2")));
+    // Not before the time that it was given is over on a clock that runs 2 % slow.
+    assert!(4_800 * 100 / 98 < *at, "{at}");
+}
+
+/// Found by the bench: tasks on silent workers counted as at work when others were stopped.
+#[test]
+fn a_lasting_task_stays_while_another_of_its_step_may_be_away() {
+    let lasting = Step { lasting: true, may_miss: 1, apart: 1, ..step(2) };
+    let mut bench = one_worker();
+    bench.tell(Event::Worker(report("w2", "h2", 11)));
+    bench.touch("w2", vec![]);
+    bench.tell(Event::Job(stored(1, vec![lasting], 110)));
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 2);
+    for (task, run, worker) in &starts {
+        bench.started(*task, *run, worker);
+        bench.look(worker.as_str(), vec![present(*task, *run, 100)], vec![]);
+    }
+    let on = |name: &str| starts.iter().find(|(_, _, at)| *at == worker_id(name)).unwrap().0;
+    let sent = Steady::from_millis(bench.now);
+    bench.tell(Event::Looked { worker: worker_id("w2"), sent, end: OrderEnd::Unknown });
+    let marks = BTreeMap::from([("h1".parse().unwrap(), Revision(120))]);
+    bench.owner.set_emptying(marks);
+    bench.effects.clear();
+    bench.work();
+    assert_eq!(bench.stops(), vec![]);
+    bench.look("w2", vec![present(on("w2"), 1, 100)], vec![]);
+    bench.effects.clear();
+    bench.work();
+    assert_eq!(bench.stops(), vec![on("w1")]);
+}
+
+#[test]
+fn a_start_without_an_answer_is_stopped_before_the_task_begins_elsewhere() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.tell(Event::Started { worker: worker.clone(), task, run, end: OrderEnd::Unknown });
+    bench.now += 50;
+    bench.look("w1", vec![], vec![]);
+    assert_eq!(bench.stops(), vec![task]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+    bench.now += 10;
+    bench.tell(Event::Stopped { worker, task, run, end: OrderEnd::Done(1_000 + bench.now) });
+    bench.now += 10;
+    bench.look("w1", vec![], vec![]);
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].1, 2);
+}
+
+#[test]
+fn a_task_that_failed_as_often_as_allowed_fails_its_job() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    for number in 1..=3 {
+        bench.now += 3_000;
+        bench.look("w1", vec![], vec![]);
+        bench.work();
+        let starts = bench.starts();
+        assert_eq!(starts.len(), 1, "attempt {number}");
+        let (task, run, worker) = starts[0].clone();
+        bench.started(task, run, &worker);
+        let how = HowEnded::Failed;
+        let end = Ended { number, task, run, how, saved: String::new() };
+        bench.look("w1", vec![], vec![end]);
+    }
+    let saved = bench.save();
+    assert_eq!(saved[0].1.state, JobState::Failed);
+    bench.now += 10_000;
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -15,10 +15,10 @@
     jobs::{
         event::{Effect, Event, Save},
         fleet::Fleet,
-        owner::Owner,
+        owner::{Emptied, Owner},
     },
     model::{
-        id::{HostId, PoolId, WorkerId},
+        id::{HostId, PoolId},
         unit::{Now, Revision, Steady},
         worker::{ListedHost, OrderEnd, WorkerReport},
     },
@@ -32,7 +32,7 @@
     scheduler::{
         Node, keys,
         lease::Lease,
-        view::{Delta, EmptyRecord, OwnerRecord, RosterRecord, TermRecord},
+        view::{Delta, EmptyRecord, OwnerRecord, RosterRecord, TermRecord, View},
     },
 };
 
@@ -56,6 +56,10 @@
 /// The least time between two words on which hosts are idle, in milliseconds: a hint only.
 const IDLE_PAUSE_MS: u64 = 400;
 
+/// How long after an empty host was told of it is told again if the view does not show it, in
+/// milliseconds.
+const EMPTY_AGAIN_MS: u64 = 700;
+
 /// What the loop is told.
 pub(crate) enum Input {
     Deltas(Vec<Delta>),
@@ -117,7 +121,7 @@
     /// When the next write may be made.
     next_save: Steady,
     /// Hosts that were told to be empty.
-    told_empty: BTreeMap<HostId, WorkerId>,
+    told_empty: BTreeMap<HostId, (Emptied, Steady)>,
     /// Whether a roster is being written.
     rostering: bool,
     /// The idle hosts that were last written, and when.
@@ -323,10 +327,10 @@
     }
 
     fn set_emptying(&mut self) {
-        let hosts: BTreeSet<HostId> = self.node.view().leaves.keys().cloned().collect();
+        let hosts = marks(&self.node.view());
         for owned in self.owned.values_mut() {
             owned.owner.set_emptying(hosts.clone());
-            owned.told_empty.retain(|host, _| hosts.contains(host));
+            owned.told_empty.retain(|host, _| hosts.contains_key(host));
         }
     }
 
@@ -355,7 +359,7 @@
             self.carry_out(&name, token, out);
             self.save(&name, now);
             self.write_roster(&name);
-            self.tell_empty(&name);
+            self.tell_empty(&name, now);
             self.tell_idle(&name, now);
         }
         self.fleet_step(now);
@@ -419,7 +423,7 @@
                 owner.handle(Event::Job(stored), now, &mut out);
             }
         }
-        owner.set_emptying(view.leaves.keys().cloned().collect());
+        owner.set_emptying(marks(&view));
         drop(view);
         log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
         let owned = Owned {
@@ -580,20 +584,29 @@
     }
 
     /// Tells the fleet's owner which hosts are empty.
-    fn tell_empty(&mut self, name: &str) {
+    fn tell_empty(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
         let token = owned.owner.token;
-        for (host, worker) in owned.owner.emptied() {
-            if owned.told_empty.get(&host) == Some(&worker) {
+        for emptied in owned.owner.emptied() {
+            let host = emptied.host.clone();
+            let told = owned.told_empty.get(&host);
+            let lately = |(was, at): &(Emptied, Steady)| {
+                *was == emptied && now.steady.since(*at) < EMPTY_AGAIN_MS
+            };
+            let shown = self.node.view().empties.get(&host).is_some_and(|at| {
+                at.value.mark == emptied.mark && at.value.worker == emptied.worker
+            });
+            if shown || told.is_some_and(lately) {
                 continue;
             }
-            owned.told_empty.insert(host.clone(), worker.clone());
-            let record = EmptyRecord { worker };
+            let record = EmptyRecord { worker: emptied.worker.clone(), mark: emptied.mark };
             let txn = Txn::default()
                 .expect(keys::owner(name), Revision(token))
+                .expect(keys::leave(&host), emptied.mark)
                 .put(keys::empty(&host), json(&record));
+            owned.told_empty.insert(host.clone(), (emptied, now.steady));
             let node = self.node.clone();
             tokio::spawn(async move {
                 if let Err(error) = node.kv.commit(&txn).await {
@@ -747,6 +760,11 @@
     SaveEnd::Rebase(moved.collect())
 }
 
+/// The hosts that are to be emptied, by the revisions of their marks.
+fn marks(view: &View) -> BTreeMap<HostId, Revision> {
+    view.leaves.iter().map(|(host, at)| (host.clone(), at.revision)).collect()
+}
+
 pub(super) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Records of ours hold nothing that JSON cannot.
     serde_json::to_vec(value).unwrap_or_default()
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -131,8 +131,11 @@
         let (machines, to) = (self.machines.clone(), self.to.clone());
         let (node, lease) = (self.node.clone(), self.lease.clone());
         tokio::spawn(async move {
-            // Between the decision and this moment the process may have been paused.
-            if lease.held(node.now().steady).is_none() {
+            // The view may not show yet that another node owns the fleet's work, and between the
+            // decision and this moment the process may have been paused.
+            let owner = node.kv.get(&keys::owner(keys::FLEET)).await;
+            let owns = matches!(owner, Ok(Some(item)) if item.revision == Revision(token));
+            if !owns || lease.held(node.now().steady).is_none() {
                 let _ = to.send(Input::HostCalled { token, host, begun: Some(false) });
                 return;
             }
@@ -181,6 +184,9 @@
         empties: view
             .empties
             .iter()
+            .filter(|(host, at)| {
+                view.leaves.get(*host).is_some_and(|mark| mark.revision == at.value.mark)
+            })
             .map(|(host, at)| (host.clone(), at.value.worker.clone()))
             .collect(),
         upkeeps: view.upkeeps.values().map(|at| at.value.clone()).collect(),
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct EmptyRecord {
     pub(crate) worker: WorkerId,
+    /// The revision of the mark for which the host was emptied.
+    pub(crate) mark: Revision,
 }
 
 /// What is kept of a wave.
@@ -234,7 +236,9 @@
             self.unlisted.insert(id.clone(), (worker.value, now));
             return Some(Delta::Unlisted(id));
         };
-        match records::worker(&change.key, &value) {
+        match records::worker(&change.key, change.revision, &value) {
+            // A prefix that is read anew tells much that is known.
+            Ok(report) if self.knows_worker(&report.id, change.revision) => None,
             Ok(report) => {
                 self.unlisted.remove(&report.id);
                 let at = At { value: report.clone(), revision: change.revision };
@@ -248,6 +252,10 @@
         }
     }
 
+    fn knows_worker(&self, id: &WorkerId, revision: Revision) -> bool {
+        self.workers.get(id).is_some_and(|at| at.revision == revision)
+    }
+
     fn apply_config(&mut self, change: &Change) -> Option<Delta> {
         match records::config(change.value.as_ref()?) {
             Ok(config) => {
