Of two workers in one place the one that answers lives

Change: a report only has those looked at that share its host or address; the one that answers ends the others.

--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -38,7 +38,7 @@
     Removed(JobId),
     Cancelled(JobId),
     Worker(WorkerReport),
-    /// A worker of another pool, which may have taken the place of one of this pool.
+    /// A worker of another pool, which may have the place of one of this pool.
     Elsewhere(WorkerReport),
     /// The worker's report is no longer listed.
     Unlisted(WorkerId),
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -101,6 +101,8 @@
     pub(crate) steps: BTreeMap<(u32, u32), StepTasks>,
     /// Tasks that are not done.
     pub(crate) left: u32,
+    /// When it was last told that tasks wait for a worker.
+    pub(crate) told_waiting: Steady,
     /// Counts changes that must be kept.
     pub(crate) version: u64,
     /// The version that is durable.
@@ -118,6 +120,7 @@
             cancelled,
             steps: BTreeMap::new(),
             left: 0,
+            told_waiting: Steady::default(),
             version: 0,
             durable: 0,
             saved_at,
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -94,7 +94,7 @@
             }
             Event::Cancelled(id) => self.cancel(id, now.steady, out),
             Event::Worker(report) => self.list(report, now.steady),
-            Event::Elsewhere(report) => self.supersede(&report),
+            Event::Elsewhere(report) => self.check_place(&report, now.steady),
             Event::Unlisted(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.listed = false;
@@ -294,25 +294,32 @@
             worker.listed = true;
             return;
         }
-        let later = |worker: &Worker| {
-            shares_place(&worker.report, &report) && report.revision < worker.report.revision
-        };
-        if self.over.contains(&report.id) || self.workers.values().any(later) {
+        if self.over.contains(&report.id) {
             return;
         }
-        self.supersede(&report);
+        self.check_place(&report, now);
         self.workers.insert(report.id.clone(), Worker::new(report, now));
     }
 
-    /// Forgets the worker whose place a later one has taken.
-    fn supersede(&mut self, by: &WorkerReport) {
-        let earlier = |worker: &&Worker| {
-            shares_place(&worker.report, by) && worker.report.revision < by.revision
+    /// Has those looked at whose place a report claims. Which of them lives is not told by the
+    /// reports, since one may be written long after its worker is over.
+    fn check_place(&mut self, claim: &WorkerReport, now: Steady) {
+        for worker in self.workers.values_mut() {
+            if shares_place(&worker.report, claim) {
+                worker.next_look = now;
+            }
+        }
+    }
+
+    /// Forgets those whose place a worker has that has just answered.
+    fn supersede(&mut self, by: &WorkerId) {
+        let Some(report) = self.workers.get(by).map(|worker| &worker.report) else {
+            return;
         };
-        let earlier: Vec<WorkerId> =
-            self.workers.values().filter(earlier).map(|w| w.report.id.clone()).collect();
-        for id in earlier {
-            self.bury(&id, "another life has begun in its place");
+        let others = self.workers.values().filter(|w| shares_place(&w.report, report));
+        let others: Vec<WorkerId> = others.map(|w| w.report.id.clone()).collect();
+        for id in others {
+            self.bury(&id, "another life answers in its place");
         }
     }
 
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -103,6 +103,7 @@
         }
         worker.misses = 0;
         worker.seen = Some(sent);
+        self.supersede(id);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -22,6 +22,9 @@
 /// starting it again takes as long.
 const LET_FINISH_MS: u64 = 1_500;
 
+/// How often a job that waits for a worker is told of, in milliseconds.
+const TELL_WAITING_MS: u64 = 1_000;
+
 /// The percent at which a lasting task is at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -62,11 +65,33 @@
                 _ => self.place_tasks(of, &waiting, now, out),
             };
             if !placed {
+                self.note_waiting(of, now.steady);
                 self.ask(of, now.steady, out);
             }
         }
     }
 
+    /// Tells now and then why the tasks of a step wait.
+    fn note_waiting(&mut self, of: StepId, now: Steady) {
+        let Some(job) = self.jobs.get_mut(&of.job) else {
+            return;
+        };
+        if now.since(job.told_waiting) < TELL_WAITING_MS {
+            return;
+        }
+        let step = job.record.steps[of.step as usize].clone();
+        let ticketed = job.record.advice.is_some();
+        // The first time starts the clock: a short wait is not told.
+        let first = job.told_waiting == Steady::default();
+        job.told_waiting = now;
+        let Some(tasks) = job.steps.get(&(of.time, of.step)).filter(|_| !first) else {
+            return;
+        };
+        let scene = Scene { workers: &self.workers, emptying: &self.emptying, now };
+        let refusals = scene.refusals(&step, tasks, ticketed);
+        log::info!("job {}: step {of} waits: {refusals:?}", of.job);
+    }
+
     fn step(&self, of: StepId) -> Option<&Step> {
         self.jobs.get(&of.job).map(|job| job.step(of.step))
     }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -17,6 +17,18 @@
 /// A ticket that ends sooner than this is not used, in milliseconds: an order takes a few.
 pub(crate) const TICKET_MARGIN_MS: u64 = 150;
 
+/// How many workers each reason rules out for a step.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Refusals {
+    silent: u32,
+    leaving: u32,
+    /// Suspended, without the label, or not yet in the roster.
+    suspended: u32,
+    spread: u32,
+    ticket: u32,
+    room: u32,
+}
+
 /// What a placement looks at beside the task.
 pub(crate) struct Scene<'a> {
     pub(crate) workers: &'a BTreeMap<WorkerId, Worker>,
@@ -62,6 +74,30 @@
         })
     }
 
+    /// Why the tasks of a step find no worker, for the log: how many workers each reason rules out.
+    pub(crate) fn refusals(&self, step: &Step, tasks: &StepTasks, ticketed: bool) -> Refusals {
+        let mut refusals = Refusals::default();
+        for worker in self.workers.values() {
+            let reason = if !worker.touched || !worker.is_heard(self.now) {
+                &mut refusals.silent
+            } else if worker.report.leaves_ms.is_some()
+                || self.emptying.contains_key(&worker.report.host)
+            {
+                &mut refusals.leaving
+            } else if !self.is_eligible(worker, step) {
+                &mut refusals.suspended
+            } else if !self.is_spread(worker, step, tasks) {
+                &mut refusals.spread
+            } else if ticketed && !self.has_ticket(worker, tasks) {
+                &mut refusals.ticket
+            } else {
+                &mut refusals.room
+            };
+            *reason += 1;
+        }
+        refusals
+    }
+
     fn is_spread(&self, worker: &Worker, step: &Step, tasks: &StepTasks) -> bool {
         if step.apart == 0 {
             return true;
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -7,7 +7,7 @@
     id::{HostId, IdError, PoolId, WorkerId, ZoneId},
     job::{Advice, Room},
     queue::{PoolRules, Queue, QueueConfig},
-    unit::{Megabytes, Millicores, Revision},
+    unit::{Megabytes, Millicores},
     worker::{Upkeep, WorkerReport},
 };
 
@@ -150,11 +150,7 @@
 }
 
 /// Reads a worker's report on itself from below [`WORKER_PREFIX`].
-pub(crate) fn worker(
-    key: &str,
-    revision: Revision,
-    value: &[u8],
-) -> Result<WorkerReport, RecordError> {
+pub(crate) fn worker(key: &str, value: &[u8]) -> Result<WorkerReport, RecordError> {
     let wire: WireServer = serde_json::from_slice(value)?;
     let id: WorkerId = key.trim_start_matches(WORKER_PREFIX).parse()?;
     let host: HostId = match wire.machine.as_str() {
@@ -171,7 +167,6 @@
         address: wire.address,
         room: wire.capacity.into(),
         labels: wire.labels,
-        revision,
         leaves_ms: (wire.state != "ready").then_some(wire.remaining_ms),
     })
 }
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -236,7 +236,7 @@
             self.unlisted.insert(id.clone(), (worker.value, now));
             return Some(Delta::Unlisted(id));
         };
-        match records::worker(&change.key, change.revision, &value) {
+        match records::worker(&change.key, &value) {
             // A prefix that is read anew tells much that is known.
             Ok(report) if self.knows_worker(&report.id, change.revision) => None,
             Ok(report) => {
