Metrics, bounded log, few and quick watches

Change: an owner watches its own pool's jobs and ownership at once, the mirror comes every 120 ms, reports every 250 ms. Structured log lines on standard output, bounded and never waiting; metrics by prometheus-client.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
+    time::Duration,
 };
 
 use crate::{
@@ -89,6 +90,15 @@
     pub(crate) ask_after: Steady,
 }
 
+/// How a job ended, for the metrics.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct JobEnd {
+    pub(crate) queue: String,
+    pub(crate) state: &'static str,
+    /// Since its acceptance.
+    pub(crate) took: Duration,
+}
+
 /// A job.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -216,6 +226,17 @@
         self.version
     }
 
+    /// How it ended, once it has.
+    pub(crate) fn how_ended(&self) -> Option<JobEnd> {
+        let state = match self.state {
+            JobState::Succeeded => "succeeded",
+            JobState::Failed => "failed",
+            JobState::Queued | JobState::Running | JobState::Cancelled => return None,
+        };
+        let took = self.ended.since(self.record.accepted);
+        Some(JobEnd { queue: self.record.queue.clone(), state, took })
+    }
+
     /// Whether there is something to write.
     pub(crate) fn is_dirty(&self) -> bool {
         self.durable < self.version
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -11,7 +11,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event, Save, StoredJob},
-        job::{Job, Phase, RUNS_PER_OWNER},
+        job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
         urgency::Durations,
         worker::{HOLD_MS, Worker},
     },
@@ -168,14 +168,16 @@
         Some(Save { job: id, value: value.into(), expects: job.saved_at, version: job.version })
     }
 
-    /// Takes note that progress is durable at a revision.
-    pub(crate) fn saved(&mut self, saves: &[Save], revision: Revision) {
+    /// Takes note that progress is durable at a revision; the jobs whose ends it holds.
+    pub(crate) fn saved(&mut self, saves: &[Save], revision: Revision) -> Vec<JobEnd> {
+        let mut ends = Vec::new();
         for save in saves {
             if let Some(job) = self.jobs.get_mut(&save.job) {
                 job.durable = job.durable.max(save.version);
                 job.saved_at = revision;
                 if !job.is_dirty() {
                     self.dirty.remove(&save.job);
+                    ends.extend(job.how_ended());
                 }
             }
         }
@@ -183,6 +185,7 @@
             acknowledge(worker, &self.jobs);
         }
         self.forget_ended();
+        ends
     }
 
     /// Takes note that a job's progress stands at another revision than was expected, because an
--- a/src/options.rs
+++ b/src/options.rs
@@ -200,7 +200,10 @@
 impl Options {
     /// Does what is asked for.
     pub(crate) fn run(self) -> Result<(), Error> {
-        logging::start(self.level, self.format)?;
+        match self.job {
+            Job::Schedule { .. } => logging::start_bounded(self.level)?,
+            _ => logging::start(self.level, self.format)?,
+        }
         match self.job {
             Job::Check { file, fleet } => check(&file, fleet),
             Job::Completions(shell) => {
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -3,7 +3,10 @@
 //! A write whose answer was lost is *unknown*: it may have been done, or may be done seconds later
 //! if its conditions still hold. [`StoreError::is_unknown`] tells it apart from a refusal.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
@@ -103,6 +106,9 @@
     pub(crate) at: Revision,
 }
 
+/// Told the name, outcome and time of each call.
+type Note = dyn Fn(&'static str, &'static str, Duration) + Send + Sync;
+
 /// A client of the store.
 #[derive(Clone)]
 pub(crate) struct Kv {
@@ -110,6 +116,7 @@
     peer: Arc<str>,
     /// How long a call may take.
     limit: Duration,
+    note: Arc<Note>,
 }
 
 #[derive(Deserialize)]
@@ -189,14 +196,18 @@
 
 impl Kv {
     /// A client of the store at an address. Calls other than watches take at most `limit`.
-    pub(crate) fn new(address: &str, limit: Duration) -> Kv {
+    pub(crate) fn new(
+        address: &str,
+        limit: Duration,
+        note: impl Fn(&'static str, &'static str, Duration) + Send + Sync + 'static,
+    ) -> Kv {
         let client = reqwest::Client::builder()
             .no_proxy()
             .tcp_nodelay(true)
             .connect_timeout(CONNECT_LIMIT.min(limit))
             .build()
             .expect("a client without TLS needs nothing of the system");
-        Kv { client, peer: address.into(), limit }
+        Kv { client, peer: address.into(), limit, note: Arc::new(note) }
     }
 
     /// Reads one key, as it stands now.
@@ -350,7 +361,24 @@
         request: reqwest::RequestBuilder,
         limit: Duration,
     ) -> Result<Answer, StoreError> {
-        let answer = request.timeout(limit).send().await;
+        let began = Instant::now();
+        let answer = self.send_once(step, request.timeout(limit)).await;
+        let outcome = match &answer {
+            Ok(answer) if answer.status.is_success() => "done",
+            Ok(_) => "refused",
+            Err(error) if error.is_unknown() => "unanswered",
+            Err(_) => "unreached",
+        };
+        (self.note)(step, outcome, began.elapsed());
+        answer
+    }
+
+    async fn send_once(
+        &self,
+        step: &'static str,
+        request: reqwest::RequestBuilder,
+    ) -> Result<Answer, StoreError> {
+        let answer = request.send().await;
         let answer = answer.map_err(|error| self.failed(step, &error))?;
         let status = answer.status();
         let body = answer.bytes().await.map_err(|error| self.failed(step, &error))?;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -8,6 +8,7 @@
 pub(crate) mod fleet;
 pub(crate) mod keys;
 pub(crate) mod lease;
+pub(crate) mod metrics;
 pub(crate) mod mirror;
 pub(crate) mod run;
 pub(crate) mod view;
@@ -23,7 +24,7 @@
 use crate::{
     model::unit::{Now, Steady, Time},
     platform::kv::Kv,
-    scheduler::{accept::Acceptance, view::View},
+    scheduler::{accept::Acceptance, metrics::Metrics, view::View},
     settings::scheduler::SchedulerSettings,
 };
 
@@ -31,6 +32,7 @@
 pub(crate) struct Node {
     pub(crate) settings: SchedulerSettings,
     pub(crate) kv: Kv,
+    pub(crate) metrics: Arc<Metrics>,
     began: Instant,
     view: Mutex<View>,
     /// Jobs that wait to be written.
@@ -56,12 +58,13 @@
 pub(crate) fn node(
     settings: SchedulerSettings,
     kv: Kv,
+    metrics: Arc<Metrics>,
     accepting: mpsc::Sender<Acceptance>,
 ) -> Arc<Node> {
     Arc::new(Node {
         settings,
         kv,
-        // An hour back, so that moments before the start of the process can be told.
+        metrics,
         began: Instant::now(),
         view: Mutex::default(),
         accepting,
--- a/src/scheduler/accept.rs
+++ b/src/scheduler/accept.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    model::{job::JobId, unit::Revision},
+    model::{id::PoolId, job::JobId, unit::Revision},
     platform::{
         kv::{Committed, TXN_ENTRIES, Txn},
         store::StoreError,
@@ -21,8 +21,8 @@
 /// Jobs that may wait to be written.
 const QUEUE: usize = 512;
 
-/// Jobs in one transaction: each needs a condition and a write.
-const BATCH: usize = TXN_ENTRIES / 2;
+/// Jobs in one transaction: each needs a condition and two writes.
+const BATCH: usize = TXN_ENTRIES / 3;
 
 /// How long the first of a batch waits for others.
 const GATHER: Duration = Duration::from_millis(4);
@@ -49,6 +49,7 @@
 /// A job that waits to be written.
 pub(crate) struct Acceptance {
     pub(crate) id: JobId,
+    pub(crate) pool: PoolId,
     pub(crate) value: Bytes,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
@@ -63,9 +64,15 @@
 }
 
 /// Has a job written.
-pub(crate) async fn accept(node: &Node, id: JobId, value: Bytes, deadline: Instant) -> Accepted {
+pub(crate) async fn accept(
+    node: &Node,
+    id: JobId,
+    pool: PoolId,
+    value: Bytes,
+    deadline: Instant,
+) -> Accepted {
     let (told, tell) = oneshot::channel();
-    let acceptance = Acceptance { id, value, deadline, unknown: false, told };
+    let acceptance = Acceptance { id, pool, value, deadline, unknown: false, told };
     if node.accepting.try_send(acceptance).is_err() {
         return Accepted::NotWritten;
     }
@@ -102,13 +109,17 @@
         batch.sort_by_key(|acceptance| acceptance.id);
         batch.dedup_by(|later, earlier| later.id == earlier.id && take_over(later, earlier));
         for acceptance in &batch {
-            let key = keys::job(acceptance.id);
-            txn = txn.expect(key.clone(), Revision(0)).put(key, acceptance.value.clone());
+            // The name is taken once, whichever pool the queue led to at the time.
+            let (id, pool) = (keys::id(acceptance.id), acceptance.pool.to_string());
+            txn = txn
+                .expect(id.clone(), Revision(0))
+                .put(id, pool)
+                .put(keys::job(&acceptance.pool, acceptance.id), acceptance.value.clone());
         }
         match node.kv.commit(&txn).await {
             Ok(Committed::Done(_)) => return tell_all(batch, |_| Accepted::Kept),
             Ok(Committed::Conflict(items)) => {
-                let there = |id: JobId| items.iter().any(|item| item.key == keys::job(id));
+                let there = |id: JobId| items.iter().any(|item| item.key == keys::id(id));
                 let (old, new): (Vec<_>, Vec<_>) =
                     batch.into_iter().partition(|acceptance| there(acceptance.id));
                 if old.is_empty() {
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -56,7 +56,11 @@
     type Output = Response;
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
-        let mut response = self.answer(request).await;
+        let came = Instant::now();
+        let method = method_name(request.method());
+        let (queue, mut response) = self.answer(request).await;
+        let queue = queue.as_deref().unwrap_or("none");
+        self.node.metrics.answered(queue, method, response.status(), came.elapsed());
         if self.node.leaving.is_cancelled() {
             // The caller's next request goes to another node.
             response
@@ -86,24 +90,34 @@
 }
 
 impl Api {
-    async fn answer(&self, request: Request) -> Response {
+    /// The name of the queue that was asked, and the answer.
+    async fn answer(&self, request: Request) -> (Option<String>, Response) {
         let came = Instant::now();
         let Some(config) = self.node.view().config.clone() else {
-            return away("no configuration has been read yet");
+            return (None, away("no configuration has been read yet"));
         };
         let host = request.header(header::HOST).unwrap_or_default().to_ascii_lowercase();
         let path = request.uri().path().to_owned();
         let Some(queue) = config.queue_of(&host, &path) else {
-            return http::text(StatusCode::NOT_FOUND, "there is no such queue\n");
+            return (None, http::text(StatusCode::NOT_FOUND, "there is no such queue\n"));
         };
         let deadline = came + wait_of(&request).saturating_sub(ANSWER_MARGIN);
         let rest = &path[queue.prefix.len()..];
-        if rest.is_empty() {
-            return self.pending(queue, request.method());
-        }
-        let Ok(id) = rest.parse::<JobId>() else {
-            return http::text(StatusCode::NOT_FOUND, "a job is named by 16 hex digits\n");
+        let response = match (rest.is_empty(), rest.parse::<JobId>()) {
+            (true, _) => self.pending(queue, request.method()),
+            (false, Ok(id)) => self.answer_job(id, queue, request, deadline).await,
+            (false, Err(error)) => http::text(StatusCode::NOT_FOUND, format!("{error}\n")),
         };
+        (Some(queue.name.clone()), response)
+    }
+
+    async fn answer_job(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        request: Request,
+        deadline: Instant,
+    ) -> Response {
         match *request.method() {
             Method::POST => self.hand_in(id, queue, request, deadline).await,
             Method::GET => self.state(id).await,
@@ -159,7 +173,8 @@
                 return http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
             }
         };
-        let accepted = accept::accept(&self.node, id, value.into(), deadline).await;
+        let accepted =
+            accept::accept(&self.node, id, queue.pool.clone(), value.into(), deadline).await;
         let took = self.node.now().steady.since(now.steady);
         log::info!("job {id}: queue {}: {accepted:?} in {took} ms", queue.name);
         match accepted {
@@ -180,7 +195,7 @@
         if let Some(known) = known {
             return http::json(StatusCode::OK, &caller::state(known.state()));
         }
-        match self.node.kv.get(&keys::job(id)).await {
+        match self.node.kv.get(&keys::id(id)).await {
             Ok(Some(_)) => http::json(StatusCode::OK, &caller::state(JobState::Queued)),
             Ok(None) => http::text(StatusCode::GONE, "there is no such job\n"),
             Err(error) => {
@@ -196,7 +211,7 @@
             return http::text(StatusCode::OK, "");
         }
         if known.is_none_or(|known| known.record.is_none()) {
-            match self.node.kv.get(&keys::job(id)).await {
+            match self.node.kv.get(&keys::id(id)).await {
                 Ok(Some(_)) => {}
                 Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
                 Err(error) => {
@@ -235,6 +250,15 @@
     }
 }
 
+fn method_name(method: &Method) -> &'static str {
+    match *method {
+        Method::POST => "POST",
+        Method::GET => "GET",
+        Method::DELETE => "DELETE",
+        _ => "other",
+    }
+}
+
 fn wait_of(request: &Request) -> Duration {
     let millis = request.header(DEADLINE_HEADER).and_then(|text| text.parse().ok());
     millis.map(Duration::from_millis).unwrap_or(DEFAULT_WAIT)
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -11,6 +11,8 @@
     time::{MissedTickBehavior, interval},
 };
 
+use tokio_util::sync::{CancellationToken, DropGuard};
+
 use crate::{
     jobs::{
         event::{Effect, Event, Save},
@@ -32,6 +34,7 @@
     scheduler::{
         Node, keys,
         lease::Lease,
+        mirror,
         view::{Delta, EmptyRecord, OwnerRecord, RosterRecord, TermRecord, View},
     },
 };
@@ -44,7 +47,10 @@
 
 /// The least time between two writes of one owner's progress, in milliseconds: ends that come
 /// close together share one.
-const SAVE_PAUSE_MS: u64 = 20;
+const SAVE_PAUSE_MS: u64 = 5;
+
+/// How long after a write that failed the next is made, in milliseconds.
+const SAVE_AGAIN_MS: u64 = 100;
 
 /// How long a node waits, for each piece of work that it owns, before it reaches for another, in
 /// milliseconds: those that own less come first.
@@ -54,7 +60,7 @@
 const REACH_AGAIN_MS: u64 = 300;
 
 /// The least time between two words on which hosts are idle, in milliseconds: a hint only.
-const IDLE_PAUSE_MS: u64 = 400;
+const IDLE_PAUSE_MS: u64 = 500;
 
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
@@ -117,6 +123,8 @@
 /// A piece of work that this node owns.
 struct Owned {
     owner: Owner,
+    /// Ends the owner's own watch with it.
+    _following: DropGuard,
     saving: bool,
     /// When the next write may be made.
     next_save: Steady,
@@ -337,6 +345,9 @@
     /// Does what is due now.
     fn step(&mut self) {
         let now = self.node.now();
+        let config = self.node.view().config.as_ref().map_or(0, |config| config.version);
+        let owned = self.owned.len() + usize::from(self.fleet.is_some());
+        self.node.metrics.holds(owned, config);
         self.take_up(now);
         self.reach(now);
         let Some(_) = self.lease.held(now.steady) else {
@@ -426,8 +437,11 @@
         owner.set_emptying(marks(&view));
         drop(view);
         log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
+        let over = CancellationToken::new();
+        mirror::follow(&self.node, name, token, over.clone(), &self.to);
         let owned = Owned {
             owner,
+            _following: over.drop_guard(),
             saving: false,
             next_save: now.steady,
             told_empty: BTreeMap::new(),
@@ -542,7 +556,11 @@
         owned.saving = false;
         owned.next_save = now.steady.after(SAVE_PAUSE_MS);
         match end {
-            SaveEnd::Done(revision) => owned.owner.saved(saves, revision),
+            SaveEnd::Done(revision) => {
+                for ended in owned.owner.saved(saves, revision) {
+                    self.node.metrics.job_ended(&ended.queue, ended.state, ended.took);
+                }
+            }
             SaveEnd::Rebase(places) => {
                 for (place, revision) in places {
                     owned.owner.rebase(saves[place].job, revision);
@@ -552,7 +570,7 @@
                 log::warn!("owner {name}: token {token} is over");
                 self.owned.remove(name);
             }
-            SaveEnd::Failed => owned.next_save = now.steady.after(SAVE_PAUSE_MS * 5),
+            SaveEnd::Failed => owned.next_save = now.steady.after(SAVE_AGAIN_MS),
         }
     }
 
@@ -653,6 +671,8 @@
         let (node, lease, runners) = (self.node.clone(), self.lease.clone(), self.runners.clone());
         // Between the decision and this moment the process may have been paused.
         let holds = move || lease.held(node.now().steady).is_some();
+        let metrics = self.node.metrics.clone();
+        let began = Instant::now();
         match effect {
             Effect::Start { to, start } => {
                 let (task, run, worker) = (start.task, start.run, to.worker.clone());
@@ -664,6 +684,7 @@
                             clock_ms: None,
                         },
                     };
+                    metrics.ordered("start", outcome(&end), began.elapsed());
                     tell(Event::Started { worker, task, run, end });
                 });
             }
@@ -673,6 +694,7 @@
                         true => runners.stop(&to, task, run).await,
                         false => OrderEnd::Unknown,
                     };
+                    metrics.ordered("stop", outcome(&end), began.elapsed());
                     tell(Event::Stopped { worker: to.worker, task, run, end });
                 });
             }
@@ -683,6 +705,7 @@
                         true => runners.look(&to, acknowledged, until_ms, wait).await,
                         false => OrderEnd::Unknown,
                     };
+                    metrics.ordered("look", outcome(&end), began.elapsed());
                     tell(Event::Looked { worker: to.worker, sent, end });
                 });
             }
@@ -692,6 +715,7 @@
                         true => runners.pace(&to, task, run, percent).await,
                         false => OrderEnd::Unknown,
                     };
+                    metrics.ordered("pace", outcome(&end), began.elapsed());
                     tell(Event::Paced { worker: to.worker, task, percent, end });
                 });
             }
@@ -760,6 +784,14 @@
     SaveEnd::Rebase(moved.collect())
 }
 
+fn outcome<T>(end: &OrderEnd<T>) -> &'static str {
+    match end {
+        OrderEnd::Done(_) => "done",
+        OrderEnd::Refused { .. } => "refused",
+        OrderEnd::Unknown => "unanswered",
+    }
+}
+
 /// The hosts that are to be emptied, by the revisions of their marks.
 fn marks(view: &View) -> BTreeMap<HostId, Revision> {
     view.leaves.iter().map(|(host, at)| (host.clone(), at.revision)).collect()
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -8,10 +8,12 @@
 /// All of our records, but for what operators read.
 pub(crate) const ROOT: &str = "ch/";
 
-const JOB: &str = "ch/job/";
+/// What belongs to one piece of work: its owner, and the jobs handed in to it. One watch of both
+/// hears of a new owner before any job that came after it.
+const WORK: &str = "ch/work/";
+const ID: &str = "ch/id/";
 const PROGRESS: &str = "ch/progress/";
 const CANCEL: &str = "ch/cancel/";
-const OWNER: &str = "ch/owner/";
 const TERM: &str = "ch/term/";
 const LEAVE: &str = "ch/leave/";
 const EMPTY: &str = "ch/empty/";
@@ -27,6 +29,8 @@
 pub(crate) enum Key {
     /// A job, as it was accepted.
     Job(JobId),
+    /// Some pool has a job of this name.
+    Id(JobId),
     /// What is kept of a job that has begun.
     Progress(JobId),
     /// The caller has cancelled the job.
@@ -51,8 +55,14 @@
     /// Reads a key of ours.
     pub(crate) fn parse(text: &str) -> Option<Key> {
         let rest = |prefix: &str| text.strip_prefix(prefix);
-        if let Some(id) = rest(JOB) {
-            return id.parse().ok().map(Key::Job);
+        if let Some(work) = rest(WORK) {
+            return match work.split_once('/')? {
+                (name, "owner") => Some(Key::Owner(name.to_owned())),
+                (_, record) => record.strip_prefix("job/")?.parse().ok().map(Key::Job),
+            };
+        }
+        if let Some(id) = rest(ID) {
+            return id.parse().ok().map(Key::Id);
         }
         if let Some(id) = rest(PROGRESS) {
             return id.parse().ok().map(Key::Progress);
@@ -60,9 +70,6 @@
         if let Some(id) = rest(CANCEL) {
             return id.parse().ok().map(Key::Cancel);
         }
-        if let Some(name) = rest(OWNER) {
-            return Some(Key::Owner(name.to_owned()));
-        }
         if let Some(name) = rest(TERM) {
             return Some(Key::Term(name.to_owned()));
         }
@@ -82,8 +89,17 @@
     }
 }
 
-pub(crate) fn job(id: JobId) -> String {
-    format!("{JOB}{id}")
+/// What belongs to one piece of work.
+pub(crate) fn work(name: &str) -> String {
+    format!("{WORK}{name}/")
+}
+
+pub(crate) fn job(pool: &PoolId, id: JobId) -> String {
+    format!("{WORK}{}/job/{id}", self::pool(pool))
+}
+
+pub(crate) fn id(id: JobId) -> String {
+    format!("{ID}{id}")
 }
 
 pub(crate) fn progress(id: JobId) -> String {
@@ -95,7 +111,7 @@
 }
 
 pub(crate) fn owner(name: &str) -> String {
-    format!("{OWNER}{name}")
+    format!("{WORK}{name}/owner")
 }
 
 pub(crate) fn term(name: &str) -> String {
--- /dev/null
+++ b/src/scheduler/metrics.rs
@@ -0,0 +1,223 @@
+//! A scheduler node's metrics, as Prometheus reads them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use poem::{Endpoint, Request, Response, http::StatusCode};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use crate::{http, logging};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StoreCall {
+    call: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Asked {
+    queue: String,
+    method: &'static str,
+    status: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfQueue {
+    queue: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ordered {
+    order: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    queue: String,
+    state: &'static str,
+}
+
+type Latencies = fn() -> Histogram;
+
+fn latencies() -> Histogram {
+    // From half a millisecond to about a minute.
+    Histogram::new(exponential_buckets(0.0005, 2.0, 18))
+}
+
+/// What the node counts and measures.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    store_calls: Family<StoreCall, Counter>,
+    store_seconds: Family<StoreCall, Histogram, Latencies>,
+    asked: Family<Asked, Counter>,
+    /// Callers' requests by method and status, over all queues.
+    totals: Mutex<BTreeMap<(&'static str, u16), u64>>,
+    answer_seconds: Family<OfQueue, Histogram, Latencies>,
+    orders: Family<Ordered, Counter>,
+    order_seconds: Family<Ordered, Histogram, Latencies>,
+    ended: Family<Ended, Counter>,
+    job_seconds: Family<OfQueue, Histogram, Latencies>,
+    owned: Gauge,
+    config: Gauge,
+    lines_left_out: Gauge,
+}
+
+impl Metrics {
+    /// All metrics, at zero.
+    pub(crate) fn new() -> Metrics {
+        let metrics = Metrics {
+            registry: Mutex::new(Registry::with_prefix("caperhollow")),
+            store_calls: Family::default(),
+            store_seconds: Family::new_with_constructor(latencies as Latencies),
+            asked: Family::default(),
+            totals: Mutex::default(),
+            answer_seconds: Family::new_with_constructor(latencies as Latencies),
+            orders: Family::default(),
+            order_seconds: Family::new_with_constructor(latencies as Latencies),
+            ended: Family::default(),
+            job_seconds: Family::new_with_constructor(latencies as Latencies),
+            owned: Gauge::default(),
+            config: Gauge::default(),
+            lines_left_out: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registry = &mut *registry;
+        registry.register("store_calls", "Calls of the store", self.store_calls.clone());
+        registry.register(
+            "store_seconds",
+            "Time of the store's answers",
+            self.store_seconds.clone(),
+        );
+        registry.register("asked", "Callers' requests by final status", self.asked.clone());
+        registry.register("answer_seconds", "Time to a final answer", self.answer_seconds.clone());
+        registry.register("orders", "Orders to workers", self.orders.clone());
+        registry.register("order_seconds", "Time of workers' answers", self.order_seconds.clone());
+        registry.register("jobs_ended", "Jobs that this node saw end", self.ended.clone());
+        registry.register(
+            "job_seconds",
+            "Time from a job's acceptance to its success, by its owner",
+            self.job_seconds.clone(),
+        );
+        registry.register("owned", "Pieces of work that the node owns", self.owned.clone());
+        registry.register("config_version", "The configuration in force", self.config.clone());
+        registry.register(
+            "log_lines_left_out",
+            "Log lines that were left out because there were too many",
+            self.lines_left_out.clone(),
+        );
+    }
+
+    /// Notes a call of the store.
+    pub(crate) fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
+        let label = StoreCall { call, outcome };
+        self.store_calls.get_or_create(&label).inc();
+        self.store_seconds.get_or_create(&label).observe(took.as_secs_f64());
+    }
+
+    /// Notes a caller's request.
+    pub(crate) fn answered(
+        &self,
+        queue: &str,
+        method: &'static str,
+        status: StatusCode,
+        took: Duration,
+    ) {
+        let label = Asked { queue: queue.to_owned(), method, status: status.as_u16() };
+        self.asked.get_or_create(&label).inc();
+        let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        *totals.entry((method, status.as_u16())).or_default() += 1;
+        drop(totals);
+        let label = OfQueue { queue: queue.to_owned() };
+        self.answer_seconds.get_or_create(&label).observe(took.as_secs_f64());
+    }
+
+    /// Notes an order to a worker.
+    pub(crate) fn ordered(&self, order: &'static str, outcome: &'static str, took: Duration) {
+        let label = Ordered { order, outcome };
+        self.orders.get_or_create(&label).inc();
+        self.order_seconds.get_or_create(&label).observe(took.as_secs_f64());
+    }
+
+    /// Notes the end of a job that this node owns.
+    pub(crate) fn job_ended(&self, queue: &str, state: &'static str, took: Duration) {
+        let label = Ended { queue: queue.to_owned(), state };
+        self.ended.get_or_create(&label).inc();
+        let label = OfQueue { queue: queue.to_owned() };
+        self.job_seconds.get_or_create(&label).observe(took.as_secs_f64());
+    }
+
+    /// Notes what the node owns and which configuration is in force.
+    pub(crate) fn holds(&self, owned: usize, config: u64) {
+        self.owned.set(owned as i64);
+        self.config.set(config as i64);
+    }
+
+    /// Calls of the store so far, for the log.
+    pub(crate) fn store_summary(&self) -> String {
+        const CALLS: [&str; 7] = ["get", "range", "watch", "commit", "grant", "keep", "end lease"];
+        const OUTCOMES: [&str; 4] = ["done", "refused", "unanswered", "unreached"];
+        let mut parts = Vec::new();
+        for call in CALLS {
+            for outcome in OUTCOMES {
+                let count = self.store_calls.get(&StoreCall { call, outcome }).map(|c| c.get());
+                if let Some(count) = count {
+                    parts.push(format!("{call} {outcome} {count}"));
+                }
+            }
+        }
+        parts.join(", ")
+    }
+
+    /// Callers' requests so far, for the log.
+    pub(crate) fn asked_summary(&self) -> String {
+        let totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        let parts = totals.iter().map(|((method, status), n)| format!("{method} {status} {n}"));
+        parts.collect::<Vec<_>>().join(", ")
+    }
+
+    /// All metrics as text.
+    fn text(&self) -> String {
+        self.lines_left_out.set(logging::left_out() as i64);
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(error) = encode(&mut text, &registry) {
+            log::error!("metrics: not encoded: {error}");
+        }
+        text
+    }
+}
+
+/// Serves the metrics.
+pub(crate) struct Page(pub(crate) Arc<Metrics>);
+
+impl Endpoint for Page {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        if request.uri().path() != "/metrics" {
+            return Ok(http::text(StatusCode::NOT_FOUND, "see /metrics\n"));
+        }
+        let response = Response::builder()
+            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+            .body(self.0.text());
+        Ok(response)
+    }
+}
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use tokio::{sync::mpsc, time::sleep};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     model::unit::Revision,
@@ -11,7 +12,11 @@
         records::{OPERATOR_PREFIX, WORKER_PREFIX},
         store::StoreError,
     },
-    scheduler::{Node, drive::Input, keys::ROOT},
+    scheduler::{
+        Node,
+        drive::Input,
+        keys::{self, ROOT},
+    },
 };
 
 /// The prefixes that are mirrored. The order is that of [`View::ready`].
@@ -23,9 +28,15 @@
 /// noticed soon after, within what a change of the configuration may take.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
-/// The least time between two answers of a watch of our own records, so that many small changes
-/// come in few answers.
-const OWN_PAUSE: Duration = Duration::from_millis(60);
+/// The least time between two answers of each watch, in the order of the prefixes, so that many
+/// small changes come in few answers: each answer is paid for. Owners hear of new jobs by a watch of their own;
+/// configurations come at once; workers report their clocks with each heartbeat, which
+/// is no news.
+const PAUSES: [Duration; 3] =
+    [Duration::from_millis(120), Duration::ZERO, Duration::from_millis(250)];
+
+/// The least time between two answers of an owner's own watch.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(8);
 
 /// How long to wait after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
@@ -38,6 +49,57 @@
     }
 }
 
+/// Watches what belongs to one piece of work that this node owns, so that its new jobs are heard
+/// of at once. The mirror tells of the same, later.
+pub(crate) fn follow(
+    node: &Arc<Node>,
+    name: &str,
+    token: u64,
+    over: CancellationToken,
+    to: &mpsc::UnboundedSender<Input>,
+) {
+    let (node, prefix, to) = (node.clone(), keys::work(name), to.clone());
+    tokio::spawn(async move {
+        let following = follow_until_over(&node, &prefix, Revision(token), &to);
+        over.run_until_cancelled(following).await;
+    });
+}
+
+async fn follow_until_over(
+    node: &Arc<Node>,
+    prefix: &str,
+    token: Revision,
+    to: &mpsc::UnboundedSender<Input>,
+) {
+    let mut since = token;
+    loop {
+        match node.kv.watch(prefix, since, WATCH_WAIT).await {
+            Ok(heard) => {
+                since = heard.at.max(since);
+                tell(node, heard.changes, to);
+                sleep(FOLLOW_PAUSE).await;
+            }
+            Err(error) => {
+                log::debug!("store: watch of {prefix} lost at {since}: {error}");
+                sleep(FAILED_PAUSE).await;
+                // What the mirror has told needs no history.
+                since = since.max(node.view().known);
+            }
+        }
+    }
+}
+
+/// Takes in changes and tells the loop what they mean.
+fn tell(node: &Arc<Node>, changes: Vec<Change>, to: &mpsc::UnboundedSender<Input>) {
+    let mut view = node.view();
+    let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
+    drop(view);
+    if !deltas.is_empty() {
+        // The receiver ends with the process only.
+        let _ = to.send(Input::Deltas(deltas));
+    }
+}
+
 async fn mirror(
     node: &Arc<Node>,
     place: usize,
@@ -68,8 +130,8 @@
                 sleep(FAILED_PAUSE).await;
             }
         }
-        if place == 0 && !lost {
-            sleep(OWN_PAUSE).await;
+        if !lost {
+            sleep(PAUSES[place]).await;
         }
     }
 }
@@ -134,9 +196,8 @@
     at: Revision,
     to: &mpsc::UnboundedSender<Input>,
 ) {
-    let now = node.now().steady;
     let mut view = node.view();
-    let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change, now)).collect();
+    let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
     let first = !view.ready[place];
     view.ready[place] = true;
     if place == 0 {
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -21,6 +21,7 @@
         api::{Api, Readiness},
         drive::{Drive, Input},
         lease::{self, Lease},
+        metrics::{Metrics, Page},
         mirror, node,
     },
     settings::scheduler::{self, SchedulerSettings},
@@ -33,6 +34,9 @@
 /// Connections of callers that may be open at one time, well under the descriptors of a node.
 const MAX_CONNECTIONS: usize = 3_000;
 
+/// How often a node tells what it has spent.
+const SUMMARY: Duration = Duration::from_secs(10);
+
 /// What is left of the grace for the last answers once the node stops listening.
 const LAST_ANSWERS: Duration = Duration::from_millis(1_500);
 
@@ -47,9 +51,13 @@
     let (readiness, _) =
         http::listen(&settings.listen.readiness.to_string()).await.map_err(failed)?;
     let grace = settings.grace;
-    let kv = Kv::new(&settings.platform.store.to_string(), STORE_LIMIT);
+    let (figures, _) = http::listen(&settings.listen.metrics.to_string()).await.map_err(failed)?;
+    let metrics = Arc::new(Metrics::new());
+    let noted = metrics.clone();
+    let note = move |call, outcome, took| noted.store_call(call, outcome, took);
+    let kv = Kv::new(&settings.platform.store.to_string(), STORE_LIMIT, note);
     let (accepting, waiting) = accept::queue();
-    let node = node(settings, kv, accepting);
+    let node = node(settings, kv, metrics.clone(), accepting);
     log::info!("node {}: started in {}", node.settings.node, node.settings.zone);
     let lease = Arc::new(Lease::default());
     let (to, from) = mpsc::unbounded_channel();
@@ -62,6 +70,8 @@
     let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api, stop.clone()));
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
+    tokio::spawn(http::serve(figures, 16, Page(metrics), http::Stop::default()));
+    tokio::spawn(summarize(node.clone()));
     tokio::spawn(reload(node.clone(), path));
     told.await?;
     log::info!("node {}: told to end", node.settings.node);
@@ -76,6 +86,15 @@
     Ok(())
 }
 
+/// Tells now and then how many calls of the store were made.
+async fn summarize(node: Arc<Node>) {
+    loop {
+        sleep(SUMMARY).await;
+        log::info!("store: calls so far: {}", node.metrics.store_summary());
+        log::info!("callers: answers so far: {}", node.metrics.asked_summary());
+    }
+}
+
 /// Reads the settings again whenever the process is told that they have changed. What a running
 /// process cannot take on is told, and comes into force with its next start.
 async fn reload(node: Arc<Node>, path: PathBuf) {
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -14,7 +14,7 @@
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
-        unit::{Revision, Steady},
+        unit::Revision,
         worker::{Upkeep, WorkerReport},
     },
     platform::{kv::Change, records},
@@ -125,8 +125,6 @@
     pub(crate) idle: BTreeMap<String, At<BTreeSet<HostId>>>,
     pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
-    /// Workers whose reports were removed, and when this node heard of it.
-    pub(crate) unlisted: BTreeMap<WorkerId, (WorkerReport, Steady)>,
     pub(crate) config: Option<Arc<QueueConfig>>,
     pub(crate) upkeeps: BTreeMap<u64, At<Upkeep>>,
     /// The revision up to which our own records are known.
@@ -147,12 +145,12 @@
     }
 
     /// Takes in a change; what that means for others.
-    pub(crate) fn apply(&mut self, change: Change, now: Steady) -> Option<Delta> {
+    pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
         if let Some(key) = Key::parse(&change.key) {
             return self.apply_own(key, change);
         }
         if change.key.starts_with(records::WORKER_PREFIX) {
-            return self.apply_worker(change, now);
+            return self.apply_worker(change);
         }
         if change.key == records::CONFIG_KEY {
             return self.apply_config(&change);
@@ -174,8 +172,13 @@
         let Change { revision, value, key: text } = change;
         let value = value.as_ref();
         match key {
+            Key::Id(_) => None,
             Key::Job(id) => {
                 let known = self.jobs.entry(id).or_default();
+                // Two watches tell of it.
+                if known.record.as_ref().is_some_and(|record| revision <= record.revision) {
+                    return None;
+                }
                 known.record = read(&text, value, revision).map(share);
                 self.drop_empty(id);
                 Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
@@ -191,6 +194,9 @@
                 Some(Delta::Cancelled(id))
             }
             Key::Owner(name) => {
+                if self.owners.get(&name).is_some_and(|owner| revision <= owner.revision) {
+                    return None;
+                }
                 set(&mut self.owners, name.clone(), read(&text, value, revision));
                 Some(Delta::Owner(name))
             }
@@ -228,22 +234,20 @@
         }
     }
 
-    fn apply_worker(&mut self, change: Change, now: Steady) -> Option<Delta> {
+    fn apply_worker(&mut self, change: Change) -> Option<Delta> {
         let Some(value) = change.value else {
             let id: WorkerId =
                 change.key.trim_start_matches(records::WORKER_PREFIX).parse().ok()?;
-            let worker = self.workers.remove(&id)?;
-            self.unlisted.insert(id.clone(), (worker.value, now));
+            self.workers.remove(&id)?;
             return Some(Delta::Unlisted(id));
         };
         match records::worker(&change.key, &value) {
-            // A prefix that is read anew tells much that is known.
-            Ok(report) if self.knows_worker(&report.id, change.revision) => None,
             Ok(report) => {
-                self.unlisted.remove(&report.id);
                 let at = At { value: report.clone(), revision: change.revision };
-                self.workers.insert(report.id.clone(), at);
-                Some(Delta::Worker(report))
+                let before = self.workers.insert(report.id.clone(), at);
+                // A prefix that is read anew, and each heartbeat, tell much that is known.
+                let news = before.is_none_or(|before| before.value != report);
+                news.then_some(Delta::Worker(report))
             }
             Err(error) => {
                 log::error!("record {}: {error}", change.key);
@@ -252,10 +256,6 @@
         }
     }
 
-    fn knows_worker(&self, id: &WorkerId, revision: Revision) -> bool {
-        self.workers.get(id).is_some_and(|at| at.revision == revision)
-    }
-
     fn apply_config(&mut self, change: &Change) -> Option<Delta> {
         match records::config(change.value.as_ref()?) {
             Ok(config) => {
