--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -34,16 +34,24 @@
 /// How long a write may take to show in the view, in milliseconds.
 const WRITE_SHOWS_MS: u64 = 700;
 
-/// Demand is kept for so long before a pool gives hosts back, in milliseconds: as long as a
-/// host that was given back too early takes to return, twice.
-const SHRINK_AFTER_MS: u64 = 3_000;
-
-/// The share of a pool's processor time that demand may take before hosts are added, in percent:
-/// tasks do not fill hosts to the brim.
-const FULL_PERCENT: u64 = 80;
+/// How large pools are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Sizing {
+    /// The share of a pool's processor time that demand may take before hosts are added, in
+    /// percent: tasks do not fill hosts to the brim.
+    pub(crate) full_percent: u64,
+    /// Hosts that a pool has beside those that its demand fills.
+    pub(crate) margin_hosts: usize,
+    /// How long a pool keeps hosts that it needed, in milliseconds: a move is paid for like a
+    /// second of a host.
+    pub(crate) shrink_after_ms: u64,
+}
 
-/// Hosts that a pool has beside those that its demand fills.
-const MARGIN_HOSTS: usize = 1;
+impl Default for Sizing {
+    fn default() -> Sizing {
+        Sizing { full_percent: 80, margin_hosts: 1, shrink_after_ms: 3_000 }
+    }
+}
 
 /// Why a host is to be emptied.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,6 +119,7 @@
 /// The owner of the fleet's work.
 pub(crate) struct Fleet {
     pub(crate) token: u64,
+    sizing: Sizing,
     /// No host is touched before: the owner before may just have done so.
     calls_from: Steady,
     calls: BTreeMap<HostId, Call>,
@@ -129,9 +138,16 @@
 
 impl Fleet {
     /// The owner after `earlier` others; `handover_ms` must pass between two owners' calls.
-    pub(crate) fn new(token: u64, earlier: u32, handover_ms: u64, now: Steady) -> Fleet {
+    pub(crate) fn new(
+        token: u64,
+        earlier: u32,
+        sizing: Sizing,
+        handover_ms: u64,
+        now: Steady,
+    ) -> Fleet {
         Fleet {
             token,
+            sizing,
             calls_from: now.after(if earlier == 0 { 0 } else { handover_ms }),
             calls: BTreeMap::new(),
             hosts: BTreeMap::new(),
@@ -363,9 +379,10 @@
     fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
         for (pool, demand) in scene.demands {
             let hosts = self.wanted(demand);
+            let keep_ms = self.sizing.shrink_after_ms;
             let late = self.demands.entry(pool.clone()).or_default();
             late.push_back((now, hosts));
-            while late.front().is_some_and(|(at, _)| SHRINK_AFTER_MS < now.since(*at)) {
+            while late.front().is_some_and(|(at, _)| keep_ms < now.since(*at)) {
                 late.pop_front();
             }
         }
@@ -375,8 +392,8 @@
     fn wanted(&self, demand: &Demand) -> usize {
         let room = self.hosts.values().next().map(|host| host.room);
         let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
-        let filled = (demand.cpu * 100).div_ceil(host_cpu * FULL_PERCENT) as usize;
-        filled.max(demand.spread) + MARGIN_HOSTS
+        let filled = (demand.cpu * 100).div_ceil(host_cpu * self.sizing.full_percent) as usize;
+        filled.max(demand.spread) + self.sizing.margin_hosts
     }
 
     /// Moves hosts between the pools and the one whose hosts are off.
@@ -411,7 +428,8 @@
             let late = self.demands.get(*pool);
             let most = late.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
             let first = late.and_then(|late| late.front());
-            let long = first.is_some_and(|(at, _)| SHRINK_AFTER_MS * 9 / 10 <= now.since(*at));
+            let long =
+                first.is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at));
             let here = &free[*pool];
             let surplus = here.len().saturating_sub(most.max(shares[*pool]));
             if long && have[*pool] == here.len() {
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use crate::{
+    jobs::fleet::Sizing,
     model::id::{NodeId, ZoneId},
     settings::{
         Problems,
@@ -20,6 +21,7 @@
     pub(crate) platform: PlatformAddresses,
     /// How long the node may take to end.
     pub(crate) grace: Duration,
+    pub(crate) sizing: Sizing,
 }
 
 /// Where a scheduler node listens.
@@ -62,15 +64,25 @@
     let grace = section.section_or_default("stop", |inner| {
         inner.millis_or("grace_ms", 1_000..=600_000, Duration::from_secs(6))
     });
+    let sizing = section.section_or_default("pools", sizing);
     Some(SchedulerSettings {
         node: node?,
         zone: zone?,
         listen: listen?,
         platform: platform?,
         grace: grace?,
+        sizing: sizing?,
     })
 }
 
+fn sizing(section: &Section<'_>) -> Option<Sizing> {
+    let default = Sizing::default();
+    let full = section.number_or("full_percent", 10..=100, default.full_percent);
+    let margin = section.number_or("margin_hosts", 0..=1_000, default.margin_hosts as u64);
+    let shrink = section.number_or("shrink_after_ms", 0..=600_000, default.shrink_after_ms);
+    Some(Sizing { full_percent: full?, margin_hosts: margin? as usize, shrink_after_ms: shrink? })
+}
+
 fn listen(section: &Section<'_>) -> Option<SchedulerListen> {
     let callers = section.text("callers");
     let readiness = section.text("readiness");
