Hosts that come to a pool are used at once

Cause: hosts that were moved to a pool at its peak stood unused for up to three seconds, marked as leaving until the fleet's owner saw them there; each move out of the pool that is off took a write, a turn of the mirror and a turn of the plan first; and idle pools had shrunk just before the first jobs came.

Change: a mark that leads to a pool does not bind that pool; hosts that are off move without a mark; pools shrink only after they have had work that ends.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -16,7 +16,7 @@
 };
 
 /// How often the list of hosts is read while something is under way, in milliseconds.
-const LIST_BUSY_MS: u64 = 400;
+const LIST_BUSY_MS: u64 = 250;
 
 /// How often it is read otherwise, in milliseconds.
 const LIST_IDLE_MS: u64 = 2_000;
@@ -69,6 +69,8 @@
     pub(crate) cpu: u64,
     /// Hosts over which its tasks must be spread.
     pub(crate) spread: usize,
+    /// Whether some of it ends by itself.
+    pub(crate) ends: bool,
 }
 
 /// What is known when the fleet's owner decides.
@@ -123,6 +125,10 @@
     /// No host is touched before: the owner before may just have done so.
     calls_from: Steady,
     calls: BTreeMap<HostId, Call>,
+    /// Hosts that are off and come to a pool: nothing runs there, so that they need no mark.
+    coming: BTreeMap<HostId, PoolId>,
+    /// Pools that have had work that ends: the others are left as the operator made them.
+    worked: BTreeSet<PoolId>,
     hosts: BTreeMap<HostId, ListedHost>,
     /// When the newest list was asked for.
     listed: Option<Steady>,
@@ -150,6 +156,8 @@
             sizing,
             calls_from: now.after(if earlier == 0 { 0 } else { handover_ms }),
             calls: BTreeMap::new(),
+            coming: BTreeMap::new(),
+            worked: BTreeSet::new(),
             hosts: BTreeMap::new(),
             listed: None,
             listing: false,
@@ -219,7 +227,8 @@
             return;
         }
         let waves = scene.upkeeps.iter().any(|upkeep| !scene.reported.contains(&upkeep.wave));
-        let busy = waves || !scene.leaves.is_empty() || !self.calls.is_empty();
+        let busy =
+            waves || !scene.leaves.is_empty() || !self.calls.is_empty() || !self.coming.is_empty();
         self.listing = true;
         self.next_list = now.after(if busy { LIST_BUSY_MS } else { LIST_IDLE_MS });
         out.push(FleetEffect::List);
@@ -258,8 +267,15 @@
                 }
             }
         }
-        let leaves = scene.leaves;
-        self.calls.retain(|host, call| leaves.contains_key(host) || *call == Call::OnItsWay);
+        let hosts = &self.hosts;
+        self.coming.retain(|host, pool| {
+            let there = |known: &ListedHost| known.phase == HostPhase::Up && known.pool == *pool;
+            hosts.get(host).is_some_and(|known| !there(known))
+        });
+        let (leaves, coming) = (scene.leaves, &self.coming);
+        self.calls.retain(|host, call| {
+            leaves.contains_key(host) || coming.contains_key(host) || *call == Call::OnItsWay
+        });
     }
 
     /// Makes the calls for hosts that are empty.
@@ -267,6 +283,17 @@
         if now < self.calls_from {
             return;
         }
+        for (host, pool) in &self.coming {
+            let again = match self.calls.get(host) {
+                None => true,
+                Some(Call::Again(at)) => *at <= now,
+                Some(Call::OnItsWay | Call::Begun(_)) => false,
+            };
+            if again {
+                out.push(FleetEffect::Move(host.clone(), pool.clone()));
+                self.calls.insert(host.clone(), Call::OnItsWay);
+            }
+        }
         for (host, leave) in scene.leaves {
             let again = match self.calls.get(host) {
                 None => false,
@@ -341,6 +368,7 @@
             .into_iter()
             .filter(|known| known.phase == HostPhase::Up)
             .filter(|known| !scene.leaves.contains_key(&known.host))
+            .filter(|known| !self.coming.contains_key(&known.host))
             .collect();
         let is_off =
             |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
@@ -378,6 +406,9 @@
 
     fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
         for (pool, demand) in scene.demands {
+            if demand.ends && self.worked.insert(pool.clone()) {
+                self.demands.remove(pool);
+            }
             let hosts = self.wanted(demand);
             let keep_ms = self.sizing.shrink_after_ms;
             let late = self.demands.entry(pool.clone()).or_default();
@@ -407,8 +438,9 @@
         let mut free = BTreeMap::new();
         for pool in &pools {
             let here = self.free_hosts(scene, pool);
-            let coming = scene.leaves.values().filter(|l| **l == Leave::Move((*pool).clone()));
-            have.insert((*pool).clone(), here.len() + coming.count());
+            let marked = scene.leaves.values().filter(|l| **l == Leave::Move((*pool).clone()));
+            let coming = self.coming.values().filter(|to| to == pool);
+            have.insert((*pool).clone(), here.len() + marked.count() + coming.count());
             free.insert((*pool).clone(), here);
         }
         let mut spare: VecDeque<HostId> = self.free_hosts(scene, off).into();
@@ -417,8 +449,11 @@
         for pool in &pools {
             let (have, share) = (have[*pool], shares[*pool]);
             for _ in have..share {
-                let host = spare.pop_front().or_else(|| self.borrowed(scene, &mut free, &shares));
-                let Some(host) = host else {
+                if let Some(host) = spare.pop_front() {
+                    self.coming.insert(host, (*pool).clone());
+                    continue;
+                }
+                let Some(host) = self.borrowed(scene, &mut free, &shares) else {
                     break;
                 };
                 out.push(FleetEffect::Mark(host, Leave::Move((*pool).clone())));
@@ -432,7 +467,7 @@
                 first.is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at));
             let here = &free[*pool];
             let surplus = here.len().saturating_sub(most.max(shares[*pool]));
-            if long && have[*pool] == here.len() {
+            if long && have[*pool] == here.len() && self.worked.contains(*pool) {
                 for host in here.iter().take(surplus) {
                     out.push(FleetEffect::Mark(host.clone(), Leave::Move(off.clone())));
                 }
@@ -484,6 +519,7 @@
             known.pool == *pool
                 && known.phase == HostPhase::Up
                 && !scene.leaves.contains_key(&known.host)
+                && !self.coming.contains_key(&known.host)
         });
         let mut free: Vec<HostId> = free.map(|known| known.host.clone()).collect();
         // What is idle leaves at once.
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -16,7 +16,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event, Save},
-        fleet::Fleet,
+        fleet::{Fleet, Leave},
         owner::{Emptied, Owner},
     },
     model::{
@@ -125,6 +125,7 @@
 
 /// A piece of work that this node owns.
 struct Owned {
+    pool: PoolId,
     owner: Owner,
     /// Ends the owner's own watch with it.
     _following: DropGuard,
@@ -340,8 +341,9 @@
     }
 
     fn set_emptying(&mut self) {
-        let hosts = marks(&self.node.view());
+        let view = self.node.view();
         for owned in self.owned.values_mut() {
+            let hosts = marks(&view, &owned.pool);
             owned.owner.set_emptying(hosts.clone());
             owned.told_empty.retain(|host, _| hosts.contains_key(host));
         }
@@ -467,12 +469,13 @@
                 owner.handle(Event::Job(stored), now, &mut out);
             }
         }
-        owner.set_emptying(marks(&view));
+        owner.set_emptying(marks(&view, &pool));
         drop(view);
         log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
         let over = CancellationToken::new();
         mirror::follow(&self.node, name, token, over.clone(), &self.to);
         let owned = Owned {
+            pool,
             owner,
             _following: over.drop_guard(),
             saving: false,
@@ -825,9 +828,11 @@
     }
 }
 
-/// The hosts that are to be emptied, by the revisions of their marks.
-fn marks(view: &View) -> BTreeMap<HostId, Revision> {
-    view.leaves.iter().map(|(host, at)| (host.clone(), at.revision)).collect()
+/// The hosts that a pool's owner is to empty, by the revisions of their marks. A host that was
+/// marked to come to this pool has come.
+fn marks(view: &View, pool: &PoolId) -> BTreeMap<HostId, Revision> {
+    let leaves = view.leaves.iter().filter(|(_, at)| at.value != Leave::Move(pool.clone()));
+    leaves.map(|(host, at)| (host.clone(), at.revision)).collect()
 }
 
 pub(super) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -24,7 +24,7 @@
 };
 
 /// How often the fleet's owner decides, in milliseconds.
-const PLAN_MS: u64 = 200;
+const PLAN_MS: u64 = 100;
 
 /// What is copied from the view for one decision.
 struct Known {
@@ -223,6 +223,7 @@
                 continue;
             }
             let left = step.count.saturating_sub(done(time, number as u32));
+            demand.ends |= !step.lasting && left != 0;
             demand.cpu += u64::from(left) * u64::from(step.charge().cpu.0);
             if step.apart != 0 && step.lasting {
                 demand.spread = demand.spread.max(left.div_ceil(step.apart) as usize);
