A new owner of the fleet's work waits only for hosts that were called lately

Change: each call that changes a host is kept first, under the owner's token; a later owner leaves alone only the hosts that are named there of late. Six hosts are emptied ahead of a wave.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -26,10 +26,10 @@
 const CALL_AGAIN_MS: u64 = 300;
 
 /// Hosts that are emptied ahead for a wave, beside those that are away for it.
-const AHEAD: usize = 2;
+const AHEAD: usize = 6;
 
 /// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
-const LEAVING_PERCENT: usize = 34;
+const LEAVING_PERCENT: usize = 50;
 
 /// How long a write may take to show in the view, in milliseconds.
 const WRITE_SHOWS_MS: u64 = 700;
@@ -87,6 +87,8 @@
     pub(crate) reported: &'a BTreeSet<u64>,
     /// Hosts on which nothing runs, as their pools' owners last wrote.
     pub(crate) idle: &'a BTreeSet<HostId>,
+    /// Hosts that an earlier owner has called so lately that another must not yet.
+    pub(crate) resting: &'a BTreeSet<HostId>,
 }
 
 /// What the fleet's owner wants done.
@@ -122,8 +124,6 @@
 pub(crate) struct Fleet {
     pub(crate) token: u64,
     sizing: Sizing,
-    /// No host is touched before: the owner before may just have done so.
-    calls_from: Steady,
     calls: BTreeMap<HostId, Call>,
     /// Hosts that are off and come to a pool: nothing runs there, so that they need no mark.
     coming: BTreeMap<HostId, PoolId>,
@@ -143,18 +143,11 @@
 }
 
 impl Fleet {
-    /// The owner after `earlier` others; `handover_ms` must pass between two owners' calls.
-    pub(crate) fn new(
-        token: u64,
-        earlier: u32,
-        sizing: Sizing,
-        handover_ms: u64,
-        now: Steady,
-    ) -> Fleet {
+    /// An owner that has just won the work.
+    pub(crate) fn new(token: u64, sizing: Sizing, now: Steady) -> Fleet {
         Fleet {
             token,
             sizing,
-            calls_from: now.after(if earlier == 0 { 0 } else { handover_ms }),
             calls: BTreeMap::new(),
             coming: BTreeMap::new(),
             worked: BTreeSet::new(),
@@ -280,10 +273,8 @@
 
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
-        if now < self.calls_from {
-            return;
-        }
-        for (host, pool) in &self.coming {
+        let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
+        for (host, pool) in coming {
             let again = match self.calls.get(host) {
                 None => true,
                 Some(Call::Again(at)) => *at <= now,
@@ -294,7 +285,8 @@
                 self.calls.insert(host.clone(), Call::OnItsWay);
             }
         }
-        for (host, leave) in scene.leaves {
+        let leaves = scene.leaves.iter().filter(|(host, _)| !scene.resting.contains(*host));
+        for (host, leave) in leaves {
             let again = match self.calls.get(host) {
                 None => false,
                 Some(Call::Again(at)) if *at <= now => true,
--- a/src/jobs/owner/pace.rs
+++ b/src/jobs/owner/pace.rs
@@ -20,21 +20,39 @@
 /// How long a change of pace is given to show, in milliseconds: the gauge covers half a second.
 const SETTLE_MS: u64 = 500;
 
+/// A run that fills.
+struct Filling {
+    task: TaskId,
+    run: u32,
+    /// Its pace, in percent.
+    pace: u32,
+    /// When its pace was last changed.
+    since: Steady,
+}
+
+/// The runs at a worker that share its processors.
+#[derive(Default)]
+struct Sharing {
+    /// The tails of serving tasks, as shares of their targets in percent.
+    serving: Vec<u64>,
+    filling: Vec<Filling>,
+}
+
 impl Owner {
     /// The workers on which tasks that fill run beside tasks with a target.
     pub(super) fn mixed_workers(&self) -> BTreeSet<WorkerId> {
         let mixed = |id: &&WorkerId| {
-            let (serving, filling) = self.sharing(id);
-            !serving.is_empty() && !filling.is_empty()
+            let sharing = self.sharing(id);
+            !sharing.serving.is_empty() && !sharing.filling.is_empty()
         };
         self.workers.keys().filter(mixed).cloned().collect()
     }
 
-    /// The runs at a worker: those with a target, as shares of it in percent, and those that fill.
-    fn sharing(&self, id: &WorkerId) -> (Vec<u64>, Vec<(TaskId, u32, u32, Steady)>) {
-        let (mut serving, mut filling) = (Vec::new(), Vec::new());
+    /// The runs at a worker that share its processors.
+    fn sharing(&self, id: &WorkerId) -> Sharing {
+        let mut sharing = Sharing::default();
         let Some(worker) = self.workers.get(id) else {
-            return (serving, filling);
+            return sharing;
         };
         for task in worker.copies.keys() {
             let Some(job) = self.jobs.get(&task.of.job) else {
@@ -53,19 +71,20 @@
                 continue;
             }
             if step.fills {
-                filling.push((*task, copy.run, copy.pace, copy.since));
+                let (run, pace, since) = (copy.run, copy.pace, copy.since);
+                sharing.filling.push(Filling { task: *task, run, pace, since });
             } else {
-                serving.push(copy.gauge * 100 / step.target_ms);
+                sharing.serving.push(copy.gauge * 100 / step.target_ms);
             }
         }
-        (serving, filling)
+        sharing
     }
 
     /// Sets the pace of what fills at a worker by the worst of the tails there.
     pub(super) fn repace(&mut self, id: &WorkerId, now: Steady, out: &mut Vec<Effect>) {
-        let (serving, filling) = self.sharing(id);
-        let worst = serving.iter().max().copied();
-        for (task, run, pace, since) in filling {
+        let sharing = self.sharing(id);
+        let worst = sharing.serving.iter().max().copied();
+        for Filling { task, run, pace, since } in sharing.filling {
             let wanted = match worst {
                 None => 100,
                 Some(worst) if HIGH_PERCENT < worst => pace / 2,
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -423,15 +423,8 @@
                 continue;
             }
             if name == keys::FLEET {
-                let handover = self.node.settings.platform.handover.as_millis() as u64;
                 log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
-                self.fleet = Some(Fleet::new(
-                    token,
-                    earlier,
-                    self.node.settings.sizing,
-                    handover,
-                    now.steady,
-                ));
+                self.fleet = Some(Fleet::new(token, self.node.settings.sizing, now.steady));
             }
             if let Some(pool) = name.strip_prefix("pool-").and_then(|pool| pool.parse().ok()) {
                 self.take_up_pool(&name, pool, token, earlier, now);
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -19,13 +19,19 @@
     scheduler::{
         drive::{Drive, Input, json},
         keys,
-        view::{KnownJob, View, WaveRecord},
+        view::{CalledRecord, KnownJob, View, WaveRecord},
     },
 };
 
 /// How often the fleet's owner decides, in milliseconds.
 const PLAN_MS: u64 = 100;
 
+/// How far the nodes' clocks may differ.
+const CLOCKS_DIFFER: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// How long after the record of a call the call itself may be made, in milliseconds.
+const CALL_AFTER_MS: u64 = 500;
+
 /// What is copied from the view for one decision.
 struct Known {
     config: std::sync::Arc<QueueConfig>,
@@ -36,6 +42,7 @@
     maintained: BTreeMap<u64, BTreeSet<HostId>>,
     reported: BTreeSet<u64>,
     idle: BTreeSet<HostId>,
+    resting: BTreeSet<HostId>,
 }
 
 impl Drive {
@@ -45,12 +52,14 @@
             return;
         }
         self.next_fleet = now.steady.after(PLAN_MS);
-        let Some(known) = known(&self.node.view(), now.wall) else {
+        let Some(fleet) = self.fleet.as_mut() else {
             return;
         };
-        let Some(fleet) = self.fleet.as_mut() else {
+        let handover = self.node.settings.platform.handover + CLOCKS_DIFFER;
+        let Some(mut known) = known(&self.node.view(), now.wall) else {
             return;
         };
+        known.resting = resting(&self.node.view(), fleet.token, now.wall.before(handover));
         let scene = Scene {
             config: &known.config,
             demands: &known.demands,
@@ -60,6 +69,7 @@
             maintained: &known.maintained,
             reported: &known.reported,
             idle: &known.idle,
+            resting: &known.resting,
         };
         let token = fleet.token;
         let effects = fleet.plan(&scene, now.steady);
@@ -131,11 +141,17 @@
         let (machines, to) = (self.machines.clone(), self.to.clone());
         let (node, lease) = (self.node.clone(), self.lease.clone());
         tokio::spawn(async move {
-            // The view may not show yet that another node owns the fleet's work, and between the
-            // decision and this moment the process may have been paused.
-            let owner = node.kv.get(&keys::owner(keys::FLEET)).await;
-            let owns = matches!(owner, Ok(Some(item)) if item.revision == Revision(token));
-            if !owns || lease.held(node.now().steady).is_none() {
+            // Kept first, so that a later owner leaves the host alone for a while, and under the
+            // condition that there is none yet.
+            let now = node.now();
+            let record = CalledRecord { token, at: now.wall };
+            let txn = Txn::default()
+                .expect(keys::owner(keys::FLEET), Revision(token))
+                .put(keys::called(&host), json(&record));
+            let kept = matches!(node.kv.commit(&txn).await, Ok(Committed::Done(_)));
+            // Meanwhile the process may have been paused.
+            let late = CALL_AFTER_MS < node.now().steady.since(now.steady);
+            if !kept || late || lease.held(node.now().steady).is_none() {
                 let _ = to.send(Input::HostCalled { token, host, begun: Some(false) });
                 return;
             }
@@ -166,6 +182,13 @@
     }
 }
 
+/// Hosts that another owner has moved or maintained since a moment.
+fn resting(view: &View, token: u64, since: Time) -> BTreeSet<HostId> {
+    let lately = |at: &&CalledRecord| at.token != token && since < at.at;
+    let called = view.called.iter().filter(|(_, at)| lately(&&at.value));
+    called.map(|(host, _)| host.clone()).collect()
+}
+
 fn known(view: &View, wall: Time) -> Option<Known> {
     let config = view.config.clone()?;
     let mut demands: BTreeMap<PoolId, Demand> =
@@ -197,6 +220,7 @@
             .filter(|(_, at)| at.value.reported)
             .map(|(wave, _)| *wave)
             .collect(),
+        resting: BTreeSet::new(),
         idle: view.idle.values().flat_map(|at| at.value.iter().cloned()).collect(),
     })
 }
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -18,6 +18,7 @@
 const LEAVE: &str = "ch/leave/";
 const EMPTY: &str = "ch/empty/";
 const WAVE: &str = "ch/wave/";
+const CALLED: &str = "ch/called/";
 const IDLE: &str = "ch/idle/";
 const ROSTER: &str = "ch/roster/";
 
@@ -49,6 +50,8 @@
     Roster(String),
     /// The hosts of a pool on which nothing runs.
     Idle(String),
+    /// When a host was last moved or maintained, and by which owner.
+    Called(HostId),
 }
 
 impl Key {
@@ -85,6 +88,9 @@
         if let Some(name) = rest(IDLE) {
             return Some(Key::Idle(name.to_owned()));
         }
+        if let Some(host) = rest(CALLED) {
+            return host.parse().ok().map(Key::Called);
+        }
         rest(WAVE)?.parse().ok().map(Key::Wave)
     }
 }
@@ -142,3 +148,7 @@
 pub(crate) fn idle(name: &str) -> String {
     format!("{IDLE}{name}")
 }
+
+pub(crate) fn called(host: &HostId) -> String {
+    format!("{CALLED}{host}")
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -14,7 +14,7 @@
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
-        unit::Revision,
+        unit::{Revision, Time},
         worker::{Upkeep, WorkerReport},
     },
     platform::{kv::Change, records},
@@ -43,6 +43,14 @@
     pub(crate) mark: Revision,
 }
 
+/// When a host was last moved or maintained.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CalledRecord {
+    /// The token of the fleet's owner.
+    pub(crate) token: u64,
+    pub(crate) at: Time,
+}
+
 /// What is kept of a wave.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct WaveRecord {
@@ -123,6 +131,7 @@
     pub(crate) waves: BTreeMap<u64, At<WaveRecord>>,
     /// By pool, the hosts on which nothing runs.
     pub(crate) idle: BTreeMap<String, At<BTreeSet<HostId>>>,
+    pub(crate) called: BTreeMap<HostId, At<CalledRecord>>,
     pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     pub(crate) config: Option<Arc<QueueConfig>>,
@@ -220,6 +229,10 @@
                 set(&mut self.idle, name, read(&text, value, revision));
                 None
             }
+            Key::Called(host) => {
+                set(&mut self.called, host, read(&text, value, revision));
+                None
+            }
             Key::Roster(name) => {
                 set(&mut self.rosters, name, read(&text, value, revision));
                 None
