Fuzzing of owners against an oracle, tests of the fleet's owner

Change: owners are paused and replaced between any two steps, orders and writes are lost, unanswered or late, workers crash, are cut off and run 2 % slow; the oracle watches what workers run and what is shown.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the owner of a pool, event by event.
 
+mod fleet;
+mod fuzz;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
--- /dev/null
+++ b/src/jobs/tests/fleet.rs
@@ -0,0 +1,175 @@
+//! Tests of the owner of the fleet's work.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    jobs::fleet::{Demand, Fleet, FleetEffect, Leave, Scene, Sizing},
+    model::{
+        id::{HostId, PoolId, WorkerId},
+        job::Room,
+        queue::{PoolRules, QueueConfig},
+        unit::{Megabytes, Millicores, Steady},
+        worker::{HostPhase, ListedHost, Upkeep},
+    },
+};
+
+/// What the fleet's owner is shown.
+struct Known {
+    config: QueueConfig,
+    demands: BTreeMap<PoolId, Demand>,
+    leaves: BTreeMap<HostId, Leave>,
+    empties: BTreeMap<HostId, WorkerId>,
+    upkeeps: Vec<Upkeep>,
+    maintained: BTreeMap<u64, BTreeSet<HostId>>,
+    reported: BTreeSet<u64>,
+    idle: BTreeSet<HostId>,
+    resting: BTreeSet<HostId>,
+}
+
+impl Known {
+    fn new() -> Known {
+        let rules = |off| PoolRules { off, guards: true };
+        let pools = BTreeMap::from([(pool("busy"), rules(false)), (pool("off"), rules(true))]);
+        Known {
+            config: QueueConfig { version: 1, queues: vec![], pools },
+            demands: BTreeMap::from([(pool("busy"), Demand::default())]),
+            leaves: BTreeMap::new(),
+            empties: BTreeMap::new(),
+            upkeeps: vec![],
+            maintained: BTreeMap::new(),
+            reported: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            resting: BTreeSet::new(),
+        }
+    }
+
+    fn scene(&self) -> Scene<'_> {
+        Scene {
+            config: &self.config,
+            demands: &self.demands,
+            leaves: &self.leaves,
+            empties: &self.empties,
+            upkeeps: &self.upkeeps,
+            maintained: &self.maintained,
+            reported: &self.reported,
+            idle: &self.idle,
+            resting: &self.resting,
+        }
+    }
+}
+
+fn pool(name: &str) -> PoolId {
+    name.parse().unwrap()
+}
+
+fn host(number: usize) -> HostId {
+    format!("h{number}").parse().unwrap()
+}
+
+fn listed(number: usize, pool_name: &str) -> ListedHost {
+    ListedHost {
+        host: host(number),
+        pool: pool(pool_name),
+        phase: HostPhase::Up,
+        worker: (pool_name != "off").then(|| format!("w{number}").parse().unwrap()),
+        labels: vec![],
+        room: Room { cpu: Millicores(32_000), memory: Megabytes(1), gpus: 0 },
+    }
+}
+
+fn at(millis: u64) -> Steady {
+    Steady::from_millis(millis)
+}
+
+fn fleet(hosts: Vec<ListedHost>) -> Fleet {
+    let sizing = Sizing { full_percent: 80, margin_hosts: 0, shrink_after_ms: 1_000 };
+    let mut fleet = Fleet::new(7, sizing, at(0));
+    fleet.heard_list(at(1), Some(hosts));
+    fleet
+}
+
+fn moves(effects: &[FleetEffect]) -> usize {
+    effects.iter().filter(|effect| matches!(effect, FleetEffect::Move(..))).count()
+}
+
+#[test]
+fn a_pool_whose_work_grows_gets_hosts_that_are_off_at_once() {
+    let mut known = Known::new();
+    let hosts = vec![listed(1, "busy"), listed(2, "off"), listed(3, "off"), listed(4, "off")];
+    let mut fleet = fleet(hosts);
+    known.demands.insert(pool("busy"), Demand { cpu: 70_000, spread: 0, ends: true });
+    fleet.plan(&known.scene(), at(100));
+    // Decided first, and called in the next plan.
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 2);
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(300))), 0);
+}
+
+/// Found by the bench: pools that had no work yet shrank just before their first jobs came.
+#[test]
+fn a_pool_that_has_had_no_work_is_left_as_it_is() {
+    let known = Known::new();
+    let mut fleet = fleet((1..5).map(|n| listed(n, "busy")).collect());
+    for tick in 1..50 {
+        let effects = fleet.plan(&known.scene(), at(tick * 100));
+        assert!(!effects.iter().any(|effect| matches!(effect, FleetEffect::Mark(..))));
+    }
+}
+
+#[test]
+fn no_more_hosts_are_away_for_a_wave_than_it_allows() {
+    let mut known = Known::new();
+    let hosts: Vec<ListedHost> = (1..9).map(|n| listed(n, "busy")).collect();
+    let all = (1..9).map(host).collect();
+    known.upkeeps = vec![Upkeep { wave: 1, hosts: all, period_ms: 20_000, at_once: 2 }];
+    for number in 1..9 {
+        known.leaves.insert(host(number), Leave::Upkeep(1));
+        known.empties.insert(host(number), format!("w{number}").parse().unwrap());
+    }
+    let mut fleet = fleet(hosts);
+    let begun = |effects: Vec<FleetEffect>| {
+        effects.iter().filter(|effect| matches!(effect, FleetEffect::Maintain(..))).count()
+    };
+    assert_eq!(begun(fleet.plan(&known.scene(), at(100))), 2);
+    fleet.called(&host(1), Some(true), at(150));
+    // Without an answer it may be away as well.
+    fleet.called(&host(2), None, at(150));
+    assert_eq!(begun(fleet.plan(&known.scene(), at(200))), 0);
+}
+
+#[test]
+fn a_host_is_not_touched_before_its_present_worker_is_empty() {
+    let mut known = Known::new();
+    known.leaves.insert(host(1), Leave::Move(pool("off")));
+    known.empties.insert(host(1), "w-before".parse().unwrap());
+    let mut fleet = fleet(vec![listed(1, "busy")]);
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(100))), 0);
+    known.empties.insert(host(1), "w1".parse().unwrap());
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 1);
+}
+
+/// Found by the bench: two holders acted on one host within the time that must lie between them.
+#[test]
+fn a_host_that_another_owner_called_lately_is_left_alone() {
+    let mut known = Known::new();
+    known.leaves.insert(host(1), Leave::Move(pool("off")));
+    known.empties.insert(host(1), "w1".parse().unwrap());
+    known.resting.insert(host(1));
+    let mut fleet = fleet(vec![listed(1, "busy")]);
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(100))), 0);
+    known.resting.clear();
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 1);
+}
+
+#[test]
+fn a_wave_is_done_only_when_every_host_that_stays_was_maintained() {
+    let mut known = Known::new();
+    let hosts = vec![host(1), host(2), host(9)];
+    known.upkeeps = vec![Upkeep { wave: 1, hosts, period_ms: 20_000, at_once: 1 }];
+    known.maintained.insert(1, BTreeSet::from([host(1)]));
+    let mut fleet = fleet(vec![listed(1, "busy"), listed(2, "busy")]);
+    let done = FleetEffect::Report(1, true);
+    assert!(!fleet.plan(&known.scene(), at(100)).contains(&done));
+    known.maintained.insert(1, BTreeSet::from([host(1), host(2)]));
+    // The ninth host is gone for good.
+    assert!(fleet.plan(&known.scene(), at(200)).contains(&done));
+}
--- /dev/null
+++ b/src/jobs/tests/fuzz.rs
@@ -0,0 +1,769 @@
+//! Stateful fuzzing of owners: they are paused and replaced between any two steps, workers apply
+//! orders late, fall silent, crash, and are cut off from one owner and not from another, and
+//! answers of the store are lost. The oracle watches what workers really run, and shares no code
+//! with the decisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bolero::TypeGenerator;
+
+use super::{id, report, step, stored};
+use crate::{
+    jobs::{
+        event::{Effect, Event, Save, StoredJob},
+        owner::{LEASE_MS, OVERTIME_MS, Owner},
+    },
+    model::{
+        id::WorkerId,
+        job::{JobId, JobState, Progress, Step, StepId, TaskId},
+        unit::{Now, Revision, Steady, Time},
+        worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal, WorkerReport},
+    },
+    tests::fuzz,
+};
+
+/// Hosts of the pool.
+const HOSTS: usize = 3;
+/// How long a worker runs a task, in milliseconds.
+const WORK_MS: u64 = 700;
+/// How long a worker takes to stop a run.
+const STOP_MS: u64 = 400;
+/// How long after a cancel no task may begin, for an owner that hears of it at once.
+const CANCEL_MS: u64 = 3_000;
+/// A task that has failed so often is not started again.
+const ATTEMPTS: usize = 3;
+
+/// What becomes of an order or a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, TypeGenerator)]
+enum Fate {
+    Done,
+    AnswerLost,
+    Lost,
+    /// Unanswered, and carried out when the world gets round to it.
+    Late,
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Op {
+    Submit {
+        kind: u8,
+    },
+    Cancel {
+        job: u8,
+    },
+    /// Time passes, in steps of 20 ms.
+    Pass(u8),
+    /// All orders of the present owner are carried out and answered, and it works on.
+    Run {
+        rounds: u8,
+    },
+    /// One order of an owner meets its fate.
+    Order {
+        owner: u8,
+        which: u8,
+        fate: Fate,
+    },
+    Work {
+        owner: u8,
+    },
+    Save {
+        owner: u8,
+        fate: Fate,
+    },
+    LateOrder {
+        which: u8,
+    },
+    Replace {
+        know: u8,
+    },
+    Crash {
+        host: u8,
+    },
+    Cut {
+        host: u8,
+        owner: u8,
+    },
+    Heal,
+}
+
+/// A run at a worker.
+#[derive(Debug, Clone)]
+struct Run {
+    run: u32,
+    left: u64,
+    stopping: Option<u64>,
+}
+
+/// A worker as it really is.
+struct SimWorker {
+    report: WorkerReport,
+    alive: bool,
+    /// Its clock's rate, in percent.
+    rate: u64,
+    fence: u64,
+    until: u64,
+    runs: BTreeMap<TaskId, Run>,
+    ends: Vec<Ended>,
+    next_end: u64,
+    acknowledged: u64,
+    /// The highest run of each task that was stopped or ended here.
+    over: BTreeMap<TaskId, u32>,
+    cut: BTreeSet<usize>,
+}
+
+/// An owner and what it wants done.
+struct Held {
+    owner: Owner,
+    allowed_until: u64,
+    orders: Vec<(Effect, u64)>,
+}
+
+/// The truth.
+struct World {
+    now: u64,
+    revision: u64,
+    owners: Vec<Held>,
+    token: u64,
+    workers: Vec<SimWorker>,
+    lives: u32,
+    jobs: BTreeMap<JobId, StoredJob>,
+    cancelled: BTreeMap<JobId, u64>,
+    progress: BTreeMap<JobId, (Progress, u64)>,
+    roster: Vec<WorkerReport>,
+    late: Vec<Effect>,
+    late_saves: Vec<(u64, Vec<Save>)>,
+    /// Tasks that have really ended as done.
+    done: BTreeSet<TaskId>,
+    /// Ends that were acknowledged: done, and the failed runs.
+    noted_done: BTreeSet<TaskId>,
+    noted_failed: BTreeMap<TaskId, BTreeSet<u32>>,
+}
+
+impl World {
+    fn new() -> World {
+        let mut world = World {
+            now: 1_000,
+            revision: 10,
+            owners: Vec::new(),
+            token: 0,
+            workers: Vec::new(),
+            lives: 0,
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            roster: Vec::new(),
+            late: Vec::new(),
+            late_saves: Vec::new(),
+            done: BTreeSet::new(),
+            noted_done: BTreeSet::new(),
+            noted_failed: BTreeMap::new(),
+        };
+        for host in 0..HOSTS {
+            let worker = world.live(host);
+            world.workers.push(worker);
+        }
+        world.replace(true);
+        world
+    }
+
+    fn live(&mut self, host: usize) -> SimWorker {
+        self.lives += 1;
+        SimWorker {
+            report: report(&format!("w{}", self.lives), &format!("h{host}")),
+            alive: true,
+            rate: [98, 100, 102][host % 3],
+            fence: 0,
+            until: 0,
+            runs: BTreeMap::new(),
+            ends: Vec::new(),
+            next_end: 1,
+            acknowledged: 0,
+            over: BTreeMap::new(),
+            cut: BTreeSet::new(),
+        }
+    }
+
+    fn at(&self) -> Now {
+        let wall = Time::from_millis(1_000_000 + self.now);
+        Now { steady: Steady::from_millis(self.now), wall }
+    }
+
+    /// Another owner takes over, whether or not the one before it has been told. With `know`, the
+    /// workers' reports are listed; else only the roster tells of them.
+    fn replace(&mut self, know: bool) {
+        let now = self.now;
+        if let Some(before) = self.owners.last_mut() {
+            before.allowed_until = before.allowed_until.min(now + LEASE_MS + OVERTIME_MS);
+        }
+        self.revision += 1;
+        self.token = self.revision;
+        let earlier = self.owners.len() as u32;
+        let mut owner = Owner::new(self.token, earlier, Steady::from_millis(now));
+        let (mut out, at) = (Vec::new(), self.at());
+        for report in self.roster.clone() {
+            let worker = report.id.clone();
+            owner.handle(Event::Worker(report), at, &mut out);
+            owner.handle(Event::Unlisted(worker), at, &mut out);
+        }
+        for worker in self.workers.iter().filter(|worker| know && worker.alive) {
+            owner.handle(Event::Worker(worker.report.clone()), at, &mut out);
+        }
+        for job in self.jobs.values() {
+            owner.handle(Event::Job(self.stored(job)), at, &mut out);
+        }
+        let orders = out.into_iter().map(|effect| (effect, now)).collect();
+        self.owners.push(Held { owner, allowed_until: u64::MAX, orders });
+    }
+
+    fn stored(&self, job: &StoredJob) -> StoredJob {
+        let mut job = job.clone();
+        if let Some((progress, revision)) = self.progress.get(&job.id) {
+            job.progress = Some(progress.clone().into());
+            job.saved_at = Revision(*revision);
+        }
+        job.cancelled = self.cancelled.contains_key(&job.id);
+        job
+    }
+
+    fn current(&self) -> usize {
+        self.owners.len() - 1
+    }
+
+    fn tell(&mut self, owner: usize, event: Event) {
+        let (at, now) = (self.at(), self.now);
+        let held = &mut self.owners[owner];
+        let mut out = Vec::new();
+        held.owner.handle(event, at, &mut out);
+        held.orders.extend(out.into_iter().map(|effect| (effect, now)));
+    }
+
+    fn work(&mut self, owner: usize) {
+        let (at, now, current) = (self.at(), self.now, self.current());
+        let held = &mut self.owners[owner];
+        if held.allowed_until <= now || held.owner.is_deposed() {
+            return;
+        }
+        let mut out = Vec::new();
+        held.owner.work(at, &mut out);
+        held.orders.extend(out.into_iter().map(|effect| (effect, now)));
+        if owner == current
+            && let Some(workers) = held.owner.roster()
+        {
+            self.roster = workers.clone();
+            held.owner.rostered(&workers);
+        }
+    }
+
+    fn submit(&mut self, kind: u8) {
+        let number = self.jobs.len() as u64 + 1;
+        if 6 < number {
+            return;
+        }
+        let steps = match kind % 5 {
+            0 => vec![step(1)],
+            1 => vec![step(2), Step { after: vec![0], ..step(1) }],
+            2 => vec![Step { saves: true, ..step(2) }],
+            3 => vec![Step { apart: 1, ..step(3) }],
+            _ => vec![step(3)],
+        };
+        self.revision += 1;
+        let job = stored(number, steps, self.revision);
+        self.jobs.insert(job.id, job.clone());
+        self.tell(self.current(), Event::Job(job));
+    }
+
+    fn cancel(&mut self, job: u8) {
+        let number = u64::from(job) % 6 + 1;
+        if self.jobs.contains_key(&id(number)) {
+            self.cancelled.entry(id(number)).or_insert(self.now);
+            self.tell(self.current(), Event::Cancelled(id(number)));
+        }
+    }
+
+    /// Whether tasks of a job fail whatever runs them.
+    fn is_poison(&self, job: JobId) -> bool {
+        job == id(4)
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 20 {
+            self.now += 20;
+            for worker in 0..self.workers.len() {
+                self.run_worker(worker);
+            }
+        }
+    }
+
+    fn run_worker(&mut self, place: usize) {
+        if !self.workers[place].alive {
+            return;
+        }
+        let clock = self.clock(place);
+        if self.workers[place].until <= clock {
+            let runs = std::mem::take(&mut self.workers[place].runs);
+            for (task, run) in runs {
+                self.end(place, task, run.run, HowEnded::Lapsed);
+            }
+            return;
+        }
+        let now = self.now;
+        let mut over = Vec::new();
+        for (task, run) in &mut self.workers[place].runs {
+            run.left = run.left.saturating_sub(20);
+            if run.stopping.is_some_and(|at| at <= now) {
+                over.push((*task, run.run, HowEnded::Stopped));
+            } else if run.left == 0 {
+                over.push((*task, run.run, HowEnded::Done));
+            }
+        }
+        for (task, run, how) in over {
+            let poison = how == HowEnded::Done && self.is_poison(task.of.job);
+            self.workers[place].runs.remove(&task);
+            self.end(place, task, run, if poison { HowEnded::Failed } else { how });
+        }
+    }
+
+    fn end(&mut self, place: usize, task: TaskId, run: u32, how: HowEnded) {
+        if how == HowEnded::Done {
+            self.done.insert(task);
+        }
+        let worker = &mut self.workers[place];
+        let highest = worker.over.entry(task).or_default();
+        *highest = (*highest).max(run);
+        let number = worker.next_end;
+        worker.next_end += 1;
+        worker.ends.push(Ended { number, task, run, how, saved: String::new() });
+    }
+
+    fn clock(&self, place: usize) -> u64 {
+        500 + self.now * self.workers[place].rate / 100
+    }
+
+    fn place_of(&self, worker: &WorkerId) -> Option<usize> {
+        self.workers.iter().position(|sim| sim.report.id == *worker)
+    }
+
+    /// One order of an owner meets its fate.
+    fn order(&mut self, owner: usize, which: usize, fate: Fate) {
+        let held = &mut self.owners[owner];
+        if held.orders.is_empty() {
+            return;
+        }
+        let which = which % held.orders.len();
+        let (effect, sent) = held.orders.remove(which);
+        let allowed = self.now < held.allowed_until;
+        let reached = self.reaches(owner, &effect);
+        match fate {
+            _ if !allowed => self.unanswered(owner, effect, sent),
+            Fate::Done if reached => self.carry_out(owner, effect, sent, true),
+            Fate::AnswerLost if reached => self.carry_out(owner, effect, sent, false),
+            Fate::Late if reached => {
+                self.late.push(clone_order(&effect));
+                self.unanswered(owner, effect, sent);
+            }
+            _ => self.unanswered(owner, effect, sent),
+        }
+    }
+
+    fn reaches(&self, owner: usize, effect: &Effect) -> bool {
+        let Some(place) = worker_of(effect).and_then(|worker| self.place_of(worker)) else {
+            return true;
+        };
+        self.workers[place].alive && !self.workers[place].cut.contains(&owner)
+    }
+
+    fn unanswered(&mut self, owner: usize, effect: Effect, sent: u64) {
+        let sent = Steady::from_millis(sent);
+        let event = match effect {
+            Effect::Start { to, start } => {
+                let (task, run) = (start.task, start.run);
+                Event::Started { worker: to.worker, task, run, end: OrderEnd::Unknown }
+            }
+            Effect::Stop { to, task, run } => {
+                Event::Stopped { worker: to.worker, task, run, end: OrderEnd::Unknown }
+            }
+            Effect::Look { to, .. } => {
+                Event::Looked { worker: to.worker, sent, end: OrderEnd::Unknown }
+            }
+            Effect::Pace { .. } | Effect::Advise { .. } => return,
+        };
+        self.tell(owner, event);
+    }
+
+    fn carry_out(&mut self, owner: usize, effect: Effect, sent: u64, answered: bool) {
+        let again = clone_order(&effect);
+        let event = self.apply(effect, Steady::from_millis(sent));
+        match event {
+            Some(event) if answered => self.tell(owner, event),
+            _ => self.unanswered(owner, again, sent),
+        }
+    }
+
+    /// What a worker does with an order, and what it answers.
+    fn apply(&mut self, effect: Effect, sent: Steady) -> Option<Event> {
+        match effect {
+            Effect::Start { to, start } => {
+                let (task, run) = (start.task, start.run);
+                let end = self.apply_start(&to.worker, to.token, task, run, start.until_ms);
+                Some(Event::Started { worker: to.worker, task, run, end })
+            }
+            Effect::Stop { to, task, run } => {
+                let end = self.apply_stop(&to.worker, to.token, task, run);
+                Some(Event::Stopped { worker: to.worker, task, run, end })
+            }
+            Effect::Look { to, acknowledged, until_ms, .. } => {
+                let end = self.apply_look(&to.worker, to.token, acknowledged, until_ms);
+                Some(Event::Looked { worker: to.worker, sent, end })
+            }
+            Effect::Pace { .. } | Effect::Advise { .. } => None,
+        }
+    }
+
+    /// The worker that lives where an order went, if the order was meant for it.
+    fn meet(&mut self, worker: &WorkerId, token: u64) -> Result<usize, Refusal> {
+        let place = self.place_of(worker).ok_or(Refusal::OtherLife)?;
+        let sim = &mut self.workers[place];
+        if token < sim.fence {
+            return Err(Refusal::Fenced);
+        }
+        sim.fence = token;
+        Ok(place)
+    }
+
+    fn apply_start(
+        &mut self,
+        worker: &WorkerId,
+        token: u64,
+        task: TaskId,
+        run: u32,
+        until: u64,
+    ) -> OrderEnd<u64> {
+        let refused = |why| OrderEnd::Refused { why, clock_ms: None };
+        let place = match self.meet(worker, token) {
+            Ok(place) => place,
+            Err(why) => return refused(why),
+        };
+        let clock = self.clock(place);
+        if until <= clock {
+            return refused(Refusal::Late);
+        }
+        let sim = &mut self.workers[place];
+        sim.until = sim.until.max(until);
+        if sim.runs.get(&task).is_some_and(|there| there.run == run) {
+            return OrderEnd::Done(clock);
+        }
+        if sim.over.get(&task).is_some_and(|over| run <= *over) || sim.runs.contains_key(&task) {
+            return refused(Refusal::Old);
+        }
+        if 4 <= sim.runs.len() {
+            return refused(Refusal::Room);
+        }
+        self.check_start(place, task);
+        self.workers[place].runs.insert(task, Run { run, left: WORK_MS, stopping: None });
+        OrderEnd::Done(clock)
+    }
+
+    /// What must hold when a run begins.
+    fn check_start(&self, place: usize, task: TaskId) {
+        for (other, worker) in self.workers.iter().enumerate() {
+            let runs = worker.alive && worker.runs.contains_key(&task);
+            assert!(other == place || !runs, "{task} runs twice at {} ms", self.now);
+        }
+        assert!(!self.noted_done.contains(&task), "{task} is started after its end was noted");
+        let failed = self.noted_failed.get(&task).map_or(0, BTreeSet::len);
+        assert!(failed < ATTEMPTS, "{task} is started after {failed} failures were noted");
+        let job = &self.jobs[&task.of.job];
+        for earlier in &job.record.steps[task.of.step as usize].after {
+            for index in 0..job.record.steps[*earlier as usize].count {
+                let of = StepId { step: *earlier, ..task.of };
+                assert!(self.done.contains(&TaskId { of, index }), "{task} begins too early");
+            }
+        }
+        if let Some(at) = self.cancelled.get(&task.of.job) {
+            assert!(self.now <= at + CANCEL_MS + LEASE_MS + OVERTIME_MS, "{task} was cancelled");
+        }
+    }
+
+    fn apply_stop(
+        &mut self,
+        worker: &WorkerId,
+        token: u64,
+        task: TaskId,
+        run: u32,
+    ) -> OrderEnd<u64> {
+        let place = match self.meet(worker, token) {
+            Ok(place) => place,
+            Err(why) => return OrderEnd::Refused { why, clock_ms: None },
+        };
+        let (clock, now) = (self.clock(place), self.now);
+        let sim = &mut self.workers[place];
+        match sim.runs.get_mut(&task).filter(|there| there.run <= run) {
+            Some(there) => {
+                there.stopping.get_or_insert(now + STOP_MS);
+            }
+            None => {
+                let highest = sim.over.entry(task).or_default();
+                *highest = (*highest).max(run);
+            }
+        }
+        OrderEnd::Done(clock)
+    }
+
+    fn apply_look(
+        &mut self,
+        worker: &WorkerId,
+        token: u64,
+        acknowledged: u64,
+        until: Option<u64>,
+    ) -> OrderEnd<Look> {
+        let place = match self.meet(worker, token) {
+            Ok(place) => place,
+            Err(why) => return OrderEnd::Refused { why, clock_ms: None },
+        };
+        let clock_ms = self.clock(place);
+        let noted: Vec<Ended> = {
+            let sim = &mut self.workers[place];
+            sim.until = sim.until.max(until.unwrap_or(0));
+            sim.acknowledged = sim.acknowledged.max(acknowledged);
+            let limit = sim.acknowledged;
+            let (noted, left) = sim.ends.drain(..).partition(|end| end.number <= limit);
+            sim.ends = left;
+            noted
+        };
+        noted.iter().for_each(|end| self.note(end));
+        let sim = &self.workers[place];
+        let present = sim.runs.iter().map(|(task, run)| Present {
+            task: *task,
+            run: run.run,
+            saved: String::new(),
+            percent: (100 - run.left * 100 / WORK_MS) as u32,
+            gauge: 0,
+        });
+        let (present, ended) = (present.collect(), sim.ends.clone());
+        OrderEnd::Done(Look { clock_ms, present, ended })
+    }
+
+    /// An end is acknowledged: it must be durable by now.
+    fn note(&mut self, end: &Ended) {
+        let job = end.task.of.job;
+        let over = self.cancelled.contains_key(&job)
+            || self.progress.get(&job).is_some_and(|(progress, _)| progress.state.is_final());
+        let name = format!("{}.{}", end.task.of.time, end.task.of.step);
+        let kept = self.progress.get(&job).and_then(|(progress, _)| progress.steps.get(&name));
+        let kept_done = kept.is_some_and(|note| note.done.contains(&end.task.index));
+        match end.how {
+            HowEnded::Done => {
+                assert!(over || kept_done, "{} is acknowledged before it is durable", end.task);
+                self.noted_done.insert(end.task);
+            }
+            HowEnded::Failed => {
+                let runs = kept.and_then(|note| note.tasks.get(&end.task.index));
+                let kept_failed = runs.is_some_and(|note| note.failed.contains(&end.run));
+                assert!(over || kept_done || kept_failed, "{}: failure not durable", end.task);
+                self.noted_failed.entry(end.task).or_default().insert(end.run);
+            }
+            _ => {}
+        }
+    }
+
+    fn save(&mut self, owner: usize, fate: Fate) {
+        let token = self.owners[owner].owner.token;
+        let saves = self.owners[owner].owner.saves(15);
+        if saves.is_empty() {
+            return;
+        }
+        match fate {
+            Fate::Lost => {}
+            Fate::Late => self.late_saves.push((token, saves)),
+            Fate::Done | Fate::AnswerLost => {
+                let written = self.write(token, &saves);
+                match written {
+                    Ok(revision) if fate == Fate::Done => {
+                        self.owners[owner].owner.saved(&saves, revision);
+                    }
+                    Err(moved) if fate == Fate::Done => {
+                        for (job, revision) in moved {
+                            self.owners[owner].owner.rebase(job, revision);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Writes progress as the store does: all or nothing, under its conditions.
+    fn write(&mut self, token: u64, saves: &[Save]) -> Result<Revision, Vec<(JobId, Revision)>> {
+        let at = |job: &JobId| self.progress.get(job).map_or(0, |(_, revision)| *revision);
+        let moved = saves.iter().filter(|save| at(&save.job) != save.expects.0);
+        let moved: Vec<(JobId, Revision)> =
+            moved.map(|save| (save.job, Revision(at(&save.job)))).collect();
+        if token != self.token || !moved.is_empty() {
+            return Err(if token == self.token { moved } else { Vec::new() });
+        }
+        self.revision += 1;
+        for save in saves {
+            let progress: Progress = serde_json::from_slice(&save.value).unwrap();
+            self.check_progress(save.job, &progress);
+            self.progress.insert(save.job, (progress, self.revision));
+        }
+        Ok(Revision(self.revision))
+    }
+
+    /// What must hold of what callers are shown.
+    fn check_progress(&self, job: JobId, progress: &Progress) {
+        if let Some((before, _)) = self.progress.get(&job) {
+            assert!(!before.state.is_final() || before.state == progress.state, "{job} came back");
+        }
+        match progress.state {
+            JobState::Succeeded => {
+                let record = &self.jobs[&job].record;
+                for (number, step) in record.steps.iter().enumerate() {
+                    for index in 0..step.count {
+                        let of = StepId { job, time: 0, step: number as u32 };
+                        let task = TaskId { of, index };
+                        assert!(self.done.contains(&task), "{job} succeeded without {task}");
+                    }
+                }
+            }
+            JobState::Failed => assert!(self.is_poison(job), "{job} failed without cause"),
+            _ => {}
+        }
+    }
+
+    fn crash(&mut self, host: usize) {
+        let host = host % HOSTS;
+        if self.workers[host].alive {
+            self.workers[host].alive = false;
+            return;
+        }
+        self.workers[host] = self.live(host);
+        let report = self.workers[host].report.clone();
+        self.tell(self.current(), Event::Worker(report));
+    }
+
+    /// The present owner works undisturbed for some rounds.
+    fn run(&mut self, rounds: u8) {
+        for _ in 0..rounds {
+            let owner = self.current();
+            self.work(owner);
+            let orders = self.owners[owner].orders.len();
+            for _ in 0..orders {
+                self.order(owner, 0, Fate::Done);
+            }
+            self.save(owner, Fate::Done);
+            self.pass(60);
+        }
+    }
+
+    fn apply_op(&mut self, op: Op) {
+        let owners = self.owners.len();
+        match op {
+            Op::Submit { kind } => self.submit(kind),
+            Op::Cancel { job } => self.cancel(job),
+            Op::Pass(steps) => self.pass(u64::from(steps) * 20),
+            Op::Run { rounds } => self.run(rounds % 24),
+            Op::Order { owner, which, fate } => {
+                self.order(owner as usize % owners, which as usize, fate);
+            }
+            Op::Work { owner } => self.work(owner as usize % owners),
+            Op::Save { owner, fate } => self.save(owner as usize % owners, fate),
+            Op::LateOrder { which } => self.late_order(which as usize),
+            Op::Replace { know } if owners < 5 => self.replace(know % 3 != 0),
+            Op::Replace { .. } => {}
+            Op::Crash { host } => self.crash(host as usize),
+            Op::Cut { host, owner } => {
+                self.workers[host as usize % HOSTS].cut.insert(owner as usize % owners);
+            }
+            Op::Heal => self.workers.iter_mut().for_each(|worker| worker.cut.clear()),
+        }
+    }
+
+    fn late_order(&mut self, which: usize) {
+        if !self.late_saves.is_empty() {
+            let (token, saves) = self.late_saves.remove(0);
+            // Nobody hears of it.
+            let _ = self.write(token, &saves);
+        }
+        if self.late.is_empty() {
+            return;
+        }
+        let effect = self.late.remove(which % self.late.len());
+        let alive = worker_of(&effect)
+            .and_then(|worker| self.place_of(worker))
+            .is_some_and(|place| self.workers[place].alive);
+        if alive {
+            let now = Steady::from_millis(self.now);
+            let _ = self.apply(effect, now);
+        }
+    }
+
+    /// With all troubles over, every job ends as it should.
+    fn settle(&mut self) {
+        for worker in 0..HOSTS {
+            self.workers[worker].cut.clear();
+            if !self.workers[worker].alive {
+                self.crash(worker);
+            }
+        }
+        self.run_until_quiet();
+        for (job, stored) in &self.jobs {
+            let state = self.progress.get(job).map(|(progress, _)| progress.state);
+            let wanted = match self.is_poison(*job) {
+                true => JobState::Failed,
+                false => JobState::Succeeded,
+            };
+            let steps = stored.record.steps.len();
+            let ended = self.cancelled.contains_key(job) || state == Some(wanted);
+            assert!(ended, "{job} of {steps} steps is {state:?} in the end");
+        }
+    }
+
+    fn run_until_quiet(&mut self) {
+        // Longer than everything that was held, waited for and tried again.
+        for _ in 0..600 {
+            self.run(1);
+        }
+    }
+}
+
+fn worker_of(effect: &Effect) -> Option<&WorkerId> {
+    match effect {
+        Effect::Start { to, .. } | Effect::Stop { to, .. } | Effect::Look { to, .. } => {
+            Some(&to.worker)
+        }
+        Effect::Pace { .. } | Effect::Advise { .. } => None,
+    }
+}
+
+fn clone_order(effect: &Effect) -> Effect {
+    match effect {
+        Effect::Start { to, start } => Effect::Start { to: to.clone(), start: start.clone() },
+        Effect::Stop { to, task, run } => Effect::Stop { to: to.clone(), task: *task, run: *run },
+        Effect::Look { to, acknowledged, until_ms, wait } => Effect::Look {
+            to: to.clone(),
+            acknowledged: *acknowledged,
+            until_ms: *until_ms,
+            wait: *wait,
+        },
+        Effect::Pace { to, task, run, percent } => {
+            Effect::Pace { to: to.clone(), task: *task, run: *run, percent: *percent }
+        }
+        Effect::Advise { step, workers, needs } => {
+            Effect::Advise { step: *step, workers: workers.clone(), needs: *needs }
+        }
+    }
+}
+
+#[test]
+fn no_task_runs_twice_and_every_job_ends_whatever_happens() {
+    fuzz(150, 60, |ops: &[Op]| {
+        let mut world = World::new();
+        world.submit(1);
+        world.run(4);
+        for op in ops {
+            world.apply_op(*op);
+        }
+        world.settle();
+    });
+}
