Room for tasks that last, hosts that never come, ownership that was won unheard

Change: room is reserved for lasting tasks; hosts on their way count for four seconds; a node takes up again what stands in its name. A stand-in site (standin site) speaks the platform's wire, and tests drive real nodes against it.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -408,6 +408,29 @@
                         .help("Refuse reads above so many a second."),
                 ),
         )
+        .subcommand(
+            Command::new("site")
+                .about(
+                    "Run what scheduler nodes work with: store, hosts, and workers that run tasks.",
+                )
+                .arg(listen("127.0.0.1:7920"))
+                .arg(
+                    Arg::new("workers")
+                        .long("workers")
+                        .value_name("N")
+                        .value_parser(value_parser!(u32))
+                        .default_value("4")
+                        .help("Run so many workers, of 8 cores each."),
+                )
+                .arg(
+                    Arg::new("work-ms")
+                        .long("work-ms")
+                        .value_name("MS")
+                        .value_parser(value_parser!(u64))
+                        .default_value("300")
+                        .help("Take so long for a task whose payload names no time."),
+                ),
+        )
         .subcommand(
             Command::new("worker")
                 .about("Run many workers, whose tasks answer as endpoints.")
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -25,6 +25,13 @@
 /// carried out is answered as done.
 const CALL_AGAIN_MS: u64 = 300;
 
+/// How long a host that is to come to a pool counts as if it were there, in milliseconds: a move
+/// takes 1.5 s, and emptying a host about as long.
+const COMING_COUNTS_MS: u64 = 4_000;
+
+/// How long a host that does not come is called, in milliseconds.
+const COMING_MOST_MS: u64 = 10_000;
+
 /// Hosts that are emptied ahead for a wave, beside those that are away for it.
 const AHEAD: usize = 6;
 
@@ -110,6 +117,13 @@
     Report(u64, bool),
 }
 
+/// A host that is off and comes to a pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Coming {
+    pool: PoolId,
+    since: Steady,
+}
+
 /// A call that changes a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Call {
@@ -126,7 +140,9 @@
     sizing: Sizing,
     calls: BTreeMap<HostId, Call>,
     /// Hosts that are off and come to a pool: nothing runs there, so that they need no mark.
-    coming: BTreeMap<HostId, PoolId>,
+    coming: BTreeMap<HostId, Coming>,
+    /// When hosts that are marked were first seen to be.
+    marked: BTreeMap<HostId, Steady>,
     /// Pools that have had work that ends: the others are left as the operator made them.
     worked: BTreeSet<PoolId>,
     hosts: BTreeMap<HostId, ListedHost>,
@@ -150,6 +166,7 @@
             sizing,
             calls: BTreeMap::new(),
             coming: BTreeMap::new(),
+            marked: BTreeMap::new(),
             worked: BTreeSet::new(),
             hosts: BTreeMap::new(),
             listed: None,
@@ -184,11 +201,12 @@
     pub(crate) fn plan(&mut self, scene: &Scene<'_>, now: Steady) -> Vec<FleetEffect> {
         let mut out = Vec::new();
         self.note_demand(scene, now);
+        self.note_marks(scene, now);
         self.list(scene, now, &mut out);
         if self.listed.is_none() {
             return out;
         }
-        self.finish(scene, &mut out);
+        self.finish(scene, now, &mut out);
         self.call(scene, now, &mut out);
         for upkeep in scene.upkeeps {
             self.wave(scene, upkeep, &mut out);
@@ -228,7 +246,7 @@
     }
 
     /// Ends what the list shows to be over.
-    fn finish(&mut self, scene: &Scene<'_>, out: &mut Vec<FleetEffect>) {
+    fn finish(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let Some(listed) = self.listed else {
             return;
         };
@@ -261,9 +279,13 @@
             }
         }
         let hosts = &self.hosts;
-        self.coming.retain(|host, pool| {
-            let there = |known: &ListedHost| known.phase == HostPhase::Up && known.pool == *pool;
-            hosts.get(host).is_some_and(|known| !there(known))
+        self.coming.retain(|host, coming| {
+            let Some(known) = hosts.get(host) else {
+                return false;
+            };
+            let there = known.phase == HostPhase::Up && known.pool == coming.pool;
+            let given_up = COMING_MOST_MS < now.since(coming.since);
+            !there && (!given_up || known.phase == HostPhase::Moving)
         });
         let (leaves, coming) = (scene.leaves, &self.coming);
         self.calls.retain(|host, call| {
@@ -274,7 +296,7 @@
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
-        for (host, pool) in coming {
+        for (host, Coming { pool, .. }) in coming {
             let again = match self.calls.get(host) {
                 None => true,
                 Some(Call::Again(at)) => *at <= now,
@@ -430,9 +452,7 @@
         let mut free = BTreeMap::new();
         for pool in &pools {
             let here = self.free_hosts(scene, pool);
-            let marked = scene.leaves.values().filter(|l| **l == Leave::Move((*pool).clone()));
-            let coming = self.coming.values().filter(|to| to == pool);
-            have.insert((*pool).clone(), here.len() + marked.count() + coming.count());
+            have.insert((*pool).clone(), here.len() + self.expected(scene, pool, now));
             free.insert((*pool).clone(), here);
         }
         let mut spare: VecDeque<HostId> = self.free_hosts(scene, off).into();
@@ -442,7 +462,7 @@
             let (have, share) = (have[*pool], shares[*pool]);
             for _ in have..share {
                 if let Some(host) = spare.pop_front() {
-                    self.coming.insert(host, (*pool).clone());
+                    self.coming.insert(host, Coming { pool: (*pool).clone(), since: now });
                     continue;
                 }
                 let Some(host) = self.borrowed(scene, &mut free, &shares) else {
@@ -505,6 +525,25 @@
         None
     }
 
+    /// Hosts that are to come to a pool, and may be expected to: one that takes too long may be
+    /// down, or held by a worker that is silent.
+    fn expected(&self, scene: &Scene<'_>, pool: &PoolId, now: Steady) -> usize {
+        let soon = |since: Steady| now.since(since) < COMING_COUNTS_MS;
+        let coming = self.coming.values().filter(|c| c.pool == *pool && soon(c.since));
+        let marked = scene.leaves.iter().filter(|(host, leave)| {
+            **leave == Leave::Move(pool.clone())
+                && self.marked.get(*host).is_some_and(|since| soon(*since))
+        });
+        coming.count() + marked.count()
+    }
+
+    fn note_marks(&mut self, scene: &Scene<'_>, now: Steady) {
+        self.marked.retain(|host, _| scene.leaves.contains_key(host));
+        for host in scene.leaves.keys() {
+            self.marked.entry(host.clone()).or_insert(now);
+        }
+    }
+
     /// Hosts of a pool that are up and not marked to leave.
     fn free_hosts(&self, scene: &Scene<'_>, pool: &PoolId) -> Vec<HostId> {
         let free = self.hosts.values().filter(|known| {
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -79,6 +79,8 @@
     over: HashSet<WorkerId>,
     /// Hosts that are being emptied, by the revision of the mark that says so.
     emptying: BTreeMap<HostId, Revision>,
+    /// Workers whose room is kept, in the present plan, for tasks that last and wait.
+    reserved: BTreeSet<WorkerId>,
     durations: Durations,
     dirty: BTreeSet<JobId>,
     deposed: bool,
@@ -96,6 +98,7 @@
             workers: BTreeMap::new(),
             over: HashSet::new(),
             emptying: BTreeMap::new(),
+            reserved: BTreeSet::new(),
             durations: Durations::default(),
             dirty: BTreeSet::new(),
             deposed: false,
@@ -469,7 +472,15 @@
                 self.bury(at, "another life answers at its address");
             }
             // The next look that still finds the run has it stopped again.
-            OrderEnd::Refused { .. } | OrderEnd::Unknown => {}
+            OrderEnd::Refused { why: Refusal::Unwell, .. } | OrderEnd::Unknown => {}
+            // The worker knows of no such run: what it does not list from now on is not there.
+            OrderEnd::Refused { why, .. } => {
+                log::info!("job {}: task {task} at {at}: stop refused: {why:?}", task.of.job);
+                if let Some(copy) = self.copy_mut(task, at).filter(|copy| copy.run == run) {
+                    copy.phase = Phase::Stopped(now);
+                    copy.since = now;
+                }
+            }
         }
     }
 }
--- a/src/jobs/owner/advise.rs
+++ b/src/jobs/owner/advise.rs
@@ -4,7 +4,7 @@
 
 use super::Owner;
 use crate::{
-    jobs::{event::Effect, place::Scene},
+    jobs::event::Effect,
     model::{id::WorkerId, job::StepId, unit::Steady},
     platform::advice::{Advised, MOST_NAMED},
 };
@@ -30,7 +30,7 @@
         if tasks.asking || now < tasks.ask_after {
             return;
         }
-        let scene = Scene { workers: &self.workers, emptying: &self.emptying, now };
+        let scene = self.scene(now);
         let step = job.step(of.step);
         let charge = step.charge();
         let holds = |id: &WorkerId| {
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -38,6 +38,7 @@
             .map(|job| (urgency::of(job, &self.durations, now), job.id))
             .collect();
         order.sort();
+        self.reserved.clear();
         let unsure = now.steady < self.quiet_until && self.workers.values().any(|w| !w.touched);
         for (_, id) in order {
             self.plan_job(id, unsure, now, out);
@@ -65,12 +66,32 @@
                 _ => self.place_tasks(of, &waiting, now, out),
             };
             if !placed {
+                self.reserve(of, now.steady);
                 self.note_waiting(of, now.steady);
                 self.ask(of, now.steady, out);
             }
         }
     }
 
+    pub(super) fn scene(&self, now: Steady) -> Scene<'_> {
+        let (workers, emptying) = (&self.workers, &self.emptying);
+        Scene { workers, emptying, reserved: &self.reserved, now }
+    }
+
+    /// Keeps a worker's room for a task that lasts and finds none, or small tasks would take each
+    /// piece of room as soon as it is free.
+    fn reserve(&mut self, of: StepId, now: Steady) {
+        let Some(job) = self.jobs.get(&of.job) else {
+            return;
+        };
+        let (step, tasks) = (job.step(of.step), job.steps.get(&(of.time, of.step)));
+        let Some(tasks) = tasks.filter(|_| step.lasting) else {
+            return;
+        };
+        let worker = self.scene(now).to_reserve(step, tasks).map(|w| w.report.id.clone());
+        self.reserved.extend(worker);
+    }
+
     /// Tells now and then why the tasks of a step wait.
     fn note_waiting(&mut self, of: StepId, now: Steady) {
         let Some(job) = self.jobs.get_mut(&of.job) else {
@@ -87,7 +108,8 @@
         let Some(tasks) = job.steps.get(&(of.time, of.step)).filter(|_| !first) else {
             return;
         };
-        let scene = Scene { workers: &self.workers, emptying: &self.emptying, now };
+        let (workers, emptying) = (&self.workers, &self.emptying);
+        let scene = Scene { workers, emptying, reserved: &self.reserved, now };
         let refusals = scene.refusals(&step, tasks, ticketed);
         log::info!("job {}: step {of} waits: {refusals:?}", of.job);
     }
@@ -136,7 +158,7 @@
         let job = self.jobs.get(&of.job)?;
         let tasks = job.steps.get(&(of.time, of.step))?;
         let task = tasks.tasks.get(index as usize)?;
-        let scene = Scene { workers: &self.workers, emptying: &self.emptying, now };
+        let scene = self.scene(now);
         let ticketed = job.record.advice.is_some();
         let worker = scene.worker_for(job.step(of.step), tasks, task, ticketed, rack)?;
         Some(worker.report.id.clone())
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,6 +1,6 @@
 //! Which worker a task goes to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     jobs::{
@@ -9,7 +9,7 @@
     },
     model::{
         id::{HostId, WorkerId},
-        job::Step,
+        job::{Room, Step},
         unit::{Revision, Steady},
     },
 };
@@ -34,6 +34,8 @@
     pub(crate) workers: &'a BTreeMap<WorkerId, Worker>,
     /// Hosts that are being emptied.
     pub(crate) emptying: &'a BTreeMap<HostId, Revision>,
+    /// Workers whose room is kept for tasks that last.
+    pub(crate) reserved: &'a BTreeSet<WorkerId>,
     pub(crate) now: Steady,
 }
 
@@ -58,6 +60,7 @@
         let charge = step.charge();
         let fits = |worker: &&Worker| {
             self.is_eligible(worker, step)
+                && (step.lasting || !self.reserved.contains(&worker.report.id))
                 && worker.report.room.fits(&worker.used, &charge)
                 && rack.is_none_or(|rack| worker.rack() == rack)
                 && self.is_spread(worker, step, tasks)
@@ -74,6 +77,19 @@
         })
     }
 
+    /// The worker on which a task that lasts finds room first, if no other work begins there: the
+    /// one with the most room left.
+    pub(crate) fn to_reserve(&self, step: &Step, tasks: &StepTasks) -> Option<&Worker> {
+        let charge = step.charge();
+        let could = |worker: &&Worker| {
+            self.is_eligible(worker, step)
+                && worker.report.room.fits(&Room::default(), &charge)
+                && self.is_spread(worker, step, tasks)
+        };
+        let left = |worker: &&Worker| worker.report.room.cpu.0 - worker.used.cpu.0;
+        self.workers.values().filter(could).max_by_key(left)
+    }
+
     /// Why the tasks of a step find no worker, for the log: how many workers each reason rules out.
     pub(crate) fn refusals(&self, step: &Step, tasks: &StepTasks, ticketed: bool) -> Refusals {
         let mut refusals = Refusals::default();
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -15,7 +15,7 @@
         id::WorkerId,
         job::{JobId, JobRecord, JobState, Progress, Room, Step, TaskId},
         unit::{Megabytes, Millicores, Now, Revision, Steady, Time},
-        worker::{Ended, HowEnded, Look, OrderEnd, Present, WorkerReport},
+        worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal, WorkerReport},
     },
 };
 
@@ -301,13 +301,29 @@
     bench.tell(Event::Worker(report("w2", "h2")));
     bench.touch("w2", vec![]);
     let mut begun = Vec::new();
+    // The looks that are on their way are never answered, nor are those that follow at w1.
+    for name in ["w1", "w2"] {
+        let sent = Steady::from_millis(bench.now);
+        bench.tell(Event::Looked { worker: worker_id(name), sent, end: OrderEnd::Unknown });
+    }
+    bench.look("w2", vec![], vec![]);
     for _ in 0..100 {
         bench.now += 100;
-        let sent = Steady::from_millis(bench.now);
-        bench.tell(Event::Looked { worker: worker_id("w1"), sent, end: OrderEnd::Unknown });
-        bench.look("w2", vec![], vec![]);
         bench.work();
+        let looked = |effect: &Effect| match effect {
+            Effect::Look { to, .. } => Some(to.worker.clone()),
+            _ => None,
+        };
+        let looked: Vec<WorkerId> = bench.effects.iter().filter_map(looked).collect();
         begun.extend(bench.starts().into_iter().map(|(_, run, at)| (bench.now, run, at)));
+        for worker in looked {
+            if worker == worker_id("w2") {
+                bench.look("w2", vec![], vec![]);
+                continue;
+            }
+            let sent = Steady::from_millis(bench.now);
+            bench.tell(Event::Looked { worker, sent, end: OrderEnd::Unknown });
+        }
     }
     assert_eq!(begun.len(), 1, "{begun:?}");
     let (at, run, worker) = &begun[0];
@@ -403,3 +419,49 @@
     bench.work();
     assert_eq!(bench.starts(), vec![]);
 }
+
+/// Found by the bench: small tasks took each piece of room as soon as it was free, and a lasting
+/// task that needed a larger one never came back.
+#[test]
+fn a_lasting_task_gets_room_though_smaller_tasks_wait_for_it_too() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(8)], 110)));
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 4);
+    for (task, run, worker) in &starts {
+        bench.started(*task, *run, worker);
+    }
+    let wide = Room { cpu: Millicores(2_000), memory: Megabytes(100), gpus: 0 };
+    bench.tell(Event::Job(stored(2, vec![Step { lasting: true, need: wide, ..step(1) }], 111)));
+    let still = |from: usize| -> Vec<Present> {
+        starts[from..].iter().map(|(task, run, _)| present(*task, *run, 50)).collect()
+    };
+    bench.now += 100;
+    bench.look("w1", still(1), vec![done(1, starts[0].0, 1)]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+    bench.now += 100;
+    bench.look("w1", still(2), vec![done(2, starts[1].0, 1)]);
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].0.of.job, id(2));
+}
+
+#[test]
+fn a_stop_that_a_worker_knows_nothing_of_ends_the_wait_for_the_run() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.tell(Event::Started { worker: worker.clone(), task, run, end: OrderEnd::Unknown });
+    bench.now += 50;
+    bench.look("w1", vec![], vec![]);
+    let end = OrderEnd::Refused { why: Refusal::Old, clock_ms: None };
+    bench.tell(Event::Stopped { worker, task, run, end });
+    bench.now += 10;
+    bench.look("w1", vec![], vec![]);
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -173,3 +173,24 @@
     // The ninth host is gone for good.
     assert!(fleet.plan(&known.scene(), at(200)).contains(&done));
 }
+
+/// Found by the bench: hosts that never came counted as if they were on their way, and a pool had
+/// too few to spread a lasting step over.
+#[test]
+fn a_host_that_does_not_come_is_replaced_by_another() {
+    let mut known = Known::new();
+    let mut fleet = fleet(vec![listed(1, "busy"), listed(2, "off"), listed(3, "off")]);
+    known.demands.insert(pool("busy"), Demand { cpu: 1_000, spread: 2, ends: true });
+    fleet.plan(&known.scene(), at(100));
+    let first = fleet.plan(&known.scene(), at(200));
+    assert_eq!(moves(&first), 1);
+    fleet.called(&host(2), Some(true), at(250));
+    let mut down = listed(2, "off");
+    down.phase = HostPhase::Down;
+    fleet.heard_list(at(300), Some(vec![listed(1, "busy"), down, listed(3, "off")]));
+    let mut later = 0;
+    for tick in 4..60 {
+        later += moves(&fleet.plan(&known.scene(), at(tick * 100)));
+    }
+    assert_eq!(later, 1);
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -18,7 +18,7 @@
         show::Format,
     },
     preset, scheduler, settings,
-    standin::{endpoint, platform, worker},
+    standin::{endpoint, platform, site, worker},
 };
 
 /// A whole command line.
@@ -38,6 +38,7 @@
     Measure(measure::Options),
     Platform(platform::Options),
     Worker(Box<worker::Options>),
+    Site(site::Options),
     Endpoint(endpoint::Options),
     Completions(clap_complete::Shell),
 }
@@ -125,6 +126,11 @@
             reads: *given::<u32>(inner, "reads"),
             ..platform::Options::default()
         }),
+        "site" => Job::Site(site::Options {
+            listen,
+            workers: *given::<u32>(inner, "workers"),
+            work: Duration::from_millis(*given::<u64>(inner, "work-ms")),
+        }),
         "worker" => Job::Worker(Box::new(worker::Options {
             listen,
             platform: text(inner, "platform"),
@@ -233,6 +239,12 @@
                 println!("workers at {}", workers.address);
                 until_told().await
             }),
+            Job::Site(options) => block_on(async {
+                let site = site::start(options).await;
+                let site = site.map_err(|error| Error::system("listen", error))?;
+                println!("site at {}", site.address);
+                until_told().await
+            }),
             Job::Endpoint(options) => block_on(async {
                 let endpoint = endpoint::start(&options, Default::default()).await;
                 let endpoint = endpoint.map_err(|error| Error::system("listen", error))?;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -509,7 +509,7 @@
         }
     }
 
-    /// The pieces of work that nobody owns, or an earlier life of this node.
+    /// The pieces of work that nobody owns, or this node without acting on it.
     fn vacancies(&self) -> BTreeSet<String> {
         let view = self.node.view();
         let Some(config) = view.is_ready().then_some(view.config.as_ref()).flatten() else {
@@ -522,10 +522,8 @@
             .filter(|name| name != keys::FLEET || self.fleet.is_none())
             .filter(|name| match view.owners.get(name) {
                 None => true,
-                Some(owner) => {
-                    owner.value.node == self.node.settings.node.as_str()
-                        && owner.value.life != self.life
-                }
+                // An earlier life of this node won it, or this one did and was not told.
+                Some(owner) => owner.value.node == self.node.settings.node.as_str(),
             })
             .collect()
     }
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -5,4 +5,5 @@
 pub(crate) mod endpoint;
 pub(crate) mod kv;
 pub(crate) mod platform;
+pub(crate) mod site;
 pub(crate) mod worker;
--- /dev/null
+++ b/src/standin/site/store.rs
@@ -0,0 +1,280 @@
+//! The stand-in's store: transactions under conditions, leases, and watches by long poll.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use poem::{Request, Response, http::StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::{LOST_FOR, MAX_BODY, Site};
+use crate::http;
+
+/// Changes that are kept for watches.
+const HISTORY: usize = 10_000;
+
+/// Most items of one page.
+const PAGE: usize = 500;
+
+/// A value in the store.
+#[derive(Debug, Clone)]
+struct Stored {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+/// One change, for watches.
+#[derive(Debug, Clone)]
+struct Changed {
+    key: String,
+    revision: u64,
+    value: Option<Vec<u8>>,
+}
+
+/// The store's state.
+#[derive(Default)]
+pub(super) struct Store {
+    revision: u64,
+    items: BTreeMap<String, Stored>,
+    history: VecDeque<Changed>,
+    /// Changes up to this revision are forgotten.
+    forgotten: u64,
+    /// Leases with their length and end, in milliseconds.
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+}
+
+#[derive(Deserialize)]
+struct Expect {
+    private_key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    private_key: String,
+    value: String,
+    #[serde(default)]
+    lease: u64,
+}
+
+#[derive(Deserialize)]
+struct Txn {
+    #[serde(default)]
+    expected_revision: Vec<Expect>,
+    #[serde(default)]
+    put: Vec<Put>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Ttl {
+    ttl_ms: u64,
+}
+
+impl Store {
+    /// Writes a value; the new revision.
+    pub(super) fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+        self.revision += 1;
+        self.set(key, value, lease);
+        self.revision
+    }
+
+    /// Writes a value at the present revision: all writes of a transaction share one.
+    fn set(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        let stored = Stored { value: value.clone(), revision: self.revision, lease };
+        self.items.insert(key.to_owned(), stored);
+        self.note(key, Some(value));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.note(key, None);
+        }
+    }
+
+    fn note(&mut self, key: &str, value: Option<Vec<u8>>) {
+        let (key, revision) = (key.to_owned(), self.revision);
+        self.history.push_back(Changed { key, revision, value });
+        if HISTORY < self.history.len()
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.forgotten = oldest.revision;
+        }
+    }
+
+    /// Forgets all changes up to now.
+    pub(super) fn compact(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
+    }
+
+    /// Ends the leases whose time is up; whether there were any.
+    pub(super) fn expire(&mut self, now: u64) -> bool {
+        let over = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        let over: Vec<u64> = over.map(|(lease, _)| *lease).collect();
+        over.iter().for_each(|lease| self.end_lease(*lease));
+        !over.is_empty()
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let held = self.items.iter().filter(|(_, stored)| stored.lease == lease);
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        self.revision += 1;
+        keys.iter().for_each(|key| self.remove(key));
+    }
+
+    fn item(&self, key: &str) -> Option<Value> {
+        let stored = self.items.get(key)?;
+        Some(json!({
+            "private_key": key,
+            "value": BASE64_STANDARD.encode(&stored.value),
+            "revision": stored.revision,
+            "lease": stored.lease,
+        }))
+    }
+
+    fn commit(&mut self, txn: Txn) -> Response {
+        let at = |key: &str| self.items.get(key).map_or(0, |stored| stored.revision);
+        if txn.expected_revision.iter().any(|e| at(&e.private_key) != e.revision) {
+            let keys = txn.expected_revision.iter();
+            let items: Vec<Value> = keys.filter_map(|e| self.item(&e.private_key)).collect();
+            return http::json(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }));
+        }
+        if txn.put.iter().any(|put| put.lease != 0 && !self.leases.contains_key(&put.lease)) {
+            return http::text(StatusCode::NOT_FOUND, "no such lease\n");
+        }
+        self.revision += 1;
+        for put in txn.put {
+            let Ok(value) = BASE64_STANDARD.decode(&put.value) else {
+                return http::text(StatusCode::BAD_REQUEST, "not base64\n");
+            };
+            self.set(&put.private_key, value, put.lease);
+        }
+        txn.remove.iter().for_each(|key| self.remove(key));
+        http::json(StatusCode::OK, &json!({ "revision": self.revision }))
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> Response {
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+        let keys: Vec<&String> = keys.filter(|key| after < key.as_str()).collect();
+        let more = PAGE < keys.len();
+        let items: Vec<Value> =
+            keys.into_iter().take(PAGE).filter_map(|key| self.item(key)).collect();
+        let page = json!({ "items": items, "more": more, "at": self.revision });
+        http::json(StatusCode::OK, &page)
+    }
+
+    /// The changes after a revision; nothing if there are none yet.
+    fn events(&self, prefix: &str, since: u64) -> Option<Response> {
+        if since < self.forgotten {
+            return Some(http::text(StatusCode::GONE, "the history is gone\n"));
+        }
+        let news = |change: &&Changed| since < change.revision && change.key.starts_with(prefix);
+        let events: Vec<Value> = self.history.iter().filter(news).map(event).collect();
+        let answer = json!({ "events": events, "at": self.revision });
+        (!events.is_empty()).then(|| http::json(StatusCode::OK, &answer))
+    }
+}
+
+fn event(change: &Changed) -> Value {
+    let Changed { key, revision, value } = change;
+    match value {
+        Some(value) => json!({
+            "private_key": key,
+            "revision": revision,
+            "value": BASE64_STANDARD.encode(value),
+        }),
+        None => json!({ "private_key": key, "revision": revision, "gone": true }),
+    }
+}
+
+/// Answers a call of the store.
+pub(super) async fn answer(site: &Site, path: &str, request: &mut Request) -> Response {
+    let faults = site.state().faults;
+    if faults.store_down {
+        return http::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+    }
+    let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
+    let text = |name: &str| query.get(name).cloned().unwrap_or_default();
+    let number = |name: &str| text(name).parse::<u64>().unwrap_or_default();
+    let call = path.trim_start_matches("/-/");
+    match call {
+        "kv-key" => match site.state().store.item(&text("private_key")) {
+            Some(item) => http::json(StatusCode::OK, &item),
+            None => http::text(StatusCode::NOT_FOUND, "no such key\n"),
+        },
+        "kv-range" => site.state().store.range(&text("path_prefix"), &text("since_revision")),
+        "kv-watch" => {
+            let wait = Duration::from_millis(number("wait_ms"));
+            watch(site, &text("path_prefix"), number("since_revision"), wait).await
+        }
+        "kv-txn" => match http::read_json::<Txn>(request, MAX_BODY).await {
+            Ok(txn) => {
+                let answer = site.state().store.commit(txn);
+                site.note_change();
+                if faults.store_lost {
+                    sleep(LOST_FOR).await;
+                }
+                answer
+            }
+            Err(error) => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        },
+        "kv-lease" => match http::read_json::<Ttl>(request, MAX_BODY).await {
+            Ok(ttl) => grant(site, ttl.ttl_ms),
+            Err(error) => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        },
+        _ => lease_call(site, call),
+    }
+}
+
+async fn watch(site: &Site, prefix: &str, since: u64, wait: Duration) -> Response {
+    let until = Instant::now() + wait;
+    let mut changed = site.changed.subscribe();
+    loop {
+        if let Some(answer) = site.state().store.events(prefix, since) {
+            return answer;
+        }
+        if timeout_at(until, changed.changed()).await.is_err() {
+            let at = site.state().store.revision;
+            return http::json(StatusCode::OK, &json!({ "events": [], "at": at }));
+        }
+    }
+}
+
+fn grant(site: &Site, ttl_ms: u64) -> Response {
+    let mut state = site.state();
+    let end = state.now_ms() + ttl_ms;
+    state.store.next_lease += 1;
+    let lease = state.store.next_lease;
+    state.store.leases.insert(lease, (ttl_ms, end));
+    http::json(StatusCode::OK, &json!({ "lease": lease, "ttl_ms": ttl_ms }))
+}
+
+fn lease_call(site: &Site, call: &str) -> Response {
+    let mut state = site.state();
+    let now = state.now_ms();
+    if let Some(Ok(lease)) = call.strip_prefix("kv-keep/").map(str::parse::<u64>) {
+        return match state.store.leases.get_mut(&lease) {
+            Some((ttl_ms, end)) => {
+                *end = now + *ttl_ms;
+                http::json(StatusCode::OK, &json!({ "ttl_ms": *ttl_ms }))
+            }
+            None => http::text(StatusCode::NOT_FOUND, "it is over\n"),
+        };
+    }
+    if let Some(Ok(lease)) = call.strip_prefix("kv-lease-end/").map(str::parse::<u64>) {
+        state.store.end_lease(lease);
+        drop(state);
+        site.note_change();
+        return http::text(StatusCode::OK, "");
+    }
+    http::text(StatusCode::NOT_FOUND, "no such call\n")
+}
--- /dev/null
+++ b/tests/scheduler.rs
@@ -0,0 +1,298 @@
+//! Scheduler nodes of the real binary against the stand-in site, as callers see them.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use reqwest::{Client, StatusCode};
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+/// How long anything may take before a test gives up. No test passes or fails by time otherwise.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(30);
+const HOST: &str = "shop.example";
+
+/// A process of the binary, killed by its id when it is dropped.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+struct Node {
+    process: Process,
+    callers: String,
+    readiness: String,
+    metrics: String,
+}
+
+struct Site {
+    _process: Process,
+    address: String,
+    client: Client,
+    folder: PathBuf,
+}
+
+fn free_port() -> u16 {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+fn binary() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_caperhollow"))
+}
+
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "{what}: not seen in time");
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+impl Site {
+    async fn start(name: &str, workers: u32) -> Site {
+        let mut child = binary()
+            .args(["standin", "site", "--listen", "127.0.0.1:0"])
+            .args(["--workers", &workers.to_string()])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let mut ready = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut ready).unwrap();
+        let address = ready.trim().rsplit(' ').next().unwrap().to_owned();
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("scheduler-{name}"));
+        fs::create_dir_all(&folder).unwrap();
+        let client = Client::builder().no_proxy().timeout(Duration::from_secs(8)).build().unwrap();
+        let site = Site { _process: Process(child), address, client, folder };
+        site.configure(1, &["/quotes/"]).await;
+        site
+    }
+
+    async fn configure(&self, version: u64, prefixes: &[&str]) {
+        let routes: Vec<Value> = prefixes
+            .iter()
+            .map(|prefix| {
+                json!({
+                    "name": format!("r{prefix}"), "host": HOST, "path_prefix": prefix,
+                    "kind": "unsafe", "timeout_ms": 3000, "target_latency_ms": 600,
+                    "priority": 0, "service": "work", "max_attempts": 3, "stretch": 1.6,
+                })
+            })
+            .collect();
+        let services = json!([{ "name": "work", "admission_check": true, "headroom": false }]);
+        let config = json!({ "version": version, "routes": routes, "services": services });
+        let url = format!("http://{}/put?op/config", self.address);
+        let answer = self.client.post(url).body(config.to_string()).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+
+    async fn faults(&self, faults: Value) {
+        let url = format!("http://{}/faults", self.address);
+        let answer = self.client.post(url).json(&faults).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+
+    async fn counted(&self) -> Value {
+        let url = format!("http://{}/counted", self.address);
+        self.client.get(url).send().await.unwrap().json().await.unwrap()
+    }
+
+    async fn node(&self, name: &str) -> Node {
+        let [callers, readiness, metrics] =
+            [free_port(), free_port(), free_port()].map(|port| format!("127.0.0.1:{port}"));
+        let settings = json!({
+            "node": name, "zone": "hall-a",
+            "listen": { "callers": callers, "readiness": readiness, "metrics": metrics },
+            "platform": { "store": self.address, "hosts": self.address },
+            "stop": { "grace_ms": 3000 },
+        });
+        let path = self.folder.join(format!("{name}.json"));
+        fs::write(&path, format!("// Of a test.\n{settings}")).unwrap();
+        let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
+        let child =
+            binary().arg("schedule").arg("--settings").arg(&path).stdout(log).spawn().unwrap();
+        let node = Node { process: Process(child), callers, readiness, metrics };
+        until("readiness", async || self.is_ready(&node).await.then_some(())).await;
+        node
+    }
+
+    async fn is_ready(&self, node: &Node) -> bool {
+        let url = format!("http://{}/-/ready", node.readiness);
+        self.client.get(url).send().await.is_ok_and(|answer| answer.status() == StatusCode::OK)
+    }
+
+    async fn hand_in(&self, node: &Node, id: &str, job: &Value) -> StatusCode {
+        let url = format!("http://{}/quotes/{id}", node.callers);
+        let request = self.client.post(url).header("Host", HOST).json(job);
+        request.send().await.unwrap().status()
+    }
+
+    async fn state(&self, node: &Node, id: &str) -> Option<String> {
+        let url = format!("http://{}/quotes/{id}", node.callers);
+        let answer = self.client.get(url).header("Host", HOST).send().await.ok()?;
+        if answer.status() != StatusCode::OK {
+            return Some(answer.status().as_u16().to_string());
+        }
+        let body: Value = answer.json().await.ok()?;
+        body["state"].as_str().map(str::to_owned)
+    }
+
+    async fn until_state(&self, node: &Node, id: &str, wanted: &str) {
+        let what = format!("job {id} {wanted}");
+        until(&what, async || (self.state(node, id).await? == wanted).then_some(())).await;
+    }
+}
+
+fn two_steps() -> Value {
+    json!({
+        "spec": "300",
+        "steps": [
+            { "count": 3, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300 },
+            { "count": 2, "cpu": 1000, "mem_mb": 100, "estimated_ms": 300, "since_revision": [0] },
+        ],
+    })
+}
+
+#[tokio::test]
+async fn a_job_is_kept_once_run_once_and_shown_by_every_node() {
+    let site = Site::start("once", 3).await;
+    let (one, two) = (site.node("one").await, site.node("two").await);
+    let id = "00000000000000a1";
+    assert_eq!(site.hand_in(&one, id, &two_steps()).await, StatusCode::OK);
+    assert_eq!(site.hand_in(&two, id, &two_steps()).await, StatusCode::OK);
+    site.until_state(&two, id, "succeeded").await;
+    site.until_state(&one, id, "succeeded").await;
+    let counted = site.counted().await;
+    assert_eq!((&counted["twice"], &counted["starts"]), (&json!(0), &json!(5)));
+    assert_eq!(site.state(&two, "00000000000000ff").await.unwrap(), "410");
+}
+
+#[tokio::test]
+async fn a_job_outlives_the_node_that_owns_it() {
+    let site = Site::start("kill", 3).await;
+    let (mut one, two) = (site.node("one").await, site.node("two").await);
+    let ids: Vec<String> = (1..9).map(|n| format!("{n:016x}")).collect();
+    for id in &ids {
+        assert_eq!(site.hand_in(&two, id, &two_steps()).await, StatusCode::OK);
+    }
+    // Whichever owns the pool is killed first or second.
+    one.process.0.kill().unwrap();
+    one.process.0.wait().unwrap();
+    for id in &ids {
+        site.until_state(&two, id, "succeeded").await;
+    }
+    let three = site.node("three").await;
+    drop(two);
+    let last = "00000000000000aa";
+    assert_eq!(site.hand_in(&three, last, &two_steps()).await, StatusCode::OK);
+    site.until_state(&three, last, "succeeded").await;
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
+#[tokio::test]
+async fn a_cancelled_job_and_one_that_always_fails_are_told_as_such() {
+    let site = Site::start("ends", 2).await;
+    let node = site.node("one").await;
+    let lasting =
+        json!({ "spec": "600000", "steps": [{ "count": 2, "cpu": 100, "long_running": true }] });
+    assert_eq!(site.hand_in(&node, "00000000000000b1", &lasting).await, StatusCode::OK);
+    site.until_state(&node, "00000000000000b1", "running").await;
+    let url = format!("http://{}/quotes/00000000000000b1", node.callers);
+    let answer = site.client.delete(url).header("Host", HOST).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    site.until_state(&node, "00000000000000b1", "cancelled").await;
+    let fails = json!({ "spec": "fail 50", "steps": [{ "count": 1, "cpu": 100 }] });
+    assert_eq!(site.hand_in(&node, "00000000000000b2", &fails).await, StatusCode::OK);
+    site.until_state(&node, "00000000000000b2", "failed").await;
+}
+
+#[tokio::test]
+async fn a_job_is_refused_while_the_store_is_down_and_never_runs() {
+    let site = Site::start("down", 2).await;
+    let node = site.node("one").await;
+    site.faults(json!({ "store_down": true })).await;
+    let id = "00000000000000c1";
+    assert_eq!(site.hand_in(&node, id, &two_steps()).await, StatusCode::SERVICE_UNAVAILABLE);
+    site.faults(json!({})).await;
+    until("readiness", async || site.is_ready(&node).await.then_some(())).await;
+    assert_eq!(site.state(&node, id).await.unwrap(), "410");
+    assert_eq!(site.hand_in(&node, id, &two_steps()).await, StatusCode::OK);
+    site.until_state(&node, id, "succeeded").await;
+    assert_eq!(site.counted().await["starts"], json!(5));
+}
+
+#[tokio::test]
+async fn a_job_whose_write_got_no_answer_is_not_told_as_refused() {
+    let site = Site::start("lost", 2).await;
+    let node = site.node("one").await;
+    site.faults(json!({ "store_lost": true })).await;
+    let id = "00000000000000d1";
+    let status = site.hand_in(&node, id, &two_steps()).await;
+    assert!(status == StatusCode::GATEWAY_TIMEOUT || status == StatusCode::OK, "{status}");
+    site.faults(json!({})).await;
+    site.until_state(&node, id, "succeeded").await;
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
+#[tokio::test]
+async fn a_configuration_comes_into_force_and_a_dropped_queue_is_gone() {
+    let site = Site::start("config", 1).await;
+    let node = site.node("one").await;
+    site.configure(5, &["/quotes/", "/stock/"]).await;
+    let ask = async |prefix: &str| {
+        let url = format!("http://{}{prefix}", node.callers);
+        site.client.get(url).header("Host", HOST).send().await.unwrap().status()
+    };
+    until("the new queue", async || (ask("/stock/").await == StatusCode::OK).then_some(())).await;
+    site.faults(json!({ "store_compact": true })).await;
+    site.configure(9, &["/quotes/"]).await;
+    let gone = async || (ask("/stock/").await == StatusCode::NOT_FOUND).then_some(());
+    until("the end of the queue", gone).await;
+    assert_eq!(ask("/quotes/").await, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn a_node_that_is_told_to_end_says_so_first_and_answers_to_the_last() {
+    let site = Site::start("end", 2).await;
+    let mut node = site.node("one").await;
+    let page = site.client.get(format!("http://{}/metrics", node.metrics)).send().await.unwrap();
+    assert!(page.text().await.unwrap().contains("caperhollow_store_calls_total"));
+    kill(Pid::from_raw(node.process.0.id() as i32), Signal::SIGHUP).unwrap();
+    kill(Pid::from_raw(node.process.0.id() as i32), Signal::SIGTERM).unwrap();
+    until("not ready", async || (!site.is_ready(&node).await).then_some(())).await;
+    let id = "00000000000000e1";
+    assert_eq!(site.hand_in(&node, id, &two_steps()).await, StatusCode::OK);
+    assert!(node.process.0.wait().unwrap().success());
+    let next = site.node("two").await;
+    site.until_state(&next, id, "succeeded").await;
+}
+
+#[test]
+fn settings_that_are_wrong_are_told_with_their_field() {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("wrong-scheduler.json");
+    fs::write(&path, "{ \"node\": \"n\", \"zone\": \"z\", \"listen\": {}, \"else\": 1 }").unwrap();
+    let output = binary().arg("schedule").arg("--settings").arg(&path).output().unwrap();
+    assert_eq!(output.status.code(), Some(3));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    for field in ["listen.callers", "platform", "else"] {
+        assert!(text.contains(field), "{field} is missing in: {text}");
+    }
+}
