--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -341,16 +341,6 @@
         }
     }
 
-    /// Ends a lease, and with it its keys.
-    pub(crate) async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
-        let request = self.client.delete(self.url(&format!("kv-lease-end/{lease}")));
-        let answer = self.send("end lease", request, self.limit).await?;
-        match answer.status {
-            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
-            _ => Err(self.refused(&answer)),
-        }
-    }
-
     fn url(&self, call: &str) -> String {
         format!("http://{}/-/{call}", self.peer)
     }
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -172,7 +172,7 @@
 
     /// Calls of the store so far, for the log.
     pub(crate) fn store_summary(&self) -> String {
-        const CALLS: [&str; 7] = ["get", "range", "watch", "commit", "grant", "keep", "end lease"];
+        const CALLS: [&str; 6] = ["get", "range", "watch", "commit", "grant", "keep"];
         const OUTCOMES: [&str; 4] = ["done", "refused", "unanswered", "unreached"];
         let mut parts = Vec::new();
         for call in CALLS {
