Lasting tasks return to hosts that others cannot leave

Change: after a second without a worker, a lasting task may begin on a marked host on which others still run; one that was empty once is never used.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -87,6 +87,8 @@
     /// Workers that were asked about; those without a ticket may not run the step.
     pub(crate) judged: BTreeSet<WorkerId>,
     pub(crate) asking: bool,
+    /// Since when some of its tasks have found no worker.
+    pub(crate) starved: Option<Steady>,
     pub(crate) ask_after: Steady,
 }
 
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -6,7 +6,7 @@
 use crate::{
     jobs::{
         event::Effect,
-        job::{Copy, Phase},
+        job::{Copy, Phase, StepTasks},
         place::Scene,
         urgency,
     },
@@ -65,6 +65,10 @@
                 Some(true) => self.place_gang(of, &waiting, now, out),
                 _ => self.place_tasks(of, &waiting, now, out),
             };
+            if let Some(tasks) = self.step_tasks_mut(of) {
+                let since = tasks.starved.unwrap_or(now.steady);
+                tasks.starved = (!placed).then_some(since);
+            }
             if !placed {
                 self.reserve(of, now.steady);
                 self.note_waiting(of, now.steady);
@@ -78,6 +82,10 @@
         Scene { workers, emptying, reserved: &self.reserved, now }
     }
 
+    fn step_tasks_mut(&mut self, of: StepId) -> Option<&mut StepTasks> {
+        self.jobs.get_mut(&of.job)?.steps.get_mut(&(of.time, of.step))
+    }
+
     /// Keeps a worker's room for a task that lasts and finds none, or small tasks would take each
     /// piece of room as soon as it is free.
     fn reserve(&mut self, of: StepId, now: Steady) {
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -17,6 +17,9 @@
 /// A ticket that ends sooner than this is not used, in milliseconds: an order takes a few.
 pub(crate) const TICKET_MARGIN_MS: u64 = 150;
 
+/// How long a lasting task looks for a worker that stays, in milliseconds.
+const STARVED_MS: u64 = 1_000;
+
 /// How many workers each reason rules out for a step.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Refusals {
@@ -47,6 +50,18 @@
             && (step.label.is_empty() || worker.report.labels.contains(&step.label))
     }
 
+    /// Whether a task that lasts may begin on a host that is to be emptied: only while others run
+    /// there, since a host that was empty once is no longer ours, and only once nothing else was
+    /// found for a while. Else tasks that must not be away together would hold each other up.
+    fn may_return(&self, worker: &Worker, step: &Step, tasks: &StepTasks) -> bool {
+        let starved = tasks.starved.is_some_and(|since| STARVED_MS < self.now.since(since));
+        step.lasting
+            && starved
+            && worker.takes_work(self.now)
+            && !worker.copies.is_empty()
+            && (step.label.is_empty() || worker.report.labels.contains(&step.label))
+    }
+
     /// The worker for a task, if one has room: near the data first, then those that have not
     /// failed lately, then the one that is left with the least room, so that wide tasks find some.
     pub(crate) fn worker_for(
@@ -59,7 +74,7 @@
     ) -> Option<&Worker> {
         let charge = step.charge();
         let fits = |worker: &&Worker| {
-            self.is_eligible(worker, step)
+            (self.is_eligible(worker, step) || self.may_return(worker, step, tasks))
                 && (step.lasting || !self.reserved.contains(&worker.report.id))
                 && worker.report.room.fits(&worker.used, &charge)
                 && rack.is_none_or(|rack| worker.rack() == rack)
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -465,3 +465,38 @@
     bench.work();
     assert_eq!(bench.starts().len(), 1);
 }
+
+/// Found by the bench: all hosts but one were to be emptied, their tasks could not leave because
+/// one was away, and that one found no worker that was to stay.
+#[test]
+fn a_lasting_task_returns_to_a_host_that_others_cannot_leave() {
+    let lasting = Step { lasting: true, may_miss: 1, apart: 1, ..step(2) };
+    let mut bench = one_worker();
+    bench.tell(Event::Worker(report("w2", "h2")));
+    bench.touch("w2", vec![]);
+    bench.tell(Event::Job(stored(1, vec![lasting.clone()], 110)));
+    bench.tell(Event::Job(stored(2, vec![Step { apart: 0, ..lasting }], 111)));
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 4);
+    for (task, run, worker) in &starts {
+        bench.started(*task, *run, worker);
+    }
+    bench.owner.set_emptying(BTreeMap::from([("h1".parse().unwrap(), Revision(120))]));
+    let on_w1: Vec<TaskId> =
+        starts.iter().filter(|(_, _, at)| *at == worker_id("w1")).map(|(t, _, _)| *t).collect();
+    let gone = *on_w1.iter().find(|task| task.of.job == id(1)).unwrap();
+    bench.now += 100;
+    let stay: Vec<Present> =
+        on_w1.iter().filter(|task| **task != gone).map(|t| present(*t, 1, 50)).collect();
+    let end = Ended { how: HowEnded::Failed, ..done(1, gone, 1) };
+    let occupied = !stay.is_empty();
+    bench.look("w1", stay.clone(), vec![end]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+    bench.now += 1_100;
+    bench.look("w1", stay, vec![]);
+    bench.work();
+    // Only where something still runs; a host that is empty is no longer ours.
+    assert_eq!(bench.starts().len(), usize::from(occupied));
+}
