--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -465,7 +465,9 @@
                     self.coming.insert(host, Coming { pool: (*pool).clone(), since: now });
                     continue;
                 }
-                let Some(host) = self.borrowed(scene, &mut free, &shares) else {
+                let floor = self.floor(&scene.demands[*pool]);
+                let short = free[*pool].len() < floor;
+                let Some(host) = self.borrowed(scene, &mut free, &shares, short) else {
                     break;
                 };
                 out.push(FleetEffect::Mark(host, Leave::Move((*pool).clone())));
@@ -487,6 +489,11 @@
         }
     }
 
+    /// Hosts over which a pool's lasting tasks can be spread while one of them leaves.
+    fn floor(&self, demand: &Demand) -> usize {
+        demand.spread + 1
+    }
+
     /// Hosts for each pool: what it wants, or where that is more than there are, hosts one by one
     /// to the pool that has the smallest part of what it wants.
     fn shares(
@@ -497,28 +504,34 @@
     ) -> BTreeMap<PoolId, usize> {
         let wanted: Vec<usize> =
             pools.iter().map(|pool| self.wanted(&scene.demands[*pool])).collect();
+        let spread = |n: usize| self.floor(&scene.demands[pools[n]]).min(wanted[n]);
         let mut shares = vec![0; pools.len()];
         for _ in 0..total.min(wanted.iter().sum()) {
             let open = (0..pools.len()).filter(|n| shares[*n] < wanted[*n]);
-            if let Some(n) = open.min_by_key(|n| shares[*n] * 1000 / wanted[*n]) {
+            // What lasts must stay spread, also while another pool peaks.
+            let order = |n: &usize| (spread(*n) <= shares[*n], shares[*n] * 1000 / wanted[*n]);
+            if let Some(n) = open.min_by_key(order) {
                 shares[n] += 1;
             }
         }
         pools.iter().map(|pool| (*pool).clone()).zip(shares).collect()
     }
 
-    /// An idle host of a pool that has more than its share.
+    /// An idle host of a pool that has more than its share; a busy one too, if lasting tasks need
+    /// it.
     fn borrowed(
         &self,
         scene: &Scene<'_>,
         free: &mut BTreeMap<PoolId, Vec<HostId>>,
         shares: &BTreeMap<PoolId, usize>,
+        busy: bool,
     ) -> Option<HostId> {
         for (pool, hosts) in free.iter_mut() {
             if hosts.len() <= shares[pool] {
                 continue;
             }
-            if let Some(place) = hosts.iter().position(|host| scene.idle.contains(host)) {
+            let idle = hosts.iter().position(|host| scene.idle.contains(host));
+            if let Some(place) = idle.or(busy.then_some(hosts.len() - 1)) {
                 return Some(hosts.remove(place));
             }
         }
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -194,3 +194,18 @@
     }
     assert_eq!(later, 1);
 }
+
+/// Found by the bench: another pool's peak took the hosts over which lasting tasks are spread.
+#[test]
+fn a_peak_elsewhere_leaves_the_hosts_that_lasting_tasks_are_spread_over() {
+    let mut known = Known::new();
+    known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
+    known.demands.insert(pool("busy"), Demand { cpu: 1_000, spread: 3, ends: true });
+    known.demands.insert(pool("peak"), Demand { cpu: 9_000_000, spread: 0, ends: true });
+    let hosts = (1..10).map(|n| listed(n, if n < 3 { "busy" } else { "peak" })).collect();
+    let mut fleet = fleet(hosts);
+    let effects = fleet.plan(&known.scene(), at(100));
+    let back = |effect: &&FleetEffect| matches!(effect, FleetEffect::Mark(_, Leave::Move(to)) if *to == pool("busy"));
+    // It has two, and wants three.
+    assert_eq!(effects.iter().filter(back).count(), 1, "{effects:?}");
+}
