--- a/src/node/assign.rs
+++ b/src/node/assign.rs
@@ -119,6 +119,7 @@
             continue;
         };
         let mut assignment = assignment(&view.fleet, host, record, node.settings.timing.task_lease);
+        // A pool that no record names yet is as old as can be.
         let placed = revisions.get(&record.pool).copied().unwrap_or_default();
         assignment.revision = assignment.revision.max(placed);
         if is_due(told.get(host), &assignment, report, renew, now) {
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -87,6 +87,7 @@
             continue;
         }
         let key = wave::key_of(&step);
+        // A record that is not there is expected at revision 0: it is created.
         let expect = expected.get(&key).copied().unwrap_or_default();
         let record = {
             let view = node.view();
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -59,6 +59,7 @@
     let value = Bytes::from(Record::Node(node.id().clone(), record).to_json());
     // An entry under an older lease would vanish with that lease: write over it.
     loop {
+        // Without an entry the write is a creation, which the store knows as revision 0.
         let expect = node.store.get(&key).await?.map(|entry| entry.revision).unwrap_or_default();
         let swapped = node.store.swap(&key, expect, Some(value.clone()), Some(lease)).await?;
         if let Swap::Done(revision) = swapped {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -168,9 +168,11 @@
     pub(crate) async fn leave(self) {
         log::info!("node {}: leaving", self.node.id());
         self.node.leaving.cancel();
+        // A task that panicked has told so itself; leaving goes on without it.
         let _ = self.members.await;
         tokio::time::sleep(NOTICE).await;
         self.stop.gently.cancel();
+        // As above: what is left is only to wait for claims.
         let _ = self.callers.await;
         let settled = async {
             while !self.node.once.is_settled() {
--- a/src/node/view.rs
+++ b/src/node/view.rs
@@ -110,6 +110,7 @@
 
     /// The newest revision of the records that are held.
     pub(crate) fn newest(&self) -> Revision {
+        // An empty view stands at revision 0, before every record.
         self.by_revision.last().map(|(revision, _)| *revision).unwrap_or_default()
     }
 
