Work is owned where there is processor time; hosts of a wave are kept in one write

Waves: each host that was back was kept by a write of its own under the condition of the record before it, so that all but one in 120 ms failed and waited 700 ms.

Change: nodes list their processor time under their lease; a piece is reached for in the order of what it would cost each node; a busy node gives a pool away if another would be clearly less so. Upkeep of all hosts that are back is one write, the next only once it shows. A plan tries nothing larger than what has found no room; steps are 4 ms apart; a job that waits is told of at doubling pauses.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -8,6 +8,7 @@
 //! - After a change of owners, tasks of earlier jobs wait until every worker has seen the new
 //!   owner's token, or everything that it may run has lapsed.
 
+pub(crate) mod balance;
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod job;
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -111,8 +111,8 @@
     Maintain(HostId, u64),
     /// Move a host.
     Move(HostId, PoolId),
-    /// Keep that a host has had its upkeep, and take its mark away.
-    Maintained(HostId, u64),
+    /// Keep that hosts have had their upkeep, and take their marks away.
+    Maintained(BTreeSet<HostId>, u64),
     /// Tell the operator how far a wave is.
     Report(u64, bool),
 }
@@ -154,6 +154,8 @@
     demands: BTreeMap<PoolId, VecDeque<(Steady, usize)>>,
     /// Waves that were reported to have begun.
     begun: BTreeSet<u64>,
+    /// By wave, the hosts whose upkeep was last written, and when: the next write builds on it.
+    keeping: BTreeMap<u64, (BTreeSet<HostId>, Steady)>,
     /// Records of hosts and waves that were just written, and when: the view lags.
     written: BTreeMap<String, Steady>,
 }
@@ -174,6 +176,7 @@
             next_list: now,
             demands: BTreeMap::new(),
             begun: BTreeSet::new(),
+            keeping: BTreeMap::new(),
             written: BTreeMap::new(),
         }
     }
@@ -223,11 +226,11 @@
             let what = match effect {
                 FleetEffect::Mark(host, _) => format!("mark {host}"),
                 FleetEffect::Unmark(host) => format!("unmark {host}"),
-                FleetEffect::Maintained(host, _) => format!("maintained {host}"),
                 FleetEffect::Report(wave, done) => format!("report {wave} {done}"),
-                FleetEffect::List | FleetEffect::Maintain(..) | FleetEffect::Move(..) => {
-                    return true;
-                }
+                FleetEffect::List
+                | FleetEffect::Maintain(..)
+                | FleetEffect::Move(..)
+                | FleetEffect::Maintained(..) => return true,
             };
             self.written.insert(what, now).is_none()
         });
@@ -250,6 +253,7 @@
         let Some(listed) = self.listed else {
             return;
         };
+        let mut maintained: BTreeMap<u64, BTreeSet<HostId>> = BTreeMap::new();
         for (host, leave) in scene.leaves {
             let Some(known) = self.hosts.get(host) else {
                 // It has gone for good.
@@ -263,7 +267,7 @@
                 Leave::Upkeep(wave) => {
                     let kept = scene.maintained.get(wave).is_some_and(|hosts| hosts.contains(host));
                     if back && !kept {
-                        out.push(FleetEffect::Maintained(host.clone(), *wave));
+                        maintained.entry(*wave).or_default().insert(host.clone());
                     }
                     if kept {
                         self.calls.remove(host);
@@ -278,6 +282,9 @@
                 }
             }
         }
+        for (wave, hosts) in maintained {
+            self.keep(scene, wave, hosts, now, out);
+        }
         let hosts = &self.hosts;
         self.coming.retain(|host, coming| {
             let Some(known) = hosts.get(host) else {
@@ -293,6 +300,30 @@
         });
     }
 
+    /// Has it kept that hosts had their upkeep: all that are back in one write, and the next only
+    /// once that one shows, since each builds on the record before it.
+    fn keep(
+        &mut self,
+        scene: &Scene<'_>,
+        wave: u64,
+        hosts: BTreeSet<HostId>,
+        now: Steady,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        let shown = |written: &BTreeSet<HostId>| {
+            scene.maintained.get(&wave).is_some_and(|kept| written.is_subset(kept))
+        };
+        let waits = self
+            .keeping
+            .get(&wave)
+            .is_some_and(|(written, at)| now.since(*at) < WRITE_SHOWS_MS && !shown(written));
+        if waits {
+            return;
+        }
+        self.keeping.insert(wave, (hosts.clone(), now));
+        out.push(FleetEffect::Maintained(hosts, wave));
+    }
+
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -115,6 +115,8 @@
     pub(crate) left: u32,
     /// When it was last told that tasks wait for a worker.
     pub(crate) told_waiting: Steady,
+    /// How often that was told.
+    pub(crate) times_told: u32,
     /// Counts changes that must be kept.
     pub(crate) version: u64,
     /// The version that is durable.
@@ -133,6 +135,7 @@
             steps: BTreeMap::new(),
             left: 0,
             told_waiting: Steady::default(),
+            times_told: 0,
             version: 0,
             durable: 0,
             saved_at,
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -17,7 +17,7 @@
     },
     model::{
         id::{HostId, WorkerId},
-        job::{JobId, TaskId},
+        job::{JobId, Room, TaskId},
         unit::{Now, Revision, Steady},
         worker::{OrderEnd, Refusal, WorkerReport},
     },
@@ -81,6 +81,8 @@
     emptying: BTreeMap<HostId, Revision>,
     /// Workers whose room is kept, in the present plan, for tasks that last and wait.
     reserved: BTreeSet<WorkerId>,
+    /// What no worker has room for, in the present plan: nothing larger is tried.
+    full: Vec<Room>,
     durations: Durations,
     dirty: BTreeSet<JobId>,
     deposed: bool,
@@ -99,6 +101,7 @@
             over: HashSet::new(),
             emptying: BTreeMap::new(),
             reserved: BTreeSet::new(),
+            full: Vec::new(),
             durations: Durations::default(),
             dirty: BTreeSet::new(),
             deposed: false,
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -22,9 +22,13 @@
 /// starting it again takes as long.
 const LET_FINISH_MS: u64 = 1_500;
 
-/// How often a job that waits for a worker is told of, in milliseconds.
+/// After how long a job that waits for a worker is told of, in milliseconds. Each further time
+/// takes twice as long: hundreds may wait at once.
 const TELL_WAITING_MS: u64 = 1_000;
 
+/// How often the pause between two tellings doubles at the most.
+const TELL_MOST_DOUBLINGS: u32 = 4;
+
 /// The percent at which a lasting task is at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -39,6 +43,7 @@
             .collect();
         order.sort();
         self.reserved.clear();
+        self.full.clear();
         let unsure = now.steady < self.quiet_until && self.workers.values().any(|w| !w.touched);
         for (_, id) in order {
             self.plan_job(id, unsure, now, out);
@@ -62,6 +67,7 @@
                 continue;
             }
             let placed = match self.step(of).map(|step| step.gang) {
+                _ if self.is_full_for(of) => false,
                 Some(true) => self.place_gang(of, &waiting, now, out),
                 _ => self.place_tasks(of, &waiting, now, out),
             };
@@ -86,6 +92,28 @@
         self.jobs.get_mut(&of.job)?.steps.get_mut(&(of.time, of.step))
     }
 
+    /// Whether the present plan has found no room for something that needs no more than the step.
+    /// Room that is kept for tasks that last is not counted.
+    fn is_full_for(&self, of: StepId) -> bool {
+        let Some(step) = self.step(of).filter(|step| !step.lasting) else {
+            return false;
+        };
+        let charge = step.charge();
+        self.full.iter().any(|tried| tried.is_within(&charge))
+    }
+
+    /// Notes that no worker has room for a step, if room is all that it asks for.
+    fn note_full(&mut self, of: StepId) {
+        let Some(job) = self.jobs.get(&of.job) else {
+            return;
+        };
+        let step = job.step(of.step);
+        let picky = !step.label.is_empty() || step.apart != 0 || job.record.advice.is_some();
+        if !picky && !step.lasting {
+            self.full.push(step.charge());
+        }
+    }
+
     /// Keeps a worker's room for a task that lasts and finds none, or small tasks would take each
     /// piece of room as soon as it is free.
     fn reserve(&mut self, of: StepId, now: Steady) {
@@ -105,7 +133,8 @@
         let Some(job) = self.jobs.get_mut(&of.job) else {
             return;
         };
-        if now.since(job.told_waiting) < TELL_WAITING_MS {
+        let pause = TELL_WAITING_MS << job.times_told.min(TELL_MOST_DOUBLINGS);
+        if now.since(job.told_waiting) < pause {
             return;
         }
         let step = job.record.steps[of.step as usize].clone();
@@ -113,6 +142,7 @@
         // The first time starts the clock: a short wait is not told.
         let first = job.told_waiting == Steady::default();
         job.told_waiting = now;
+        job.times_told += u32::from(!first);
         let Some(tasks) = job.steps.get(&(of.time, of.step)).filter(|_| !first) else {
             return;
         };
@@ -149,6 +179,7 @@
     ) -> bool {
         for index in waiting {
             let Some(worker) = self.worker_for(of, *index, None, now.steady) else {
+                self.note_full(of);
                 return false;
             };
             self.start(of, *index, &worker, None, now, out);
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner of a pool, event by event.
 
+mod balance;
 mod fleet;
 mod fuzz;
 
@@ -500,3 +501,15 @@
     // Only where something still runs; a host that is empty is no longer ours.
     assert_eq!(bench.starts().len(), usize::from(occupied));
 }
+
+#[test]
+fn a_task_that_finds_no_room_does_not_keep_smaller_ones_from_starting() {
+    let mut bench = one_worker();
+    let wide = Step { need: Room { cpu: Millicores(9_000), ..step(1).need }, ..step(1) };
+    bench.tell(Event::Job(stored(1, vec![wide.clone()], 110)));
+    bench.tell(Event::Job(stored(2, vec![wide], 111)));
+    bench.tell(Event::Job(stored(3, vec![step(1)], 112)));
+    bench.work();
+    let started: Vec<JobId> = bench.starts().iter().map(|(task, ..)| task.of.job).collect();
+    assert_eq!(started, vec![id(3)]);
+}
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -209,3 +209,38 @@
     // It has two, and wants three.
     assert_eq!(effects.iter().filter(back).count(), 1, "{effects:?}");
 }
+
+/// Found by the bench: each host that was back was kept by a write of its own, which built on the
+/// record before it, so that all but one failed; waves of a hundred hosts never ended.
+#[test]
+fn hosts_that_are_back_together_are_kept_by_one_write_and_the_next_builds_on_it() {
+    let mut known = Known::new();
+    let hosts: Vec<ListedHost> = (1..5).map(|n| listed(n, "busy")).collect();
+    let all = (1..5).map(host).collect();
+    known.upkeeps = vec![Upkeep { wave: 1, hosts: all, period_ms: 20_000, at_once: 4 }];
+    for number in 1..5 {
+        known.leaves.insert(host(number), Leave::Upkeep(1));
+        known.empties.insert(host(number), format!("w{number}").parse().unwrap());
+    }
+    let mut fleet = fleet(hosts.clone());
+    let kept = |effects: Vec<FleetEffect>| -> Vec<BTreeSet<HostId>> {
+        let hosts = effects.into_iter().filter_map(|effect| match effect {
+            FleetEffect::Maintained(hosts, 1) => Some(hosts),
+            _ => None,
+        });
+        hosts.collect()
+    };
+    fleet.plan(&known.scene(), at(100));
+    for number in 1..4 {
+        fleet.called(&host(number), Some(true), at(150));
+    }
+    fleet.heard_list(at(2_500), Some(hosts.clone()));
+    let first = BTreeSet::from([host(1), host(2), host(3)]);
+    assert_eq!(kept(fleet.plan(&known.scene(), at(2_600))), vec![first.clone()]);
+    fleet.called(&host(4), Some(true), at(2_650));
+    fleet.heard_list(at(2_700), Some(hosts));
+    // The first write does not show yet.
+    assert_eq!(kept(fleet.plan(&known.scene(), at(2_800))), Vec::<BTreeSet<HostId>>::new());
+    known.maintained.insert(1, first);
+    assert_eq!(kept(fleet.plan(&known.scene(), at(2_900))), vec![BTreeSet::from([host(4)])]);
+}
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -124,6 +124,11 @@
             && used.gpus + more.gpus <= self.gpus
     }
 
+    /// Whether this is no more than `other` of anything.
+    pub(crate) fn is_within(&self, other: &Room) -> bool {
+        self.cpu <= other.cpu && self.memory <= other.memory && self.gpus <= other.gpus
+    }
+
     pub(crate) fn add(&mut self, more: &Room) {
         self.cpu.0 += more.cpu.0;
         self.memory.0 += more.memory.0;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -8,20 +8,21 @@
 
 use tokio::{
     sync::{Semaphore, mpsc},
-    time::{MissedTickBehavior, interval},
+    time::{MissedTickBehavior, interval, sleep},
 };
 
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::{
     jobs::{
+        balance::{self, Capacity},
         event::{Effect, Event, Save},
         fleet::{Fleet, Leave},
         owner::{Emptied, Owner},
     },
     model::{
         id::{HostId, PoolId},
-        unit::{Now, Revision, Steady},
+        unit::{Millicores, Now, Revision, Steady},
         worker::{ListedHost, OrderEnd, WorkerReport},
     },
     platform::{
@@ -42,6 +43,10 @@
 /// How often owners look at the time when nothing else happens.
 const TICK: Duration = Duration::from_millis(100);
 
+/// The least time between two decisions: what happens meanwhile is decided on together. A decision
+/// looks at all open jobs, and at hundreds of events a second each would cost more than the orders.
+const STEP_PAUSE: Duration = Duration::from_millis(4);
+
 /// Jobs in one transaction: each needs a condition and a write, beside the one of the owner.
 const SAVE_BATCH: usize = (TXN_ENTRIES - 1) / 2;
 
@@ -52,10 +57,17 @@
 /// How long after a write that failed the next is made, in milliseconds.
 const SAVE_AGAIN_MS: u64 = 100;
 
-/// How long a node waits, for each piece of work that it owns, before it reaches for another, in
-/// milliseconds: those that own less come first.
+/// How long a node waits, for each node that should own a piece of work before it, before it
+/// reaches for it, in milliseconds: two nodes' views differ by up to that much.
 const REACH_STEP_MS: u64 = 60;
 
+/// The most nodes that are waited for: some may be away, and work must not wait for long.
+const REACH_MOST_STEPS: usize = 8;
+
+/// How long a node keeps its work before it may give some of it away, in milliseconds: the view
+/// of the nodes is to be whole, and each change of owners costs a pause.
+const GIVE_AFTER_MS: u64 = 2_500;
+
 /// How long after a failed try the next is made, in milliseconds.
 const REACH_AGAIN_MS: u64 = 300;
 
@@ -163,6 +175,8 @@
     /// Won, but not yet seen in the view: name, token, owners before.
     won: BTreeMap<String, (u64, u32)>,
     vacant: BTreeMap<String, Vacancy>,
+    /// Work may be given away from then on.
+    next_give: Steady,
     pub(super) to: mpsc::UnboundedSender<Input>,
     leaving: bool,
 }
@@ -193,6 +207,7 @@
             machines,
             won: BTreeMap::new(),
             vacant: BTreeMap::new(),
+            next_give: Steady::default(),
             to,
             leaving: false,
         }
@@ -202,11 +217,16 @@
     pub(crate) async fn run(mut self, mut from: mpsc::UnboundedReceiver<Input>) {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stepped = Instant::now();
         loop {
             tokio::select! {
                 input = from.recv() => {
                     let Some(input) = input else { return };
                     self.take(input);
+                    let early = STEP_PAUSE.saturating_sub(stepped.elapsed());
+                    if !early.is_zero() {
+                        sleep(early).await;
+                    }
                     while let Ok(more) = from.try_recv() {
                         self.take(more);
                     }
@@ -214,6 +234,7 @@
                 _ = tick.tick() => {}
             }
             self.step();
+            stepped = Instant::now();
         }
     }
 
@@ -241,6 +262,7 @@
                     vacancy.not_before = now.steady.after(REACH_AGAIN_MS);
                 }
                 if let Some(won) = won {
+                    self.next_give = now.steady.after(GIVE_AFTER_MS);
                     self.won.insert(name, won);
                 }
             }
@@ -357,6 +379,7 @@
         self.node.metrics.holds(owned, config);
         self.take_up(now);
         self.reach(now);
+        self.give(now);
         if !self.lease.allows_orders(now.steady) {
             // Another node owns it by now: no order is given until the lease is known to hold.
             return;
@@ -491,14 +514,19 @@
         }
         let names = self.vacancies();
         self.vacant.retain(|name, vacancy| vacancy.reaching || names.contains(name));
+        if names.is_empty() {
+            return;
+        }
+        let nodes = self.nodes();
         for name in names {
             let vacancy = self.vacant.entry(name.clone()).or_insert(Vacancy {
                 since: now.steady,
                 reaching: false,
                 not_before: now.steady,
             });
-            let load = (self.owned.len() + self.won.len()) as u64;
-            let turn = vacancy.since.after(load * REACH_STEP_MS);
+            let cost = costs(&self.node.view(), &name);
+            let rank = balance::rank(&nodes, self.node.settings.node.as_str(), cost);
+            let turn = vacancy.since.after(rank.min(REACH_MOST_STEPS) as u64 * REACH_STEP_MS);
             if vacancy.reaching || now.steady < turn || now.steady < vacancy.not_before {
                 continue;
             }
@@ -509,6 +537,59 @@
         }
     }
 
+    /// The nodes that may own work, with what they own by the view; of this one, with all that it
+    /// has won or reaches for.
+    fn nodes(&self) -> BTreeMap<String, Capacity> {
+        let view = self.node.view();
+        let none = Millicores(0);
+        let mut nodes: BTreeMap<String, Capacity> = view
+            .nodes
+            .iter()
+            .map(|(name, at)| (name.clone(), Capacity { cpu: at.value.cpu, used: none }))
+            .collect();
+        for (name, owner) in &view.owners {
+            if let Some(node) = nodes.get_mut(&owner.value.node) {
+                node.used.0 += costs(&view, name).0;
+            }
+        }
+        let fleet = self.fleet.iter().map(|_| keys::FLEET);
+        let reaching = self.vacant.iter().filter(|(_, vacancy)| vacancy.reaching);
+        let own: BTreeSet<&str> = (self.owned.keys().chain(self.won.keys()))
+            .chain(reaching.map(|(name, _)| name))
+            .map(String::as_str)
+            .chain(fleet)
+            .collect();
+        let used = own.iter().map(|name| costs(&view, name).0).sum();
+        let mine = Capacity { cpu: self.node.settings.cpu, used: Millicores(used) };
+        nodes.insert(self.node.settings.node.to_string(), mine);
+        nodes
+    }
+
+    /// Gives a pool away if this node is busy and another would be clearly less so.
+    fn give(&mut self, now: Now) {
+        if now.steady < self.next_give || self.leaving || self.lease.held(now.steady).is_none() {
+            return;
+        }
+        self.next_give = now.steady.after(GIVE_AFTER_MS);
+        let nodes = self.nodes();
+        let view = self.node.view();
+        let owned = self.owned.keys().map(|name| (name.as_str(), costs(&view, name))).collect();
+        let me = self.node.settings.node.as_str();
+        let name = balance::to_give(&nodes, me, &owned).map(str::to_owned);
+        drop(view);
+        let Some(name) = name else {
+            return;
+        };
+        if let Some(owned) = self.owned.remove(&name) {
+            log::info!("owner {name}: to be given to a node with more processor time");
+            // Others come first, also if this one is told of it first.
+            let not_before = now.steady.after(REACH_AGAIN_MS);
+            let since = now.steady;
+            self.vacant.insert(name.clone(), Vacancy { since, reaching: false, not_before });
+            self.give_back(name, owned.owner.token);
+        }
+    }
+
     /// The pieces of work that nobody owns, or this node without acting on it.
     fn vacancies(&self) -> BTreeSet<String> {
         let view = self.node.view();
@@ -768,16 +849,40 @@
         self.leaving = true;
         self.won.clear();
         for (name, owned) in std::mem::take(&mut self.owned) {
-            log::info!("owner {name}: given back: token {}", owned.owner.token);
-            let key = keys::owner(&name);
-            let txn = Txn::default().expect(key.clone(), Revision(owned.owner.token)).remove(key);
-            let node = self.node.clone();
-            tokio::spawn(async move {
-                if let Err(error) = node.kv.commit(&txn).await {
-                    log::warn!("owner {name}: not given back: {error}");
-                }
-            });
+            self.give_back(name, owned.owner.token);
+        }
+        let node = self.node.clone();
+        let key = keys::node(node.settings.node.as_str());
+        tokio::spawn(async move {
+            // Work goes to nodes that stay.
+            if let Err(error) = node.kv.commit(&Txn::default().remove(key)).await {
+                log::warn!("node {}: still listed: {error}", node.settings.node);
+            }
+        });
+    }
+
+    /// Gives up an ownership in the store.
+    fn give_back(&self, name: String, token: u64) {
+        log::info!("owner {name}: given back: token {token}");
+        let key = keys::owner(&name);
+        let txn = Txn::default().expect(key.clone(), Revision(token)).remove(key);
+        let node = self.node.clone();
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::warn!("owner {name}: not given back: {error}");
+            }
+        });
+    }
+}
+
+/// What owning a piece of work costs.
+fn costs(view: &View, name: &str) -> Millicores {
+    match name.strip_prefix("pool-") {
+        Some(pool) => {
+            let workers = view.workers.values().filter(|at| at.value.pool.as_str() == pool);
+            balance::pool_cost(workers.count())
         }
+        None => balance::fleet_cost(),
     }
 }
 
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -12,7 +12,7 @@
         worker::Upkeep,
     },
     platform::{
-        kv::{Committed, Txn},
+        kv::{Committed, TXN_ENTRIES, Txn},
         machines::HostCall,
         records,
     },
@@ -32,6 +32,10 @@
 /// How long after the record of a call the call itself may be made, in milliseconds.
 const CALL_AFTER_MS: u64 = 500;
 
+/// Hosts whose marks are taken away in one transaction, beside the record of their wave: each has
+/// two. The marks of others go once the record shows.
+const UNMARK_BATCH: usize = (TXN_ENTRIES - 3) / 2;
+
 /// What is copied from the view for one decision.
 struct Known {
     config: std::sync::Arc<QueueConfig>,
@@ -92,17 +96,19 @@
                 let txn = guard.remove(keys::leave(&host)).remove(keys::empty(&host));
                 self.write(txn, format!("host {host}: unmark"));
             }
-            FleetEffect::Maintained(host, wave) => {
-                log::info!("host {host}: maintained for wave {wave}");
+            FleetEffect::Maintained(hosts, wave) => {
                 let mut record = self.wave_record(wave);
-                record.value.hosts.insert(host.clone());
                 let key = keys::wave(wave);
-                let txn = guard
-                    .expect(key.clone(), record.revision)
-                    .put(key, json(&record.value))
-                    .remove(keys::leave(&host))
-                    .remove(keys::empty(&host));
-                self.write(txn, format!("host {host}: maintained"));
+                let mut txn = guard.expect(key.clone(), record.revision);
+                for host in hosts.iter().take(UNMARK_BATCH) {
+                    txn = txn.remove(keys::leave(host)).remove(keys::empty(host));
+                }
+                for host in hosts {
+                    log::info!("host {host}: maintained for wave {wave}");
+                    record.value.hosts.insert(host);
+                }
+                let txn = txn.put(key, json(&record.value));
+                self.write(txn, format!("wave {wave}: maintained"));
             }
             FleetEffect::Report(wave, done) => {
                 log::info!("wave {wave}: {}", if done { "done" } else { "begun" });
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -21,6 +21,7 @@
 const CALLED: &str = "ch/called/";
 const IDLE: &str = "ch/idle/";
 const ROSTER: &str = "ch/roster/";
+const NODE: &str = "ch/node/";
 
 /// The work of all pools together: waves of upkeep, and hosts that change pools.
 pub(crate) const FLEET: &str = "fleet";
@@ -52,6 +53,8 @@
     Idle(String),
     /// When a host was last moved or maintained, and by which owner.
     Called(HostId),
+    /// A node that may own work, by its name.
+    Node(String),
 }
 
 impl Key {
@@ -88,6 +91,9 @@
         if let Some(name) = rest(IDLE) {
             return Some(Key::Idle(name.to_owned()));
         }
+        if let Some(name) = rest(NODE) {
+            return Some(Key::Node(name.to_owned()));
+        }
         if let Some(host) = rest(CALLED) {
             return host.parse().ok().map(Key::Called);
         }
@@ -141,6 +147,10 @@
     format!("pool-{pool}")
 }
 
+pub(crate) fn node(name: &str) -> String {
+    format!("{NODE}{name}")
+}
+
 pub(crate) fn roster(name: &str) -> String {
     format!("{ROSTER}{name}")
 }
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -13,8 +13,11 @@
 use crate::{
     jobs::owner::{LEASE_MS, OVERTIME_MS},
     model::unit::Steady,
-    platform::store::LeaseId,
-    scheduler::Node,
+    platform::{
+        kv::{Committed, Txn},
+        store::LeaseId,
+    },
+    scheduler::{Node, drive::json, keys, view::NodeRecord},
 };
 
 /// How long a node that is not heard of keeps what it owns.
@@ -69,6 +72,7 @@
 /// Takes a lease and keeps it until the node ends.
 pub(crate) async fn keep(node: Arc<Node>, lease: Arc<Lease>) {
     let mut held: Option<LeaseId> = None;
+    let mut listed = false;
     loop {
         let sent = node.now().steady;
         let outcome = match held {
@@ -82,11 +86,15 @@
                 }
                 held = Some(id);
                 lease.set(id, sent, ttl);
+                if !listed {
+                    listed = list(&node, id).await;
+                }
                 sleep(RENEW).await;
             }
             Ok(None) => {
                 log::warn!("store: lease {held:?} is over: what was owned is lost");
                 held = None;
+                listed = false;
                 lease.clear();
             }
             Err(error) => {
@@ -99,3 +107,19 @@
         }
     }
 }
+
+/// Lists the node among those that may own work; tells whether that is done.
+async fn list(node: &Node, lease: LeaseId) -> bool {
+    let record = NodeRecord { cpu: node.settings.cpu };
+    let key = keys::node(node.settings.node.as_str());
+    let txn = Txn::default().put_leased(&key, json(&record), lease);
+    match node.kv.commit(&txn).await {
+        Ok(Committed::Done(_)) => true,
+        // The next renewal tells that the lease is over.
+        Ok(Committed::LeaseOver | Committed::Conflict(_)) => false,
+        Err(error) => {
+            log::warn!("node {}: not listed among the nodes: {error}", node.settings.node);
+            false
+        }
+    }
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -14,7 +14,7 @@
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
-        unit::{Revision, Time},
+        unit::{Millicores, Revision, Time},
         worker::{Upkeep, WorkerReport},
     },
     platform::{kv::Change, records},
@@ -29,6 +29,13 @@
     pub(crate) life: u64,
 }
 
+/// A node that may own work: listed as long as its lease holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct NodeRecord {
+    /// The processor time that the node has.
+    pub(crate) cpu: Millicores,
+}
+
 /// How many owners a piece of work has had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct TermRecord {
@@ -126,6 +133,7 @@
     pub(crate) jobs: HashMap<JobId, KnownJob>,
     pub(crate) owners: BTreeMap<String, At<OwnerRecord>>,
     pub(crate) terms: BTreeMap<String, At<TermRecord>>,
+    pub(crate) nodes: BTreeMap<String, At<NodeRecord>>,
     pub(crate) leaves: BTreeMap<HostId, At<Leave>>,
     pub(crate) empties: BTreeMap<HostId, At<EmptyRecord>>,
     pub(crate) waves: BTreeMap<u64, At<WaveRecord>>,
@@ -233,6 +241,10 @@
                 set(&mut self.called, host, read(&text, value, revision));
                 None
             }
+            Key::Node(name) => {
+                set(&mut self.nodes, name, read(&text, value, revision));
+                None
+            }
             Key::Roster(name) => {
                 set(&mut self.rosters, name, read(&text, value, revision));
                 None
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     jobs::fleet::Sizing,
-    model::id::{NodeId, ZoneId},
+    model::{
+        id::{NodeId, ZoneId},
+        unit::Millicores,
+    },
     settings::{
         Problems,
         node::read_file,
@@ -12,11 +15,19 @@
     },
 };
 
+/// The processor time of a node whose settings do not name it, in cores.
+const DEFAULT_CORES: f64 = 1.0;
+
+/// The most processor time that settings may name, in cores.
+const MOST_CORES: f64 = 1_000.0;
+
 /// All that a scheduler node is told when it starts.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct SchedulerSettings {
     pub(crate) node: NodeId,
     pub(crate) zone: ZoneId,
+    /// The processor time that the node has: those that have more own more work.
+    pub(crate) cpu: Millicores,
     pub(crate) listen: SchedulerListen,
     pub(crate) platform: PlatformAddresses,
     /// How long the node may take to end.
@@ -61,6 +72,7 @@
     let zone = section.text("zone");
     let listen = section.section("listen", listen);
     let platform = section.section("platform", platform);
+    let cpu = section.weight_or("cpu_cores", MOST_CORES, DEFAULT_CORES);
     let grace = section.section_or_default("stop", |inner| {
         inner.millis_or("grace_ms", 1_000..=600_000, Duration::from_secs(6))
     });
@@ -68,6 +80,7 @@
     Some(SchedulerSettings {
         node: node?,
         zone: zone?,
+        cpu: Millicores((cpu? * 1_000.0).round().max(1.0) as u32),
         listen: listen?,
         platform: platform?,
         grace: grace?,
