One look for each end: workers whose ends are being kept are left alone

Cause: at peaks an owner of 250 workers needs more than its half core. A profile of a node with 150 workers and 90 jobs a second showed a search for tasks that fill beside tasks with a target in each look (about 12 %), and half of all looks finding only an end that was on its way to the store: the pause was counted from when the look before was sent, not from its answer.

Conclusion: calls over HTTP are most of what an owner costs; what binds now is how fast hosts come to a pool at its peak, and what pools cost.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -83,6 +83,8 @@
     reserved: BTreeSet<WorkerId>,
     /// What no worker has room for, in the present plan: nothing larger is tried.
     full: Vec<Room>,
+    /// Whether some job had tasks that fill: most pools never do, and need no pace.
+    has_filling: bool,
     durations: Durations,
     dirty: BTreeSet<JobId>,
     deposed: bool,
@@ -102,6 +104,7 @@
             emptying: BTreeMap::new(),
             reserved: BTreeSet::new(),
             full: Vec::new(),
+            has_filling: false,
             durations: Durations::default(),
             dirty: BTreeSet::new(),
             deposed: false,
@@ -267,6 +270,7 @@
             let tasks = job.steps.values_mut().flat_map(|step| &mut step.tasks);
             tasks.for_each(|task| task.accounted = true);
         }
+        self.has_filling |= job.record.steps.iter().any(|step| step.fills);
         self.jobs.insert(id, job);
     }
 
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -23,9 +23,9 @@
 /// How long an order to stop may be on its way before it is given again, in milliseconds.
 const STOP_AGAIN_MS: u64 = 900;
 
-/// How often a worker is looked at whose ends cannot be acknowledged yet, in milliseconds: a look
-/// would not wait, since they are still listed.
-const UNSAVED_LOOK_MS: u64 = 50;
+/// How long a worker whose ends cannot be acknowledged yet is left alone, in milliseconds: a look
+/// would not wait, since they are still listed. Most often they are kept within 20.
+const UNSAVED_LOOK_MS: u64 = 100;
 
 impl Owner {
     /// Sends the looks that are due.
@@ -37,7 +37,7 @@
                 continue;
             }
             let unsaved = !worker.unacknowledged.is_empty();
-            let lately = worker.seen.is_some_and(|seen| now.since(seen) < UNSAVED_LOOK_MS);
+            let lately = worker.answered.is_some_and(|at| now.since(at) < UNSAVED_LOOK_MS);
             if unsaved && lately {
                 continue;
             }
@@ -102,7 +102,7 @@
             log::info!("worker {id}: back after {} looks without an answer", worker.misses);
         }
         worker.misses = 0;
-        worker.seen = Some(sent);
+        worker.answered = Some(now.steady);
         self.supersede(id);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
--- a/src/jobs/owner/pace.rs
+++ b/src/jobs/owner/pace.rs
@@ -41,6 +41,9 @@
 impl Owner {
     /// The workers on which tasks that fill run beside tasks with a target.
     pub(super) fn mixed_workers(&self) -> BTreeSet<WorkerId> {
+        if !self.has_filling {
+            return BTreeSet::new();
+        }
         let mixed = |id: &&WorkerId| {
             let sharing = self.sharing(id);
             !sharing.serving.is_empty() && !sharing.filling.is_empty()
@@ -82,6 +85,9 @@
 
     /// Sets the pace of what fills at a worker by the worst of the tails there.
     pub(super) fn repace(&mut self, id: &WorkerId, now: Steady, out: &mut Vec<Effect>) {
+        if !self.has_filling {
+            return;
+        }
         let sharing = self.sharing(id);
         let worst = sharing.serving.iter().max().copied();
         for Filling { task, run, pace, since } in sharing.filling {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -513,3 +513,25 @@
     let started: Vec<JobId> = bench.starts().iter().map(|(task, ..)| task.of.job).collect();
     assert_eq!(started, vec![id(3)]);
 }
+
+/// Found by the bench: half of all looks found only an end that was being kept already.
+#[test]
+fn a_worker_whose_end_is_being_kept_is_not_looked_at_meanwhile() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    let looks = |bench: &mut Bench| {
+        bench.work();
+        let effects = std::mem::take(&mut bench.effects);
+        effects.iter().filter(|effect| matches!(effect, Effect::Look { .. })).count()
+    };
+    assert_eq!(looks(&mut bench), 0);
+    bench.now += 900;
+    bench.look("w1", vec![], vec![done(1, task, run)]);
+    bench.now += 20;
+    assert_eq!(looks(&mut bench), 0);
+    bench.save();
+    assert_eq!(looks(&mut bench), 1);
+}
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -70,8 +70,8 @@
     pub(crate) looking: Option<Steady>,
     /// When the next look may be sent.
     pub(crate) next_look: Steady,
-    /// When the last answered look was sent.
-    pub(crate) seen: Option<Steady>,
+    /// When a look was last answered.
+    pub(crate) answered: Option<Steady>,
     /// Looks in a row that went unanswered.
     pub(crate) misses: u32,
     pub(crate) used: Room,
@@ -102,7 +102,7 @@
             until_ms: 0,
             looking: None,
             next_look: now,
-            seen: None,
+            answered: None,
             misses: 0,
             used: Room::default(),
             copies: BTreeMap::new(),
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -72,7 +72,7 @@
 const REACH_AGAIN_MS: u64 = 300;
 
 /// The least time between two words on which hosts are idle, in milliseconds: a hint only.
-const IDLE_PAUSE_MS: u64 = 500;
+const IDLE_PAUSE_MS: u64 = 300;
 
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
@@ -148,8 +148,10 @@
     told_empty: BTreeMap<HostId, (Emptied, Steady)>,
     /// Whether a roster is being written.
     rostering: bool,
-    /// The idle hosts that were last written, and when.
-    told_idle: Option<(BTreeSet<HostId>, Steady)>,
+    /// The idle hosts that were last written.
+    told_idle: Option<BTreeSet<HostId>>,
+    /// When they are next looked for.
+    next_idle: Steady,
 }
 
 /// A piece of work that nobody owns.
@@ -499,6 +501,7 @@
             told_empty: BTreeMap::new(),
             rostering: false,
             told_idle: None,
+            next_idle: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
@@ -747,16 +750,18 @@
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
+        if now.steady < owned.next_idle {
+            return;
+        }
+        owned.next_idle = now.steady.after(IDLE_PAUSE_MS);
         let idle = owned.owner.idle();
-        if let Some((told, at)) = &owned.told_idle
-            && (*told == idle || now.steady.since(*at) < IDLE_PAUSE_MS)
-        {
+        if owned.told_idle.as_ref() == Some(&idle) {
             return;
         }
         let txn = Txn::default()
             .expect(keys::owner(name), Revision(owned.owner.token))
             .put(keys::idle(name), json(&idle));
-        owned.told_idle = Some((idle, now.steady));
+        owned.told_idle = Some(idle);
         let (node, name) = (self.node.clone(), name.to_owned());
         tokio::spawn(async move {
             if let Err(error) = node.kv.commit(&txn).await {
