A move of a host is no upkeep of it

Change: a call is kept with its purpose, and only one for the wave counts; marks that were written and do not show yet count as marks, so that nothing else is decided for the host meanwhile.

Test: a_host_that_is_marked_for_upkeep_is_not_moved_and_a_move_is_no_upkeep.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -124,9 +124,16 @@
     since: Steady,
 }
 
-/// A call that changes a host.
+/// A call that changes a host, and what it is for: what became of a move says nothing of upkeep.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Call {
+    purpose: Leave,
+    state: CallState,
+}
+
+/// How far a call that changes a host is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Call {
+enum CallState {
     OnItsWay,
     /// No answer, or none that counts: to be made again.
     Again(Steady),
@@ -143,6 +150,8 @@
     coming: BTreeMap<HostId, Coming>,
     /// When hosts that are marked were first seen to be.
     marked: BTreeMap<HostId, Steady>,
+    /// Hosts whose marks were just written, and when: the view lags.
+    marking: BTreeMap<HostId, (Leave, Steady)>,
     /// Pools that have had work that ends: the others are left as the operator made them.
     worked: BTreeSet<PoolId>,
     hosts: BTreeMap<HostId, ListedHost>,
@@ -169,6 +178,7 @@
             calls: BTreeMap::new(),
             coming: BTreeMap::new(),
             marked: BTreeMap::new(),
+            marking: BTreeMap::new(),
             worked: BTreeSet::new(),
             hosts: BTreeMap::new(),
             listed: None,
@@ -191,13 +201,32 @@
     }
 
     /// Takes note of what became of a call: whether it was begun for certain.
-    pub(crate) fn called(&mut self, host: &HostId, begun: Option<bool>, now: Steady) {
-        match begun {
-            Some(true) => self.calls.insert(host.clone(), Call::Begun(now)),
+    pub(crate) fn called(
+        &mut self,
+        host: &HostId,
+        purpose: Leave,
+        begun: Option<bool>,
+        now: Steady,
+    ) {
+        let state = match begun {
+            Some(true) => CallState::Begun(now),
             // Not done, and never will be: the next decision is free again.
-            Some(false) => self.calls.remove(host),
-            None => self.calls.insert(host.clone(), Call::Again(now.after(CALL_AGAIN_MS))),
+            Some(false) => {
+                self.calls.remove(host);
+                return;
+            }
+            None => CallState::Again(now.after(CALL_AGAIN_MS)),
         };
+        self.calls.insert(host.clone(), Call { purpose, state });
+    }
+
+    /// How far the call for a purpose is, if one was made.
+    fn call_state(&self, host: &HostId, purpose: &Leave) -> Option<CallState> {
+        self.calls.get(host).filter(|call| call.purpose == *purpose).map(|call| call.state)
+    }
+
+    fn note_call(&mut self, host: &HostId, purpose: Leave) {
+        self.calls.insert(host.clone(), Call { purpose, state: CallState::OnItsWay });
     }
 
     /// What is to be done now.
@@ -212,22 +241,44 @@
         self.finish(scene, now, &mut out);
         self.call(scene, now, &mut out);
         for upkeep in scene.upkeeps {
-            self.wave(scene, upkeep, &mut out);
+            self.wave(scene, upkeep, now, &mut out);
         }
         self.size(scene, now, &mut out);
         self.drop_repeated(now, &mut out);
         out
     }
 
+    /// Has a host marked to leave.
+    fn mark(&mut self, host: HostId, leave: Leave, now: Steady, out: &mut Vec<FleetEffect>) {
+        self.marking.insert(host.clone(), (leave.clone(), now));
+        out.push(FleetEffect::Mark(host, leave));
+    }
+
+    /// The hosts that are marked, shown by the view or not.
+    fn marks<'a>(
+        &'a self,
+        scene: &'a Scene<'_>,
+    ) -> impl Iterator<Item = (&'a HostId, &'a Leave)> + 'a {
+        let unseen = self.marking.iter().filter(|(host, _)| !scene.leaves.contains_key(*host));
+        scene.leaves.iter().chain(unseen.map(|(host, (leave, _))| (host, leave)))
+    }
+
+    /// Whether something is decided for a host already, shown by the view or not.
+    fn is_taken(&self, scene: &Scene<'_>, host: &HostId) -> bool {
+        scene.leaves.contains_key(host)
+            || self.marking.contains_key(host)
+            || self.coming.contains_key(host)
+    }
+
     /// Leaves out writes that were made so lately that the view may not show them yet.
     fn drop_repeated(&mut self, now: Steady, out: &mut Vec<FleetEffect>) {
         self.written.retain(|_, at| now.since(*at) < WRITE_SHOWS_MS);
         out.retain(|effect| {
             let what = match effect {
-                FleetEffect::Mark(host, _) => format!("mark {host}"),
                 FleetEffect::Unmark(host) => format!("unmark {host}"),
                 FleetEffect::Report(wave, done) => format!("report {wave} {done}"),
                 FleetEffect::List
+                | FleetEffect::Mark(..)
                 | FleetEffect::Maintain(..)
                 | FleetEffect::Move(..)
                 | FleetEffect::Maintained(..) => return true,
@@ -261,7 +312,8 @@
                 out.push(FleetEffect::Unmark(host.clone()));
                 continue;
             };
-            let begun = matches!(self.calls.get(host), Some(Call::Begun(at)) if *at < listed);
+            let state = self.call_state(host, leave);
+            let begun = matches!(state, Some(CallState::Begun(at)) if at < listed);
             let back = begun && known.phase == HostPhase::Up;
             match leave {
                 Leave::Upkeep(wave) => {
@@ -296,7 +348,10 @@
         });
         let (leaves, coming) = (scene.leaves, &self.coming);
         self.calls.retain(|host, call| {
-            leaves.contains_key(host) || coming.contains_key(host) || *call == Call::OnItsWay
+            let comes = |coming: &Coming| call.purpose == Leave::Move(coming.pool.clone());
+            leaves.get(host) == Some(&call.purpose)
+                || coming.get(host).is_some_and(comes)
+                || call.state == CallState::OnItsWay
         });
     }
 
@@ -327,22 +382,28 @@
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
-        for (host, Coming { pool, .. }) in coming {
-            let again = match self.calls.get(host) {
+        let coming: Vec<(HostId, PoolId)> =
+            coming.map(|(host, coming)| (host.clone(), coming.pool.clone())).collect();
+        for (host, pool) in coming {
+            let again = match self.calls.get(&host).map(|call| call.state) {
                 None => true,
-                Some(Call::Again(at)) => *at <= now,
-                Some(Call::OnItsWay | Call::Begun(_)) => false,
+                Some(CallState::Again(at)) => at <= now,
+                Some(CallState::OnItsWay | CallState::Begun(_)) => false,
             };
             if again {
-                out.push(FleetEffect::Move(host.clone(), pool.clone()));
-                self.calls.insert(host.clone(), Call::OnItsWay);
+                self.note_call(&host, Leave::Move(pool.clone()));
+                out.push(FleetEffect::Move(host, pool));
             }
         }
         let leaves = scene.leaves.iter().filter(|(host, _)| !scene.resting.contains(*host));
         for (host, leave) in leaves {
             let again = match self.calls.get(host) {
                 None => false,
-                Some(Call::Again(at)) if *at <= now => true,
+                Some(Call { purpose, state: CallState::Again(at) })
+                    if purpose == leave && *at <= now =>
+                {
+                    true
+                }
                 Some(_) => continue,
             };
             let Some(known) = self.hosts.get(host) else {
@@ -364,7 +425,7 @@
                 }
                 Leave::Move(pool) => out.push(FleetEffect::Move(host.clone(), pool.clone())),
             }
-            self.calls.insert(host.clone(), Call::OnItsWay);
+            self.note_call(host, leave.clone());
         }
     }
 
@@ -388,7 +449,13 @@
     }
 
     /// Marks the next hosts of a wave, and reports how far it is.
-    fn wave(&mut self, scene: &Scene<'_>, upkeep: &Upkeep, out: &mut Vec<FleetEffect>) {
+    fn wave(
+        &mut self,
+        scene: &Scene<'_>,
+        upkeep: &Upkeep,
+        now: Steady,
+        out: &mut Vec<FleetEffect>,
+    ) {
         if scene.reported.contains(&upkeep.wave) {
             return;
         }
@@ -407,13 +474,12 @@
         if self.begun.insert(upkeep.wave) {
             out.push(FleetEffect::Report(upkeep.wave, false));
         }
-        let marked = scene.leaves.values().filter(|leave| **leave == Leave::Upkeep(upkeep.wave));
+        let marked = self.marks(scene).filter(|(_, leave)| **leave == Leave::Upkeep(upkeep.wave));
         let room = (upkeep.at_once as usize + AHEAD).saturating_sub(marked.count());
         let mut next: Vec<&ListedHost> = left
             .into_iter()
             .filter(|known| known.phase == HostPhase::Up)
-            .filter(|known| !scene.leaves.contains_key(&known.host))
-            .filter(|known| !self.coming.contains_key(&known.host))
+            .filter(|known| !self.is_taken(scene, &known.host))
             .collect();
         let is_off =
             |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
@@ -422,9 +488,9 @@
             (!is_off(known), busy, self.leaving(scene, &known.pool))
         });
         let mut taken: BTreeMap<PoolId, usize> = BTreeMap::new();
-        let mut count = 0;
+        let mut chosen = Vec::new();
         for known in next {
-            if room <= count {
+            if room <= chosen.len() {
                 break;
             }
             let pool = self.hosts.values().filter(|host| host.pool == known.pool).count();
@@ -434,15 +500,16 @@
                 continue;
             }
             *leaving += 1;
-            count += 1;
-            out.push(FleetEffect::Mark(known.host.clone(), Leave::Upkeep(upkeep.wave)));
+            chosen.push(known.host.clone());
+        }
+        for host in chosen {
+            self.mark(host, Leave::Upkeep(upkeep.wave), now, out);
         }
     }
 
     /// Hosts of a pool that are marked to leave for upkeep.
     fn leaving(&self, scene: &Scene<'_>, pool: &PoolId) -> usize {
-        let leaves = scene.leaves.iter();
-        let here = leaves.filter(|(host, leave)| {
+        let here = self.marks(scene).filter(|(host, leave)| {
             matches!(leave, Leave::Upkeep(_))
                 && self.hosts.get(*host).is_some_and(|known| known.pool == *pool)
         });
@@ -501,7 +568,7 @@
                 let Some(host) = self.borrowed(scene, &mut free, &shares, short) else {
                     break;
                 };
-                out.push(FleetEffect::Mark(host, Leave::Move((*pool).clone())));
+                self.mark(host, Leave::Move((*pool).clone()), now, out);
             }
         }
         for pool in &pools {
@@ -514,7 +581,7 @@
             let surplus = here.len().saturating_sub(most.max(shares[*pool]));
             if long && have[*pool] == here.len() && self.worked.contains(*pool) {
                 for host in here.iter().take(surplus) {
-                    out.push(FleetEffect::Mark(host.clone(), Leave::Move(off.clone())));
+                    self.mark(host.clone(), Leave::Move(off.clone()), now, out);
                 }
             }
         }
@@ -574,15 +641,18 @@
     fn expected(&self, scene: &Scene<'_>, pool: &PoolId, now: Steady) -> usize {
         let soon = |since: Steady| now.since(since) < COMING_COUNTS_MS;
         let coming = self.coming.values().filter(|c| c.pool == *pool && soon(c.since));
-        let marked = scene.leaves.iter().filter(|(host, leave)| {
+        let marked = self.marks(scene).filter(|(host, leave)| {
             **leave == Leave::Move(pool.clone())
-                && self.marked.get(*host).is_some_and(|since| soon(*since))
+                && self.marked.get(*host).is_none_or(|since| soon(*since))
         });
         coming.count() + marked.count()
     }
 
     fn note_marks(&mut self, scene: &Scene<'_>, now: Steady) {
         self.marked.retain(|host, _| scene.leaves.contains_key(host));
+        self.marking.retain(|host, (_, at)| {
+            now.since(*at) < WRITE_SHOWS_MS && !scene.leaves.contains_key(host)
+        });
         for host in scene.leaves.keys() {
             self.marked.entry(host.clone()).or_insert(now);
         }
@@ -593,8 +663,7 @@
         let free = self.hosts.values().filter(|known| {
             known.pool == *pool
                 && known.phase == HostPhase::Up
-                && !scene.leaves.contains_key(&known.host)
-                && !self.coming.contains_key(&known.host)
+                && !self.is_taken(scene, &known.host)
         });
         let mut free: Vec<HostId> = free.map(|known| known.host.clone()).collect();
         // What is idle leaves at once.
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -13,6 +13,8 @@
     },
 };
 
+const UPKEEP: Leave = Leave::Upkeep(1);
+
 /// What the fleet's owner is shown.
 struct Known {
     config: QueueConfig,
@@ -130,9 +132,9 @@
         effects.iter().filter(|effect| matches!(effect, FleetEffect::Maintain(..))).count()
     };
     assert_eq!(begun(fleet.plan(&known.scene(), at(100))), 2);
-    fleet.called(&host(1), Some(true), at(150));
+    fleet.called(&host(1), UPKEEP, Some(true), at(150));
     // Without an answer it may be away as well.
-    fleet.called(&host(2), None, at(150));
+    fleet.called(&host(2), UPKEEP, None, at(150));
     assert_eq!(begun(fleet.plan(&known.scene(), at(200))), 0);
 }
 
@@ -184,7 +186,7 @@
     fleet.plan(&known.scene(), at(100));
     let first = fleet.plan(&known.scene(), at(200));
     assert_eq!(moves(&first), 1);
-    fleet.called(&host(2), Some(true), at(250));
+    fleet.called(&host(2), Leave::Move(pool("busy")), Some(true), at(250));
     let mut down = listed(2, "off");
     down.phase = HostPhase::Down;
     fleet.heard_list(at(300), Some(vec![listed(1, "busy"), down, listed(3, "off")]));
@@ -232,15 +234,34 @@
     };
     fleet.plan(&known.scene(), at(100));
     for number in 1..4 {
-        fleet.called(&host(number), Some(true), at(150));
+        fleet.called(&host(number), UPKEEP, Some(true), at(150));
     }
     fleet.heard_list(at(2_500), Some(hosts.clone()));
     let first = BTreeSet::from([host(1), host(2), host(3)]);
     assert_eq!(kept(fleet.plan(&known.scene(), at(2_600))), vec![first.clone()]);
-    fleet.called(&host(4), Some(true), at(2_650));
+    fleet.called(&host(4), UPKEEP, Some(true), at(2_650));
     fleet.heard_list(at(2_700), Some(hosts));
     // The first write does not show yet.
     assert_eq!(kept(fleet.plan(&known.scene(), at(2_800))), Vec::<BTreeSet<HostId>>::new());
     known.maintained.insert(1, first);
     assert_eq!(kept(fleet.plan(&known.scene(), at(2_900))), vec![BTreeSet::from([host(4)])]);
 }
+
+/// Found by the bench: a host that was off was marked for upkeep and called into a pool by one
+/// plan, and its move was taken for the upkeep, so that a wave was reported as done too early.
+#[test]
+fn a_host_that_is_marked_for_upkeep_is_not_moved_and_a_move_is_no_upkeep() {
+    let mut known = Known::new();
+    known.upkeeps = vec![Upkeep { wave: 1, hosts: vec![host(2)], period_ms: 20_000, at_once: 4 }];
+    known.demands.insert(pool("busy"), Demand { cpu: 70_000, spread: 0, ends: true });
+    let mut fleet = fleet(vec![listed(1, "busy"), listed(2, "off")]);
+    let first = fleet.plan(&known.scene(), at(100));
+    assert!(first.contains(&FleetEffect::Mark(host(2), UPKEEP)), "{first:?}");
+    // The mark does not show yet.
+    assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 0);
+    known.leaves.insert(host(2), UPKEEP);
+    fleet.called(&host(2), Leave::Move(pool("busy")), Some(true), at(250));
+    fleet.heard_list(at(2_500), Some(vec![listed(1, "busy"), listed(2, "busy")]));
+    let later = fleet.plan(&known.scene(), at(2_600));
+    assert!(!later.iter().any(|e| matches!(e, FleetEffect::Maintained(..))), "{later:?}");
+}
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -119,6 +119,7 @@
     HostCalled {
         token: u64,
         host: HostId,
+        leave: Leave,
         begun: Option<bool>,
     },
     /// The node is to give back all that it owns.
@@ -283,9 +284,9 @@
                     fleet.heard_list(sent, hosts);
                 }
             }
-            Input::HostCalled { token, host, begun } => {
+            Input::HostCalled { token, host, leave, begun } => {
                 if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
-                    fleet.called(&host, begun, now.steady);
+                    fleet.called(&host, leave, begun, now.steady);
                 }
             }
             Input::Leave => self.leave(),
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -158,7 +158,7 @@
             // Meanwhile the process may have been paused.
             let late = CALL_AFTER_MS < node.now().steady.since(now.steady);
             if !kept || late || lease.held(node.now().steady).is_none() {
-                let _ = to.send(Input::HostCalled { token, host, begun: Some(false) });
+                let _ = to.send(Input::HostCalled { token, host, leave, begun: Some(false) });
                 return;
             }
             let end = match &leave {
@@ -171,7 +171,7 @@
                 HostCall::Unknown | HostCall::Busy | HostCall::Limited => None,
                 HostCall::Refused | HostCall::Invalid => Some(false),
             };
-            let _ = to.send(Input::HostCalled { token, host, begun });
+            let _ = to.send(Input::HostCalled { token, host, leave, begun });
         });
     }
 
