A confirmation that meets its own write is told as done

Ruled out, by reading: swap_surely, which compares whole values and is reached only if the first answer is lost in our client; a second try below it meets the record as a plain conflict.

Change: a conflict with the record of the same decision (its op) counts as done. Test: a_decision_is_known_by_its_own_write_and_not_taken_for_that_of_another.

--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -194,3 +194,24 @@
     }
     assert!(!next_steps(&fleet, &plan, &rules, BEGIN).contains(&leave));
 }
+
+/// Found by CI beside load: a confirmation whose answer was lost was sent again, met its own write,
+/// and was told as a conflict.
+#[test]
+fn a_decision_is_known_by_its_own_write_and_not_taken_for_that_of_another() {
+    let (fleet, rules) = tyrehub();
+    let hosts: Vec<HostId> = fleet.hosts.keys().take(1).cloned().collect();
+    let plan = propose(&fleet, drain(hosts), &rules);
+    let mut fleet = fleet;
+    fleet.plans.insert(plan.id.clone(), plan.clone());
+    let confirm = |op: &str, by: &str| {
+        let op = op.parse().unwrap();
+        plan::confirm(&fleet, &plan.id, &plan.digest, by, op, BEGIN, &rules).unwrap()
+    };
+    let (own, other) = (confirm("op-1", "one"), confirm("op-2", "two"));
+    assert!(own.is_decided_as(&own.clone()));
+    assert!(!own.is_decided_as(&other));
+    let cancelled = plan::cancel(&fleet, &plan.id, "two", "op-3".parse().unwrap(), BEGIN).unwrap();
+    assert!(!own.is_decided_as(&cancelled));
+    assert!(!own.is_decided_as(&plan));
+}
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -145,6 +145,11 @@
 }
 
 impl Plan {
+    /// Whether a plan that the store holds is this one, by the write that decided it.
+    pub(crate) fn is_decided_as(&self, stored: &Plan) -> bool {
+        self.id == stored.id && self.op == stored.op && self.state == stored.state
+    }
+
     /// The plan's hosts in their order.
     pub(crate) fn hosts(&self) -> impl Iterator<Item = &HostId> {
         self.pools.values().flat_map(PoolPlan::hosts)
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -321,6 +321,10 @@
         Written::Conflict => {
             let view = node.view();
             let now = view.fleet.plans.get(&plan.id);
+            if now.is_some_and(|now| plan.is_decided_as(now)) {
+                // The write had won before: its answer was lost, and it was sent again.
+                return Ok(plan);
+            }
             let text = match now {
                 Some(now) => {
                     format!("{} was faster: plan {} is {} now", now.by, plan.id, now.state.as_str())
