Hosts are called for what demand will be when they come

Ruled out: the limit on calls of the hosts' service (215 a second, 40 were made); the store (marks to moves took 0.2 s).

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -38,6 +38,9 @@
 /// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
 const LEAVING_PERCENT: usize = 50;
 
+/// The time over which the growth of a demand is taken, in milliseconds.
+const GROWTH_MS: u64 = 1_000;
+
 /// How long a write may take to show in the view, in milliseconds.
 const WRITE_SHOWS_MS: u64 = 700;
 
@@ -47,6 +50,9 @@
     /// The share of a pool's processor time that demand may take before hosts are added, in
     /// percent: tasks do not fill hosts to the brim.
     pub(crate) full_percent: u64,
+    /// The share, in percent, of the growth of its demand over the last second that a pool is
+    /// prepared for before it comes: hosts take about two seconds to come.
+    pub(crate) growth_percent: u64,
     /// Hosts that a pool has beside those that its demand fills.
     pub(crate) margin_hosts: usize,
     /// How long a pool keeps hosts that it needed, in milliseconds: a move is paid for like a
@@ -56,7 +62,7 @@
 
 impl Default for Sizing {
     fn default() -> Sizing {
-        Sizing { full_percent: 80, margin_hosts: 1, shrink_after_ms: 3_000 }
+        Sizing { full_percent: 80, growth_percent: 0, margin_hosts: 1, shrink_after_ms: 3_000 }
     }
 }
 
@@ -159,8 +165,10 @@
     listed: Option<Steady>,
     listing: bool,
     next_list: Steady,
-    /// Demand of late, by pool.
+    /// Hosts wanted of late, by pool.
     demands: BTreeMap<PoolId, VecDeque<(Steady, usize)>>,
+    /// Processor time asked for of late, by pool, in millicores.
+    asked: BTreeMap<PoolId, VecDeque<(Steady, u64)>>,
     /// Waves that were reported to have begun.
     begun: BTreeSet<u64>,
     /// By wave, the hosts whose upkeep was last written, and when: the next write builds on it.
@@ -185,6 +193,7 @@
             listing: false,
             next_list: now,
             demands: BTreeMap::new(),
+            asked: BTreeMap::new(),
             begun: BTreeSet::new(),
             keeping: BTreeMap::new(),
             written: BTreeMap::new(),
@@ -521,7 +530,12 @@
             if demand.ends && self.worked.insert(pool.clone()) {
                 self.demands.remove(pool);
             }
-            let hosts = self.wanted(demand);
+            let asked = self.asked.entry(pool.clone()).or_default();
+            asked.push_back((now, demand.cpu));
+            while asked.front().is_some_and(|(at, _)| GROWTH_MS < now.since(*at)) {
+                asked.pop_front();
+            }
+            let hosts = self.wanted(pool, demand);
             let keep_ms = self.sizing.shrink_after_ms;
             let late = self.demands.entry(pool.clone()).or_default();
             late.push_back((now, hosts));
@@ -531,11 +545,19 @@
         }
     }
 
+    /// The processor time that a pool will ask for when hosts that are called now have come: what
+    /// it asks for now, and as much more as it grew by of late.
+    fn forecast(&self, pool: &PoolId, demand: &Demand) -> u64 {
+        let before = self.asked.get(pool).and_then(|late| late.front()).map_or(0, |(_, cpu)| *cpu);
+        demand.cpu + demand.cpu.saturating_sub(before) * self.sizing.growth_percent / 100
+    }
+
     /// Hosts that a pool should have for a demand.
-    fn wanted(&self, demand: &Demand) -> usize {
+    fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
         let room = self.hosts.values().next().map(|host| host.room);
         let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
-        let filled = (demand.cpu * 100).div_ceil(host_cpu * self.sizing.full_percent) as usize;
+        let filled = (self.forecast(pool, demand) * 100)
+            .div_ceil(host_cpu * self.sizing.full_percent) as usize;
         filled.max(demand.spread) + self.sizing.margin_hosts
     }
 
@@ -601,7 +623,7 @@
         total: usize,
     ) -> BTreeMap<PoolId, usize> {
         let wanted: Vec<usize> =
-            pools.iter().map(|pool| self.wanted(&scene.demands[*pool])).collect();
+            pools.iter().map(|pool| self.wanted(pool, &scene.demands[*pool])).collect();
         let spread = |n: usize| self.floor(&scene.demands[pools[n]]).min(wanted[n]);
         let mut shares = vec![0; pools.len()];
         for _ in 0..total.min(wanted.iter().sum()) {
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -84,7 +84,8 @@
 }
 
 fn fleet(hosts: Vec<ListedHost>) -> Fleet {
-    let sizing = Sizing { full_percent: 80, margin_hosts: 0, shrink_after_ms: 1_000 };
+    let sizing =
+        Sizing { full_percent: 80, growth_percent: 0, margin_hosts: 0, shrink_after_ms: 1_000 };
     let mut fleet = Fleet::new(7, sizing, at(0));
     fleet.heard_list(at(1), Some(hosts));
     fleet
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -93,7 +93,13 @@
     let full = section.number_or("full_percent", 10..=100, default.full_percent);
     let margin = section.number_or("margin_hosts", 0..=1_000, default.margin_hosts as u64);
     let shrink = section.number_or("shrink_after_ms", 0..=600_000, default.shrink_after_ms);
-    Some(Sizing { full_percent: full?, margin_hosts: margin? as usize, shrink_after_ms: shrink? })
+    let growth = section.number_or("growth_percent", 0..=1_000, default.growth_percent);
+    Some(Sizing {
+        full_percent: full?,
+        growth_percent: growth?,
+        margin_hosts: margin? as usize,
+        shrink_after_ms: shrink?,
+    })
 }
 
 fn listen(section: &Section<'_>) -> Option<SchedulerListen> {
