Fuzzing: workers whose reports were dropped list themselves again

The world replaced the owner without telling the new one of two workers, as when the store drops their reports, and never listed them again; workers do so within two seconds of the store's return. The product was right to wait; the model was not the platform.

Change: at the end of a history living workers list themselves. The assertions are as they were.

--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -711,6 +711,13 @@
                 self.crash(worker);
             }
         }
+        // Workers whose reports were dropped with the store's leases list themselves again.
+        for worker in 0..HOSTS {
+            if self.workers[worker].alive {
+                let report = self.workers[worker].report.clone();
+                self.tell(self.current(), Event::Worker(report));
+            }
+        }
         self.run_until_quiet();
         for (job, stored) in &self.jobs {
             let state = self.progress.get(job).map(|(progress, _)| progress.state);
