The node's loop in three files: loop, reaching, keeping

Change: what a node reaches for and gives away is in drive/reach.rs, what owners have kept in the store in drive/keep.rs; no logic changed.

--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -1,5 +1,8 @@
 //! Feeds the owners of pools with what happens, and carries out what they want done.
 
+mod keep;
+mod reach;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -15,28 +18,25 @@
 
 use crate::{
     jobs::{
-        balance::{self, Capacity},
         event::{Effect, Event, Save},
         fleet::{Fleet, Leave},
         owner::{Emptied, Owner},
     },
     model::{
         id::{HostId, PoolId},
-        unit::{Millicores, Now, Revision, Steady},
+        unit::{Now, Revision, Steady},
         worker::{ListedHost, OrderEnd, WorkerReport},
     },
     platform::{
         advice::{Advised, Adviser},
-        kv::{Committed, TXN_ENTRIES, Txn},
         machines::Machines,
         runner::Runners,
-        store::LeaseId,
     },
     scheduler::{
         Node, keys,
         lease::Lease,
         mirror,
-        view::{Delta, EmptyRecord, OwnerRecord, RosterRecord, TermRecord, View},
+        view::{Delta, View},
     },
 };
 
@@ -47,41 +47,6 @@
 /// looks at all open jobs, and at hundreds of events a second each would cost more than the orders.
 const STEP_PAUSE: Duration = Duration::from_millis(4);
 
-/// Jobs in one transaction: each needs a condition and a write, beside the one of the owner.
-const SAVE_BATCH: usize = (TXN_ENTRIES - 1) / 2;
-
-/// Writes of one owner's progress that may be on their way at one time: with one, an owner kept a
-/// thousand jobs a second at the most, and a peak changes more.
-const MOST_SAVES: usize = 4;
-
-/// The least time between two writes of one owner's progress, in milliseconds: ends that come
-/// close together share one.
-const SAVE_PAUSE_MS: u64 = 5;
-
-/// How long after a write that failed the next is made, in milliseconds.
-const SAVE_AGAIN_MS: u64 = 100;
-
-/// How long a node waits, for each node that should own a piece of work before it, before it
-/// reaches for it, in milliseconds: two nodes' views differ by up to that much.
-const REACH_STEP_MS: u64 = 60;
-
-/// The most nodes that are waited for: some may be away, and work must not wait for long.
-const REACH_MOST_STEPS: usize = 8;
-
-/// How long a node keeps its work before it may give some of it away, in milliseconds: the view
-/// of the nodes is to be whole, and each change of owners costs a pause.
-const GIVE_AFTER_MS: u64 = 2_500;
-
-/// How long after a failed try the next is made, in milliseconds.
-const REACH_AGAIN_MS: u64 = 300;
-
-/// The least time between two words on which hosts are idle, in milliseconds: a hint only.
-const IDLE_PAUSE_MS: u64 = 300;
-
-/// How long after an empty host was told of it is told again if the view does not show it, in
-/// milliseconds.
-const EMPTY_AGAIN_MS: u64 = 700;
-
 /// How often the owned pools are told of in the log, in milliseconds.
 const SUMMARY_MS: u64 = 1_000;
 
@@ -264,16 +229,7 @@
                     self.carry_out(&name, token, out);
                 }
             }
-            Input::Reached { name, won } => {
-                if let Some(vacancy) = self.vacant.get_mut(&name) {
-                    vacancy.reaching = false;
-                    vacancy.not_before = now.steady.after(REACH_AGAIN_MS);
-                }
-                if let Some(won) = won {
-                    self.next_give = now.steady.after(GIVE_AFTER_MS);
-                    self.won.insert(name, won);
-                }
-            }
+            Input::Reached { name, won } => self.reached(name, won, now),
             Input::Saved { name, token, saves, end } => self.saved(&name, token, &saves, end, now),
             Input::Rostered { name, token, workers, kept } => {
                 let owned = self.owned.get_mut(&name);
@@ -513,277 +469,6 @@
         self.carry_out(name, token, out);
     }
 
-    /// Tries to own what nobody does.
-    fn reach(&mut self, now: Now) {
-        let Some(lease) = self.lease.held(now.steady) else {
-            return;
-        };
-        if self.leaving {
-            return;
-        }
-        let names = self.vacancies();
-        self.vacant.retain(|name, vacancy| vacancy.reaching || names.contains(name));
-        if names.is_empty() {
-            return;
-        }
-        let nodes = self.nodes();
-        for name in names {
-            let vacancy = self.vacant.entry(name.clone()).or_insert(Vacancy {
-                since: now.steady,
-                reaching: false,
-                not_before: now.steady,
-            });
-            let cost = costs(&self.node.view(), &name);
-            let rank = balance::rank(&nodes, self.node.settings.node.as_str(), cost);
-            let turn = vacancy.since.after(rank.min(REACH_MOST_STEPS) as u64 * REACH_STEP_MS);
-            if vacancy.reaching || now.steady < turn || now.steady < vacancy.not_before {
-                continue;
-            }
-            vacancy.reaching = true;
-            self.reach_for(name, lease);
-            // One at a time: the next waits until this one counts.
-            return;
-        }
-    }
-
-    /// The nodes that may own work, with what they own by the view; of this one, with all that it
-    /// has won or reaches for.
-    fn nodes(&self) -> BTreeMap<String, Capacity> {
-        let view = self.node.view();
-        let none = Millicores(0);
-        let mut nodes: BTreeMap<String, Capacity> = view
-            .nodes
-            .iter()
-            .map(|(name, at)| (name.clone(), Capacity { cpu: at.value.cpu, used: none }))
-            .collect();
-        for (name, owner) in &view.owners {
-            if let Some(node) = nodes.get_mut(&owner.value.node) {
-                node.used.0 += costs(&view, name).0;
-            }
-        }
-        let fleet = self.fleet.iter().map(|_| keys::FLEET);
-        let reaching = self.vacant.iter().filter(|(_, vacancy)| vacancy.reaching);
-        let own: BTreeSet<&str> = (self.owned.keys().chain(self.won.keys()))
-            .chain(reaching.map(|(name, _)| name))
-            .map(String::as_str)
-            .chain(fleet)
-            .collect();
-        let used = own.iter().map(|name| costs(&view, name).0).sum();
-        let mine = Capacity { cpu: self.node.settings.cpu, used: Millicores(used) };
-        nodes.insert(self.node.settings.node.to_string(), mine);
-        nodes
-    }
-
-    /// Gives a pool away if this node is busy and another would be clearly less so.
-    fn give(&mut self, now: Now) {
-        if now.steady < self.next_give || self.leaving || self.lease.held(now.steady).is_none() {
-            return;
-        }
-        self.next_give = now.steady.after(GIVE_AFTER_MS);
-        let nodes = self.nodes();
-        let view = self.node.view();
-        let owned = self.owned.keys().map(|name| (name.as_str(), costs(&view, name))).collect();
-        let me = self.node.settings.node.as_str();
-        let name = balance::to_give(&nodes, me, &owned).map(str::to_owned);
-        drop(view);
-        let Some(name) = name else {
-            return;
-        };
-        if let Some(owned) = self.owned.remove(&name) {
-            log::info!("owner {name}: to be given to a node with more processor time");
-            // Others come first, also if this one is told of it first.
-            let not_before = now.steady.after(REACH_AGAIN_MS);
-            let since = now.steady;
-            self.vacant.insert(name.clone(), Vacancy { since, reaching: false, not_before });
-            self.give_back(name, owned.owner.token);
-        }
-    }
-
-    /// The pieces of work that nobody owns, or this node without acting on it.
-    fn vacancies(&self) -> BTreeSet<String> {
-        let view = self.node.view();
-        let Some(config) = view.is_ready().then_some(view.config.as_ref()).flatten() else {
-            return BTreeSet::new();
-        };
-        let pools = config.pools.keys().map(keys::pool);
-        let names = pools.chain([keys::FLEET.to_owned()]);
-        names
-            .filter(|name| !self.owned.contains_key(name) && !self.won.contains_key(name))
-            .filter(|name| name != keys::FLEET || self.fleet.is_none())
-            .filter(|name| match view.owners.get(name) {
-                None => true,
-                // An earlier life of this node won it, or this one did and was not told.
-                Some(owner) => owner.value.node == self.node.settings.node.as_str(),
-            })
-            .collect()
-    }
-
-    fn reach_for(&self, name: String, lease: LeaseId) {
-        let view = self.node.view();
-        let term = view.terms.get(&name).cloned();
-        let held = view.owners.get(&name).map(|owner| owner.revision).unwrap_or_default();
-        drop(view);
-        let count = term.as_ref().map(|term| term.value.count).unwrap_or_default();
-        let record = OwnerRecord { node: self.node.settings.node.to_string(), life: self.life };
-        let (owner_key, term_key) = (keys::owner(&name), keys::term(&name));
-        let txn = Txn::default()
-            .expect(owner_key.clone(), held)
-            .expect(term_key.clone(), term.map(|term| term.revision).unwrap_or_default())
-            .put_leased(&owner_key, json(&record), lease)
-            .put(term_key, json(&TermRecord { count: count + 1 }));
-        let (node, to) = (self.node.clone(), self.to.clone());
-        tokio::spawn(async move {
-            let won = match node.kv.commit(&txn).await {
-                Ok(Committed::Done(revision)) => Some((revision.0, count)),
-                Ok(Committed::Conflict(_) | Committed::LeaseOver) => None,
-                Err(error) => {
-                    log::warn!("owner {name}: not reached: {error}");
-                    None
-                }
-            };
-            let _ = to.send(Input::Reached { name, won });
-        });
-    }
-
-    fn save(&mut self, name: &str, now: Now) {
-        let Some(owned) = self.owned.get_mut(name) else {
-            return;
-        };
-        if now.steady < owned.next_save {
-            return;
-        }
-        let token = owned.owner.token;
-        // Beside the first, only full ones: what comes close together shares one.
-        while owned.saving == 0 || owned.saving < MOST_SAVES && SAVE_BATCH <= owned.owner.unsaved()
-        {
-            let saves = owned.owner.saves(SAVE_BATCH);
-            if saves.is_empty() {
-                return;
-            }
-            owned.saving += 1;
-            let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
-            tokio::spawn(async move {
-                let end = write_progress(&node, &name, token, &saves).await;
-                let _ = to.send(Input::Saved { name, token, saves, end });
-            });
-        }
-    }
-
-    fn saved(&mut self, name: &str, token: u64, saves: &[Save], end: SaveEnd, now: Now) {
-        let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.owner.token == token)
-        else {
-            return;
-        };
-        owned.saving = owned.saving.saturating_sub(1);
-        owned.next_save = now.steady.after(SAVE_PAUSE_MS);
-        match end {
-            SaveEnd::Done(revision) => {
-                for ended in owned.owner.saved(saves, revision) {
-                    self.node.metrics.job_ended(&ended.queue, ended.state, ended.took);
-                }
-            }
-            SaveEnd::Rebase(places) => {
-                for (place, revision) in places {
-                    owned.owner.rebase(saves[place].job, revision);
-                }
-                owned.owner.not_saved(saves);
-            }
-            SaveEnd::Deposed => {
-                log::warn!("owner {name}: token {token} is over");
-                self.owned.remove(name);
-            }
-            SaveEnd::Failed => {
-                owned.owner.not_saved(saves);
-                owned.next_save = now.steady.after(SAVE_AGAIN_MS);
-            }
-        }
-    }
-
-    /// Keeps which workers this owner gives work to.
-    fn write_roster(&mut self, name: &str) {
-        let Some(owned) = self.owned.get_mut(name).filter(|owned| !owned.rostering) else {
-            return;
-        };
-        let Some(workers) = owned.owner.roster() else {
-            return;
-        };
-        owned.rostering = true;
-        let token = owned.owner.token;
-        let record = RosterRecord { workers: workers.clone() };
-        let txn = Txn::default()
-            .expect(keys::owner(name), Revision(token))
-            .put(keys::roster(name), json(&record));
-        let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
-        tokio::spawn(async move {
-            let kept = match node.kv.commit(&txn).await {
-                Ok(committed) => matches!(committed, Committed::Done(_)),
-                Err(error) => {
-                    log::warn!("owner {name}: roster not written: {error}");
-                    false
-                }
-            };
-            let _ = to.send(Input::Rostered { name, token, workers, kept });
-        });
-    }
-
-    /// Tells the fleet's owner which hosts are empty.
-    fn tell_empty(&mut self, name: &str, now: Now) {
-        let Some(owned) = self.owned.get_mut(name) else {
-            return;
-        };
-        let token = owned.owner.token;
-        for emptied in owned.owner.emptied() {
-            let host = emptied.host.clone();
-            let told = owned.told_empty.get(&host);
-            let lately = |(was, at): &(Emptied, Steady)| {
-                *was == emptied && now.steady.since(*at) < EMPTY_AGAIN_MS
-            };
-            let shown = self.node.view().empties.get(&host).is_some_and(|at| {
-                at.value.mark == emptied.mark && at.value.worker == emptied.worker
-            });
-            if shown || told.is_some_and(lately) {
-                continue;
-            }
-            let record = EmptyRecord { worker: emptied.worker.clone(), mark: emptied.mark };
-            let txn = Txn::default()
-                .expect(keys::owner(name), Revision(token))
-                .expect(keys::leave(&host), emptied.mark)
-                .put(keys::empty(&host), json(&record));
-            owned.told_empty.insert(host.clone(), (emptied, now.steady));
-            let node = self.node.clone();
-            tokio::spawn(async move {
-                if let Err(error) = node.kv.commit(&txn).await {
-                    log::warn!("host {host}: not told to be empty: {error}");
-                }
-            });
-        }
-    }
-
-    /// Tells the fleet's owner which hosts are idle, now and then.
-    fn tell_idle(&mut self, name: &str, now: Now) {
-        let Some(owned) = self.owned.get_mut(name) else {
-            return;
-        };
-        if now.steady < owned.next_idle {
-            return;
-        }
-        owned.next_idle = now.steady.after(IDLE_PAUSE_MS);
-        let idle = owned.owner.idle();
-        if owned.told_idle.as_ref() == Some(&idle) {
-            return;
-        }
-        let txn = Txn::default()
-            .expect(keys::owner(name), Revision(owned.owner.token))
-            .put(keys::idle(name), json(&idle));
-        owned.told_idle = Some(idle);
-        let (node, name) = (self.node.clone(), name.to_owned());
-        tokio::spawn(async move {
-            if let Err(error) = node.kv.commit(&txn).await {
-                log::debug!("owner {name}: idle hosts not written: {error}");
-            }
-        });
-    }
-
     fn carry_out(&self, name: &str, token: u64, effects: Vec<Effect>) {
         for effect in effects {
             let (to, name) = (self.to.clone(), name.to_owned());
@@ -862,77 +547,6 @@
             }
         }
     }
-
-    /// Gives back all that the node owns, so that others need not wait for its lease to end.
-    fn leave(&mut self) {
-        self.leaving = true;
-        self.won.clear();
-        for (name, owned) in std::mem::take(&mut self.owned) {
-            self.give_back(name, owned.owner.token);
-        }
-        let node = self.node.clone();
-        let key = keys::node(node.settings.node.as_str());
-        tokio::spawn(async move {
-            // Work goes to nodes that stay.
-            if let Err(error) = node.kv.commit(&Txn::default().remove(key)).await {
-                log::warn!("node {}: still listed: {error}", node.settings.node);
-            }
-        });
-    }
-
-    /// Gives up an ownership in the store.
-    fn give_back(&self, name: String, token: u64) {
-        log::info!("owner {name}: given back: token {token}");
-        let key = keys::owner(&name);
-        let txn = Txn::default().expect(key.clone(), Revision(token)).remove(key);
-        let node = self.node.clone();
-        tokio::spawn(async move {
-            if let Err(error) = node.kv.commit(&txn).await {
-                log::warn!("owner {name}: not given back: {error}");
-            }
-        });
-    }
-}
-
-/// What owning a piece of work costs.
-fn costs(view: &View, name: &str) -> Millicores {
-    match name.strip_prefix("pool-") {
-        Some(pool) => {
-            let workers = view.workers.values().filter(|at| at.value.pool.as_str() == pool);
-            balance::pool_cost(workers.count())
-        }
-        None => balance::fleet_cost(),
-    }
-}
-
-/// Writes progress under the condition that there is no later owner.
-async fn write_progress(node: &Node, name: &str, token: u64, saves: &[Save]) -> SaveEnd {
-    let owner_key = keys::owner(name);
-    let mut txn = Txn::default().expect(owner_key.clone(), Revision(token));
-    for save in saves {
-        let key = keys::progress(save.job);
-        txn = txn.expect(key.clone(), save.expects).put(key, save.value.clone());
-    }
-    let items = match node.kv.commit(&txn).await {
-        Ok(Committed::Done(revision)) => return SaveEnd::Done(revision),
-        Ok(Committed::Conflict(items)) => items,
-        Ok(Committed::LeaseOver) => return SaveEnd::Failed,
-        Err(error) => {
-            log::warn!("owner {name}: progress of {} jobs not written: {error}", saves.len());
-            return SaveEnd::Failed;
-        }
-    };
-    let owner = items.iter().find(|item| item.key == owner_key);
-    if owner.is_none_or(|item| item.revision != Revision(token)) {
-        return SaveEnd::Deposed;
-    }
-    // Only this owner writes there: another revision is that of a write without an answer.
-    let moved = saves.iter().enumerate().filter_map(|(place, save)| {
-        let key = keys::progress(save.job);
-        let item = items.iter().find(|item| item.key == key)?;
-        (item.revision != save.expects).then_some((place, item.revision))
-    });
-    SaveEnd::Rebase(moved.collect())
 }
 
 fn outcome<T>(end: &OrderEnd<T>) -> &'static str {
--- /dev/null
+++ b/src/scheduler/drive/keep.rs
@@ -0,0 +1,204 @@
+//! What an owner has kept in the store: progress, its roster, and which hosts are empty or idle.
+
+use super::{Drive, Input, SaveEnd, json};
+use crate::{
+    jobs::{event::Save, owner::Emptied},
+    model::unit::{Now, Revision, Steady},
+    platform::kv::{Committed, TXN_ENTRIES, Txn},
+    scheduler::{
+        Node, keys,
+        view::{EmptyRecord, RosterRecord},
+    },
+};
+
+/// Jobs in one transaction: each needs a condition and a write, beside the one of the owner.
+const SAVE_BATCH: usize = (TXN_ENTRIES - 1) / 2;
+
+/// Writes of one owner's progress that may be on their way at one time: with one, an owner kept a
+/// thousand jobs a second at the most, and a peak changes more.
+const MOST_SAVES: usize = 4;
+
+/// The least time between two writes of one owner's progress, in milliseconds: ends that come
+/// close together share one.
+const SAVE_PAUSE_MS: u64 = 5;
+
+/// How long after a write that failed the next is made, in milliseconds.
+const SAVE_AGAIN_MS: u64 = 100;
+
+/// The least time between two words on which hosts are idle, in milliseconds: a hint only.
+const IDLE_PAUSE_MS: u64 = 300;
+
+/// How long after an empty host was told of it is told again if the view does not show it, in
+/// milliseconds.
+const EMPTY_AGAIN_MS: u64 = 700;
+
+impl Drive {
+    pub(super) fn save(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if now.steady < owned.next_save {
+            return;
+        }
+        let token = owned.owner.token;
+        // Beside the first, only full ones: what comes close together shares one.
+        while owned.saving == 0 || owned.saving < MOST_SAVES && SAVE_BATCH <= owned.owner.unsaved()
+        {
+            let saves = owned.owner.saves(SAVE_BATCH);
+            if saves.is_empty() {
+                return;
+            }
+            owned.saving += 1;
+            let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+            tokio::spawn(async move {
+                let end = write_progress(&node, &name, token, &saves).await;
+                let _ = to.send(Input::Saved { name, token, saves, end });
+            });
+        }
+    }
+
+    pub(super) fn saved(&mut self, name: &str, token: u64, saves: &[Save], end: SaveEnd, now: Now) {
+        let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.owner.token == token)
+        else {
+            return;
+        };
+        owned.saving = owned.saving.saturating_sub(1);
+        owned.next_save = now.steady.after(SAVE_PAUSE_MS);
+        match end {
+            SaveEnd::Done(revision) => {
+                for ended in owned.owner.saved(saves, revision) {
+                    self.node.metrics.job_ended(&ended.queue, ended.state, ended.took);
+                }
+            }
+            SaveEnd::Rebase(places) => {
+                for (place, revision) in places {
+                    owned.owner.rebase(saves[place].job, revision);
+                }
+                owned.owner.not_saved(saves);
+            }
+            SaveEnd::Deposed => {
+                log::warn!("owner {name}: token {token} is over");
+                self.owned.remove(name);
+            }
+            SaveEnd::Failed => {
+                owned.owner.not_saved(saves);
+                owned.next_save = now.steady.after(SAVE_AGAIN_MS);
+            }
+        }
+    }
+
+    /// Keeps which workers this owner gives work to.
+    pub(super) fn write_roster(&mut self, name: &str) {
+        let Some(owned) = self.owned.get_mut(name).filter(|owned| !owned.rostering) else {
+            return;
+        };
+        let Some(workers) = owned.owner.roster() else {
+            return;
+        };
+        owned.rostering = true;
+        let token = owned.owner.token;
+        let record = RosterRecord { workers: workers.clone() };
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(token))
+            .put(keys::roster(name), json(&record));
+        let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+        tokio::spawn(async move {
+            let kept = match node.kv.commit(&txn).await {
+                Ok(committed) => matches!(committed, Committed::Done(_)),
+                Err(error) => {
+                    log::warn!("owner {name}: roster not written: {error}");
+                    false
+                }
+            };
+            let _ = to.send(Input::Rostered { name, token, workers, kept });
+        });
+    }
+
+    /// Tells the fleet's owner which hosts are empty.
+    pub(super) fn tell_empty(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        let token = owned.owner.token;
+        for emptied in owned.owner.emptied() {
+            let host = emptied.host.clone();
+            let told = owned.told_empty.get(&host);
+            let lately = |(was, at): &(Emptied, Steady)| {
+                *was == emptied && now.steady.since(*at) < EMPTY_AGAIN_MS
+            };
+            let shown = self.node.view().empties.get(&host).is_some_and(|at| {
+                at.value.mark == emptied.mark && at.value.worker == emptied.worker
+            });
+            if shown || told.is_some_and(lately) {
+                continue;
+            }
+            let record = EmptyRecord { worker: emptied.worker.clone(), mark: emptied.mark };
+            let txn = Txn::default()
+                .expect(keys::owner(name), Revision(token))
+                .expect(keys::leave(&host), emptied.mark)
+                .put(keys::empty(&host), json(&record));
+            owned.told_empty.insert(host.clone(), (emptied, now.steady));
+            let node = self.node.clone();
+            tokio::spawn(async move {
+                if let Err(error) = node.kv.commit(&txn).await {
+                    log::warn!("host {host}: not told to be empty: {error}");
+                }
+            });
+        }
+    }
+
+    /// Tells the fleet's owner which hosts are idle, now and then.
+    pub(super) fn tell_idle(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if now.steady < owned.next_idle {
+            return;
+        }
+        owned.next_idle = now.steady.after(IDLE_PAUSE_MS);
+        let idle = owned.owner.idle();
+        if owned.told_idle.as_ref() == Some(&idle) {
+            return;
+        }
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(owned.owner.token))
+            .put(keys::idle(name), json(&idle));
+        owned.told_idle = Some(idle);
+        let (node, name) = (self.node.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::debug!("owner {name}: idle hosts not written: {error}");
+            }
+        });
+    }
+}
+
+/// Writes progress under the condition that there is no later owner.
+async fn write_progress(node: &Node, name: &str, token: u64, saves: &[Save]) -> SaveEnd {
+    let owner_key = keys::owner(name);
+    let mut txn = Txn::default().expect(owner_key.clone(), Revision(token));
+    for save in saves {
+        let key = keys::progress(save.job);
+        txn = txn.expect(key.clone(), save.expects).put(key, save.value.clone());
+    }
+    let items = match node.kv.commit(&txn).await {
+        Ok(Committed::Done(revision)) => return SaveEnd::Done(revision),
+        Ok(Committed::Conflict(items)) => items,
+        Ok(Committed::LeaseOver) => return SaveEnd::Failed,
+        Err(error) => {
+            log::warn!("owner {name}: progress of {} jobs not written: {error}", saves.len());
+            return SaveEnd::Failed;
+        }
+    };
+    let owner = items.iter().find(|item| item.key == owner_key);
+    if owner.is_none_or(|item| item.revision != Revision(token)) {
+        return SaveEnd::Deposed;
+    }
+    // Only this owner writes there: another revision is that of a write without an answer.
+    let moved = saves.iter().enumerate().filter_map(|(place, save)| {
+        let key = keys::progress(save.job);
+        let item = items.iter().find(|item| item.key == key)?;
+        (item.revision != save.expects).then_some((place, item.revision))
+    });
+    SaveEnd::Rebase(moved.collect())
+}
