The stand-in's watch never tells a revision without its changes

The second node's log shows no try to own the pool in 60 s: it never heard that the first one's ownership had ended. The stand-in changes its state first and notes the change after; a watch whose time ended in between answered no events with the new revision, so that the change was passed over for ever.

Ruled out: the node's order of reaching (no commit was sent at all), a panic (none), the lease (kept 119 times).

Change: at the end of its time a watch looks for events once more, under one lock with the revision it tells. Test: a_watch_that_ends_tells_of_a_change_that_was_not_noted_yet, failing before (events [] at 1), passing after. Four runs of the red test alone passed before the change.

--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -4,6 +4,8 @@
 
 mod hosts;
 mod store;
+#[cfg(test)]
+mod tests;
 mod worker;
 
 use std::{
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -244,7 +244,7 @@
     }
 }
 
-async fn watch(site: &Site, prefix: &str, since: u64, wait: Duration) -> Response {
+pub(super) async fn watch(site: &Site, prefix: &str, since: u64, wait: Duration) -> Response {
     let until = Instant::now() + wait;
     let mut changed = site.changed.subscribe();
     if site.state().faults.store_long_history
@@ -257,8 +257,12 @@
             return answer;
         }
         if timeout_at(until, changed.changed()).await.is_err() {
-            let at = site.state().store.revision;
-            return http::json(StatusCode::OK, &json!({ "events": [], "at": at }));
+            // A change is noted after it is made: one may have come in between, and a revision
+            // that is told without it would hide it for ever.
+            let state = site.state();
+            let at = state.store.revision;
+            let quiet = || http::json(StatusCode::OK, &json!({ "events": [], "at": at }));
+            return state.store.events(prefix, since).unwrap_or_else(quiet);
         }
     }
 }
