A later owner knows what each worker may hold; ends do not tell where a task runs

Cause: after each change of owners all tasks of earlier jobs waited up to 8.7 s for every worker of the roster that did not answer.

Ruled out: the list of hosts as evidence (it may be down with the rest), and the end of a report in the store (a worker that is cut off runs on).

Change: beside the roster a short record says which of its workers hold nothing any more (emptied, or over) and what the silent ones may hold; it is kept before a worker gets work again, one write at a time, each under the condition of the one before (a roster that was held up could undo a later one until now). Workers that were never in the roster are waited for by nobody.

Test fails on the old code. Records of the view no longer go back while a prefix that was read in pages is told again (test shown failing), and an owner that the view knows to be over gives no order, in whichever order two watches tell.

The test of every worker that was asked now hands its workers over by the roster, as nodes do; what it demands is unchanged.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -5,8 +5,9 @@
 //! - A task has a copy at a worker from before its start is ordered until it is certain that the
 //!   run has ended or can never begin. No other worker is given the task meanwhile.
 //! - An end is acknowledged to its worker only once the progress that counts it is durable.
-//! - After a change of owners, tasks of earlier jobs wait until every worker has seen the new
-//!   owner's token, or everything that it may run has lapsed.
+//! - After a change of owners, tasks of earlier jobs wait until every worker that may run them has
+//!   seen the new owner's token, or everything that it may run has lapsed. Which workers may run
+//!   what is kept before it changes.
 
 pub(crate) mod balance;
 pub(crate) mod event;
@@ -14,6 +15,7 @@
 pub(crate) mod job;
 pub(crate) mod owner;
 pub(crate) mod place;
+pub(crate) mod roster;
 pub(crate) mod saves;
 pub(crate) mod urgency;
 pub(crate) mod worker;
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -66,8 +66,9 @@
     pub(crate) copies: Vec<Copy>,
     /// Not to be started before.
     pub(crate) not_before: Steady,
-    /// A worker that has seen this owner's token has told of it, so that no worker that has not
-    /// seen the token can hold a run of it.
+    /// It was started by this owner, or runs at a worker that has seen this owner's token, so that
+    /// no worker that has not seen the token can hold a run of it. That a worker lists the end of
+    /// a run says nothing: the owner before may have heard of it and have started the next.
     pub(crate) accounted: bool,
 }
 
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -5,6 +5,7 @@
 mod looks;
 mod pace;
 mod plan;
+mod roster;
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
@@ -12,6 +13,7 @@
     jobs::{
         event::{Effect, Event, Save, StoredJob},
         job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
+        roster::{Holding, Roster},
         saves::SaveQueue,
         urgency::Durations,
         worker::{HOLD_MS, Worker},
@@ -76,6 +78,8 @@
     /// Jobs that ended under this owner. What the store tells of them may be older than that.
     ended: HashSet<JobId>,
     workers: BTreeMap<WorkerId, Worker>,
+    /// What a later owner would find of the workers.
+    roster: Roster,
     /// Workers that are certain to be over. Their reports may be listed a while longer.
     over: HashSet<WorkerId>,
     /// Hosts that are being emptied, by the revision of the mark that says so.
@@ -101,6 +105,7 @@
             jobs: BTreeMap::new(),
             ended: HashSet::new(),
             workers: BTreeMap::new(),
+            roster: Roster::default(),
             over: HashSet::new(),
             emptying: BTreeMap::new(),
             reserved: BTreeSet::new(),
@@ -179,10 +184,7 @@
     /// The hosts among those to be emptied on whose workers nothing runs or can begin.
     pub(crate) fn emptied(&self) -> Vec<Emptied> {
         let empty = |worker: &&Worker| {
-            self.emptying.contains_key(&worker.report.host)
-                && worker.touched
-                && worker.copies.is_empty()
-                && worker.unacknowledged.is_empty()
+            self.emptying.contains_key(&worker.report.host) && worker.touched && worker.is_empty()
         };
         let workers = self.workers.values().filter(empty);
         let emptied = |worker: &Worker| {
@@ -370,7 +372,9 @@
             return;
         }
         self.check_place(&report, now);
-        self.workers.insert(report.id.clone(), Worker::new(report, now));
+        let mut worker = Worker::new(report, now);
+        worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
+        self.workers.insert(worker.report.id.clone(), worker);
     }
 
     /// Has those looked at whose place a report claims. Which of them lives is not told by the
@@ -395,22 +399,6 @@
         }
     }
 
-    /// The workers that a later owner must ask, if that is news; they get no work before it is
-    /// kept.
-    pub(crate) fn roster(&self) -> Option<Vec<WorkerReport>> {
-        let news = self.workers.values().any(|worker| worker.touched && !worker.rostered);
-        news.then(|| self.workers.values().map(|worker| worker.report.clone()).collect())
-    }
-
-    /// Takes note that the roster is kept.
-    pub(crate) fn rostered(&mut self, workers: &[WorkerReport]) {
-        for report in workers {
-            if let Some(worker) = self.workers.get_mut(&report.id) {
-                worker.rostered = true;
-            }
-        }
-    }
-
     /// Forgets a worker that is certain to be over, and with it all that ran there.
     fn bury(&mut self, id: &WorkerId, why: &str) {
         let Some(worker) = self.workers.get(id) else {
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -50,7 +50,6 @@
         let before = job.version;
         if let Some(entry) = job.task_mut(task.of, task.index) {
             entry.run = entry.run.max(run);
-            entry.accounted = true;
             let newer = !saved.is_empty() && entry.saved != saved;
             if newer && !entry.done {
                 entry.saved = saved;
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use super::Owner;
+use super::{Owner, roster::Doubt};
 use crate::{
     jobs::{
         event::Effect,
@@ -44,13 +44,13 @@
         order.sort();
         self.reserved.clear();
         self.full.clear();
-        let unsure = now.steady < self.quiet_until && self.workers.values().any(|w| !w.touched);
+        let doubt = self.doubt(now.steady);
         for (_, id) in order {
-            self.plan_job(id, unsure, now, out);
+            self.plan_job(id, &doubt, now, out);
         }
     }
 
-    fn plan_job(&mut self, id: JobId, unsure: bool, now: Now, out: &mut Vec<Effect>) {
+    fn plan_job(&mut self, id: JobId, doubt: &Doubt, now: Now, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
@@ -62,7 +62,7 @@
             .collect();
         for (time, step) in due {
             let of = StepId { job: id, time, step };
-            let waiting = self.waiting(of, unsure, now.steady);
+            let waiting = self.waiting(of, doubt, now.steady);
             if waiting.is_empty() {
                 continue;
             }
@@ -157,14 +157,15 @@
     }
 
     /// The tasks of a step that wait to be started.
-    fn waiting(&self, of: StepId, unsure: bool, now: Steady) -> Vec<u32> {
+    fn waiting(&self, of: StepId, doubt: &Doubt, now: Steady) -> Vec<u32> {
         let Some(tasks) = self.jobs.get(&of.job).and_then(|job| job.steps.get(&(of.time, of.step)))
         else {
             return Vec::new();
         };
         let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
-            let certain = task.accounted || !unsure;
-            (task.is_waiting() && task.not_before <= now && certain).then_some(index as u32)
+            let index = index as u32;
+            let certain = task.accounted || !doubt.covers(&TaskId { of, index });
+            (task.is_waiting() && task.not_before <= now && certain).then_some(index)
         };
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
     }
@@ -309,6 +310,7 @@
             return;
         };
         entry.run += 1;
+        entry.accounted = true;
         let (run, checkpoint) = (entry.run, saved.unwrap_or_else(|| entry.saved.clone()));
         entry.copies.push(Copy {
             worker: id.clone(),
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -10,6 +10,7 @@
     jobs::{
         event::{Effect, Event, StoredJob},
         owner::Owner,
+        roster::{Away, RosterNote},
         saves::SaveQueue,
         worker::HOLD_MS,
     },
@@ -108,8 +109,23 @@
     fn touch(&mut self, name: &str, present: Vec<Present>) {
         self.work();
         self.look(name, present, vec![]);
-        let workers = self.owner.roster().unwrap_or_default();
-        self.owner.rostered(&workers);
+        self.keep_roster();
+    }
+
+    /// Makes durable what workers may hold; what was written, if that was news.
+    fn keep_roster(&mut self) -> Option<RosterNote> {
+        let note = self.owner.roster_note()?;
+        self.owner.rostered(&note);
+        Some(note)
+    }
+
+    /// An owner that finds what an earlier one has kept of its workers.
+    fn inheriting(workers: &[(&str, &str)], away: Away) -> Bench {
+        let mut bench = Bench::new(1);
+        let workers = workers.iter().map(|(name, host)| report(name, host)).collect();
+        let now = bench.at();
+        bench.owner.inherit(workers, &away, now, &mut bench.effects);
+        bench
     }
 
     fn look(&mut self, name: &str, present: Vec<Present>, ended: Vec<Ended>) {
@@ -120,6 +136,12 @@
         self.tell(Event::Looked { worker: worker_id(name), sent, end: OrderEnd::Done(look) });
     }
 
+    /// A look at a worker gets no answer.
+    fn miss(&mut self, name: &str) {
+        let (worker, sent) = (worker_id(name), Steady::from_millis(self.now));
+        self.tell(Event::Looked { worker, sent, end: OrderEnd::Unknown });
+    }
+
     /// The starts that were ordered since the last question, with their workers.
     fn starts(&mut self) -> Vec<(TaskId, u32, WorkerId)> {
         let effects = std::mem::take(&mut self.effects);
@@ -268,9 +290,7 @@
 /// had lapsed, and a new owner did not know who still ran tasks.
 #[test]
 fn tasks_of_earlier_jobs_wait_until_every_worker_was_asked() {
-    let mut bench = Bench::new(1);
-    bench.tell(Event::Worker(report("w1", "h1")));
-    bench.tell(Event::Worker(report("w2", "h2")));
+    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], Away::default());
     bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
     bench.touch("w1", vec![]);
     bench.work();
@@ -281,6 +301,100 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
+/// Found by the bench: the earlier owner has heard of the same end, and has started the task
+/// elsewhere since.
+#[test]
+fn an_end_of_an_earlier_run_does_not_tell_where_the_task_runs_now() {
+    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], Away::default());
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    let task: TaskId = format!("{}.0.0.0", id(1)).parse().unwrap();
+    let stopped = Ended { number: 1, task, run: 1, how: HowEnded::Stopped, saved: String::new() };
+    bench.work();
+    bench.look("w1", vec![], vec![stopped]);
+    bench.keep_roster();
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "w2 was not asked yet");
+    bench.touch("w2", vec![present(task, 2, 30)]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// A worker that was listed but never got work holds nothing.
+#[test]
+fn tasks_of_earlier_jobs_do_not_wait_for_workers_that_never_got_work() {
+    let mut bench = Bench::inheriting(&[("w1", "h1")], Away::default());
+    bench.tell(Event::Worker(report("w2", "h2")));
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    bench.touch("w1", vec![]);
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// A host that was emptied and moved away left its worker in the roster, and for 8.7 s all tasks
+/// of earlier jobs waited for it after each change of owners.
+#[test]
+fn tasks_of_earlier_jobs_do_not_wait_for_workers_on_hosts_that_were_emptied() {
+    let mut earlier = one_worker();
+    earlier.tell(Event::Worker(report("w2", "h2")));
+    earlier.touch("w2", vec![]);
+    earlier.owner.set_emptying(BTreeMap::from([("h2".parse().unwrap(), Revision(5))]));
+    let note = earlier.keep_roster().expect("that a worker holds nothing is news");
+    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], note.away);
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    bench.touch("w1", vec![]);
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// Of a worker that is silent, the tasks that may run there wait, and no others.
+#[test]
+fn only_the_tasks_that_a_silent_worker_may_hold_wait_for_it() {
+    let mut earlier = one_worker();
+    earlier.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    earlier.work();
+    let (task, run, worker) = earlier.starts()[0].clone();
+    earlier.started(task, run, &worker);
+    earlier.miss("w1");
+    earlier.miss("w1");
+    let note = earlier.keep_roster().expect("that a worker is silent is news");
+    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], note.away);
+    bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+    bench.tell(Event::Job(stored(2, vec![step(1)], 51)));
+    bench.touch("w2", vec![]);
+    bench.work();
+    let started: Vec<JobId> = bench.starts().iter().map(|(task, ..)| task.of.job).collect();
+    assert_eq!(started, vec![id(2)]);
+}
+
+/// A worker that is kept as silent or empty gets work only once that is taken back.
+#[test]
+fn a_worker_that_is_back_gets_work_once_that_is_kept() {
+    let mut bench = one_worker();
+    bench.miss("w1");
+    bench.miss("w1");
+    let silent = bench.owner.roster_note().expect("that a worker is silent is news");
+    bench.look("w1", vec![], vec![]);
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "the write may be made at any moment");
+    bench.owner.rostered(&silent);
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "a later owner would not reckon with it");
+    bench.keep_roster().expect("that it is back is news");
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// A worker that was silent for one look is not written about.
+#[test]
+fn one_look_without_an_answer_is_not_kept() {
+    let mut bench = one_worker();
+    bench.miss("w1");
+    assert_eq!(bench.owner.roster_note(), None);
+    bench.look("w1", vec![], vec![]);
+    assert_eq!(bench.owner.roster_note(), None);
+}
+
 #[test]
 fn tasks_of_new_jobs_need_not_wait_for_workers_that_are_silent() {
     let mut bench = Bench::new(1);
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -12,9 +12,10 @@
     jobs::{
         event::{Effect, Event, Save, StoredJob},
         owner::{LEASE_MS, OVERTIME_MS, Owner},
+        roster::{Away, RosterNote},
     },
     model::{
-        id::WorkerId,
+        id::{HostId, WorkerId},
         job::{JobId, JobState, Progress, Step, StepId, TaskId},
         unit::{Now, Revision, Steady, Time},
         worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal, WorkerReport},
@@ -70,9 +71,20 @@
         owner: u8,
         fate: Fate,
     },
+    Roster {
+        owner: u8,
+        fate: Fate,
+    },
+    Mark {
+        host: u8,
+    },
     LateOrder {
         which: u8,
     },
+    /// Two owners work side by side.
+    Overlap {
+        rounds: u8,
+    },
     Replace {
         know: u8,
     },
@@ -116,6 +128,8 @@
     owner: Owner,
     allowed_until: u64,
     orders: Vec<(Effect, u64)>,
+    /// The revision that it knows of the record of its workers.
+    roster_at: u64,
 }
 
 /// The truth.
@@ -129,9 +143,13 @@
     jobs: BTreeMap<JobId, StoredJob>,
     cancelled: BTreeMap<JobId, u64>,
     progress: BTreeMap<JobId, (Progress, u64)>,
-    roster: Vec<WorkerReport>,
+    /// What is kept of the workers, and the revision of its newest write.
+    roster: (Vec<WorkerReport>, Away, u64),
+    /// Hosts that are marked to be emptied.
+    marked: BTreeSet<usize>,
     late: Vec<Effect>,
     late_saves: Vec<(u64, Vec<Save>)>,
+    late_rosters: Vec<(u64, u64, RosterNote)>,
     /// Tasks that have really ended as done.
     done: BTreeSet<TaskId>,
     /// Ends that were acknowledged: done, and the failed runs.
@@ -151,9 +169,11 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             progress: BTreeMap::new(),
-            roster: Vec::new(),
+            roster: (Vec::new(), Away::default(), 0),
+            marked: BTreeSet::new(),
             late: Vec::new(),
             late_saves: Vec::new(),
+            late_rosters: Vec::new(),
             done: BTreeSet::new(),
             noted_done: BTreeSet::new(),
             noted_failed: BTreeMap::new(),
@@ -200,11 +220,9 @@
         let earlier = self.owners.len() as u32;
         let mut owner = Owner::new(self.token, earlier, Steady::from_millis(now));
         let (mut out, at) = (Vec::new(), self.at());
-        for report in self.roster.clone() {
-            let worker = report.id.clone();
-            owner.handle(Event::Worker(report), at, &mut out);
-            owner.handle(Event::Unlisted(worker), at, &mut out);
-        }
+        let (workers, away, roster_at) = self.roster.clone();
+        owner.inherit(workers, &away, at, &mut out);
+        owner.set_emptying(self.marks());
         for worker in self.workers.iter().filter(|worker| know && worker.alive) {
             owner.handle(Event::Worker(worker.report.clone()), at, &mut out);
         }
@@ -212,7 +230,7 @@
             owner.handle(Event::Job(self.stored(job)), at, &mut out);
         }
         let orders = out.into_iter().map(|effect| (effect, now)).collect();
-        self.owners.push(Held { owner, allowed_until: u64::MAX, orders });
+        self.owners.push(Held { owner, allowed_until: u64::MAX, orders, roster_at });
     }
 
     fn stored(&self, job: &StoredJob) -> StoredJob {
@@ -238,7 +256,7 @@
     }
 
     fn work(&mut self, owner: usize) {
-        let (at, now, current) = (self.at(), self.now, self.current());
+        let (at, now) = (self.at(), self.now);
         let held = &mut self.owners[owner];
         if held.allowed_until <= now || held.owner.is_deposed() {
             return;
@@ -246,14 +264,62 @@
         let mut out = Vec::new();
         held.owner.work(at, &mut out);
         held.orders.extend(out.into_iter().map(|effect| (effect, now)));
-        if owner == current
-            && let Some(workers) = held.owner.roster()
-        {
-            self.roster = workers.clone();
-            held.owner.rostered(&workers);
+    }
+
+    fn marks(&self) -> BTreeMap<HostId, Revision> {
+        let host = |host: &usize| format!("h{host}").parse().unwrap();
+        self.marked.iter().map(|marked| (host(marked), Revision(1))).collect()
+    }
+
+    /// Marks a host to be emptied, or takes the mark away; only the present owner is told.
+    fn mark(&mut self, host: usize) {
+        if !self.marked.remove(&host) {
+            self.marked.insert(host);
+        }
+        let (marks, owner) = (self.marks(), self.current());
+        self.owners[owner].owner.set_emptying(marks);
+    }
+
+    /// A write of what an owner's workers may hold meets its fate.
+    fn keep_roster(&mut self, owner: usize, fate: Fate) {
+        let held = &mut self.owners[owner];
+        let (token, expects) = (held.owner.token, held.roster_at);
+        let Some(note) = held.owner.roster_note() else {
+            return;
+        };
+        match fate {
+            Fate::Lost => {}
+            Fate::Late => self.late_rosters.push((token, expects, note)),
+            Fate::AnswerLost => {
+                self.write_roster(token, expects, &note);
+            }
+            Fate::Done => {
+                let written = self.write_roster(token, expects, &note);
+                let found = self.roster.2;
+                let held = &mut self.owners[owner];
+                match written {
+                    true => held.owner.rostered(&note),
+                    // An earlier write without an answer was made.
+                    false if token == self.token => {}
+                    false => return,
+                }
+                held.roster_at = found;
+            }
         }
     }
 
+    /// Writes what workers may hold as the store does, under its conditions; whether they held.
+    fn write_roster(&mut self, token: u64, expects: u64, note: &RosterNote) -> bool {
+        if token != self.token || self.roster.2 != expects {
+            return false;
+        }
+        self.revision += 1;
+        let (workers, away, at) = &mut self.roster;
+        *workers = note.workers.clone().unwrap_or_else(|| workers.clone());
+        (*away, *at) = (note.away.clone(), self.revision);
+        true
+    }
+
     fn submit(&mut self, kind: u8) {
         let number = self.jobs.len() as u64 + 1;
         if 6 < number {
@@ -649,17 +715,34 @@
     /// The present owner works undisturbed for some rounds.
     fn run(&mut self, rounds: u8) {
         for _ in 0..rounds {
-            let owner = self.current();
-            self.work(owner);
-            let orders = self.owners[owner].orders.len();
-            for _ in 0..orders {
-                self.order(owner, 0, Fate::Done);
-            }
-            self.save(owner, Fate::Done);
+            self.round(self.current());
             self.pass(60);
         }
     }
 
+    /// Another owner takes over, and the one before it, which was not told, works on beside it.
+    fn overlap(&mut self, rounds: u8) {
+        self.replace(true);
+        let (before, present) = (self.current() - 1, self.current());
+        for _ in 0..rounds {
+            self.round(before);
+            self.pass(20);
+            self.round(present);
+            self.pass(40);
+        }
+    }
+
+    /// An owner works, all its orders are carried out, and what it wants kept is kept.
+    fn round(&mut self, owner: usize) {
+        self.work(owner);
+        let orders = self.owners[owner].orders.len();
+        for _ in 0..orders {
+            self.order(owner, 0, Fate::Done);
+        }
+        self.save(owner, Fate::Done);
+        self.keep_roster(owner, Fate::Done);
+    }
+
     fn apply_op(&mut self, op: Op) {
         let owners = self.owners.len();
         match op {
@@ -672,7 +755,11 @@
             }
             Op::Work { owner } => self.work(owner as usize % owners),
             Op::Save { owner, fate } => self.save(owner as usize % owners, fate),
+            Op::Roster { owner, fate } => self.keep_roster(owner as usize % owners, fate),
+            Op::Mark { host } => self.mark(host as usize % HOSTS),
             Op::LateOrder { which } => self.late_order(which as usize),
+            Op::Overlap { rounds } if owners < 5 => self.overlap(rounds % 8),
+            Op::Overlap { .. } => {}
             Op::Replace { know } if owners < 5 => self.replace(know % 3 != 0),
             Op::Replace { .. } => {}
             Op::Crash { host } => self.crash(host as usize),
@@ -684,6 +771,10 @@
     }
 
     fn late_order(&mut self, which: usize) {
+        if !self.late_rosters.is_empty() {
+            let (token, expects, note) = self.late_rosters.remove(0);
+            self.write_roster(token, expects, &note);
+        }
         if !self.late_saves.is_empty() {
             let (token, saves) = self.late_saves.remove(0);
             // Nobody hears of it.
@@ -704,6 +795,10 @@
 
     /// With all troubles over, every job ends as it should.
     fn settle(&mut self) {
+        for host in std::mem::take(&mut self.marked) {
+            self.marked.insert(host);
+            self.mark(host);
+        }
         for worker in 0..HOSTS {
             self.workers[worker].cut.clear();
             // One that is down may stay so: its work goes on elsewhere.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -61,7 +61,7 @@
     pub(crate) listed: bool,
     /// Whether it has seen this owner's token and told what it runs.
     pub(crate) touched: bool,
-    /// Whether a later owner would find it in the roster.
+    /// Whether a later owner would reckon with anything running here.
     pub(crate) rostered: bool,
     reading: Option<Reading>,
     /// The latest time given, on the worker's clock.
@@ -184,6 +184,11 @@
         self.misses == 0 && self.looking.is_none_or(|sent| now.since(sent) < overdue)
     }
 
+    /// Whether nothing runs or can begin here, and no end is left to be counted durably.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.copies.is_empty() && self.unacknowledged.is_empty()
+    }
+
     /// Whether the worker has failed tasks since it last did one.
     pub(crate) fn is_suspect(&self) -> bool {
         !self.failed_jobs.is_empty()
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -72,7 +72,8 @@
 /// assert_eq!((id.of.step, id.index), (1, 17));
 /// assert_eq!(id.to_string(), "00e0f5a2b4c6d801.0.1.17");
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
 pub struct TaskId {
     /// The step that the task is part of.
     pub of: StepId,
@@ -80,6 +81,20 @@
     pub index: u32,
 }
 
+impl TryFrom<String> for TaskId {
+    type Error = JobIdError;
+
+    fn try_from(text: String) -> Result<TaskId, JobIdError> {
+        text.parse()
+    }
+}
+
+impl From<TaskId> for String {
+    fn from(id: TaskId) -> String {
+        id.to_string()
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.of, self.index)
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -13,6 +13,9 @@
 pub(crate) mod run;
 pub(crate) mod view;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -21,6 +21,7 @@
         event::{Effect, Event, Save},
         fleet::{Fleet, Leave},
         owner::{Emptied, Owner},
+        roster::RosterNote,
     },
     model::{
         id::{HostId, PoolId},
@@ -71,12 +72,12 @@
         saves: Vec<Save>,
         end: SaveEnd,
     },
-    /// Whether a roster was written.
+    /// What became of a write of what workers may hold.
     Rostered {
         name: String,
         token: u64,
-        workers: Vec<WorkerReport>,
-        kept: bool,
+        note: RosterNote,
+        end: RosterEnd,
     },
     /// What became of a read of the list of hosts.
     HostList {
@@ -105,6 +106,14 @@
     Failed,
 }
 
+/// How a write of what workers may hold ended.
+pub(crate) enum RosterEnd {
+    Kept(Revision),
+    /// The record stands at this revision: that of an earlier try without an answer.
+    Rebase(Revision),
+    Failed,
+}
+
 /// A piece of work that this node owns.
 struct Owned {
     pool: PoolId,
@@ -117,8 +126,12 @@
     next_save: Steady,
     /// Hosts that were told to be empty.
     told_empty: BTreeMap<HostId, (Emptied, Steady)>,
-    /// Whether a roster is being written.
+    /// Whether it is being written what workers may hold.
     rostering: bool,
+    /// When that may be written next.
+    next_roster: Steady,
+    /// The revision of the record of workers that are away.
+    away_at: Revision,
     /// The idle hosts that were last written.
     told_idle: Option<BTreeSet<HostId>>,
     /// When they are next looked for.
@@ -231,14 +244,8 @@
             }
             Input::Reached { name, won } => self.reached(name, won, now),
             Input::Saved { name, token, saves, end } => self.saved(&name, token, &saves, end, now),
-            Input::Rostered { name, token, workers, kept } => {
-                let owned = self.owned.get_mut(&name);
-                if let Some(owned) = owned.filter(|owned| owned.owner.token == token) {
-                    owned.rostering = false;
-                    if kept {
-                        owned.owner.rostered(&workers);
-                    }
-                }
+            Input::Rostered { name, token, note, end } => {
+                self.rostered(&name, token, &note, end, now);
             }
             Input::HostList { token, sent, hosts } => {
                 if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
@@ -350,6 +357,9 @@
         }
         let names: Vec<String> = self.owned.keys().cloned().collect();
         for name in names {
+            // Two watches tell of new jobs and new owners: a job may be told of before the owner
+            // that came first, though the view knows of both.
+            self.check_owner(&name);
             let Some(owned) = self.owned.get_mut(&name) else {
                 continue;
             };
@@ -363,7 +373,7 @@
             }
             self.carry_out(&name, token, out);
             self.save(&name, now);
-            self.write_roster(&name);
+            self.write_roster(&name, now);
             self.tell_empty(&name, now);
             self.tell_idle(&name, now);
         }
@@ -432,11 +442,10 @@
         workers.sort_by_key(|(revision, _)| *revision);
         // Workers may run what earlier owners gave them, listed or not.
         let roster = view.rosters.get(name).map(|at| at.value.workers.clone()).unwrap_or_default();
-        for report in roster {
-            let id = report.id.clone();
-            owner.handle(Event::Worker(report), now, &mut out);
-            owner.handle(Event::Unlisted(id), now, &mut out);
-        }
+        let away = view.away.get(name).cloned();
+        let away_at = away.as_ref().map(|at| at.revision).unwrap_or_default();
+        let away = away.map(|at| at.value).unwrap_or_default();
+        owner.inherit(roster, &away, now, &mut out);
         let elsewhere = view.workers.values().filter(|at| at.value.pool != pool);
         for at in elsewhere {
             owner.handle(Event::Elsewhere(at.value.clone()), now, &mut out);
@@ -462,6 +471,8 @@
             next_save: now.steady,
             told_empty: BTreeMap::new(),
             rostering: false,
+            next_roster: now.steady,
+            away_at,
             told_idle: None,
             next_idle: now.steady,
         };
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -1,8 +1,8 @@
 //! What an owner has kept in the store: progress, its roster, and which hosts are empty or idle.
 
-use super::{Drive, Input, SaveEnd, json};
+use super::{Drive, Input, RosterEnd, SaveEnd, json};
 use crate::{
-    jobs::{event::Save, owner::Emptied},
+    jobs::{event::Save, owner::Emptied, roster::RosterNote},
     model::unit::{Now, Revision, Steady},
     platform::kv::{Committed, TXN_ENTRIES, Txn},
     scheduler::{
@@ -25,6 +25,10 @@
 /// How long after a write that failed the next is made, in milliseconds.
 const SAVE_AGAIN_MS: u64 = 100;
 
+/// The least time between two writes of what one pool's workers may hold, in milliseconds: hosts
+/// that come or leave together share one, and a worker that comes waits so much longer at the most.
+const ROSTER_PAUSE_MS: u64 = 50;
+
 /// The least time between two words on which hosts are idle, in milliseconds: a hint only.
 const IDLE_PAUSE_MS: u64 = 300;
 
@@ -87,33 +91,51 @@
         }
     }
 
-    /// Keeps which workers this owner gives work to.
-    pub(super) fn write_roster(&mut self, name: &str) {
-        let Some(owned) = self.owned.get_mut(name).filter(|owned| !owned.rostering) else {
+    /// Keeps what the pool's workers may hold, for a later owner. One write at a time, each under
+    /// the condition of the one before, so that none that was held up undoes a later one.
+    pub(super) fn write_roster(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
-        let Some(workers) = owned.owner.roster() else {
+        if owned.rostering || now.steady < owned.next_roster {
+            return;
+        }
+        let Some(note) = owned.owner.roster_note() else {
             return;
         };
         owned.rostering = true;
-        let token = owned.owner.token;
-        let record = RosterRecord { workers: workers.clone() };
-        let txn = Txn::default()
-            .expect(keys::owner(name), Revision(token))
-            .put(keys::roster(name), json(&record));
+        let (token, away_at) = (owned.owner.token, owned.away_at);
         let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
         tokio::spawn(async move {
-            let kept = match node.kv.commit(&txn).await {
-                Ok(committed) => matches!(committed, Committed::Done(_)),
-                Err(error) => {
-                    log::warn!("owner {name}: roster not written: {error}");
-                    false
-                }
-            };
-            let _ = to.send(Input::Rostered { name, token, workers, kept });
+            let end = write_note(&node, &name, token, away_at, &note).await;
+            let _ = to.send(Input::Rostered { name, token, note, end });
         });
     }
 
+    pub(super) fn rostered(
+        &mut self,
+        name: &str,
+        token: u64,
+        note: &RosterNote,
+        end: RosterEnd,
+        now: Now,
+    ) {
+        let owned = self.owned.get_mut(name);
+        let Some(owned) = owned.filter(|owned| owned.owner.token == token) else {
+            return;
+        };
+        owned.rostering = false;
+        owned.next_roster = now.steady.after(ROSTER_PAUSE_MS);
+        match end {
+            RosterEnd::Kept(revision) => {
+                owned.away_at = revision;
+                owned.owner.rostered(note);
+            }
+            RosterEnd::Rebase(revision) => owned.away_at = revision,
+            RosterEnd::Failed => owned.next_roster = now.steady.after(SAVE_AGAIN_MS),
+        }
+    }
+
     /// Tells the fleet's owner which hosts are empty.
     pub(super) fn tell_empty(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
@@ -173,6 +195,37 @@
     }
 }
 
+/// Writes what workers may hold under the condition that there is no later owner, and no write
+/// since the one before.
+async fn write_note(
+    node: &Node,
+    name: &str,
+    token: u64,
+    away_at: Revision,
+    note: &RosterNote,
+) -> RosterEnd {
+    let away_key = keys::away(name);
+    let mut txn = Txn::default()
+        .expect(keys::owner(name), Revision(token))
+        .expect(away_key.clone(), away_at)
+        .put(away_key.clone(), json(&note.away));
+    if let Some(workers) = &note.workers {
+        txn = txn.put(keys::roster(name), json(&RosterRecord { workers: workers.clone() }));
+    }
+    match node.kv.commit(&txn).await {
+        Ok(Committed::Done(revision)) => RosterEnd::Kept(revision),
+        Ok(Committed::Conflict(items)) => {
+            let found = items.iter().find(|item| item.key == away_key);
+            RosterEnd::Rebase(found.map(|item| item.revision).unwrap_or_default())
+        }
+        Ok(Committed::LeaseOver) => RosterEnd::Failed,
+        Err(error) => {
+            log::warn!("owner {name}: roster not written: {error}");
+            RosterEnd::Failed
+        }
+    }
+}
+
 /// Writes progress under the condition that there is no later owner.
 async fn write_progress(node: &Node, name: &str, token: u64, saves: &[Save]) -> SaveEnd {
     let owner_key = keys::owner(name);
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -21,6 +21,7 @@
 const CALLED: &str = "ch/called/";
 const IDLE: &str = "ch/idle/";
 const ROSTER: &str = "ch/roster/";
+const AWAY: &str = "ch/away/";
 const NODE: &str = "ch/node/";
 
 /// The work of all pools together: waves of upkeep, and hosts that change pools.
@@ -47,8 +48,10 @@
     Empty(HostId),
     /// What is known of a wave.
     Wave(u64),
-    /// The workers that a pool's owners have given work to.
+    /// The workers that may run something of a pool.
     Roster(String),
+    /// Those of them that are silent or over.
+    Away(String),
     /// The hosts of a pool on which nothing runs.
     Idle(String),
     /// When a host was last moved or maintained, and by which owner.
@@ -88,6 +91,9 @@
         if let Some(name) = rest(ROSTER) {
             return Some(Key::Roster(name.to_owned()));
         }
+        if let Some(name) = rest(AWAY) {
+            return Some(Key::Away(name.to_owned()));
+        }
         if let Some(name) = rest(IDLE) {
             return Some(Key::Idle(name.to_owned()));
         }
@@ -155,6 +161,10 @@
     format!("{ROSTER}{name}")
 }
 
+pub(crate) fn away(name: &str) -> String {
+    format!("{AWAY}{name}")
+}
+
 pub(crate) fn idle(name: &str) -> String {
     format!("{IDLE}{name}")
 }
--- /dev/null
+++ b/src/scheduler/tests.rs
@@ -0,0 +1,47 @@
+//! Tests of what a node knows of the store.
+
+use crate::{
+    model::{
+        job::{JobId, JobState, Progress},
+        unit::Revision,
+    },
+    platform::kv::Change,
+    scheduler::{drive::json, keys, view::View},
+};
+
+fn job() -> JobId {
+    "00e0f5a2b4c6d801".parse().unwrap()
+}
+
+fn progress(state: JobState, revision: u64) -> Change {
+    let value = json(&Progress { state, ..Progress::default() });
+    let key = keys::progress(job());
+    Change { key, revision: Revision(revision), value: Some(value.into()) }
+}
+
+/// A prefix that is read in pages is watched from the first page on: changes that a later page has
+/// shown are told once more, older ones first.
+#[test]
+fn progress_does_not_go_back_while_older_changes_are_told_again() {
+    let mut view = View::default();
+    view.apply(progress(JobState::Succeeded, 120));
+    view.apply(progress(JobState::Running, 110));
+    assert_eq!(view.jobs[&job()].state(), JobState::Succeeded);
+}
+
+#[test]
+fn a_record_that_is_removed_stays_so_and_one_that_is_written_later_counts() {
+    let mut view = View::default();
+    let key = keys::idle("pool-a");
+    let write = |revision, value: Option<&str>| {
+        let value = value.map(|text| text.as_bytes().to_vec().into());
+        Change { key: key.clone(), revision: Revision(revision), value }
+    };
+    view.apply(write(10, Some(r#"["h1"]"#)));
+    view.apply(write(9, None));
+    assert!(view.idle.contains_key("pool-a"), "an older removal changes nothing");
+    view.apply(write(11, None));
+    assert!(!view.idle.contains_key("pool-a"));
+    view.apply(write(12, Some(r#"["h2"]"#)));
+    assert!(view.idle.contains_key("pool-a"));
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::{event::StoredJob, fleet::Leave},
+    jobs::{event::StoredJob, fleet::Leave, roster::Away},
     model::{
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
@@ -67,7 +67,8 @@
     pub(crate) reported: bool,
 }
 
-/// The workers that a pool's owners have given work to, and that may not be over yet.
+/// The workers that may run something of a pool, unless the record of those that are away says
+/// otherwise.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub(crate) struct RosterRecord {
     pub(crate) workers: Vec<WorkerReport>,
@@ -141,6 +142,8 @@
     pub(crate) idle: BTreeMap<String, At<BTreeSet<HostId>>>,
     pub(crate) called: BTreeMap<HostId, At<CalledRecord>>,
     pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
+    /// By pool, how workers of the roster differ from such that may run anything.
+    pub(crate) away: BTreeMap<String, At<Away>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     pub(crate) config: Option<Arc<QueueConfig>>,
     pub(crate) upkeeps: BTreeMap<u64, At<Upkeep>>,
@@ -201,7 +204,11 @@
                 Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
             }
             Key::Progress(id) => {
-                self.jobs.entry(id).or_default().progress = read(&text, value, revision).map(share);
+                let known = self.jobs.entry(id).or_default();
+                let later = known.progress.as_ref().is_some_and(|at| revision < at.revision);
+                if !later {
+                    known.progress = read(&text, value, revision).map(share);
+                }
                 self.drop_empty(id);
                 None
             }
@@ -214,39 +221,43 @@
                 if self.owners.get(&name).is_some_and(|owner| revision <= owner.revision) {
                     return None;
                 }
-                set(&mut self.owners, name.clone(), read(&text, value, revision));
+                set(&mut self.owners, name.clone(), revision, read(&text, value, revision));
                 Some(Delta::Owner(name))
             }
             Key::Term(name) => {
-                set(&mut self.terms, name, read(&text, value, revision));
+                set(&mut self.terms, name, revision, read(&text, value, revision));
                 None
             }
             Key::Leave(host) => {
-                set(&mut self.leaves, host, read(&text, value, revision));
+                set(&mut self.leaves, host, revision, read(&text, value, revision));
                 Some(Delta::Leave)
             }
             Key::Empty(host) => {
-                set(&mut self.empties, host, read(&text, value, revision));
+                set(&mut self.empties, host, revision, read(&text, value, revision));
                 None
             }
             Key::Wave(wave) => {
-                set(&mut self.waves, wave, read(&text, value, revision));
+                set(&mut self.waves, wave, revision, read(&text, value, revision));
                 None
             }
             Key::Idle(name) => {
-                set(&mut self.idle, name, read(&text, value, revision));
+                set(&mut self.idle, name, revision, read(&text, value, revision));
                 None
             }
             Key::Called(host) => {
-                set(&mut self.called, host, read(&text, value, revision));
+                set(&mut self.called, host, revision, read(&text, value, revision));
                 None
             }
             Key::Node(name) => {
-                set(&mut self.nodes, name, read(&text, value, revision));
+                set(&mut self.nodes, name, revision, read(&text, value, revision));
                 None
             }
             Key::Roster(name) => {
-                set(&mut self.rosters, name, read(&text, value, revision));
+                set(&mut self.rosters, name, revision, read(&text, value, revision));
+                None
+            }
+            Key::Away(name) => {
+                set(&mut self.away, name, revision, read(&text, value, revision));
                 None
             }
         }
@@ -300,7 +311,13 @@
     }
 }
 
-fn set<K: Ord, V>(map: &mut BTreeMap<K, At<V>>, key: K, value: Option<At<V>>) {
+/// Takes in what a record says at a revision. A prefix that was read in pages is told of changes
+/// from the first page on, so that what a later page had already shown is told again, step by step;
+/// the record does not go back meanwhile.
+fn set<K: Ord, V>(map: &mut BTreeMap<K, At<V>>, key: K, revision: Revision, value: Option<At<V>>) {
+    if map.get(&key).is_some_and(|known| revision < known.revision) {
+        return;
+    }
     match value {
         Some(value) => {
             map.insert(key, value);
