The fleet's owner tells each second what each pool has, asks for and should have

Cause: what pools cost could not be read from the logs of their owners, which count workers that have left.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -4,7 +4,10 @@
 //! A host is touched only after its pool's owner has written that nothing runs there any more, and
 //! that owner starts nothing there while the host is marked to leave.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -86,6 +89,33 @@
     pub(crate) ends: bool,
 }
 
+/// What a pool has and asks for, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PoolSummary {
+    pub(crate) pool: PoolId,
+    /// Hosts in the pool, whatever their phase.
+    pub(crate) listed: usize,
+    /// Hosts that are up and stay.
+    pub(crate) free: usize,
+    /// Hosts that are to come.
+    pub(crate) expected: usize,
+    /// Hosts that its demand asks for.
+    pub(crate) wanted: usize,
+    /// Processor time that its demand asks for, in cores.
+    pub(crate) cores: u64,
+}
+
+impl fmt::Display for PoolSummary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let PoolSummary { pool, listed, free, expected, wanted, cores } = self;
+        write!(
+            f,
+            "fleet: pool {pool}: {listed} hosts, {free} stay, {expected} come, {wanted} wanted for \
+             {cores} cores"
+        )
+    }
+}
+
 /// What is known when the fleet's owner decides.
 pub(crate) struct Scene<'a> {
     pub(crate) config: &'a QueueConfig,
@@ -388,6 +418,22 @@
         out.push(FleetEffect::Maintained(hosts, wave));
     }
 
+    /// What each pool has, asks for and should have, for the log.
+    pub(crate) fn summary(&self, scene: &Scene<'_>, now: Steady) -> Vec<PoolSummary> {
+        let of = |(pool, demand): (&PoolId, &Demand)| {
+            let here = self.hosts.values().filter(|host| host.pool == *pool);
+            PoolSummary {
+                pool: pool.clone(),
+                listed: here.count(),
+                free: self.free_hosts(scene, pool).len(),
+                expected: self.expected(scene, pool, now),
+                wanted: self.wanted(pool, demand),
+                cores: demand.cpu / 1000,
+            }
+        };
+        scene.demands.iter().map(of).collect()
+    }
+
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -49,7 +49,7 @@
 const STEP_PAUSE: Duration = Duration::from_millis(4);
 
 /// How often the owned pools are told of in the log, in milliseconds.
-const SUMMARY_MS: u64 = 1_000;
+pub(super) const SUMMARY_MS: u64 = 1_000;
 
 /// What the loop is told.
 pub(crate) enum Input {
@@ -156,6 +156,7 @@
     owned: BTreeMap<String, Owned>,
     pub(super) fleet: Option<Fleet>,
     pub(super) next_fleet: Steady,
+    pub(super) next_fleet_summary: Steady,
     next_summary: Steady,
     pub(super) machines: Machines,
     /// Won, but not yet seen in the view: name, token, owners before.
@@ -189,6 +190,7 @@
             owned: BTreeMap::new(),
             fleet: None,
             next_fleet: Steady::default(),
+            next_fleet_summary: Steady::default(),
             next_summary: Steady::default(),
             machines,
             won: BTreeMap::new(),
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -17,7 +17,7 @@
         records,
     },
     scheduler::{
-        drive::{Drive, Input, json},
+        drive::{Drive, Input, SUMMARY_MS, json},
         keys,
         view::{CalledRecord, KnownJob, View, WaveRecord},
     },
@@ -77,6 +77,12 @@
         };
         let token = fleet.token;
         let effects = fleet.plan(&scene, now.steady);
+        if self.next_fleet_summary <= now.steady {
+            self.next_fleet_summary = now.steady.after(SUMMARY_MS);
+            for pool in fleet.summary(&scene, now.steady) {
+                log::info!("{pool}");
+            }
+        }
         for effect in effects {
             self.carry_out_fleet(effect, token, now);
         }
