A new owner ends no lasting task while an earlier order may still end another

Cause: an owner tells a lasting task to stop and is replaced. The worker goes on listing the run as at work for up to 900 ms, the new owner takes it over as such and ends another task of the step beside it. Change: a run that was taken over counts as at work 1.2 s later. Test shown failing.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -44,6 +44,8 @@
     pub(crate) since: Steady,
     /// When the run was first known to be there.
     pub(crate) began: Option<Steady>,
+    /// When it was taken over from an earlier owner, which may have told it to stop.
+    pub(crate) adopted: Option<Steady>,
     pub(crate) percent: u32,
     /// When the percent last grew.
     pub(crate) moved: Steady,
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -197,6 +197,7 @@
             phase: Phase::Running,
             since: sent,
             began: Some(now),
+            adopted: Some(now),
             percent,
             moved: now,
             gauge: 0,
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -29,6 +29,10 @@
 /// How often the pause between two tellings doubles at the most.
 const TELL_MOST_DOUBLINGS: u32 = 4;
 
+/// How long after a run was taken over an order of the earlier owner may still end it, in
+/// milliseconds: workers take up to 900 to stop a run, and list it as at work meanwhile.
+const STOP_SETTLES_MS: u64 = 1_200;
+
 /// The percent at which a lasting task is at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -318,6 +322,7 @@
             phase: Phase::Starting,
             since: now.steady,
             began: None,
+            adopted: None,
             percent: 0,
             moved: now.steady,
             gauge: 0,
@@ -393,7 +398,9 @@
         let at_work = |copy: &Copy| {
             // A worker that is silent may be gone.
             let heard = self.workers.get(&copy.worker).is_some_and(|worker| worker.is_heard(now));
-            heard && copy.phase == Phase::Running && AT_WORK_PERCENT <= copy.percent
+            // One that was taken over may have been told to stop.
+            let settled = copy.adopted.is_none_or(|at| STOP_SETTLES_MS <= now.since(at));
+            heard && settled && copy.phase == Phase::Running && AT_WORK_PERCENT <= copy.percent
         };
         let away = tasks.tasks.iter().filter(|task| !task.copies.iter().any(at_work)).count();
         (away as u32) < step.may_miss
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -477,6 +477,31 @@
     assert_eq!(bench.stops(), vec![on("w1")]);
 }
 
+/// Found by the bench: the owner before had just told one run to stop, and the worker still listed
+/// it as at work; the new owner ended another of the step beside it.
+#[test]
+fn a_new_owner_ends_no_lasting_task_while_an_earlier_order_may_end_another() {
+    let lasting = Step { lasting: true, may_miss: 1, apart: 1, ..step(2) };
+    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], Away::default());
+    bench.tell(Event::Job(stored(1, vec![lasting], 50)));
+    let marks = BTreeMap::from([("h1".parse().unwrap(), Revision(120))]);
+    bench.owner.set_emptying(marks);
+    let task = |index: u32| -> TaskId { format!("{}.0.0.{index}", id(1)).parse().unwrap() };
+    let look = |bench: &mut Bench| {
+        bench.touch("w1", vec![present(task(0), 1, 100)]);
+        bench.touch("w2", vec![present(task(1), 1, 100)]);
+        bench.work();
+    };
+    look(&mut bench);
+    assert_eq!(bench.stops(), vec![]);
+    bench.now += 900;
+    look(&mut bench);
+    assert_eq!(bench.stops(), vec![], "a stop takes up to 900 ms after it was told");
+    bench.now += 600;
+    look(&mut bench);
+    assert_eq!(bench.stops(), vec![task(0)]);
+}
+
 #[test]
 fn a_start_without_an_answer_is_stopped_before_the_task_begins_elsewhere() {
     let mut bench = one_worker();
