A node that the store turns away has another node answer its callers

Ruled out: Retry-After of 0 (with the store away for all, callers spend their four tries at once). The whole request goes to another node over listen.peers, once, and never further; after one local try without an answer likewise.

Tests: with peers left out of the settings the new test fails (503); a store that is away for all is refused at once.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,6 +10,7 @@
 pub(crate) mod lease;
 pub(crate) mod metrics;
 pub(crate) mod mirror;
+pub(crate) mod relay;
 pub(crate) mod run;
 pub(crate) mod view;
 
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use poem::{
     Endpoint, Request, Response,
     http::{Method, StatusCode, header},
@@ -25,11 +26,12 @@
         accept::{self, Accepted},
         keys,
         lease::Lease,
+        relay::{Call, RELAYED_HEADER, Relay, Relayed},
     },
 };
 
 /// The header that tells how long a caller waits.
-const DEADLINE_HEADER: &str = "Deadline-Ms";
+pub(crate) const DEADLINE_HEADER: &str = "Deadline-Ms";
 
 /// How long a caller waits that does not say so.
 const DEFAULT_WAIT: Duration = Duration::from_millis(3_000);
@@ -50,6 +52,7 @@
 pub(crate) struct Api {
     pub(crate) node: Arc<Node>,
     pub(crate) lease: Arc<Lease>,
+    pub(crate) relay: Relay,
 }
 
 impl Endpoint for Api {
@@ -111,15 +114,72 @@
         (Some(queue.name.clone()), response)
     }
 
+    /// Answers here, or has another node answer while the store turns this one away.
     async fn answer_job(
         &self,
         id: JobId,
         queue: &Queue,
-        request: Request,
+        mut request: Request,
         deadline: Instant,
     ) -> Response {
-        match *request.method() {
-            Method::POST => self.hand_in(id, queue, request, deadline).await,
+        let body = match http::read_body(request.take_body(), MAX_BODY).await {
+            Ok(body) => body,
+            Err(error) => return http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        };
+        let in_touch = self.lease.is_in_touch(self.node.now().steady);
+        let method = request.method().clone();
+        if request.header(RELAYED_HEADER).is_some() {
+            return match in_touch {
+                true => self.answer_here(id, queue, &method, body, deadline).await,
+                false => away("the store is not reached"),
+            };
+        }
+        let call = Call {
+            id,
+            method: method.clone(),
+            host: request.header(header::HOST).unwrap_or_default().to_owned(),
+            path: request.uri().path().to_owned(),
+            body: body.clone(),
+            deadline,
+        };
+        if !in_touch {
+            match self.relay.ask(&self.node, &call).await {
+                Relayed::Answered(response) => return response,
+                Relayed::Unknown if method != Method::GET => return unanswered(),
+                // What this node last heard of a job is better than nothing.
+                Relayed::Unknown | Relayed::NotTaken => {}
+            }
+            return self.answer_here(id, queue, &method, body, deadline).await;
+        }
+        // One try, if others can make the next.
+        let tries_end = if self.has_peers() { Instant::now() } else { deadline };
+        let response = self.answer_here(id, queue, &method, body, tries_end).await;
+        if !is_away(&response) {
+            return response;
+        }
+        match self.relay.ask(&self.node, &call).await {
+            Relayed::Answered(response) => response,
+            Relayed::NotTaken => response,
+            Relayed::Unknown => unanswered(),
+        }
+    }
+
+    fn has_peers(&self) -> bool {
+        let view = self.node.view();
+        let me = self.node.settings.node.as_str();
+        view.nodes.iter().any(|(name, at)| name != me && at.value.peers.is_some())
+    }
+
+    async fn answer_here(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        method: &Method,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Response {
+        match *method {
+            Method::POST => self.hand_in(id, queue, body, deadline).await,
             Method::GET => self.state(id).await,
             Method::DELETE => self.cancel(id, deadline).await,
             _ => http::text(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE\n"),
@@ -144,16 +204,12 @@
         &self,
         id: JobId,
         queue: &Queue,
-        mut request: Request,
+        body: Bytes,
         deadline: Instant,
     ) -> Response {
         if self.knows(id) {
             return http::text(StatusCode::OK, "");
         }
-        let body = match http::read_body(request.take_body(), MAX_BODY).await {
-            Ok(body) => body,
-            Err(error) => return http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
-        };
         let now = self.node.now();
         let record = match caller::job(&body, queue, now.wall) {
             Ok(record) => record,
@@ -180,9 +236,7 @@
         match accepted {
             Accepted::Kept | Accepted::Already => http::text(StatusCode::OK, ""),
             Accepted::NotWritten => away("the store took nothing"),
-            Accepted::Unknown => {
-                http::text(StatusCode::GATEWAY_TIMEOUT, "the store gave no answer: ask again\n")
-            }
+            Accepted::Unknown => unanswered(),
         }
     }
 
@@ -245,7 +299,7 @@
 fn cancel_failed(id: JobId, unknown: bool, error: &StoreError) -> Response {
     log::info!("job {id}: cancel not taken: {error}");
     match unknown {
-        true => http::text(StatusCode::GATEWAY_TIMEOUT, "the store gave no answer: ask again\n"),
+        true => unanswered(),
         false => away("the store took nothing"),
     }
 }
@@ -264,6 +318,16 @@
     millis.map(Duration::from_millis).unwrap_or(DEFAULT_WAIT)
 }
 
+/// Whether the store was not reached, or gave no answer.
+fn is_away(response: &Response) -> bool {
+    matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
+}
+
+/// It may have been done, or may be yet.
+fn unanswered() -> Response {
+    http::text(StatusCode::GATEWAY_TIMEOUT, "the store gave no answer: ask again\n")
+}
+
 /// Nothing was done, and nothing will be: the caller may come back.
 fn away(why: &str) -> Response {
     let mut response = http::text(StatusCode::SERVICE_UNAVAILABLE, format!("not taken: {why}\n"));
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -40,6 +40,8 @@
     id: AtomicU64,
     /// When it may be over, in milliseconds of the steady clock.
     until: AtomicU64,
+    /// Whether the last renewal failed.
+    failing: AtomicBool,
 }
 
 impl Lease {
@@ -58,10 +60,16 @@
         id != 0 && now < until.after(OVERTIME_MS)
     }
 
+    /// Whether the store was reached when the lease was last to be renewed.
+    pub(crate) fn is_in_touch(&self, now: Steady) -> bool {
+        self.held(now).is_some() && !self.failing.load(Ordering::Acquire)
+    }
+
     fn set(&self, id: LeaseId, sent: Steady, ttl: Duration) {
         let until = sent.after((ttl.as_millis() as u64).saturating_sub(MARGIN_MS));
         self.until.store(until.since(Steady::default()), Ordering::Release);
         self.id.store(id as u64, Ordering::Release);
+        self.failing.store(false, Ordering::Release);
     }
 
     fn clear(&self) {
@@ -99,6 +107,7 @@
             }
             Err(error) => {
                 log::warn!("store: lease not renewed: {error}");
+                lease.failing.store(true, Ordering::Release);
                 sleep(FAILED_PAUSE).await;
             }
         }
@@ -110,7 +119,7 @@
 
 /// Lists the node among those that may own work; tells whether that is done.
 async fn list(node: &Node, lease: LeaseId) -> bool {
-    let record = NodeRecord { cpu: node.settings.cpu };
+    let record = NodeRecord { cpu: node.settings.cpu, peers: node.settings.listen.peers };
     let key = keys::node(node.settings.node.as_str());
     let txn = Txn::default().put_leased(&key, json(&record), lease);
     match node.kv.commit(&txn).await {
--- /dev/null
+++ b/src/scheduler/relay.rs
@@ -0,0 +1,160 @@
+//! Requests of callers that come to a node which the store turns away: another node that reaches
+//! the store answers them. All of these requests may be made twice and mean the same, so that one
+//! whose answer was lost is asked of the next node.
+
+use std::{
+    collections::hash_map::DefaultHasher,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use poem::{
+    Response,
+    http::{HeaderName, Method, StatusCode, header},
+};
+use tokio::time::Instant;
+
+use crate::{
+    model::{job::JobId, unit::Steady},
+    scheduler::{Node, api::DEADLINE_HEADER},
+};
+
+/// Marks a request that comes from another node: it is not handed on again.
+pub(crate) const RELAYED_HEADER: &str = "Caperhollow-Relayed";
+
+/// How long a connection to another node may take: some may be cut off with this one.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// How long another node may take to answer. It writes once, in some 10 ms, or 250 ms where the
+/// store is slow.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
+
+/// Nodes that are asked before the caller is told to come back.
+const MOST_NODES: usize = 2;
+
+/// How long no node is asked after none could help, in milliseconds: most often the store is away
+/// for all, and each of them would ask the others.
+const PAUSE_MS: u64 = 500;
+
+/// Headers of an answer that are handed on.
+const KEPT_HEADERS: [HeaderName; 2] = [header::CONTENT_TYPE, header::RETRY_AFTER];
+
+/// A caller's request, as it is handed to another node.
+pub(crate) struct Call {
+    pub(crate) id: JobId,
+    pub(crate) method: Method,
+    pub(crate) host: String,
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+    /// When the caller stops waiting.
+    pub(crate) deadline: Instant,
+}
+
+/// How it ended.
+pub(crate) enum Relayed {
+    Answered(Response),
+    /// No node took it, and none will.
+    NotTaken,
+    /// A node may have done it, or may do it yet.
+    Unknown,
+}
+
+/// Hands requests to other nodes.
+pub(crate) struct Relay {
+    client: reqwest::Client,
+    /// No node is asked before, in milliseconds of the steady clock.
+    not_before: AtomicU64,
+}
+
+impl Relay {
+    pub(crate) fn new() -> Relay {
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .tcp_nodelay(true)
+            .connect_timeout(CONNECT_LIMIT)
+            .timeout(ANSWER_LIMIT)
+            .build()
+            .expect("a client without TLS needs nothing of the system");
+        Relay { client, not_before: AtomicU64::new(0) }
+    }
+
+    /// Has another node answer.
+    pub(crate) async fn ask(&self, node: &Node, call: &Call) -> Relayed {
+        let now = node.now().steady;
+        if now < Steady::from_millis(self.not_before.load(Ordering::Acquire)) {
+            return Relayed::NotTaken;
+        }
+        let mut unknown = false;
+        for peer in peers(node, call.id).into_iter().take(MOST_NODES) {
+            match self.ask_one(peer, call).await {
+                Relayed::Answered(response) => {
+                    log::info!("job {}: {} answered by {peer}", call.id, call.method);
+                    return Relayed::Answered(response);
+                }
+                Relayed::NotTaken => {}
+                Relayed::Unknown => unknown = true,
+            }
+        }
+        let pause = node.now().steady.after(PAUSE_MS).since(Steady::default());
+        self.not_before.store(pause, Ordering::Release);
+        log::info!("job {}: {} answered by no other node", call.id, call.method);
+        if unknown { Relayed::Unknown } else { Relayed::NotTaken }
+    }
+
+    async fn ask_one(&self, peer: SocketAddr, call: &Call) -> Relayed {
+        let left = call.deadline.saturating_duration_since(Instant::now());
+        let url = format!("http://{peer}{}", call.path);
+        let request = self
+            .client
+            .request(call.method.clone(), url)
+            .header(header::HOST, &call.host)
+            .header(DEADLINE_HEADER, left.as_millis() as u64)
+            .header(RELAYED_HEADER, "1")
+            .body(call.body.clone());
+        let answer = match request.send().await {
+            Ok(answer) => answer,
+            Err(error) if error.is_connect() => return Relayed::NotTaken,
+            Err(error) => {
+                log::info!("job {}: no answer by {peer}: {error}", call.id);
+                return Relayed::Unknown;
+            }
+        };
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        match status {
+            StatusCode::SERVICE_UNAVAILABLE => return Relayed::NotTaken,
+            StatusCode::GATEWAY_TIMEOUT => return Relayed::Unknown,
+            _ => {}
+        }
+        let body = match answer.bytes().await {
+            Ok(body) => body,
+            Err(error) => {
+                log::info!("job {}: half an answer by {peer}: {error}", call.id);
+                return Relayed::Unknown;
+            }
+        };
+        let mut response = Response::builder().status(status).body(body);
+        for name in KEPT_HEADERS {
+            if let Some(value) = headers.get(&name) {
+                response.headers_mut().insert(name, value.clone());
+            }
+        }
+        Relayed::Answered(response)
+    }
+}
+
+/// The other nodes, as last known, in an order that differs by job so that they share the load.
+fn peers(node: &Node, id: JobId) -> Vec<SocketAddr> {
+    let view = node.view();
+    let others = view.nodes.iter().filter(|(name, _)| **name != *node.settings.node.as_str());
+    let mut peers: Vec<SocketAddr> = others.filter_map(|(_, at)| at.value.peers).collect();
+    drop(view);
+    peers.sort_by_key(|peer| {
+        let mut hasher = DefaultHasher::new();
+        (peer, id).hash(&mut hasher);
+        hasher.finish()
+    });
+    peers
+}
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -23,6 +23,7 @@
         lease::{self, Lease},
         metrics::{Metrics, Page},
         mirror, node,
+        relay::Relay,
     },
     settings::scheduler::{self, SchedulerSettings},
 };
@@ -52,6 +53,10 @@
         http::listen(&settings.listen.readiness.to_string()).await.map_err(failed)?;
     let grace = settings.grace;
     let (figures, _) = http::listen(&settings.listen.metrics.to_string()).await.map_err(failed)?;
+    let peers = match settings.listen.peers {
+        Some(address) => Some(http::listen(&address.to_string()).await.map_err(failed)?.0),
+        None => None,
+    };
     let metrics = Arc::new(Metrics::new());
     let noted = metrics.clone();
     let note = move |call, outcome, took| noted.store_call(call, outcome, took);
@@ -66,8 +71,11 @@
     mirror::start(&node, &to);
     tokio::spawn(Drive::new(node.clone(), lease.clone(), to.clone()).run(from));
     let stop = http::Stop::default();
-    let api = Api { node: node.clone(), lease: lease.clone() };
-    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api, stop.clone()));
+    let api = || Api { node: node.clone(), lease: lease.clone(), relay: Relay::new() };
+    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api(), stop.clone()));
+    if let Some(peers) = peers {
+        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, api(), stop.clone()));
+    }
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
     tokio::spawn(http::serve(figures, 16, Page(metrics), http::Stop::default()));
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -34,6 +35,9 @@
 pub(crate) struct NodeRecord {
     /// The processor time that the node has.
     pub(crate) cpu: Millicores,
+    /// Where it answers requests that other nodes hand on; nothing if it does not.
+    #[serde(default)]
+    pub(crate) peers: Option<SocketAddr>,
 }
 
 /// How many owners a piece of work has had.
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -41,6 +41,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// Where requests of callers come that other nodes hand on; none if they are not to.
+    pub(crate) peers: Option<SocketAddr>,
 }
 
 /// Where the platform's services are.
@@ -106,7 +108,13 @@
     let callers = section.text("callers");
     let readiness = section.text("readiness");
     let metrics = section.text("metrics");
-    Some(SchedulerListen { callers: callers?, readiness: readiness?, metrics: metrics? })
+    let peers = section.text_or::<Optional>("peers", Optional(None));
+    Some(SchedulerListen {
+        callers: callers?,
+        readiness: readiness?,
+        metrics: metrics?,
+        peers: peers?.0,
+    })
 }
 
 fn platform(section: &Section<'_>) -> Option<PlatformAddresses> {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -15,7 +15,12 @@
 };
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    io::copy_bidirectional,
+    net::TcpStream,
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 /// How long anything may take before a test gives up. No test passes or fails by time otherwise.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -116,12 +121,20 @@
     }
 
     async fn node(&self, name: &str) -> Node {
-        let [callers, readiness, metrics] =
-            [free_port(), free_port(), free_port()].map(|port| format!("127.0.0.1:{port}"));
+        self.node_by(name, &self.address).await
+    }
+
+    /// A node that reaches the store at an address of its own.
+    async fn node_by(&self, name: &str, store: &str) -> Node {
+        let [callers, readiness, metrics, peers] =
+            [free_port(), free_port(), free_port(), free_port()]
+                .map(|port| format!("127.0.0.1:{port}"));
         let settings = json!({
             "node": name, "zone": "hall-a",
-            "listen": { "callers": callers, "readiness": readiness, "metrics": metrics },
-            "platform": { "store": self.address, "hosts": self.address },
+            "listen": {
+                "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers,
+            },
+            "platform": { "store": store, "hosts": self.address },
             "stop": { "grace_ms": 3000 },
         });
         let path = self.folder.join(format!("{name}.json"));
@@ -161,6 +174,37 @@
     }
 }
 
+/// A way to the store that can be closed.
+struct Gate {
+    address: String,
+    closed: watch::Sender<bool>,
+}
+
+impl Gate {
+    async fn before(address: &str) -> Gate {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let own = listener.local_addr().unwrap().to_string();
+        let (closed, mut is_closed) = watch::channel(false);
+        let behind = address.to_owned();
+        tokio::spawn(async move {
+            while let Ok((mut caller, _)) = listener.accept().await {
+                if *is_closed.borrow_and_update() {
+                    continue;
+                }
+                let (behind, mut is_closed) = (behind.clone(), is_closed.clone());
+                tokio::spawn(async move {
+                    let mut store = TcpStream::connect(behind).await.unwrap();
+                    tokio::select! {
+                        _ = copy_bidirectional(&mut caller, &mut store) => {}
+                        _ = is_closed.wait_for(|closed| *closed) => {}
+                    }
+                });
+            }
+        });
+        Gate { address: own, closed }
+    }
+}
+
 fn two_steps() -> Value {
     json!({
         "spec": "300",
@@ -252,6 +296,45 @@
     assert_eq!(site.counted().await["twice"], json!(0));
 }
 
+/// A node that the store turns away has another one answer its callers: what they hand in is kept,
+/// states are those of now, and cancels count.
+#[tokio::test]
+async fn a_node_that_the_store_turns_away_has_another_answer() {
+    let site = Site::start("relay", 3).await;
+    let gate = Gate::before(&site.address).await;
+    let (one, two) = (site.node_by("one", &gate.address).await, site.node("two").await);
+    let lasting =
+        json!({ "spec": "600000", "steps": [{ "count": 1, "cpu": 100, "long_running": true }] });
+    assert_eq!(site.hand_in(&one, "00000000000000a1", &lasting).await, StatusCode::OK);
+    // The node knows of the other by then.
+    site.until_state(&one, "00000000000000a1", "running").await;
+    gate.closed.send_replace(true);
+    until("the end of its lease", async || (!site.is_ready(&one).await).then_some(())).await;
+    assert_eq!(site.hand_in(&one, "00000000000000a2", &two_steps()).await, StatusCode::OK);
+    site.until_state(&one, "00000000000000a2", "succeeded").await;
+    let url = format!("http://{}/quotes/00000000000000a1", one.callers);
+    let answer = site.client.delete(url).header("Host", HOST).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    site.until_state(&two, "00000000000000a1", "cancelled").await;
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
+/// With the store away for all, nobody hands requests on in a circle.
+#[tokio::test]
+async fn nodes_that_all_miss_the_store_refuse_at_once() {
+    let site = Site::start("nobody", 2).await;
+    let (one, two) = (site.node("one").await, site.node("two").await);
+    site.faults(json!({ "store_down": true })).await;
+    for node in [&one, &two] {
+        until("the end of its lease", async || (!site.is_ready(node).await).then_some(())).await;
+        let id = "00000000000000c1";
+        assert_eq!(site.hand_in(node, id, &two_steps()).await, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    site.faults(json!({})).await;
+    until("readiness", async || site.is_ready(&one).await.then_some(())).await;
+    assert_eq!(site.counted().await["starts"], json!(0));
+}
+
 #[tokio::test]
 async fn a_configuration_comes_into_force_and_a_dropped_queue_is_gone() {
     let site = Site::start("config", 1).await;
