A pool that has more than its share gives away hosts with little to do

Cause: only idle hosts were taken from a pool whose peak is over. Change: owners tell which hosts use at most half of their processor time for tasks that end, the least first; these follow the idle ones.

Test: the hosts with the least to do are marked, in that order (nothing was marked before; the field is new, so that the test does not build on the old code).

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -130,6 +130,9 @@
     pub(crate) reported: &'a BTreeSet<u64>,
     /// Hosts on which nothing runs, as their pools' owners last wrote.
     pub(crate) idle: &'a BTreeSet<HostId>,
+    /// Hosts with little to do, as their pools' owners last wrote: by pool, the one with the least
+    /// first.
+    pub(crate) light: &'a [HostId],
     /// Hosts that an earlier owner has called so lately that another must not yet.
     pub(crate) resting: &'a BTreeSet<HostId>,
 }
@@ -683,8 +686,8 @@
         pools.iter().map(|pool| (*pool).clone()).zip(shares).collect()
     }
 
-    /// An idle host of a pool that has more than its share; a busy one too, if lasting tasks need
-    /// it.
+    /// A host of a pool that has more than its share: an idle one, or else the one with the least
+    /// to do; any, if lasting tasks need it.
     fn borrowed(
         &self,
         scene: &Scene<'_>,
@@ -697,7 +700,9 @@
                 continue;
             }
             let idle = hosts.iter().position(|host| scene.idle.contains(host));
-            if let Some(place) = idle.or(busy.then_some(hosts.len() - 1)) {
+            let mut light = scene.light.iter();
+            let light = light.find_map(|host| hosts.iter().position(|here| here == host));
+            if let Some(place) = idle.or(light).or(busy.then_some(hosts.len() - 1)) {
                 return Some(hosts.remove(place));
             }
         }
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -9,6 +9,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     jobs::{
         event::{Effect, Event, Save, StoredJob},
@@ -56,6 +58,20 @@
     pub(crate) room: u32,
 }
 
+/// The share of a host's processor time, in percent, up to which its use is light.
+const LIGHT_PERCENT: u32 = 50;
+
+/// How the hosts of a pool are used: a hint, as old as the record that tells of it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct HostUsage {
+    /// Hosts on which nothing runs.
+    #[serde(rename = "i", default)]
+    pub(crate) idle: BTreeSet<HostId>,
+    /// Hosts with little to do, none of which lasts: the one with the least first.
+    #[serde(rename = "l", default)]
+    pub(crate) light: Vec<HostId>,
+}
+
 /// A host on which nothing runs or can begin, as long as its mark stands.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Emptied {
@@ -194,10 +210,28 @@
         workers.map(emptied).collect()
     }
 
-    /// The hosts on whose workers nothing runs.
-    pub(crate) fn idle(&self) -> BTreeSet<HostId> {
-        let idle = self.workers.values().filter(|w| w.touched && w.copies.is_empty());
-        idle.map(|worker| worker.report.host.clone()).collect()
+    /// How the pool's hosts are used.
+    pub(crate) fn usage(&self) -> HostUsage {
+        let mut usage = HostUsage::default();
+        let mut light = Vec::new();
+        for worker in self.workers.values().filter(|worker| worker.touched) {
+            let host = worker.report.host.clone();
+            let share = worker.used.cpu.0 * 100 / worker.report.room.cpu.0.max(1);
+            if worker.copies.is_empty() {
+                usage.idle.insert(host);
+            } else if share <= LIGHT_PERCENT
+                && !worker.copies.keys().any(|task| self.is_lasting(task))
+            {
+                light.push((share, host));
+            }
+        }
+        light.sort();
+        usage.light = light.into_iter().map(|(_, host)| host).collect();
+        usage
+    }
+
+    fn is_lasting(&self, task: &TaskId) -> bool {
+        self.jobs.get(&task.of.job).is_some_and(|job| job.step(task.of.step).lasting)
     }
 
     /// How many jobs' progress waits to be written.
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -25,6 +25,7 @@
     maintained: BTreeMap<u64, BTreeSet<HostId>>,
     reported: BTreeSet<u64>,
     idle: BTreeSet<HostId>,
+    light: Vec<HostId>,
     resting: BTreeSet<HostId>,
 }
 
@@ -41,6 +42,7 @@
             maintained: BTreeMap::new(),
             reported: BTreeSet::new(),
             idle: BTreeSet::new(),
+            light: Vec::new(),
             resting: BTreeSet::new(),
         }
     }
@@ -55,6 +57,7 @@
             maintained: &self.maintained,
             reported: &self.reported,
             idle: &self.idle,
+            light: &self.light,
             resting: &self.resting,
         }
     }
@@ -213,6 +216,24 @@
     assert_eq!(effects.iter().filter(back).count(), 1, "{effects:?}");
 }
 
+/// At a change of turns, hosts of the pool that had its peak are seldom idle for long.
+#[test]
+fn a_poorer_pool_gets_the_hosts_with_the_least_to_do() {
+    let mut known = Known::new();
+    known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
+    known.demands.insert(pool("busy"), Demand { cpu: 64_000, spread: 0, ends: true });
+    known.demands.insert(pool("peak"), Demand { cpu: 9_000_000, spread: 0, ends: true });
+    let hosts = (1..7).map(|n| listed(n, if n < 6 { "busy" } else { "peak" })).collect();
+    known.light = vec![host(4), host(2)];
+    let mut fleet = fleet(hosts);
+    let effects = fleet.plan(&known.scene(), at(100));
+    let given = effects.iter().filter_map(|effect| match effect {
+        FleetEffect::Mark(host, Leave::Move(to)) if *to == pool("peak") => Some(host.clone()),
+        _ => None,
+    });
+    assert_eq!(given.collect::<Vec<_>>(), vec![host(4), host(2)]);
+}
+
 /// Found by the bench: each host that was back was kept by a write of its own, which built on the
 /// record before it, so that all but one failed; waves of a hundred hosts never ended.
 #[test]
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -200,13 +200,7 @@
         http::json(StatusCode::OK, &PendingAnswer { pending })
     }
 
-    async fn hand_in(
-        &self,
-        id: JobId,
-        queue: &Queue,
-        body: Bytes,
-        deadline: Instant,
-    ) -> Response {
+    async fn hand_in(&self, id: JobId, queue: &Queue, body: Bytes, deadline: Instant) -> Response {
         if self.knows(id) {
             return http::text(StatusCode::OK, "");
         }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -4,7 +4,7 @@
 mod reach;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,7 +20,7 @@
     jobs::{
         event::{Effect, Event, Save},
         fleet::{Fleet, Leave},
-        owner::{Emptied, Owner},
+        owner::{Emptied, HostUsage, Owner},
         roster::RosterNote,
     },
     model::{
@@ -132,10 +132,10 @@
     next_roster: Steady,
     /// The revision of the record of workers that are away.
     away_at: Revision,
-    /// The idle hosts that were last written.
-    told_idle: Option<BTreeSet<HostId>>,
-    /// When they are next looked for.
-    next_idle: Steady,
+    /// The use of the hosts that was last written.
+    told_usage: Option<HostUsage>,
+    /// When it is next looked at.
+    next_usage: Steady,
 }
 
 /// A piece of work that nobody owns.
@@ -377,7 +377,7 @@
             self.save(&name, now);
             self.write_roster(&name, now);
             self.tell_empty(&name, now);
-            self.tell_idle(&name, now);
+            self.tell_usage(&name, now);
         }
         if self.lease.held(now.steady).is_some() {
             self.fleet_step(now);
@@ -475,8 +475,8 @@
             rostering: false,
             next_roster: now.steady,
             away_at,
-            told_idle: None,
-            next_idle: now.steady,
+            told_usage: None,
+            next_usage: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -1,4 +1,5 @@
-//! What an owner has kept in the store: progress, its roster, and which hosts are empty or idle.
+//! What an owner has kept in the store: progress, its roster, which hosts are empty, and how the
+//! others are used.
 
 use super::{Drive, Input, RosterEnd, SaveEnd, json};
 use crate::{
@@ -29,8 +30,8 @@
 /// that come or leave together share one, and a worker that comes waits so much longer at the most.
 const ROSTER_PAUSE_MS: u64 = 50;
 
-/// The least time between two words on which hosts are idle, in milliseconds: a hint only.
-const IDLE_PAUSE_MS: u64 = 300;
+/// The least time between two words on how hosts are used, in milliseconds: a hint only.
+const USAGE_PAUSE_MS: u64 = 300;
 
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
@@ -169,27 +170,27 @@
         }
     }
 
-    /// Tells the fleet's owner which hosts are idle, now and then.
-    pub(super) fn tell_idle(&mut self, name: &str, now: Now) {
+    /// Tells the fleet's owner now and then how the hosts are used.
+    pub(super) fn tell_usage(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
-        if now.steady < owned.next_idle {
+        if now.steady < owned.next_usage {
             return;
         }
-        owned.next_idle = now.steady.after(IDLE_PAUSE_MS);
-        let idle = owned.owner.idle();
-        if owned.told_idle.as_ref() == Some(&idle) {
+        owned.next_usage = now.steady.after(USAGE_PAUSE_MS);
+        let usage = owned.owner.usage();
+        if owned.told_usage.as_ref() == Some(&usage) {
             return;
         }
         let txn = Txn::default()
             .expect(keys::owner(name), Revision(owned.owner.token))
-            .put(keys::idle(name), json(&idle));
-        owned.told_idle = Some(idle);
+            .put(keys::usage(name), json(&usage));
+        owned.told_usage = Some(usage);
         let (node, name) = (self.node.clone(), name.to_owned());
         tokio::spawn(async move {
             if let Err(error) = node.kv.commit(&txn).await {
-                log::debug!("owner {name}: idle hosts not written: {error}");
+                log::debug!("owner {name}: use of hosts not written: {error}");
             }
         });
     }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -46,6 +46,7 @@
     maintained: BTreeMap<u64, BTreeSet<HostId>>,
     reported: BTreeSet<u64>,
     idle: BTreeSet<HostId>,
+    light: Vec<HostId>,
     resting: BTreeSet<HostId>,
 }
 
@@ -73,6 +74,7 @@
             maintained: &known.maintained,
             reported: &known.reported,
             idle: &known.idle,
+            light: &known.light,
             resting: &known.resting,
         };
         let token = fleet.token;
@@ -233,7 +235,8 @@
             .map(|(wave, _)| *wave)
             .collect(),
         resting: BTreeSet::new(),
-        idle: view.idle.values().flat_map(|at| at.value.iter().cloned()).collect(),
+        idle: view.usages.values().flat_map(|at| at.value.idle.iter().cloned()).collect(),
+        light: view.usages.values().flat_map(|at| at.value.light.iter().cloned()).collect(),
     })
 }
 
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -19,7 +19,7 @@
 const EMPTY: &str = "ch/empty/";
 const WAVE: &str = "ch/wave/";
 const CALLED: &str = "ch/called/";
-const IDLE: &str = "ch/idle/";
+const USAGE: &str = "ch/usage/";
 const ROSTER: &str = "ch/roster/";
 const AWAY: &str = "ch/away/";
 const NODE: &str = "ch/node/";
@@ -52,8 +52,8 @@
     Roster(String),
     /// Those of them that are silent or over.
     Away(String),
-    /// The hosts of a pool on which nothing runs.
-    Idle(String),
+    /// How the hosts of a pool are used.
+    Usage(String),
     /// When a host was last moved or maintained, and by which owner.
     Called(HostId),
     /// A node that may own work, by its name.
@@ -94,8 +94,8 @@
         if let Some(name) = rest(AWAY) {
             return Some(Key::Away(name.to_owned()));
         }
-        if let Some(name) = rest(IDLE) {
-            return Some(Key::Idle(name.to_owned()));
+        if let Some(name) = rest(USAGE) {
+            return Some(Key::Usage(name.to_owned()));
         }
         if let Some(name) = rest(NODE) {
             return Some(Key::Node(name.to_owned()));
@@ -165,8 +165,8 @@
     format!("{AWAY}{name}")
 }
 
-pub(crate) fn idle(name: &str) -> String {
-    format!("{IDLE}{name}")
+pub(crate) fn usage(name: &str) -> String {
+    format!("{USAGE}{name}")
 }
 
 pub(crate) fn called(host: &HostId) -> String {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -32,16 +32,16 @@
 #[test]
 fn a_record_that_is_removed_stays_so_and_one_that_is_written_later_counts() {
     let mut view = View::default();
-    let key = keys::idle("pool-a");
+    let key = keys::usage("pool-a");
     let write = |revision, value: Option<&str>| {
         let value = value.map(|text| text.as_bytes().to_vec().into());
         Change { key: key.clone(), revision: Revision(revision), value }
     };
-    view.apply(write(10, Some(r#"["h1"]"#)));
+    view.apply(write(10, Some(r#"{"i":["h1"]}"#)));
     view.apply(write(9, None));
-    assert!(view.idle.contains_key("pool-a"), "an older removal changes nothing");
+    assert!(view.usages.contains_key("pool-a"), "an older removal changes nothing");
     view.apply(write(11, None));
-    assert!(!view.idle.contains_key("pool-a"));
-    view.apply(write(12, Some(r#"["h2"]"#)));
-    assert!(view.idle.contains_key("pool-a"));
+    assert!(!view.usages.contains_key("pool-a"));
+    view.apply(write(12, Some(r#"{"i":["h2"]}"#)));
+    assert!(view.usages.contains_key("pool-a"));
 }
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::{event::StoredJob, fleet::Leave, roster::Away},
+    jobs::{event::StoredJob, fleet::Leave, owner::HostUsage, roster::Away},
     model::{
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
@@ -142,8 +142,8 @@
     pub(crate) leaves: BTreeMap<HostId, At<Leave>>,
     pub(crate) empties: BTreeMap<HostId, At<EmptyRecord>>,
     pub(crate) waves: BTreeMap<u64, At<WaveRecord>>,
-    /// By pool, the hosts on which nothing runs.
-    pub(crate) idle: BTreeMap<String, At<BTreeSet<HostId>>>,
+    /// By pool, how its hosts are used.
+    pub(crate) usages: BTreeMap<String, At<HostUsage>>,
     pub(crate) called: BTreeMap<HostId, At<CalledRecord>>,
     pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
     /// By pool, how workers of the roster differ from such that may run anything.
@@ -244,8 +244,8 @@
                 set(&mut self.waves, wave, revision, read(&text, value, revision));
                 None
             }
-            Key::Idle(name) => {
-                set(&mut self.idle, name, revision, read(&text, value, revision));
+            Key::Usage(name) => {
+                set(&mut self.usages, name, revision, read(&text, value, revision));
                 None
             }
             Key::Called(host) => {
