--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -4,17 +4,12 @@
 
 use bytes::Bytes;
 
-use crate::{
-    model::{
-        id::WorkerId,
-        job::{JobId, JobRecord, Progress, StepId, TaskId},
-        unit::{Revision, Steady},
-        worker::{Look, OrderEnd, WorkerReport},
-    },
-    platform::{
-        advice::Advised,
-        runner::{Addressee, Start},
-    },
+use crate::model::{
+    id::WorkerId,
+    job::{JobId, JobRecord, Progress, StepId, TaskId},
+    order::{Addressee, Advised, Start},
+    unit::{Revision, Steady},
+    worker::{Look, OrderEnd, WorkerReport},
 };
 
 /// A job as the store has it.
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -4,6 +4,9 @@
 //! A host is touched only after its pool's owner has written that nothing runs there any more, and
 //! that owner starts nothing there while the host is marked to leave.
 
+mod size;
+mod wave;
+
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     fmt,
@@ -28,22 +31,9 @@
 /// carried out is answered as done.
 const CALL_AGAIN_MS: u64 = 300;
 
-/// How long a host that is to come to a pool counts as if it were there, in milliseconds: a move
-/// takes 1.5 s, and emptying a host about as long.
-const COMING_COUNTS_MS: u64 = 4_000;
-
 /// How long a host that does not come is called, in milliseconds.
 const COMING_MOST_MS: u64 = 10_000;
 
-/// Hosts that are emptied ahead for a wave, beside those that are away for it.
-const AHEAD: usize = 6;
-
-/// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
-const LEAVING_PERCENT: usize = 50;
-
-/// The time over which the growth of a demand is taken, in milliseconds.
-const GROWTH_MS: u64 = 1_000;
-
 /// How long a write may take to show in the view, in milliseconds.
 const WRITE_SHOWS_MS: u64 = 700;
 
@@ -397,46 +387,6 @@
         });
     }
 
-    /// Has it kept that hosts had their upkeep: all that are back in one write, and the next only
-    /// once that one shows, since each builds on the record before it.
-    fn keep(
-        &mut self,
-        scene: &Scene<'_>,
-        wave: u64,
-        hosts: BTreeSet<HostId>,
-        now: Steady,
-        out: &mut Vec<FleetEffect>,
-    ) {
-        let shown = |written: &BTreeSet<HostId>| {
-            scene.maintained.get(&wave).is_some_and(|kept| written.is_subset(kept))
-        };
-        let waits = self
-            .keeping
-            .get(&wave)
-            .is_some_and(|(written, at)| now.since(*at) < WRITE_SHOWS_MS && !shown(written));
-        if waits {
-            return;
-        }
-        self.keeping.insert(wave, (hosts.clone(), now));
-        out.push(FleetEffect::Maintained(hosts, wave));
-    }
-
-    /// What each pool has, asks for and should have, for the log.
-    pub(crate) fn summary(&self, scene: &Scene<'_>, now: Steady) -> Vec<PoolSummary> {
-        let of = |(pool, demand): (&PoolId, &Demand)| {
-            let here = self.hosts.values().filter(|host| host.pool == *pool);
-            PoolSummary {
-                pool: pool.clone(),
-                listed: here.count(),
-                free: self.free_hosts(scene, pool).len(),
-                expected: self.expected(scene, pool, now),
-                wanted: self.wanted(pool, demand),
-                cores: demand.cpu / 1000,
-            }
-        };
-        scene.demands.iter().map(of).collect()
-    }
-
     /// Makes the calls for hosts that are empty.
     fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
@@ -496,231 +446,6 @@
         }
     }
 
-    /// Hosts that are or may be away for a wave.
-    fn away(&self, scene: &Scene<'_>, wave: u64) -> usize {
-        let away = |(host, leave): &(&HostId, &Leave)| {
-            let called = self.calls.contains_key(*host);
-            let listed = self.hosts.get(*host).map(|known| known.phase);
-            **leave == Leave::Upkeep(wave) && (called || listed == Some(HostPhase::Upkeep))
-        };
-        scene.leaves.iter().filter(away).count()
-    }
-
-    /// Marks the next hosts of a wave, and reports how far it is.
-    fn wave(
-        &mut self,
-        scene: &Scene<'_>,
-        upkeep: &Upkeep,
-        now: Steady,
-        out: &mut Vec<FleetEffect>,
-    ) {
-        if scene.reported.contains(&upkeep.wave) {
-            return;
-        }
-        let none = BTreeSet::new();
-        let kept = scene.maintained.get(&upkeep.wave).unwrap_or(&none);
-        let left: Vec<&ListedHost> = upkeep
-            .hosts
-            .iter()
-            .filter(|host| !kept.contains(*host))
-            .filter_map(|host| self.hosts.get(host))
-            .collect();
-        if left.is_empty() {
-            out.push(FleetEffect::Report(upkeep.wave, true));
-            return;
-        }
-        if self.begun.insert(upkeep.wave) {
-            out.push(FleetEffect::Report(upkeep.wave, false));
-        }
-        let marked = self.marks(scene).filter(|(_, leave)| **leave == Leave::Upkeep(upkeep.wave));
-        let room = (upkeep.at_once as usize + AHEAD).saturating_sub(marked.count());
-        let mut next: Vec<&ListedHost> = left
-            .into_iter()
-            .filter(|known| known.phase == HostPhase::Up)
-            .filter(|known| !self.is_taken(scene, &known.host))
-            .collect();
-        let is_off =
-            |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
-        next.sort_by_key(|known| {
-            let busy = !scene.idle.contains(&known.host);
-            (!is_off(known), busy, self.leaving(scene, &known.pool))
-        });
-        let mut taken: BTreeMap<PoolId, usize> = BTreeMap::new();
-        let mut chosen = Vec::new();
-        for known in next {
-            if room <= chosen.len() {
-                break;
-            }
-            let pool = self.hosts.values().filter(|host| host.pool == known.pool).count();
-            let most = (pool * LEAVING_PERCENT / 100).max(1);
-            let leaving = taken.entry(known.pool.clone()).or_default();
-            if !is_off(known) && most <= self.leaving(scene, &known.pool) + *leaving {
-                continue;
-            }
-            *leaving += 1;
-            chosen.push(known.host.clone());
-        }
-        for host in chosen {
-            self.mark(host, Leave::Upkeep(upkeep.wave), now, out);
-        }
-    }
-
-    /// Hosts of a pool that are marked to leave for upkeep.
-    fn leaving(&self, scene: &Scene<'_>, pool: &PoolId) -> usize {
-        let here = self.marks(scene).filter(|(host, leave)| {
-            matches!(leave, Leave::Upkeep(_))
-                && self.hosts.get(*host).is_some_and(|known| known.pool == *pool)
-        });
-        here.count()
-    }
-
-    fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
-        for (pool, demand) in scene.demands {
-            if demand.ends && self.worked.insert(pool.clone()) {
-                self.demands.remove(pool);
-            }
-            let asked = self.asked.entry(pool.clone()).or_default();
-            asked.push_back((now, demand.cpu));
-            while asked.front().is_some_and(|(at, _)| GROWTH_MS < now.since(*at)) {
-                asked.pop_front();
-            }
-            let hosts = self.wanted(pool, demand);
-            let keep_ms = self.sizing.shrink_after_ms;
-            let late = self.demands.entry(pool.clone()).or_default();
-            late.push_back((now, hosts));
-            while late.front().is_some_and(|(at, _)| keep_ms < now.since(*at)) {
-                late.pop_front();
-            }
-        }
-    }
-
-    /// The processor time that a pool will ask for when hosts that are called now have come: what
-    /// it asks for now, and as much more as it grew by of late.
-    fn forecast(&self, pool: &PoolId, demand: &Demand) -> u64 {
-        let before = self.asked.get(pool).and_then(|late| late.front()).map_or(0, |(_, cpu)| *cpu);
-        demand.cpu + demand.cpu.saturating_sub(before) * self.sizing.growth_percent / 100
-    }
-
-    /// Hosts that a pool should have for a demand.
-    fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
-        let room = self.hosts.values().next().map(|host| host.room);
-        let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
-        let filled = (self.forecast(pool, demand) * 100)
-            .div_ceil(host_cpu * self.sizing.full_percent) as usize;
-        filled.max(demand.spread) + self.sizing.margin_hosts
-    }
-
-    /// Moves hosts between the pools and the one whose hosts are off.
-    fn size(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
-        let Some(off) = scene.config.pools.iter().find(|(_, rules)| rules.off) else {
-            return;
-        };
-        let off = off.0;
-        let pools: Vec<&PoolId> = scene.demands.keys().filter(|pool| *pool != off).collect();
-        let mut have = BTreeMap::new();
-        let mut free = BTreeMap::new();
-        for pool in &pools {
-            let here = self.free_hosts(scene, pool);
-            have.insert((*pool).clone(), here.len() + self.expected(scene, pool, now));
-            free.insert((*pool).clone(), here);
-        }
-        let mut spare: VecDeque<HostId> = self.free_hosts(scene, off).into();
-        let total = spare.len() + have.values().sum::<usize>();
-        let shares = self.shares(scene, &pools, total);
-        for pool in &pools {
-            let (have, share) = (have[*pool], shares[*pool]);
-            for _ in have..share {
-                if let Some(host) = spare.pop_front() {
-                    self.coming.insert(host, Coming { pool: (*pool).clone(), since: now });
-                    continue;
-                }
-                let floor = self.floor(&scene.demands[*pool]);
-                let short = free[*pool].len() < floor;
-                let Some(host) = self.borrowed(scene, &mut free, &shares, short) else {
-                    break;
-                };
-                self.mark(host, Leave::Move((*pool).clone()), now, out);
-            }
-        }
-        for pool in &pools {
-            let late = self.demands.get(*pool);
-            let most = late.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
-            let first = late.and_then(|late| late.front());
-            let long =
-                first.is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at));
-            let here = &free[*pool];
-            let surplus = here.len().saturating_sub(most.max(shares[*pool]));
-            if long && have[*pool] == here.len() && self.worked.contains(*pool) {
-                for host in here.iter().take(surplus) {
-                    self.mark(host.clone(), Leave::Move(off.clone()), now, out);
-                }
-            }
-        }
-    }
-
-    /// Hosts over which a pool's lasting tasks can be spread while one of them leaves.
-    fn floor(&self, demand: &Demand) -> usize {
-        demand.spread + 1
-    }
-
-    /// Hosts for each pool: what it wants, or where that is more than there are, hosts one by one
-    /// to the pool that has the smallest part of what it wants.
-    fn shares(
-        &self,
-        scene: &Scene<'_>,
-        pools: &[&PoolId],
-        total: usize,
-    ) -> BTreeMap<PoolId, usize> {
-        let wanted: Vec<usize> =
-            pools.iter().map(|pool| self.wanted(pool, &scene.demands[*pool])).collect();
-        let spread = |n: usize| self.floor(&scene.demands[pools[n]]).min(wanted[n]);
-        let mut shares = vec![0; pools.len()];
-        for _ in 0..total.min(wanted.iter().sum()) {
-            let open = (0..pools.len()).filter(|n| shares[*n] < wanted[*n]);
-            // What lasts must stay spread, also while another pool peaks.
-            let order = |n: &usize| (spread(*n) <= shares[*n], shares[*n] * 1000 / wanted[*n]);
-            if let Some(n) = open.min_by_key(order) {
-                shares[n] += 1;
-            }
-        }
-        pools.iter().map(|pool| (*pool).clone()).zip(shares).collect()
-    }
-
-    /// A host of a pool that has more than its share: an idle one, or else the one with the least
-    /// to do; any, if lasting tasks need it.
-    fn borrowed(
-        &self,
-        scene: &Scene<'_>,
-        free: &mut BTreeMap<PoolId, Vec<HostId>>,
-        shares: &BTreeMap<PoolId, usize>,
-        busy: bool,
-    ) -> Option<HostId> {
-        for (pool, hosts) in free.iter_mut() {
-            if hosts.len() <= shares[pool] {
-                continue;
-            }
-            let idle = hosts.iter().position(|host| scene.idle.contains(host));
-            let mut light = scene.light.iter();
-            let light = light.find_map(|host| hosts.iter().position(|here| here == host));
-            if let Some(place) = idle.or(light).or(busy.then_some(hosts.len() - 1)) {
-                return Some(hosts.remove(place));
-            }
-        }
-        None
-    }
-
-    /// Hosts that are to come to a pool, and may be expected to: one that takes too long may be
-    /// down, or held by a worker that is silent.
-    fn expected(&self, scene: &Scene<'_>, pool: &PoolId, now: Steady) -> usize {
-        let soon = |since: Steady| now.since(since) < COMING_COUNTS_MS;
-        let coming = self.coming.values().filter(|c| c.pool == *pool && soon(c.since));
-        let marked = self.marks(scene).filter(|(host, leave)| {
-            **leave == Leave::Move(pool.clone())
-                && self.marked.get(*host).is_none_or(|since| soon(*since))
-        });
-        coming.count() + marked.count()
-    }
-
     fn note_marks(&mut self, scene: &Scene<'_>, now: Steady) {
         self.marked.retain(|host, _| scene.leaves.contains_key(host));
         self.marking.retain(|host, (_, at)| {
--- a/src/jobs/owner/advise.rs
+++ b/src/jobs/owner/advise.rs
@@ -5,8 +5,12 @@
 use super::Owner;
 use crate::{
     jobs::event::Effect,
-    model::{id::WorkerId, job::StepId, unit::Steady},
-    platform::advice::{Advised, MOST_NAMED},
+    model::{
+        id::WorkerId,
+        job::StepId,
+        order::{Advised, MOST_NAMED},
+        unit::Steady,
+    },
 };
 
 /// How long after a refusal or failure the service is asked again, in milliseconds.
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -13,9 +13,9 @@
     model::{
         id::WorkerId,
         job::{JobId, JobState, Step, StepId, TaskId},
+        order::Start,
         unit::{Now, Steady},
     },
-    platform::runner::Start,
 };
 
 /// A task that is thought to need less than this is let finish, in milliseconds: stopping and
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -2,13 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::{
-    model::{
-        job::{JobId, Room, TaskId},
-        unit::Steady,
-        worker::WorkerReport,
-    },
-    platform::runner::Addressee,
+use crate::model::{
+    job::{JobId, Room, TaskId},
+    order::Addressee,
+    unit::Steady,
+    worker::WorkerReport,
 };
 
 /// How long everything on a worker may run on after an order or a look, in milliseconds. Longer
--- a/src/model.rs
+++ b/src/model.rs
@@ -5,6 +5,7 @@
 pub(crate) mod host;
 pub mod id;
 pub mod job;
+pub(crate) mod order;
 pub(crate) mod plan;
 pub(crate) mod queue;
 pub(crate) mod record;
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -6,27 +6,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    model::{id::WorkerId, job::StepId},
+    model::{id::WorkerId, job::StepId, order::Advised},
     platform::store::chain,
 };
 
-/// Most workers that one call may name.
-pub(crate) const MOST_NAMED: usize = 100;
-
 /// How long a call may take beside the time that the service itself needs.
 const CALL_SLACK: Duration = Duration::from_millis(1500);
 
-/// What the service said.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum Advised {
-    /// The workers that may run the step, each with its ticket.
-    Good(Vec<(WorkerId, String)>),
-    /// Too many wait.
-    Busy,
-    /// It gave no answer.
-    Failed,
-}
-
 #[derive(Serialize)]
 struct WireAsk<'a> {
     step: String,
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     model::{
-        id::WorkerId,
         job::TaskId,
+        order::{Addressee, Start},
         worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal},
     },
     platform::store::chain,
@@ -26,29 +26,6 @@
 /// A header that names the life of the worker that is meant.
 const LIFE_HEADER: &str = "Expect-Instance";
 
-/// Whom an order goes to, and in whose name.
-#[derive(Debug, Clone)]
-pub(crate) struct Addressee {
-    pub(crate) worker: WorkerId,
-    pub(crate) address: String,
-    /// The owner's token: a worker that has seen a higher one does nothing.
-    pub(crate) token: u64,
-}
-
-/// An order to start a run.
-#[derive(Debug, Clone)]
-pub(crate) struct Start {
-    pub(crate) task: TaskId,
-    pub(crate) run: u32,
-    pub(crate) payload: std::sync::Arc<str>,
-    /// Until when everything there may run, on the worker's clock.
-    pub(crate) until_ms: u64,
-    /// Empty for none.
-    pub(crate) checkpoint: String,
-    /// Empty for none.
-    pub(crate) ticket: String,
-}
-
 #[derive(Serialize)]
 struct WireStart<'a> {
     task: String,
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -25,14 +25,11 @@
     },
     model::{
         id::{HostId, PoolId},
+        order::Advised,
         unit::{Now, Revision, Steady},
         worker::{ListedHost, OrderEnd, WorkerReport},
     },
-    platform::{
-        advice::{Advised, Adviser},
-        machines::Machines,
-        runner::Runners,
-    },
+    platform::{advice::Adviser, machines::Machines, runner::Runners},
     scheduler::{
         Node, keys,
         lease::Lease,
