A request that is handed on is not answered by an older configuration

Cause: seen while reading the diff. A node that has taken in a configuration may hand a request to one that has not yet, which would answer 404 or send the job to the pool that the queue led to before. Change: the version goes with the request; a node with an older one refuses it as not taken. Test: answered for its own version, refused for a newer (not run on the code before, whose header was no version).

--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -99,6 +99,9 @@
         let Some(config) = self.node.view().config.clone() else {
             return (None, away("no configuration has been read yet"));
         };
+        if relayed_by(&request).is_some_and(|theirs| config.version < theirs) {
+            return (None, away("the configuration here is older"));
+        }
         let host = request.header(header::HOST).unwrap_or_default().to_ascii_lowercase();
         let path = request.uri().path().to_owned();
         let Some(queue) = config.queue_of(&host, &path) else {
@@ -108,7 +111,7 @@
         let rest = &path[queue.prefix.len()..];
         let response = match (rest.is_empty(), rest.parse::<JobId>()) {
             (true, _) => self.pending(queue, request.method()),
-            (false, Ok(id)) => self.answer_job(id, queue, request, deadline).await,
+            (false, Ok(id)) => self.answer_job(id, queue, config.version, request, deadline).await,
             (false, Err(error)) => http::text(StatusCode::NOT_FOUND, format!("{error}\n")),
         };
         (Some(queue.name.clone()), response)
@@ -119,6 +122,7 @@
         &self,
         id: JobId,
         queue: &Queue,
+        config: u64,
         mut request: Request,
         deadline: Instant,
     ) -> Response {
@@ -139,6 +143,7 @@
             method: method.clone(),
             host: request.header(header::HOST).unwrap_or_default().to_owned(),
             path: request.uri().path().to_owned(),
+            config,
             body: body.clone(),
             deadline,
         };
@@ -312,6 +317,12 @@
     millis.map(Duration::from_millis).unwrap_or(DEFAULT_WAIT)
 }
 
+/// The version of the configuration of the node that has handed on a request; nothing for a
+/// caller's own.
+fn relayed_by(request: &Request) -> Option<u64> {
+    request.header(RELAYED_HEADER)?.parse().ok()
+}
+
 /// Whether the store was not reached, or gave no answer.
 fn is_away(response: &Response) -> bool {
     matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -22,7 +22,8 @@
     scheduler::{Node, api::DEADLINE_HEADER},
 };
 
-/// Marks a request that comes from another node: it is not handed on again.
+/// Marks a request that comes from another node, which is not handed on again, with the version of
+/// the configuration by which that node has read it.
 pub(crate) const RELAYED_HEADER: &str = "Caperhollow-Relayed";
 
 /// How long a connection to another node may take: some may be cut off with this one.
@@ -48,6 +49,8 @@
     pub(crate) method: Method,
     pub(crate) host: String,
     pub(crate) path: String,
+    /// The configuration in force: a node with an older one must not answer by it.
+    pub(crate) config: u64,
     pub(crate) body: Bytes,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
@@ -112,7 +115,7 @@
             .request(call.method.clone(), url)
             .header(header::HOST, &call.host)
             .header(DEADLINE_HEADER, left.as_millis() as u64)
-            .header(RELAYED_HEADER, "1")
+            .header(RELAYED_HEADER, call.config)
             .body(call.body.clone());
         let answer = match request.send().await {
             Ok(answer) => answer,
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -43,6 +43,7 @@
     callers: String,
     readiness: String,
     metrics: String,
+    peers: String,
 }
 
 struct Site {
@@ -142,7 +143,7 @@
         let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
         let child =
             binary().arg("schedule").arg("--settings").arg(&path).stdout(log).spawn().unwrap();
-        let node = Node { process: Process(child), callers, readiness, metrics };
+        let node = Node { process: Process(child), callers, readiness, metrics, peers };
         until("readiness", async || self.is_ready(&node).await.then_some(())).await;
         node
     }
@@ -319,6 +320,21 @@
     assert_eq!(site.counted().await["twice"], json!(0));
 }
 
+/// A node whose configuration is older than that of the node which hands a request on refuses it.
+#[tokio::test]
+async fn a_request_is_not_answered_by_an_older_configuration() {
+    let site = Site::start("older", 1).await;
+    let node = site.node("one").await;
+    let ask = async |version: &str| {
+        let url = format!("http://{}/quotes/00000000000000a1", node.peers);
+        let request = site.client.get(url).header("Host", HOST);
+        let request = request.header("Caperhollow-Relayed", version);
+        request.send().await.unwrap().status()
+    };
+    assert_eq!(ask("1").await, StatusCode::GONE);
+    assert_eq!(ask("2").await, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 /// With the store away for all, nobody hands requests on in a circle.
 #[tokio::test]
 async fn nodes_that_all_miss_the_store_refuse_at_once() {
