--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -233,7 +233,7 @@
     assert_eq!(acknowledged(&mut bench), Some(1));
 }
 
-/// Found by the bench: the store's view lags behind what the owner has written, and told of the
+/// The store's view lags behind what the owner has written, and told of the
 /// job as it was before its end.
 #[test]
 fn a_job_that_ended_is_not_run_again_when_an_older_view_tells_of_it() {
@@ -250,7 +250,7 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
-/// Found by the bench: a prefix that is read anew still lists the worker that was there before,
+/// A prefix that is read anew still lists the worker that was there before,
 /// and a write of a worker may reach the store seconds after another has taken its place.
 #[test]
 fn a_worker_is_not_superseded_by_the_report_of_one_that_does_not_answer() {
@@ -286,7 +286,7 @@
     assert_eq!((starts[0].1, &starts[0].2), (2, &worker_id("w2")));
 }
 
-/// Found by the bench: after all nodes were killed while the store was away, the workers' reports
+/// After all nodes were killed while the store was away, the workers' reports
 /// had lapsed, and a new owner did not know who still ran tasks.
 #[test]
 fn tasks_of_earlier_jobs_wait_until_every_worker_was_asked() {
@@ -301,7 +301,7 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
-/// Found by the bench: the earlier owner has heard of the same end, and has started the task
+/// The earlier owner has heard of the same end, and has started the task
 /// elsewhere since.
 #[test]
 fn an_end_of_an_earlier_run_does_not_tell_where_the_task_runs_now() {
@@ -406,7 +406,7 @@
     assert_eq!(bench.starts().len(), 1);
 }
 
-/// Found by the bench: each look at a silent worker went on giving it time.
+/// Each look at a silent worker went on giving it time.
 #[test]
 fn a_task_on_a_worker_that_falls_silent_is_started_elsewhere_once_its_time_is_over() {
     let mut bench = one_worker();
@@ -448,7 +448,7 @@
     assert!(HOLD_MS * 100 / 98 < *at, "{at}");
 }
 
-/// Found by the bench: tasks on silent workers counted as at work when others were stopped.
+/// Tasks on silent workers counted as at work when others were stopped.
 #[test]
 fn a_lasting_task_stays_while_another_of_its_step_may_be_away() {
     let lasting = Step { lasting: true, may_miss: 1, apart: 1, ..step(2) };
@@ -477,7 +477,7 @@
     assert_eq!(bench.stops(), vec![on("w1")]);
 }
 
-/// Found by the bench: the owner before had just told one run to stop, and the worker still listed
+/// The owner before had just told one run to stop, and the worker still listed
 /// it as at work; the new owner ended another of the step beside it.
 #[test]
 fn a_new_owner_ends_no_lasting_task_while_an_earlier_order_may_end_another() {
@@ -547,7 +547,7 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
-/// Found by the bench: a look was sent in the millisecond in which the start was answered, and had
+/// A look was sent in the millisecond in which the start was answered, and had
 /// come to the worker before it.
 #[test]
 fn a_look_of_the_same_moment_says_nothing_of_a_run_that_it_does_not_list() {
@@ -561,7 +561,7 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
-/// Found by the bench: small tasks took each piece of room as soon as it was free, and a lasting
+/// Small tasks took each piece of room as soon as it was free, and a lasting
 /// task that needed a larger one never came back.
 #[test]
 fn a_lasting_task_gets_room_though_smaller_tasks_wait_for_it_too() {
@@ -607,7 +607,7 @@
     assert_eq!(bench.starts().len(), 1);
 }
 
-/// Found by the bench: all hosts but one were to be emptied, their tasks could not leave because
+/// All hosts but one were to be emptied, their tasks could not leave because
 /// one was away, and that one found no worker that was to stay.
 #[test]
 fn a_lasting_task_returns_to_a_host_that_others_cannot_leave() {
@@ -654,7 +654,7 @@
     assert_eq!(started, vec![id(3)]);
 }
 
-/// Found by the bench: half of all looks found only an end that was being kept already.
+/// Half of all looks found only an end that was being kept already.
 #[test]
 fn a_worker_whose_end_is_being_kept_is_not_looked_at_meanwhile() {
     let mut bench = one_worker();
@@ -676,7 +676,7 @@
     assert_eq!(looks(&mut bench), 1);
 }
 
-/// Found by the bench: progress was written in the order of the jobs' names, and jobs that had
+/// Progress was written in the order of the jobs' names, and jobs that had
 /// ended waited for seconds behind those that changed all the time.
 #[test]
 fn jobs_that_ended_are_kept_first_and_no_changed_job_waits_behind_busy_ones() {
--- a/src/jobs/tests/balance.rs
+++ b/src/jobs/tests/balance.rs
@@ -15,7 +15,7 @@
     rows.iter().map(node).collect()
 }
 
-/// Found by the bench: a node with 0.12 of a core won three pools of 80 workers and was choked.
+/// A node with 0.12 of a core won three pools of 80 workers and was choked.
 #[test]
 fn a_node_with_little_processor_time_waits_for_those_with_more() {
     let nodes = nodes(&[("a", 120, 0), ("b", 500, 0), ("c", 500, 200)]);
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -110,7 +110,7 @@
     assert_eq!(moves(&fleet.plan(&known.scene(), at(300))), 0);
 }
 
-/// Found by the bench: pools that had no work yet shrank just before their first jobs came.
+/// Pools that had no work yet shrank just before their first jobs came.
 #[test]
 fn a_pool_that_has_had_no_work_is_left_as_it_is() {
     let known = Known::new();
@@ -153,7 +153,7 @@
     assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 1);
 }
 
-/// Found by the bench: two holders acted on one host within the time that must lie between them.
+/// Two holders acted on one host within the time that must lie between them.
 #[test]
 fn a_host_that_another_owner_called_lately_is_left_alone() {
     let mut known = Known::new();
@@ -180,7 +180,7 @@
     assert!(fleet.plan(&known.scene(), at(200)).contains(&done));
 }
 
-/// Found by the bench: hosts that never came counted as if they were on their way, and a pool had
+/// Hosts that never came counted as if they were on their way, and a pool had
 /// too few to spread a lasting step over.
 #[test]
 fn a_host_that_does_not_come_is_replaced_by_another() {
@@ -201,7 +201,7 @@
     assert_eq!(later, 1);
 }
 
-/// Found by the bench: another pool's peak took the hosts over which lasting tasks are spread.
+/// Another pool's peak took the hosts over which lasting tasks are spread.
 #[test]
 fn a_peak_elsewhere_leaves_the_hosts_that_lasting_tasks_are_spread_over() {
     let mut known = Known::new();
@@ -234,7 +234,7 @@
     assert_eq!(given.collect::<Vec<_>>(), vec![host(4), host(2)]);
 }
 
-/// Found by the bench: each host that was back was kept by a write of its own, which built on the
+/// Each host that was back was kept by a write of its own, which built on the
 /// record before it, so that all but one failed; waves of a hundred hosts never ended.
 #[test]
 fn hosts_that_are_back_together_are_kept_by_one_write_and_the_next_builds_on_it() {
@@ -269,7 +269,7 @@
     assert_eq!(kept(fleet.plan(&known.scene(), at(2_900))), vec![BTreeSet::from([host(4)])]);
 }
 
-/// Found by the bench: a host that was off was marked for upkeep and called into a pool by one
+/// A host that was off was marked for upkeep and called into a pool by one
 /// plan, and its move was taken for the upkeep, so that a wave was reported as done too early.
 #[test]
 fn a_host_that_is_marked_for_upkeep_is_not_moved_and_a_move_is_no_upkeep() {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -368,7 +368,7 @@
     assert_eq!(ask("/quotes/").await, StatusCode::OK);
 }
 
-/// Found by the bench: a node on a slow link that was cut off while large configurations came one
+/// A node on a slow link that was cut off while large configurations came one
 /// after the other asked for all of them again and again, and never took in the newest.
 #[tokio::test]
 async fn a_node_that_missed_many_configurations_takes_in_the_newest() {
