Tests give their processes ports that connections never take

Addresses were chosen among the ports that the system also gives to connections, and given back before the node listened there. The failure of the frozen node's test fits it; its log is gone. Change: ports below those, a block for each test process, none given twice.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,11 +3,12 @@
 
 #![allow(dead_code)]
 
+mod ports;
+
 use std::{
     fs,
     future::Future,
     io::{BufRead, BufReader},
-    net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -18,6 +19,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use ports::free_address;
 use serde_json::{Value, json};
 
 /// How long anything may take before a test gives up. No test passes or fails by time otherwise.
@@ -124,13 +126,6 @@
     dir
 }
 
-/// Addresses that are free now. They are all held until each is known, so that none comes twice.
-fn free_addresses(count: usize) -> Vec<String> {
-    let held: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|listener| listener.local_addr().unwrap().to_string()).collect()
-}
-
 /// A fleet's configuration: one pool of eight hosts in two racks.
 pub const CONFIG: &str = r#"{
     "pools": { "all": { "hosts": 8 } },
@@ -166,7 +161,7 @@
             "--reboot-ms",
             "700",
         ]);
-        let addresses = free_addresses(nodes * 3);
+        let addresses: Vec<String> = (0..nodes * 3).map(|_| free_address()).collect();
         let peers: Vec<&String> = (0..nodes).map(|node| &addresses[node * 3 + 2]).collect();
         let mut started = Vec::new();
         for number in 0..nodes {
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -1,9 +1,11 @@
 //! Scheduler nodes of the real binary against the stand-in site, as callers see them.
 
+#[path = "common/ports.rs"]
+mod ports;
+
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::Duration,
@@ -13,6 +15,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
+use ports::free_address;
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 use tokio::{
@@ -53,10 +56,6 @@
     folder: PathBuf,
 }
 
-fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
-
 fn binary() -> Command {
     Command::new(env!("CARGO_BIN_EXE_caperhollow"))
 }
@@ -127,9 +126,7 @@
 
     /// A node that reaches the store at an address of its own.
     async fn node_by(&self, name: &str, store: &str) -> Node {
-        let [callers, readiness, metrics, peers] =
-            [free_port(), free_port(), free_port(), free_port()]
-                .map(|port| format!("127.0.0.1:{port}"));
+        let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let settings = json!({
             "node": name, "zone": "hall-a",
             "listen": {
