--- a/src/model/unit.rs
+++ b/src/model/unit.rs
@@ -53,6 +53,7 @@
     /// the present time as an argument.
     pub(crate) fn now() -> Time {
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        // A clock that stands before 1970 reads as 1970: nothing is due before that.
         Time(since.unwrap_or_default().as_millis() as u64)
     }
 }
