Each worker of a roster has a record of its own

Ruled out: the owner is late (jobs accepted from 38 s on end within their usual time there). Change: ch/roster/<pool>/<worker>, written and removed one by one, at most 29 in one write under the condition of the write before; the record of silent workers needs no list of those gone. Workers whose record may or may not have been changed by a write without an answer are written anew, and get no work before. The lag stays: what a node reads when it starts is next.

--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -57,12 +57,13 @@
         }
     }
 
-    /// What is to be kept for a later owner, if that is news. Whoever takes it tells when it is
-    /// kept; workers get work only by what is kept.
-    pub(crate) fn roster_note(&mut self) -> Option<RosterNote> {
+    /// What is to be kept for a later owner, if that is news, in one write that changes the records
+    /// of so many workers at the most. Whoever takes it tells when it is kept; workers get work
+    /// only by what is kept.
+    pub(crate) fn roster_note(&mut self, most: usize) -> Option<RosterNote> {
         let holdings = self.holdings();
         let workers = &self.workers;
-        let note = self.roster.note(holdings, |id| workers.get(id).map(|w| &w.report))?;
+        let note = self.roster.note(holdings, most, |id| workers.get(id).map(|w| &w.report))?;
         for worker in self.workers.values_mut() {
             worker.rostered &= note.lets_work(&worker.report.id);
         }
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -1,9 +1,9 @@
 //! What a later owner must know of a pool's workers: which of them may run something, and what.
 //!
-//! It is kept before it matters. A worker gets work only while the kept record lets it run
-//! anything. One that falls silent is kept with the tasks that may be there, and one that was
-//! emptied as holding nothing, so that a later owner that does not reach them waits with no other
-//! task.
+//! It is kept before it matters. A worker gets work only while it is listed in the store and the
+//! record of those that are silent lets it run anything. One that falls silent is kept with the
+//! tasks that may be there, and one that was emptied is listed no more, so that a later owner that
+//! does not reach them waits with no other task.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,14 +20,9 @@
     Only(BTreeSet<TaskId>),
 }
 
-/// How workers differ from those that may run anything. Written more often than the list of
-/// workers, and much shorter.
+/// The listed workers that are silent, with all that may run there.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct Away {
-    /// Workers on which nothing can run any more.
-    #[serde(rename = "g", default, skip_serializing_if = "BTreeSet::is_empty")]
-    pub(crate) gone: BTreeSet<WorkerId>,
-    /// Workers that are silent, with all that may run there.
     #[serde(rename = "s", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) silent: BTreeMap<WorkerId, BTreeSet<TaskId>>,
 }
@@ -35,11 +30,13 @@
 /// What is to be kept for a later owner, all in one write.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct RosterNote {
-    /// The reports of the workers that may run something, if the kept list lacks one of them.
-    pub(crate) workers: Option<Vec<WorkerReport>>,
-    /// How workers of the list differ from such that may run anything.
+    /// The reports of workers that are to be listed.
+    pub(crate) added: Vec<WorkerReport>,
+    /// Workers that are to be listed no more: nothing can run there.
+    pub(crate) dropped: Vec<WorkerId>,
+    /// Which of those that are listed then are silent.
     pub(crate) away: Away,
-    /// What each of the workers may hold.
+    /// What each of the workers may hold once this is kept.
     holdings: BTreeMap<WorkerId, Holding>,
 }
 
@@ -48,15 +45,22 @@
     pub(crate) fn lets_work(&self, id: &WorkerId) -> bool {
         self.holdings.get(id) == Some(&Holding::Any)
     }
+
+    /// How many workers' records it writes.
+    pub(crate) fn changes(&self) -> usize {
+        self.added.len() + self.dropped.len()
+    }
 }
 
-/// What a later owner would find, as last known to be kept.
+/// What a later owner would find, as last known to be kept. Each listed worker has a record of its
+/// own: hosts come and leave by the hundred at a peak, and every node is told of each write.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
-    /// The workers that may run something.
+    /// The workers that may run something, all of them listed.
     holdings: BTreeMap<WorkerId, Holding>,
-    /// The workers of the kept list.
-    listed: BTreeSet<WorkerId>,
+    /// Workers whose records were to change by a write that is not known to have been made: each
+    /// may be listed or not.
+    doubtful: BTreeSet<WorkerId>,
     /// Whether a write was begun that is not known to have been made.
     unsettled: bool,
 }
@@ -64,14 +68,12 @@
 impl Roster {
     /// What earlier owners have kept.
     pub(crate) fn inherited(workers: &[WorkerReport], away: &Away) -> Roster {
-        let listed: BTreeSet<WorkerId> = workers.iter().map(|report| report.id.clone()).collect();
         let holding = |id: &WorkerId| match away.silent.get(id) {
             Some(tasks) => Holding::Only(tasks.clone()),
             None => Holding::Any,
         };
-        let left = listed.iter().filter(|id| !away.gone.contains(*id));
-        let holdings = left.map(|id| (id.clone(), holding(id))).collect();
-        Roster { holdings, listed, unsettled: false }
+        let holdings = workers.iter().map(|report| (report.id.clone(), holding(&report.id)));
+        Roster { holdings: holdings.collect(), ..Roster::default() }
     }
 
     /// What a worker may run, by what is kept; nothing if it cannot run anything.
@@ -79,33 +81,62 @@
         self.holdings.get(id)
     }
 
-    /// What is to be written so that a later owner finds what each worker may hold now; nothing if
-    /// that is kept already.
+    /// What is to be written so that a later owner finds what each worker may hold now, of at most
+    /// so many workers' records; nothing if that is kept already.
     pub(crate) fn note<'a>(
         &mut self,
-        holdings: BTreeMap<WorkerId, Holding>,
+        wanted: BTreeMap<WorkerId, Holding>,
+        most: usize,
         report: impl Fn(&WorkerId) -> Option<&'a WorkerReport>,
     ) -> Option<RosterNote> {
-        if holdings == self.holdings && !self.unsettled {
+        if !self.unsettled && self.doubtful.is_empty() && wanted == self.holdings {
             return None;
         }
-        self.unsettled = true;
-        let lacks = holdings.keys().any(|id| !self.listed.contains(id));
-        let workers = lacks.then(|| holdings.keys().filter_map(report).cloned().collect());
-        let gone = self.listed.iter().filter(|id| !lacks && !holdings.contains_key(*id));
+        let is_listed =
+            |id: &WorkerId| !self.doubtful.contains(id) && self.holdings.contains_key(id);
+        let lacking = wanted.keys().filter(|id| !is_listed(id));
+        let added: Vec<WorkerReport> = lacking.filter_map(report).take(most).cloned().collect();
+        let surplus =
+            self.holdings.keys().chain(&self.doubtful).filter(|id| !wanted.contains_key(*id));
+        let surplus: BTreeSet<&WorkerId> = surplus.collect();
+        let dropped = surplus.into_iter().take(most - added.len()).cloned().collect();
+        let holdings = self.holdings_after(&wanted, &added, &dropped);
         let silent = holdings.iter().filter_map(|(id, holding)| match holding {
             Holding::Any => None,
             Holding::Only(tasks) => Some((id.clone(), tasks.clone())),
         });
-        let away = Away { gone: gone.cloned().collect(), silent: silent.collect() };
-        Some(RosterNote { workers, away, holdings })
+        let away = Away { silent: silent.collect() };
+        self.unsettled = true;
+        self.doubtful.extend(added.iter().map(|report| report.id.clone()));
+        self.doubtful.extend(dropped.iter().cloned());
+        Some(RosterNote { added, dropped, away, holdings })
+    }
+
+    /// What each worker that is listed for certain may hold once a note is kept. One that was left
+    /// out of the note for want of room is taken as it was.
+    fn holdings_after(
+        &self,
+        wanted: &BTreeMap<WorkerId, Holding>,
+        added: &[WorkerReport],
+        dropped: &Vec<WorkerId>,
+    ) -> BTreeMap<WorkerId, Holding> {
+        let mut holdings = self.holdings.clone();
+        holdings.retain(|id, _| !self.doubtful.contains(id) && !dropped.contains(id));
+        for (id, holding) in &mut holdings {
+            if let Some(wanted) = wanted.get(id) {
+                *holding = wanted.clone();
+            }
+        }
+        let added = added.iter().filter_map(|report| wanted.get_key_value(&report.id));
+        holdings.extend(added.map(|(id, holding)| (id.clone(), holding.clone())));
+        holdings
     }
 
     /// Takes note that a write was made.
     pub(crate) fn kept(&mut self, note: &RosterNote) {
         self.holdings = note.holdings.clone();
-        if let Some(workers) = &note.workers {
-            self.listed = workers.iter().map(|report| report.id.clone()).collect();
+        for id in note.added.iter().map(|report| &report.id).chain(&note.dropped) {
+            self.doubtful.remove(id);
         }
         self.unsettled = false;
     }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -24,6 +24,9 @@
 
 const TOKEN: u64 = 100;
 
+/// More workers' records than any write of these tests changes.
+const MANY: usize = 29;
+
 /// An owner with what it wanted done.
 struct Bench {
     owner: Owner,
@@ -114,7 +117,7 @@
 
     /// Makes durable what workers may hold; what was written, if that was news.
     fn keep_roster(&mut self) -> Option<RosterNote> {
-        let note = self.owner.roster_note()?;
+        let note = self.owner.roster_note(MANY)?;
         self.owner.rostered(&note);
         Some(note)
     }
@@ -339,7 +342,8 @@
     earlier.touch("w2", vec![]);
     earlier.owner.set_emptying(BTreeMap::from([("h2".parse().unwrap(), Revision(5))]));
     let note = earlier.keep_roster().expect("that a worker holds nothing is news");
-    let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], note.away);
+    assert_eq!(note.dropped, vec![worker_id("w2")]);
+    let mut bench = Bench::inheriting(&[("w1", "h1")], note.away);
     bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
     bench.touch("w1", vec![]);
     bench.work();
@@ -372,7 +376,7 @@
     let mut bench = one_worker();
     bench.miss("w1");
     bench.miss("w1");
-    let silent = bench.owner.roster_note().expect("that a worker is silent is news");
+    let silent = bench.owner.roster_note(MANY).expect("that a worker is silent is news");
     bench.look("w1", vec![], vec![]);
     bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
     bench.work();
@@ -385,14 +389,60 @@
     assert_eq!(bench.starts().len(), 1);
 }
 
+/// Workers that one write leaves out follow with the next, and get no work before.
+#[test]
+fn workers_that_come_together_are_listed_write_by_write() {
+    let mut bench = Bench::new(1);
+    for (name, host) in [("w1", "h1"), ("w2", "h2"), ("w3", "h3")] {
+        bench.tell(Event::Worker(report(name, host)));
+    }
+    bench.work();
+    for name in ["w1", "w2", "w3"] {
+        bench.look(name, vec![], vec![]);
+    }
+    let first = bench.owner.roster_note(2).expect("all three are news");
+    let listed: Vec<&WorkerId> = first.added.iter().map(|report| &report.id).collect();
+    assert_eq!(listed, [&worker_id("w1"), &worker_id("w2")]);
+    bench.owner.rostered(&first);
+    bench.tell(Event::Job(stored(1, vec![step(12)], 110)));
+    bench.work();
+    let started = bench.starts();
+    assert_eq!(started.len(), 8, "two workers of four cores each");
+    assert!(started.iter().all(|(.., worker)| *worker != worker_id("w3")));
+    let second = bench.owner.roster_note(2).expect("the third is news");
+    assert_eq!((second.added.len(), second.dropped.len()), (1, 0));
+    bench.owner.rostered(&second);
+    bench.work();
+    assert_eq!(bench.starts().len(), 4);
+    assert_eq!(bench.owner.roster_note(2), None);
+}
+
+/// The record of an emptied worker may be gone though the write got no answer: the worker gets
+/// work only once it has been listed anew.
+#[test]
+fn a_worker_that_may_have_been_dropped_is_listed_anew_before_it_gets_work() {
+    let mut bench = one_worker();
+    bench.owner.set_emptying(BTreeMap::from([("h1".parse().unwrap(), Revision(5))]));
+    let unanswered = bench.owner.roster_note(MANY).expect("that a worker holds nothing is news");
+    assert_eq!(unanswered.dropped, vec![worker_id("w1")]);
+    bench.owner.set_emptying(BTreeMap::new());
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+    let again = bench.keep_roster().expect("whether it is listed is not known");
+    assert_eq!((again.added.len(), again.dropped.len()), (1, 0));
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
 /// A worker that was silent for one look is not written about.
 #[test]
 fn one_look_without_an_answer_is_not_kept() {
     let mut bench = one_worker();
     bench.miss("w1");
-    assert_eq!(bench.owner.roster_note(), None);
+    assert_eq!(bench.owner.roster_note(MANY), None);
     bench.look("w1", vec![], vec![]);
-    assert_eq!(bench.owner.roster_note(), None);
+    assert_eq!(bench.owner.roster_note(MANY), None);
 }
 
 #[test]
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -34,6 +34,9 @@
 /// A task that has failed so often is not started again.
 const ATTEMPTS: usize = 3;
 
+/// Workers' records that one write changes: fewer than there are hosts, so that some follow later.
+const ROSTER_BATCH: usize = 2;
+
 /// What becomes of an order or a write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, TypeGenerator)]
 enum Fate {
@@ -144,7 +147,7 @@
     cancelled: BTreeMap<JobId, u64>,
     progress: BTreeMap<JobId, (Progress, u64)>,
     /// What is kept of the workers, and the revision of its newest write.
-    roster: (Vec<WorkerReport>, Away, u64),
+    roster: (BTreeMap<WorkerId, WorkerReport>, Away, u64),
     /// Hosts that are marked to be emptied.
     marked: BTreeSet<usize>,
     late: Vec<Effect>,
@@ -169,7 +172,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             progress: BTreeMap::new(),
-            roster: (Vec::new(), Away::default(), 0),
+            roster: (BTreeMap::new(), Away::default(), 0),
             marked: BTreeSet::new(),
             late: Vec::new(),
             late_saves: Vec::new(),
@@ -221,7 +224,7 @@
         let mut owner = Owner::new(self.token, earlier, Steady::from_millis(now));
         let (mut out, at) = (Vec::new(), self.at());
         let (workers, away, roster_at) = self.roster.clone();
-        owner.inherit(workers, &away, at, &mut out);
+        owner.inherit(workers.into_values().collect(), &away, at, &mut out);
         owner.set_emptying(self.marks());
         for worker in self.workers.iter().filter(|worker| know && worker.alive) {
             owner.handle(Event::Worker(worker.report.clone()), at, &mut out);
@@ -284,7 +287,7 @@
     fn keep_roster(&mut self, owner: usize, fate: Fate) {
         let held = &mut self.owners[owner];
         let (token, expects) = (held.owner.token, held.roster_at);
-        let Some(note) = held.owner.roster_note() else {
+        let Some(note) = held.owner.roster_note(ROSTER_BATCH) else {
             return;
         };
         match fate {
@@ -315,7 +318,9 @@
         }
         self.revision += 1;
         let (workers, away, at) = &mut self.roster;
-        *workers = note.workers.clone().unwrap_or_else(|| workers.clone());
+        let added = note.added.iter().map(|report| (report.id.clone(), report.clone()));
+        workers.extend(added);
+        workers.retain(|id, _| !note.dropped.contains(id));
         (*away, *at) = (note.away.clone(), self.revision);
         true
     }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -440,7 +440,7 @@
             .collect();
         workers.sort_by_key(|(revision, _)| *revision);
         // Workers may run what earlier owners gave them, listed or not.
-        let roster = view.rosters.get(name).map(|at| at.value.workers.clone()).unwrap_or_default();
+        let roster = view.roster(name);
         let away = view.away.get(name).cloned();
         let away_at = away.as_ref().map(|at| at.revision).unwrap_or_default();
         let away = away.map(|at| at.value).unwrap_or_default();
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -6,10 +6,7 @@
     jobs::{event::Save, owner::Emptied, roster::RosterNote},
     model::unit::{Now, Revision, Steady},
     platform::kv::{Committed, TXN_ENTRIES, Txn},
-    scheduler::{
-        Node, keys,
-        view::{EmptyRecord, RosterRecord},
-    },
+    scheduler::{Node, keys, view::EmptyRecord},
 };
 
 /// Jobs in one transaction: each needs a condition and a write, beside the one of the owner.
@@ -33,6 +30,10 @@
 /// The least time between two words on how hosts are used, in milliseconds: a hint only.
 const USAGE_PAUSE_MS: u64 = 300;
 
+/// Workers' records in one transaction, beside two conditions and the record of those that are
+/// silent.
+const ROSTER_BATCH: usize = TXN_ENTRIES - 3;
+
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
 const EMPTY_AGAIN_MS: u64 = 700;
@@ -101,7 +102,7 @@
         if owned.rostering || now.steady < owned.next_roster {
             return;
         }
-        let Some(note) = owned.owner.roster_note() else {
+        let Some(note) = owned.owner.roster_note(ROSTER_BATCH) else {
             return;
         };
         owned.rostering = true;
@@ -126,7 +127,8 @@
             return;
         };
         owned.rostering = false;
-        owned.next_roster = now.steady.after(ROSTER_PAUSE_MS);
+        let full = note.changes() == ROSTER_BATCH;
+        owned.next_roster = now.steady.after(if full { 0 } else { ROSTER_PAUSE_MS });
         match end {
             RosterEnd::Kept(revision) => {
                 owned.away_at = revision;
@@ -210,8 +212,11 @@
         .expect(keys::owner(name), Revision(token))
         .expect(away_key.clone(), away_at)
         .put(away_key.clone(), json(&note.away));
-    if let Some(workers) = &note.workers {
-        txn = txn.put(keys::roster(name), json(&RosterRecord { workers: workers.clone() }));
+    for report in &note.added {
+        txn = txn.put(keys::roster(name, &report.id), json(report));
+    }
+    for worker in &note.dropped {
+        txn = txn.remove(keys::roster(name, worker));
     }
     match node.kv.commit(&txn).await {
         Ok(Committed::Done(revision)) => RosterEnd::Kept(revision),
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -1,7 +1,7 @@
 //! The keys of our own records in the store.
 
 use crate::model::{
-    id::{HostId, PoolId},
+    id::{HostId, PoolId, WorkerId},
     job::JobId,
 };
 
@@ -48,9 +48,9 @@
     Empty(HostId),
     /// What is known of a wave.
     Wave(u64),
-    /// The workers that may run something of a pool.
-    Roster(String),
-    /// Those of them that are silent or over.
+    /// A worker that may run something of a pool.
+    Roster(String, WorkerId),
+    /// Those of them that are silent.
     Away(String),
     /// How the hosts of a pool are used.
     Usage(String),
@@ -88,8 +88,9 @@
         if let Some(host) = rest(EMPTY) {
             return host.parse().ok().map(Key::Empty);
         }
-        if let Some(name) = rest(ROSTER) {
-            return Some(Key::Roster(name.to_owned()));
+        if let Some(listed) = rest(ROSTER) {
+            let (name, worker) = listed.split_once('/')?;
+            return Some(Key::Roster(name.to_owned(), worker.parse().ok()?));
         }
         if let Some(name) = rest(AWAY) {
             return Some(Key::Away(name.to_owned()));
@@ -157,8 +158,8 @@
     format!("{NODE}{name}")
 }
 
-pub(crate) fn roster(name: &str) -> String {
-    format!("{ROSTER}{name}")
+pub(crate) fn roster(name: &str, worker: &WorkerId) -> String {
+    format!("{ROSTER}{name}/{worker}")
 }
 
 pub(crate) fn away(name: &str) -> String {
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -71,13 +71,6 @@
     pub(crate) reported: bool,
 }
 
-/// The workers that may run something of a pool, unless the record of those that are away says
-/// otherwise.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub(crate) struct RosterRecord {
-    pub(crate) workers: Vec<WorkerReport>,
-}
-
 /// A value with the revision at which it was written.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct At<T> {
@@ -145,8 +138,9 @@
     /// By pool, how its hosts are used.
     pub(crate) usages: BTreeMap<String, At<HostUsage>>,
     pub(crate) called: BTreeMap<HostId, At<CalledRecord>>,
-    pub(crate) rosters: BTreeMap<String, At<RosterRecord>>,
-    /// By pool, how workers of the roster differ from such that may run anything.
+    /// By pool, the workers that may run something.
+    pub(crate) rosters: BTreeMap<(String, WorkerId), At<WorkerReport>>,
+    /// By pool, which of these are silent.
     pub(crate) away: BTreeMap<String, At<Away>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     pub(crate) config: Option<Arc<QueueConfig>>,
@@ -168,6 +162,12 @@
         self.owners.get(name).is_some_and(|owner| owner.revision.0 == token)
     }
 
+    /// The workers that may run something of a pool, as its owners have kept.
+    pub(crate) fn roster(&self, name: &str) -> Vec<WorkerReport> {
+        let listed = self.rosters.iter().filter(|((pool, _), _)| pool == name);
+        listed.map(|(_, at)| at.value.clone()).collect()
+    }
+
     /// Takes in a change; what that means for others.
     pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
         if let Some(key) = Key::parse(&change.key) {
@@ -256,8 +256,9 @@
                 set(&mut self.nodes, name, revision, read(&text, value, revision));
                 None
             }
-            Key::Roster(name) => {
-                set(&mut self.rosters, name, revision, read(&text, value, revision));
+            Key::Roster(name, worker) => {
+                let report = read(&text, value, revision);
+                set(&mut self.rosters, (name, worker), revision, report);
                 None
             }
             Key::Away(name) => {
