Jobs that ended are removed but for their end

Before the loss of all nodes ends show within 0.3 s everywhere, after it at 1.15 s (median) and 2.5 s (a quarter). Ruled out: the link in steady state (0.28 s at the fullest peak before the loss). Change: once a job's end is durable its owner removes the record of what was handed in, 32 in one write, at most every 500 ms. Its end and its name stay, so that it is told as ended, and cannot be handed in again. A new owner removes those that an earlier one left.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -108,6 +108,8 @@
     has_filling: bool,
     durations: Durations,
     saves: SaveQueue,
+    /// Jobs whose end is durable: of their records in the store only the end is of use.
+    finished: BTreeSet<JobId>,
     deposed: bool,
 }
 
@@ -129,6 +131,7 @@
             has_filling: false,
             durations: Durations::default(),
             saves: SaveQueue::default(),
+            finished: BTreeSet::new(),
             deposed: false,
         }
     }
@@ -301,20 +304,41 @@
     }
 
     fn forget_ended(&mut self) {
-        let ended = &mut self.ended;
+        let (ended, finished) = (&mut self.ended, &mut self.finished);
         self.jobs.retain(|id, job| {
-            let over = job.state.is_final() && !job.is_dirty() || job.cancelled;
+            let durable = job.state.is_final() && !job.is_dirty();
+            let over = durable || job.cancelled;
             let mut tasks = job.steps.values().flat_map(|step| &step.tasks);
             let kept = !over || tasks.any(|task| !task.copies.is_empty());
             if !kept {
                 ended.insert(*id);
+                if durable {
+                    finished.insert(*id);
+                }
             }
             kept
         });
     }
 
+    /// Jobs whose records can go, since their end is durable; at most so many.
+    pub(crate) fn take_finished(&mut self, most: usize) -> Vec<JobId> {
+        let taken: Vec<JobId> = self.finished.iter().take(most).copied().collect();
+        for id in &taken {
+            self.finished.remove(id);
+        }
+        taken
+    }
+
+    /// Takes note that the records of some jobs may still be there.
+    pub(crate) fn not_removed(&mut self, jobs: Vec<JobId>) {
+        self.finished.extend(jobs);
+    }
+
     fn add(&mut self, stored: StoredJob) {
         let ended = stored.progress.as_ref().is_some_and(|progress| progress.state.is_final());
+        if ended {
+            self.finished.insert(stored.id);
+        }
         // Runs of jobs that are not known here are stopped where they are seen.
         let known = self.jobs.contains_key(&stored.id) || self.ended.contains(&stored.id);
         if ended || stored.cancelled || known {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -389,6 +389,36 @@
     assert_eq!(bench.starts().len(), 1);
 }
 
+/// What was handed in of a job is of use until its end is durable, and no longer.
+#[test]
+fn a_job_can_be_removed_once_its_end_is_durable() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    let done = Ended { number: 1, task, run, how: HowEnded::Done, saved: String::new() };
+    bench.look("w1", vec![], vec![done]);
+    assert_eq!(bench.owner.take_finished(MANY), vec![]);
+    let saves = bench.owner.saves(MANY);
+    bench.owner.saved(&saves, Revision(120));
+    assert_eq!(bench.owner.take_finished(MANY), vec![id(1)]);
+    assert_eq!(bench.owner.take_finished(MANY), vec![]);
+    bench.owner.not_removed(vec![id(1)]);
+    assert_eq!(bench.owner.take_finished(MANY), vec![id(1)]);
+}
+
+/// An earlier owner may have ended a job and not have come to remove it.
+#[test]
+fn a_new_owner_removes_the_jobs_that_ended_before() {
+    let mut bench = one_worker();
+    let mut ended = stored(1, vec![step(1)], 50);
+    let progress = Progress { state: JobState::Succeeded, ..Progress::default() };
+    ended.progress = Some(progress.into());
+    bench.tell(Event::Job(ended));
+    assert_eq!(bench.owner.take_finished(MANY), vec![id(1)]);
+}
+
 /// Workers that one write leaves out follow with the next, and get no work before.
 #[test]
 fn workers_that_come_together_are_listed_write_by_write() {
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -240,11 +240,11 @@
     }
 
     fn knows(&self, id: JobId) -> bool {
-        self.node.view().jobs.get(&id).is_some_and(|known| known.record.is_some())
+        self.node.view().jobs.get(&id).is_some_and(|known| known.is_accepted())
     }
 
     async fn state(&self, id: JobId) -> Response {
-        let known = self.node.view().jobs.get(&id).filter(|known| known.record.is_some()).cloned();
+        let known = self.node.view().jobs.get(&id).filter(|known| known.is_accepted()).cloned();
         if let Some(known) = known {
             return http::json(StatusCode::OK, &caller::state(known.state()));
         }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -25,6 +25,7 @@
     },
     model::{
         id::{HostId, PoolId},
+        job::JobId,
         order::Advised,
         unit::{Now, Revision, Steady},
         worker::{ListedHost, OrderEnd, WorkerReport},
@@ -76,6 +77,13 @@
         note: RosterNote,
         end: RosterEnd,
     },
+    /// What became of a removal of jobs that ended.
+    Removed {
+        name: String,
+        token: u64,
+        jobs: Vec<JobId>,
+        done: bool,
+    },
     /// What became of a read of the list of hosts.
     HostList {
         token: u64,
@@ -129,6 +137,10 @@
     next_roster: Steady,
     /// The revision of the record of workers that are away.
     away_at: Revision,
+    /// Whether jobs that ended are being removed.
+    removing: bool,
+    /// When that may be done next.
+    next_removal: Steady,
     /// The use of the hosts that was last written.
     told_usage: Option<HostUsage>,
     /// When it is next looked at.
@@ -246,6 +258,9 @@
             Input::Rostered { name, token, note, end } => {
                 self.rostered(&name, token, &note, end, now);
             }
+            Input::Removed { name, token, jobs, done } => {
+                self.removed(&name, token, jobs, done, now);
+            }
             Input::HostList { token, sent, hosts } => {
                 if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
                     fleet.heard_list(sent, hosts);
@@ -373,6 +388,7 @@
             self.carry_out(&name, token, out);
             self.save(&name, now);
             self.write_roster(&name, now);
+            self.remove_finished(&name, now);
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
         }
@@ -472,6 +488,8 @@
             rostering: false,
             next_roster: now.steady,
             away_at,
+            removing: false,
+            next_removal: now.steady,
             told_usage: None,
             next_usage: now.steady,
         };
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -4,7 +4,10 @@
 use super::{Drive, Input, RosterEnd, SaveEnd, json};
 use crate::{
     jobs::{event::Save, owner::Emptied, roster::RosterNote},
-    model::unit::{Now, Revision, Steady},
+    model::{
+        job::JobId,
+        unit::{Now, Revision, Steady},
+    },
     platform::kv::{Committed, TXN_ENTRIES, Txn},
     scheduler::{Node, keys, view::EmptyRecord},
 };
@@ -27,6 +30,10 @@
 /// that come or leave together share one, and a worker that comes waits so much longer at the most.
 const ROSTER_PAUSE_MS: u64 = 50;
 
+/// The least time between two removals of jobs that ended, in milliseconds: those that end close
+/// together share one, and a node that starts reads some hundred jobs more.
+const REMOVE_PAUSE_MS: u64 = 500;
+
 /// The least time between two words on how hosts are used, in milliseconds: a hint only.
 const USAGE_PAUSE_MS: u64 = 300;
 
@@ -139,6 +146,59 @@
         }
     }
 
+    /// Removes what is kept of jobs beside their ends, once these are durable: what was handed in is
+    /// most of what a node reads when it starts, and no caller is told of it.
+    pub(super) fn remove_finished(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if owned.removing || now.steady < owned.next_removal {
+            return;
+        }
+        let jobs = owned.owner.take_finished(TXN_ENTRIES);
+        if jobs.is_empty() {
+            return;
+        }
+        owned.removing = true;
+        let token = owned.owner.token;
+        let remove = |txn: Txn, id: &JobId| txn.remove(keys::job(&owned.pool, *id));
+        let txn = jobs.iter().fold(Txn::default(), remove);
+        let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+        tokio::spawn(async move {
+            let end = node.kv.commit(&txn).await;
+            if let Err(error) = &end {
+                log::info!("owner {name}: {} ended jobs not removed: {error}", jobs.len());
+            }
+            let done = matches!(end, Ok(Committed::Done(_)));
+            let _ = to.send(Input::Removed { name, token, jobs, done });
+        });
+    }
+
+    pub(super) fn removed(
+        &mut self,
+        name: &str,
+        token: u64,
+        jobs: Vec<JobId>,
+        done: bool,
+        now: Now,
+    ) {
+        let owned = self.owned.get_mut(name);
+        let Some(owned) = owned.filter(|owned| owned.owner.token == token) else {
+            return;
+        };
+        owned.removing = false;
+        let full = jobs.len() == TXN_ENTRIES;
+        let pause = match (done, full) {
+            (false, _) => SAVE_AGAIN_MS,
+            (true, true) => 0,
+            (true, false) => REMOVE_PAUSE_MS,
+        };
+        owned.next_removal = now.steady.after(pause);
+        if !done {
+            owned.owner.not_removed(jobs);
+        }
+    }
+
     /// Tells the fleet's owner which hosts are empty.
     pub(super) fn tell_empty(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -45,3 +45,24 @@
     view.apply(write(12, Some(r#"{"i":["h2"]}"#)));
     assert!(view.usages.contains_key("pool-a"));
 }
+
+/// What was handed in of a job goes once its end is durable; callers are told of the end all the
+/// same, also by a node that reads it all anew.
+#[test]
+fn a_job_of_which_only_the_end_is_kept_is_known_as_ended() {
+    let mut view = View::default();
+    view.apply(progress(JobState::Succeeded, 120));
+    let known = &view.jobs[&job()];
+    assert!(known.is_accepted());
+    assert_eq!(known.state(), JobState::Succeeded);
+    assert!(known.stored(job()).is_none(), "no owner is told of it");
+}
+
+/// Progress that is read before what was handed in tells of a job that was not accepted for all
+/// that this node knows.
+#[test]
+fn progress_alone_does_not_tell_that_a_job_was_accepted() {
+    let mut view = View::default();
+    view.apply(progress(JobState::Running, 120));
+    assert!(!view.jobs[&job()].is_accepted());
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Whether the job was accepted: of one that ended only its end is kept.
+    pub(crate) fn is_accepted(&self) -> bool {
+        self.record.is_some() || self.state().is_final()
+    }
+
     /// The job as its owner is told of it.
     pub(crate) fn stored(&self, id: JobId) -> Option<StoredJob> {
         let record = self.record.as_ref()?;
