Orders that got no answer are looked into at once

A start without an answer was known as such after 800 ms, then waited for the look on its way (up to 1 s), for a stop, and for one more look (up to 1 s); a look that was lost hid the ends at its worker for 1.6 s. Change: orders stay unanswered for 300 ms at most, looks for 300 ms beyond their wait; a run in doubt is looked at beside the look on its way, and once its stop is answered the next look does not wait. While orders to 2 % of a pool's workers, and to three at least, got no answer within 2 s, looks at busy workers wait 300 ms instead of 1 s. A worker counts as silent by the wait of its own look.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,6 +13,7 @@
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod job;
+pub(crate) mod losses;
 pub(crate) mod owner;
 pub(crate) mod place;
 pub(crate) mod roster;
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -15,6 +15,7 @@
     jobs::{
         event::{Effect, Event, Save, StoredJob},
         job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
+        losses::Losses,
         roster::{Holding, Roster},
         saves::SaveQueue,
         urgency::Durations,
@@ -107,6 +108,7 @@
     /// Whether some job had tasks that fill: most pools never do, and need no pace.
     has_filling: bool,
     durations: Durations,
+    losses: Losses,
     saves: SaveQueue,
     /// Jobs whose end is durable: of their records in the store only the end is of use.
     finished: BTreeSet<JobId>,
@@ -130,6 +132,7 @@
             full: Vec::new(),
             has_filling: false,
             durations: Durations::default(),
+            losses: Losses::default(),
             saves: SaveQueue::default(),
             finished: BTreeSet::new(),
             deposed: false,
@@ -495,8 +498,10 @@
                     copy.phase = Phase::Unknown;
                     copy.since = now;
                 }
+                self.losses.note(now);
                 if let Some(worker) = self.workers.get_mut(at) {
                     worker.next_look = now;
+                    worker.hurried = true;
                 }
             }
             OrderEnd::Refused { why, .. } => self.start_refused(at, task, why, now),
@@ -537,9 +542,15 @@
                 if let Some(worker) = self.workers.get_mut(at) {
                     worker.read_clock(clock_ms, now);
                 }
+                let mut unseen = false;
                 if let Some(copy) = self.copy_mut(task, at).filter(|copy| copy.run == run) {
                     copy.phase = Phase::Stopped(now);
                     copy.since = now;
+                    unseen = copy.began.is_none();
+                }
+                // No end will be listed of a run that never began.
+                if let Some(worker) = self.workers.get_mut(at).filter(|_| unseen) {
+                    worker.hurried = true;
                 }
             }
             OrderEnd::Refused { why: Refusal::Fenced, .. } => self.deposed = true,
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -7,7 +7,7 @@
     jobs::{
         event::Effect,
         job::{Copy, Phase},
-        worker::{LOOK_WAIT_MS, Worker},
+        worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Worker},
     },
     model::{
         id::WorkerId,
@@ -32,8 +32,11 @@
     pub(super) fn look(&mut self, now: Steady, out: &mut Vec<Effect>) {
         let token = self.token;
         let mixed: BTreeSet<WorkerId> = self.mixed_workers();
+        let hasty = self.losses.are_many(self.workers.len(), now);
         for worker in self.workers.values_mut() {
-            if worker.looking.is_some() || now < worker.next_look {
+            // A run in doubt does not wait for the look on its way, which may wait for an end.
+            let waits = worker.looking.is_some() && !worker.hurried;
+            if waits || now < worker.next_look {
                 continue;
             }
             let unsaved = !worker.unacknowledged.is_empty();
@@ -41,7 +44,9 @@
             if unsaved && lately {
                 continue;
             }
-            let wait = match worker.touched && !unsaved && worker.misses == 0 {
+            let waits = worker.touched && !unsaved && worker.misses == 0 && !worker.hurried;
+            let wait = match waits {
+                true if hasty && !worker.copies.is_empty() => HASTY_LOOK_WAIT_MS,
                 true if mixed.contains(&worker.report.id) => LOOK_WAIT_MS / 2,
                 true => LOOK_WAIT_MS,
                 false => 0,
@@ -50,6 +55,8 @@
             let gives = worker.touched && worker.misses == 0;
             let until_ms = if gives { worker.give(now) } else { None };
             worker.looking = Some(now);
+            worker.look_wait = wait;
+            worker.hurried = false;
             worker.told = worker.acknowledged;
             out.push(Effect::Look {
                 to: worker.addressee(token),
@@ -72,7 +79,10 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        worker.looking = None;
+        // An older look may still be on its way, and its answer is taken in all the same.
+        if worker.looking.is_some_and(|newest| newest <= sent) {
+            worker.looking = None;
+        }
         match end {
             OrderEnd::Done(look) => self.found(id, sent, look, now, out),
             OrderEnd::Refused { why: Refusal::Fenced, .. } => self.deposed = true,
@@ -80,6 +90,13 @@
                 self.bury(id, "another life answers at its address");
             }
             OrderEnd::Refused { .. } | OrderEnd::Unknown => {
+                if worker.misses == 0 {
+                    self.losses.note(now.steady);
+                }
+                if worker.answered.is_some_and(|at| sent < at) {
+                    // It has answered a later look.
+                    return;
+                }
                 worker.misses += 1;
                 worker.next_look = now.steady.after(MISSED_PAUSE_MS);
                 if worker.misses == 1 {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod fleet;
 mod fuzz;
+mod looks;
 
 use std::{collections::BTreeMap, sync::Arc};
 
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -23,6 +23,10 @@
 /// How long a look waits for an end, in milliseconds. Each look also renews the worker's time.
 pub(crate) const LOOK_WAIT_MS: u64 = 1_000;
 
+/// How long it waits at a worker that runs something while orders get lost, in milliseconds: a
+/// look that is lost hides the ends there for as long, and most objectives leave a second or less.
+pub(crate) const HASTY_LOOK_WAIT_MS: u64 = 300;
+
 /// How much later than its wait a look may be before the worker gets no new work, in milliseconds.
 const OVERDUE_MS: u64 = 250;
 
@@ -64,8 +68,12 @@
     reading: Option<Reading>,
     /// The latest time given, on the worker's clock.
     until_ms: u64,
-    /// When the look on its way was sent.
+    /// When the newest look on its way was sent.
     pub(crate) looking: Option<Steady>,
+    /// How long that one waits for an end, in milliseconds.
+    pub(crate) look_wait: u64,
+    /// Whether a run is in doubt, so that the next look is not to wait.
+    pub(crate) hurried: bool,
     /// When the next look may be sent.
     pub(crate) next_look: Steady,
     /// When a look was last answered.
@@ -99,6 +107,8 @@
             reading: None,
             until_ms: 0,
             looking: None,
+            look_wait: 0,
+            hurried: false,
             next_look: now,
             answered: None,
             misses: 0,
@@ -178,7 +188,7 @@
 
     /// Whether the worker answers, as far as that is known by now.
     pub(crate) fn is_heard(&self, now: Steady) -> bool {
-        let overdue = LOOK_WAIT_MS + OVERDUE_MS;
+        let overdue = self.look_wait + OVERDUE_MS;
         self.misses == 0 && self.looking.is_none_or(|sent| now.since(sent) < overdue)
     }
 
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -17,11 +17,13 @@
 /// How long a connection to a worker may take to open: two crossings between zones take 4 ms.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
-/// How long an order may stay unanswered. Workers answer within milliseconds.
-const ORDER_LIMIT: Duration = Duration::from_millis(800);
+/// How long an order may stay unanswered. Workers answer within milliseconds, and a node that has
+/// used up its processor time stands still for a tenth of a second at the most. Whatever was sent
+/// begins nowhere else before it is known what became of it, so that a job waits for this.
+const ORDER_LIMIT: Duration = Duration::from_millis(300);
 
-/// How much longer than its own wait a look may take.
-const LOOK_SLACK: Duration = Duration::from_millis(600);
+/// How much longer than its own wait a look may take, for the same reasons.
+const LOOK_SLACK: Duration = Duration::from_millis(300);
 
 /// A header that names the life of the worker that is meant.
 const LIFE_HEADER: &str = "Expect-Instance";
