A test's address is not kept by a process that another test starts

Tests learn that an address is free by listening there for a moment; a process that another thread starts at that moment holds a copy of the socket until it runs its own program, and the node that was given the address ends at once. Ruled out: another process on these ports (they are below those of connections), an address given twice (fewer than 200 are). Change: the address is bound without listening, which keeps nobody from listening there; a node of these tests that ends while it is waited for fails the test at once. The new test fails with a probe that listens by its construction; that was not run.

--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -99,7 +99,8 @@
         let surplus =
             self.holdings.keys().chain(&self.doubtful).filter(|id| !wanted.contains_key(*id));
         let surplus: BTreeSet<&WorkerId> = surplus.collect();
-        let dropped = surplus.into_iter().take(most - added.len()).cloned().collect();
+        let dropped: Vec<WorkerId> =
+            surplus.into_iter().take(most - added.len()).cloned().collect();
         let holdings = self.holdings_after(&wanted, &added, &dropped);
         let silent = holdings.iter().filter_map(|(id, holding)| match holding {
             Holding::Any => None,
@@ -118,7 +119,7 @@
         &self,
         wanted: &BTreeMap<WorkerId, Holding>,
         added: &[WorkerReport],
-        dropped: &Vec<WorkerId>,
+        dropped: &[WorkerId],
     ) -> BTreeMap<WorkerId, Holding> {
         let mut holdings = self.holdings.clone();
         holdings.retain(|id, _| !self.doubtful.contains(id) && !dropped.contains(id));
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -15,7 +15,7 @@
     sys::signal::{Signal, kill},
     unistd::Pid,
 };
-use ports::free_address;
+use ports::{free_address, probe};
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
 use tokio::{
@@ -140,8 +140,13 @@
         let log = fs::File::create(self.folder.join(format!("{name}.log"))).unwrap();
         let child =
             binary().arg("schedule").arg("--settings").arg(&path).stdout(log).spawn().unwrap();
-        let node = Node { process: Process(child), callers, readiness, metrics, peers };
-        until("readiness", async || self.is_ready(&node).await.then_some(())).await;
+        let mut node = Node { process: Process(child), callers, readiness, metrics, peers };
+        until("readiness", async || {
+            let ended = node.process.0.try_wait().unwrap();
+            assert!(ended.is_none(), "node {name} has ended: {ended:?}");
+            self.is_ready(&node).await.then_some(())
+        })
+        .await;
         node
     }
 
@@ -406,6 +411,16 @@
     site.until_state(&next, id, "succeeded").await;
 }
 
+/// A process that is being started holds a copy of every socket for a moment.
+#[test]
+fn an_address_can_be_used_while_a_copy_of_its_probe_is_still_open() {
+    let address = free_address();
+    let copy = probe(address.parse().unwrap()).unwrap();
+    let listener = std::net::TcpListener::bind(&address).unwrap();
+    assert!(probe(address.parse().unwrap()).is_err(), "somebody listens there");
+    drop((copy, listener));
+}
+
 #[test]
 fn settings_that_are_wrong_are_told_with_their_field() {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("wrong-scheduler.json");
