One guard for work that is still owned under a token

Ruled out: the same guard in drive.rs, which goes on with an event that it must not lose. No decision changes.

--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -1,7 +1,7 @@
 //! What an owner has kept in the store: progress, its roster, which hosts are empty, and how the
 //! others are used.
 
-use super::{Drive, Input, RosterEnd, SaveEnd, json};
+use super::{Drive, Input, Owned, RosterEnd, SaveEnd, json};
 use crate::{
     jobs::{event::Save, owner::Emptied, roster::RosterNote},
     model::{
@@ -47,6 +47,11 @@
 const EMPTY_AGAIN_MS: u64 = 700;
 
 impl Drive {
+    /// A piece of work, if this node still owns it under the token of an earlier decision.
+    fn owned_under(&mut self, name: &str, token: u64) -> Option<&mut Owned> {
+        self.owned.get_mut(name).filter(|owned| owned.owner.token == token)
+    }
+
     pub(super) fn save(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
             return;
@@ -72,8 +77,7 @@
     }
 
     pub(super) fn saved(&mut self, name: &str, token: u64, saves: &[Save], end: SaveEnd, now: Now) {
-        let Some(owned) = self.owned.get_mut(name).filter(|owned| owned.owner.token == token)
-        else {
+        let Some(owned) = self.owned_under(name, token) else {
             return;
         };
         owned.saving = owned.saving.saturating_sub(1);
@@ -130,8 +134,7 @@
         end: RosterEnd,
         now: Now,
     ) {
-        let owned = self.owned.get_mut(name);
-        let Some(owned) = owned.filter(|owned| owned.owner.token == token) else {
+        let Some(owned) = self.owned_under(name, token) else {
             return;
         };
         owned.rostering = false;
@@ -183,8 +186,7 @@
         done: bool,
         now: Now,
     ) {
-        let owned = self.owned.get_mut(name);
-        let Some(owned) = owned.filter(|owned| owned.owner.token == token) else {
+        let Some(owned) = self.owned_under(name, token) else {
             return;
         };
         owned.removing = false;
