A job that was removed stays so, whichever watch lags

Cause: an owner hears of its jobs by a watch of its own and by the mirror. When the first told of a removal, the view dropped the record and with it the revision that guards against older news; if progress was not heard yet, the whole job went, and the owner forgot that it had ended. The mirror, seconds behind on a busy node, then told of the record anew, and the job was run again. Ruled out: later owners (their view has come as far as their token, and ends are never removed). Change: the view keeps at which revision a job's record was removed, and takes in nothing older. Bound: one entry for each job whose end the store keeps, which the view holds anyway.

--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of what a node knows of the store.
 
+mod watches;
+
 use crate::{
     model::{
         job::{JobId, JobState, Progress},
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -84,6 +84,9 @@
     pub(crate) record: Option<At<Arc<JobRecord>>>,
     pub(crate) progress: Option<At<Arc<Progress>>>,
     pub(crate) cancelled: bool,
+    /// When the record was removed, as far as that was told; what is older is not taken in. Kept as
+    /// long as the job's end, which the store keeps too: one such entry for each job that ended.
+    removed: Revision,
 }
 
 impl KnownJob {
@@ -204,13 +207,17 @@
             Key::Id(_) => None,
             Key::Job(id) => {
                 let known = self.jobs.entry(id).or_default();
-                // Two watches tell of it.
-                if known.record.as_ref().is_some_and(|record| revision <= record.revision) {
+                // Two watches tell of it, and one of them may be seconds behind the other.
+                let heard = known.record.as_ref().map_or(known.removed, |record| record.revision);
+                if revision <= heard {
                     return None;
                 }
                 known.record = read(&text, value, revision).map(share);
-                self.drop_empty(id);
-                Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
+                if value.is_some() {
+                    return Some(Delta::Job(id));
+                }
+                known.removed = revision;
+                Some(Delta::Removed(id))
             }
             Key::Progress(id) => {
                 let known = self.jobs.entry(id).or_default();
@@ -275,7 +282,8 @@
 
     fn drop_empty(&mut self, id: JobId) {
         let known = &self.jobs[&id];
-        if known.record.is_none() && known.progress.is_none() && !known.cancelled {
+        let removed = known.removed != Revision::default();
+        if known.record.is_none() && known.progress.is_none() && !known.cancelled && !removed {
             self.jobs.remove(&id);
         }
     }
