Other nodes make the calls of an owner that has no time for them

Cause: one owner makes all calls to its pool's workers, 0.2 ms and 2 KB a task. At a turn of the large deployment these are some 4,000 starts a second, with as many looks; limits run out inside the node, and workers that answer are taken for silent (563 times by one owner of the small twin). Change: an owner of more workers than its processor allows has nodes that own nothing make its calls, in batches over one link to each.

--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -69,7 +69,7 @@
 }
 
 /// What an owner wants done.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Effect {
     Start { to: Addressee, start: Start },
     Stop { to: Addressee, task: TaskId, run: u32 },
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -198,6 +198,11 @@
         summary
     }
 
+    /// The pool's workers.
+    pub(crate) fn worker_ids(&self) -> Vec<WorkerId> {
+        self.workers.keys().cloned().collect()
+    }
+
     /// Says which hosts are to be emptied.
     pub(crate) fn set_emptying(&mut self, hosts: BTreeMap<HostId, Revision>) {
         self.emptying = hosts;
@@ -505,6 +510,12 @@
                 }
             }
             OrderEnd::Refused { why, .. } => self.start_refused(at, task, why, now),
+            OrderEnd::Unsent => {
+                self.drop_copy(task, at);
+                if let Some(entry) = self.task_mut(task) {
+                    entry.not_before = now.after(UNSENT_PAUSE_MS);
+                }
+            }
         }
     }
 
@@ -558,7 +569,9 @@
                 self.bury(at, "another life answers at its address");
             }
             // The next look that still finds the run has it stopped again.
-            OrderEnd::Refused { why: Refusal::Unwell, .. } | OrderEnd::Unknown => {}
+            OrderEnd::Refused { why: Refusal::Unwell, .. }
+            | OrderEnd::Unknown
+            | OrderEnd::Unsent => {}
             // The worker knows of no such run: what it does not list from now on is not there.
             OrderEnd::Refused { why, .. } => {
                 log::info!("job {}: task {task} at {at}: stop refused: {why:?}", task.of.job);
@@ -574,6 +587,9 @@
 /// How long a task or worker is left alone after an order was refused, in milliseconds: one look.
 const REFUSED_PAUSE_MS: u64 = 150;
 
+/// How long a task waits after its start never left its node, in milliseconds.
+const UNSENT_PAUSE_MS: u64 = 20;
+
 /// Whether two different workers cannot live at one time: a host runs one, and so does an address.
 fn shares_place(one: &WorkerReport, other: &WorkerReport) -> bool {
     one.id != other.id && (one.host == other.host || one.address == other.address)
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -20,6 +20,10 @@
 /// How long after an unanswered look the next is sent, in milliseconds.
 const MISSED_PAUSE_MS: u64 = 150;
 
+/// How long after a look that never left its node the next is sent, in milliseconds: by then
+/// another node makes the worker's calls.
+const UNSENT_PAUSE_MS: u64 = 20;
+
 /// How long an order to stop may be on its way before it is given again, in milliseconds.
 const STOP_AGAIN_MS: u64 = 900;
 
@@ -89,6 +93,7 @@
             OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
                 self.bury(id, "another life answers at its address");
             }
+            OrderEnd::Unsent => worker.next_look = now.steady.after(UNSENT_PAUSE_MS),
             OrderEnd::Refused { .. } | OrderEnd::Unknown => {
                 if worker.misses == 0 {
                     self.losses.note(now.steady);
@@ -270,7 +275,7 @@
         }
     }
 
-    fn task_mut(&mut self, task: TaskId) -> Option<&mut crate::jobs::job::Task> {
+    pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut crate::jobs::job::Task> {
         self.jobs.get_mut(&task.of.job)?.task_mut(task.of, task.index)
     }
 
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -43,6 +43,8 @@
     Done,
     AnswerLost,
     Lost,
+    /// It never left the node that was to carry it out; a look may have, but nothing came back.
+    Unsent,
     /// Unanswered, and carried out when the world gets round to it.
     Late,
 }
@@ -291,7 +293,7 @@
             return;
         };
         match fate {
-            Fate::Lost => {}
+            Fate::Lost | Fate::Unsent => {}
             Fate::Late => self.late_rosters.push((token, expects, note)),
             Fate::AnswerLost => {
                 self.write_roster(token, expects, &note);
@@ -428,6 +430,7 @@
             _ if !allowed => self.unanswered(owner, effect, sent),
             Fate::Done if reached => self.carry_out(owner, effect, sent, true),
             Fate::AnswerLost if reached => self.carry_out(owner, effect, sent, false),
+            Fate::Unsent => self.unsent(owner, effect, sent, reached),
             Fate::Late if reached => {
                 self.late.push(clone_order(&effect));
                 self.unanswered(owner, effect, sent);
@@ -443,19 +446,32 @@
         self.workers[place].alive && !self.workers[place].cut.contains(&owner)
     }
 
+    /// An order is lost between two nodes. A look may have been carried out all the same.
+    fn unsent(&mut self, owner: usize, effect: Effect, sent: u64, reached: bool) {
+        if reached && matches!(effect, Effect::Look { .. }) {
+            let _ = self.apply(clone_order(&effect), Steady::from_millis(sent));
+        }
+        self.ended_as(owner, effect, sent, true);
+    }
+
     fn unanswered(&mut self, owner: usize, effect: Effect, sent: u64) {
+        self.ended_as(owner, effect, sent, false);
+    }
+
+    fn ended_as(&mut self, owner: usize, effect: Effect, sent: u64, unsent: bool) {
+        fn end<T>(unsent: bool) -> OrderEnd<T> {
+            if unsent { OrderEnd::Unsent } else { OrderEnd::Unknown }
+        }
         let sent = Steady::from_millis(sent);
         let event = match effect {
             Effect::Start { to, start } => {
                 let (task, run) = (start.task, start.run);
-                Event::Started { worker: to.worker, task, run, end: OrderEnd::Unknown }
+                Event::Started { worker: to.worker, task, run, end: end(unsent) }
             }
             Effect::Stop { to, task, run } => {
-                Event::Stopped { worker: to.worker, task, run, end: OrderEnd::Unknown }
-            }
-            Effect::Look { to, .. } => {
-                Event::Looked { worker: to.worker, sent, end: OrderEnd::Unknown }
+                Event::Stopped { worker: to.worker, task, run, end: end(unsent) }
             }
+            Effect::Look { to, .. } => Event::Looked { worker: to.worker, sent, end: end(unsent) },
             Effect::Pace { .. } | Effect::Advise { .. } => return,
         };
         self.tell(owner, event);
@@ -644,7 +660,7 @@
             return;
         }
         match fate {
-            Fate::Lost => self.owners[owner].owner.not_saved(&saves),
+            Fate::Lost | Fate::Unsent => self.owners[owner].owner.not_saved(&saves),
             Fate::Late => {
                 self.owners[owner].owner.not_saved(&saves);
                 self.late_saves.push((token, saves));
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -3,6 +3,7 @@
 mod bound;
 mod export;
 mod node;
+mod owner;
 mod path;
 mod route;
 mod sample;
@@ -31,6 +32,8 @@
     Path { callers: u32, requests: u32 },
     /// What control costs a node.
     Node,
+    /// What an owner's decisions cost.
+    Owner,
     /// The choice of endpoints against baselines.
     Route,
 }
@@ -50,6 +53,7 @@
         }
         Experiment::Path { callers, requests } => path::measure(callers, requests)?,
         Experiment::Node => node::measure()?,
+        Experiment::Owner => owner::measure(),
         Experiment::Route => route::measure(),
     };
     println!("{}", figures.text());
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -28,6 +28,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(u64);
 
+impl JobId {
+    /// The identifier as a number.
+    pub(crate) fn number(self) -> u64 {
+        self.0
+    }
+
+    /// The identifier that is a number.
+    pub(crate) fn from_number(number: u64) -> JobId {
+        JobId(number)
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/src/model/worker.rs
+++ b/src/model/worker.rs
@@ -115,6 +115,9 @@
     },
     /// No answer: it may have been carried out, or may be later.
     Unknown,
+    /// It never left the node that was to send it, or it was a look of which word was lost between
+    /// two nodes: nothing was begun or stopped, and nothing is known of the worker.
+    Unsent,
 }
 
 /// What the platform is doing with a host.
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -20,10 +20,10 @@
 /// How long an order may stay unanswered. Workers answer within milliseconds, and a node that has
 /// used up its processor time stands still for a tenth of a second at the most. Whatever was sent
 /// begins nowhere else before it is known what became of it, so that a job waits for this.
-const ORDER_LIMIT: Duration = Duration::from_millis(300);
+pub(crate) const ORDER_LIMIT: Duration = Duration::from_millis(300);
 
 /// How much longer than its own wait a look may take, for the same reasons.
-const LOOK_SLACK: Duration = Duration::from_millis(300);
+pub(crate) const LOOK_SLACK: Duration = Duration::from_millis(300);
 
 /// A header that names the life of the worker that is meant.
 const LIFE_HEADER: &str = "Expect-Instance";
@@ -158,6 +158,7 @@
             OrderEnd::Done(answer) => look(to, answer),
             OrderEnd::Refused { why, clock_ms } => OrderEnd::Refused { why, clock_ms },
             OrderEnd::Unknown => OrderEnd::Unknown,
+            OrderEnd::Unsent => OrderEnd::Unsent,
         }
     }
 
@@ -239,6 +240,7 @@
         OrderEnd::Done(_) => OrderEnd::Done(0),
         OrderEnd::Refused { why, clock_ms } => OrderEnd::Refused { why, clock_ms },
         OrderEnd::Unknown => OrderEnd::Unknown,
+        OrderEnd::Unsent => OrderEnd::Unsent,
     }
 }
 
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -19,12 +19,13 @@
     platform::{
         caller::{self, PendingAnswer},
         kv::{Committed, Txn},
+        runner::Runners,
         store::StoreError,
     },
     scheduler::{
         Node,
         accept::{self, Accepted},
-        keys,
+        dispatch, keys,
         lease::Lease,
         relay::{Call, RELAYED_HEADER, Relay, Relayed},
     },
@@ -53,12 +54,19 @@
     pub(crate) node: Arc<Node>,
     pub(crate) lease: Arc<Lease>,
     pub(crate) relay: Relay,
+    /// Carries out orders of other nodes; none where only callers come.
+    pub(crate) orders: Option<Runners>,
 }
 
 impl Endpoint for Api {
     type Output = Response;
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
+        if let Some(runners) = &self.orders
+            && request.uri().path() == dispatch::PATH
+        {
+            return Ok(dispatch::serve::upgrade(&request, runners.clone()));
+        }
         let came = Instant::now();
         let method = method_name(request.method());
         let (queue, mut response) = self.answer(request).await;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -1,10 +1,12 @@
 //! Feeds the owners of pools with what happens, and carries out what they want done.
 
 mod keep;
+mod orders;
 mod reach;
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -18,21 +20,23 @@
 
 use crate::{
     jobs::{
-        event::{Effect, Event, Save},
+        event::{Event, Save},
         fleet::{Fleet, Leave},
+        helpers::Helpers,
         owner::{Emptied, HostUsage, Owner},
         roster::RosterNote,
     },
     model::{
-        id::{HostId, PoolId},
+        id::{HostId, PoolId, WorkerId},
         job::JobId,
-        order::Advised,
         unit::{Now, Revision, Steady},
-        worker::{ListedHost, OrderEnd, WorkerReport},
+        worker::{ListedHost, WorkerReport},
     },
     platform::{advice::Adviser, machines::Machines, runner::Runners},
     scheduler::{
-        Node, keys,
+        Node,
+        dispatch::link::{Links, Outgoing},
+        keys,
         lease::Lease,
         mirror,
         view::{Delta, View},
@@ -97,6 +101,8 @@
         leave: Leave,
         begun: Option<bool>,
     },
+    /// A worker gave no answer to the node that was to call it.
+    Detour(WorkerId),
     /// The node is to give back all that it owns.
     Leave,
 }
@@ -123,6 +129,8 @@
 struct Owned {
     pool: PoolId,
     owner: Owner,
+    /// Who makes the calls to its workers.
+    helpers: Helpers,
     /// Ends the owner's own watch with it.
     _following: DropGuard,
     /// Writes of progress on their way.
@@ -162,6 +170,13 @@
     runners: Runners,
     adviser: Option<Adviser>,
     advising: Arc<Semaphore>,
+    links: Links,
+    /// Orders of the present step, by the node that is to carry them out.
+    outbox: BTreeMap<SocketAddr, Vec<Outgoing>>,
+    /// Workers that gave no answer by way of another node, and until when this one calls them.
+    detours: HashMap<WorkerId, Steady>,
+    /// When it is next decided who makes whose calls.
+    next_helpers: Steady,
     owned: BTreeMap<String, Owned>,
     pub(super) fleet: Option<Fleet>,
     pub(super) next_fleet: Steady,
@@ -182,6 +197,7 @@
     pub(crate) fn new(
         node: Arc<Node>,
         lease: Arc<Lease>,
+        runners: Runners,
         to: mpsc::UnboundedSender<Input>,
     ) -> Drive {
         let hosts = node.settings.platform.hosts.to_string();
@@ -192,10 +208,14 @@
             node,
             lease,
             life: rand::random(),
-            runners: Runners::new(),
+            runners,
             adviser,
             // The service answers one question of a node at a time.
             advising: Arc::new(Semaphore::new(1)),
+            links: Links::default(),
+            outbox: BTreeMap::new(),
+            detours: HashMap::new(),
+            next_helpers: Steady::default(),
             owned: BTreeMap::new(),
             fleet: None,
             next_fleet: Steady::default(),
@@ -231,6 +251,7 @@
                 _ = tick.tick() => {}
             }
             self.step();
+            self.flush();
             stepped = Instant::now();
         }
     }
@@ -271,6 +292,7 @@
                     fleet.called(&host, leave, begun, now.steady);
                 }
             }
+            Input::Detour(worker) => self.detour(worker, now.steady),
             Input::Leave => self.leave(),
         }
     }
@@ -365,6 +387,7 @@
         self.take_up(now);
         self.reach(now);
         self.give(now);
+        self.choose_helpers(now.steady);
         if !self.lease.allows_orders(now.steady) {
             // Another node owns it by now: no order is given until the lease is known to hold.
             return;
@@ -481,6 +504,7 @@
         let owned = Owned {
             pool,
             owner,
+            helpers: Helpers::default(),
             _following: over.drop_guard(),
             saving: 0,
             next_save: now.steady,
@@ -496,93 +520,6 @@
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
     }
-
-    fn carry_out(&self, name: &str, token: u64, effects: Vec<Effect>) {
-        for effect in effects {
-            let (to, name) = (self.to.clone(), name.to_owned());
-            let tell = move |event: Event| {
-                let _ = to.send(Input::Owner { name, token, event: Box::new(event) });
-            };
-            self.carry_out_one(effect, tell);
-        }
-    }
-
-    fn carry_out_one(&self, effect: Effect, tell: impl FnOnce(Event) + Send + 'static) {
-        let (node, lease, runners) = (self.node.clone(), self.lease.clone(), self.runners.clone());
-        // Between the decision and this moment the process may have been paused.
-        let holds = move || lease.allows_orders(node.now().steady);
-        let metrics = self.node.metrics.clone();
-        let began = Instant::now();
-        match effect {
-            Effect::Start { to, start } => {
-                let (task, run, worker) = (start.task, start.run, to.worker.clone());
-                tokio::spawn(async move {
-                    let end = match holds() {
-                        true => runners.start(&to, &start).await,
-                        false => OrderEnd::Refused {
-                            why: crate::model::worker::Refusal::Late,
-                            clock_ms: None,
-                        },
-                    };
-                    metrics.ordered("start", outcome(&end), began.elapsed());
-                    tell(Event::Started { worker, task, run, end });
-                });
-            }
-            Effect::Stop { to, task, run } => {
-                tokio::spawn(async move {
-                    let end = match holds() {
-                        true => runners.stop(&to, task, run).await,
-                        false => OrderEnd::Unknown,
-                    };
-                    metrics.ordered("stop", outcome(&end), began.elapsed());
-                    tell(Event::Stopped { worker: to.worker, task, run, end });
-                });
-            }
-            Effect::Look { to, acknowledged, until_ms, wait } => {
-                let sent = self.node.now().steady;
-                tokio::spawn(async move {
-                    let end = match holds() {
-                        true => runners.look(&to, acknowledged, until_ms, wait).await,
-                        false => OrderEnd::Unknown,
-                    };
-                    metrics.ordered("look", outcome(&end), began.elapsed());
-                    tell(Event::Looked { worker: to.worker, sent, end });
-                });
-            }
-            Effect::Pace { to, task, run, percent } => {
-                tokio::spawn(async move {
-                    let end = match holds() {
-                        true => runners.pace(&to, task, run, percent).await,
-                        false => OrderEnd::Unknown,
-                    };
-                    metrics.ordered("pace", outcome(&end), began.elapsed());
-                    tell(Event::Paced { worker: to.worker, task, percent, end });
-                });
-            }
-            Effect::Advise { step, workers, needs } => {
-                let (adviser, advising) = (self.adviser.clone(), self.advising.clone());
-                let node = self.node.clone();
-                tokio::spawn(async move {
-                    let turn = advising.acquire().await;
-                    let sent = node.now().steady;
-                    let end = match &adviser {
-                        Some(adviser) => adviser.ask(step, &workers, needs).await,
-                        None => Advised::Failed,
-                    };
-                    drop(turn);
-                    tell(Event::Advised { step, asked: workers, sent, end });
-                });
-            }
-        }
-    }
-}
-
-fn outcome<T>(end: &OrderEnd<T>) -> &'static str {
-    match end {
-        OrderEnd::Done(_) => "done",
-        OrderEnd::Refused { .. } => "refused",
-        OrderEnd::Unknown => "unanswered",
-    }
 }
 
 /// The hosts that a pool's owner is to empty, by the revisions of their marks. A host that was
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -15,7 +15,7 @@
 use crate::{
     error::Error,
     http,
-    platform::kv::Kv,
+    platform::{kv::Kv, runner::Runners},
     scheduler::{
         Node, accept,
         api::{Api, Readiness},
@@ -69,12 +69,15 @@
     tokio::spawn(lease::keep(node.clone(), lease.clone()));
     tokio::spawn(accept::write(node.clone(), waiting));
     mirror::start(&node, &to);
-    tokio::spawn(Drive::new(node.clone(), lease.clone(), to.clone()).run(from));
+    let runners = Runners::new();
+    let drive = Drive::new(node.clone(), lease.clone(), runners.clone(), to.clone());
+    tokio::spawn(drive.run(from));
     let stop = http::Stop::default();
-    let api = || Api { node: node.clone(), lease: lease.clone(), relay: Relay::new() };
-    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api(), stop.clone()));
+    let api =
+        |orders| Api { node: node.clone(), lease: lease.clone(), relay: Relay::new(), orders };
+    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api(None), stop.clone()));
     if let Some(peers) = peers {
-        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, api(), stop.clone()));
+        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, api(Some(runners)), stop.clone()));
     }
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -126,9 +126,32 @@
 
     /// A node that reaches the store at an address of its own.
     async fn node_by(&self, name: &str, store: &str) -> Node {
+        self.node_with(name, store, 1.0).await
+    }
+
+    /// Three nodes with so little processor time that whichever owns the pool leaves the calls to
+    /// workers to those that own nothing.
+    async fn small_nodes(&self) -> Vec<Node> {
+        let mut nodes = Vec::new();
+        for name in ["one", "two", "three"] {
+            nodes.push(self.node_with(name, &self.address, 0.001).await);
+        }
+        nodes
+    }
+
+    /// The nodes, by their places, to which another has opened a link for its orders.
+    fn helpers(&self) -> Vec<usize> {
+        let log =
+            |name: &&str| fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap();
+        let names = ["one", "two", "three"];
+        let opened = |name: &&str| log(name).contains("orders: link opened");
+        names.iter().enumerate().filter(|(_, name)| opened(name)).map(|(place, _)| place).collect()
+    }
+
+    async fn node_with(&self, name: &str, store: &str, cores: f64) -> Node {
         let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let settings = json!({
-            "node": name, "zone": "hall-a",
+            "node": name, "zone": "hall-a", "cpu_cores": cores,
             "listen": {
                 "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers,
             },
@@ -337,6 +360,33 @@
     assert_eq!(ask("2").await, StatusCode::SERVICE_UNAVAILABLE);
 }
 
+/// An owner that has too little processor time for its calls has other nodes make them. One that is
+/// killed, or falls silent without closing its connections, costs no job and no second run.
+#[tokio::test]
+async fn other_nodes_make_an_owners_calls_and_may_fall_silent() {
+    let site = Site::start("helpers", 4).await;
+    let nodes = site.small_nodes().await;
+    let ids: Vec<String> = (1..20).map(|n| format!("{n:016x}")).collect();
+    let helper = until("an order by way of another node", async || {
+        site.hand_in(&nodes[0], &ids[0], &two_steps()).await;
+        site.helpers().first().copied()
+    })
+    .await;
+    let asked = &nodes[(helper + 1) % nodes.len()];
+    let signal = |signal| kill(Pid::from_raw(nodes[helper].process.0.id() as i32), signal).unwrap();
+    for (n, id) in ids.iter().enumerate() {
+        assert_eq!(site.hand_in(asked, id, &two_steps()).await, StatusCode::OK);
+        match n {
+            4 => signal(Signal::SIGSTOP),
+            9 => signal(Signal::SIGCONT),
+            14 => signal(Signal::SIGKILL),
+            _ => {}
+        }
+        site.until_state(asked, id, "succeeded").await;
+    }
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
 /// With the store away for all, nobody hands requests on in a circle.
 #[tokio::test]
 async fn nodes_that_all_miss_the_store_refuse_at_once() {
