Pools are sized by what arrives, and a wish past the fleet takes nothing from others

Cause: pools were wished three times the last second's growth of their backlog, up to 1,257 hosts where 132 exist, and hosts were shared by the part of the wish that was met, so that such a wish emptied the others. Half-full pools of hundreds of hosts are also paid for without need. Change: growth is forecast up to what keeps up with the last second's arrivals (with room for their spread); a pool has 3.2 times the square root of its hosts beside what its work fills, where that is less than the settings' share; hosts go to spread, to work that is there, to more, in this order, each time to the pool with the fewest. Decisions rest three times as long as they take.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -77,6 +77,10 @@
     pub(crate) spread: usize,
     /// Whether some of it ends by itself.
     pub(crate) ends: bool,
+    /// Processor time, in millicores, that it takes to keep up with what came within the last
+    /// second, and how many jobs these were.
+    pub(crate) arriving: u64,
+    pub(crate) arrivals: u32,
 }
 
 /// What a pool has and asks for, for the log.
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -15,6 +15,43 @@
 /// The time over which the growth of a demand is taken, in milliseconds.
 const GROWTH_MS: u64 = 1_000;
 
+/// How many hosts more than its work fills a pool has for one that fills one, against chance. With
+/// 3.2 a pool of ten is half full, as it is by the settings, and one of 600 at seven eighths.
+const CHANCE_HOSTS: f64 = 3.2;
+
+/// How many times the spread of one second's arrivals a forecast goes beyond them: of sixty jobs a
+/// second 1.4 times what came, of five 2.3 times.
+const ARRIVALS_SPREAD: f64 = 3.0;
+
+/// The most that a pool may be thought to ask for soon, in millicores: what it takes to keep up with
+/// the last second's arrivals, and as much more as chance makes them differ. The backlog of a peak
+/// grows far past that while its hosts are on their way, and says nothing of what will come.
+fn most_arriving(demand: &Demand) -> u64 {
+    let spread = ARRIVALS_SPREAD / f64::from(demand.arrivals.max(1)).sqrt();
+    (demand.arriving as f64 * (1.0 + spread)) as u64
+}
+
+/// What a pool asks for, in hosts.
+struct Wish {
+    /// For lasting tasks to be spread.
+    spread: usize,
+    /// For the work that is there.
+    needed: usize,
+    most: usize,
+}
+
+impl Wish {
+    /// Who gets the next host: lower comes first.
+    fn order(&self, has: usize) -> (u8, usize) {
+        let class = match () {
+            () if has < self.spread => 0,
+            () if has < self.needed => 1,
+            () => 2,
+        };
+        (class, has)
+    }
+}
+
 impl Fleet {
     pub(super) fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
         for (pool, demand) in scene.demands {
@@ -37,19 +74,35 @@
     }
 
     /// The processor time that a pool will ask for when hosts that are called now have come: what
-    /// it asks for now, and as much more as it grew by of late.
+    /// it asks for now, and as much more as it grew by of late, but no more than it takes to keep up
+    /// with what comes.
     pub(super) fn forecast(&self, pool: &PoolId, demand: &Demand) -> u64 {
         let before = self.asked.get(pool).and_then(|late| late.front()).map_or(0, |(_, cpu)| *cpu);
-        demand.cpu + demand.cpu.saturating_sub(before) * self.sizing.growth_percent / 100
+        let growth = demand.cpu.saturating_sub(before) * self.sizing.growth_percent / 100;
+        let grown = (demand.cpu + growth).min(most_arriving(demand));
+        grown.max(demand.cpu)
     }
 
     /// Hosts that a pool should have for a demand.
     pub(super) fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
+        let filled = self.hosts_for(self.forecast(pool, demand));
+        filled.max(demand.spread) + self.sizing.margin_hosts
+    }
+
+    /// Hosts that a pool needs for what it asks for now.
+    fn needed(&self, demand: &Demand) -> usize {
+        self.hosts_for(demand.cpu).max(self.floor(demand))
+    }
+
+    /// Hosts that carry some processor time: as full as the settings have it, or where that is fewer,
+    /// with room for chance, which grows as the square root of what they carry.
+    fn hosts_for(&self, cpu: u64) -> usize {
         let room = self.hosts.values().next().map(|host| host.room);
         let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
-        let filled = (self.forecast(pool, demand) * 100)
-            .div_ceil(host_cpu * self.sizing.full_percent) as usize;
-        filled.max(demand.spread) + self.sizing.margin_hosts
+        let by_share = (cpu * 100).div_ceil(host_cpu * self.sizing.full_percent);
+        let filled = cpu.div_ceil(host_cpu);
+        let by_chance = filled + (CHANCE_HOSTS * (filled as f64).sqrt()).ceil() as u64;
+        by_share.min(by_chance) as usize
     }
 
     /// Moves hosts between the pools and the one whose hosts are off.
@@ -105,23 +158,31 @@
         demand.spread + 1
     }
 
-    /// Hosts for each pool: what it wants, or where that is more than there are, hosts one by one
-    /// to the pool that has the smallest part of what it wants.
+    /// Hosts for each pool: what it wants. Where that is more than there are, hosts over which
+    /// lasting tasks are spread come first, then what is needed for the work that is there, then
+    /// what is wanted for more; each time one by one to the pool that has the fewest, so that one
+    /// with a large wish leaves those their hosts that need few.
     pub(super) fn shares(
         &self,
         scene: &Scene<'_>,
         pools: &[&PoolId],
         total: usize,
     ) -> BTreeMap<PoolId, usize> {
-        let wanted: Vec<usize> =
-            pools.iter().map(|pool| self.wanted(pool, &scene.demands[*pool])).collect();
-        let spread = |n: usize| self.floor(&scene.demands[pools[n]]).min(wanted[n]);
+        let wishes: Vec<Wish> = pools
+            .iter()
+            .map(|pool| {
+                let demand = &scene.demands[*pool];
+                let most = self.wanted(pool, demand);
+                let (spread, needed) =
+                    (self.floor(demand).min(most), self.needed(demand).min(most));
+                Wish { spread, needed, most }
+            })
+            .collect();
         let mut shares = vec![0; pools.len()];
-        for _ in 0..total.min(wanted.iter().sum()) {
-            let open = (0..pools.len()).filter(|n| shares[*n] < wanted[*n]);
-            // What lasts must stay spread, also while another pool peaks.
-            let order = |n: &usize| (spread(*n) <= shares[*n], shares[*n] * 1000 / wanted[*n]);
-            if let Some(n) = open.min_by_key(order) {
+        let all = wishes.iter().map(|wish| wish.most).sum();
+        for _ in 0..total.min(all) {
+            let open = (0..pools.len()).filter(|n| shares[*n] < wishes[*n].most);
+            if let Some(n) = open.min_by_key(|n| wishes[*n].order(shares[*n])) {
                 shares[n] += 1;
             }
         }
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -94,6 +94,11 @@
     fleet
 }
 
+/// Work that ends, and came long ago.
+fn asked(cpu: u64, spread: usize) -> Demand {
+    Demand { cpu, spread, ends: true, ..Demand::default() }
+}
+
 fn moves(effects: &[FleetEffect]) -> usize {
     effects.iter().filter(|effect| matches!(effect, FleetEffect::Move(..))).count()
 }
@@ -103,7 +108,7 @@
     let mut known = Known::new();
     let hosts = vec![listed(1, "busy"), listed(2, "off"), listed(3, "off"), listed(4, "off")];
     let mut fleet = fleet(hosts);
-    known.demands.insert(pool("busy"), Demand { cpu: 70_000, spread: 0, ends: true });
+    known.demands.insert(pool("busy"), asked(70_000, 0));
     fleet.plan(&known.scene(), at(100));
     // Decided first, and called in the next plan.
     assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 2);
@@ -186,7 +191,7 @@
 fn a_host_that_does_not_come_is_replaced_by_another() {
     let mut known = Known::new();
     let mut fleet = fleet(vec![listed(1, "busy"), listed(2, "off"), listed(3, "off")]);
-    known.demands.insert(pool("busy"), Demand { cpu: 1_000, spread: 2, ends: true });
+    known.demands.insert(pool("busy"), asked(1_000, 2));
     fleet.plan(&known.scene(), at(100));
     let first = fleet.plan(&known.scene(), at(200));
     assert_eq!(moves(&first), 1);
@@ -206,8 +211,8 @@
 fn a_peak_elsewhere_leaves_the_hosts_that_lasting_tasks_are_spread_over() {
     let mut known = Known::new();
     known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
-    known.demands.insert(pool("busy"), Demand { cpu: 1_000, spread: 3, ends: true });
-    known.demands.insert(pool("peak"), Demand { cpu: 9_000_000, spread: 0, ends: true });
+    known.demands.insert(pool("busy"), asked(1_000, 3));
+    known.demands.insert(pool("peak"), asked(9_000_000, 0));
     let hosts = (1..10).map(|n| listed(n, if n < 3 { "busy" } else { "peak" })).collect();
     let mut fleet = fleet(hosts);
     let effects = fleet.plan(&known.scene(), at(100));
@@ -221,8 +226,8 @@
 fn a_poorer_pool_gets_the_hosts_with_the_least_to_do() {
     let mut known = Known::new();
     known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
-    known.demands.insert(pool("busy"), Demand { cpu: 64_000, spread: 0, ends: true });
-    known.demands.insert(pool("peak"), Demand { cpu: 9_000_000, spread: 0, ends: true });
+    known.demands.insert(pool("busy"), asked(64_000, 0));
+    known.demands.insert(pool("peak"), asked(9_000_000, 0));
     let hosts = (1..7).map(|n| listed(n, if n < 6 { "busy" } else { "peak" })).collect();
     known.light = vec![host(4), host(2)];
     let mut fleet = fleet(hosts);
@@ -275,7 +280,7 @@
 fn a_host_that_is_marked_for_upkeep_is_not_moved_and_a_move_is_no_upkeep() {
     let mut known = Known::new();
     known.upkeeps = vec![Upkeep { wave: 1, hosts: vec![host(2)], period_ms: 20_000, at_once: 4 }];
-    known.demands.insert(pool("busy"), Demand { cpu: 70_000, spread: 0, ends: true });
+    known.demands.insert(pool("busy"), asked(70_000, 0));
     let mut fleet = fleet(vec![listed(1, "busy"), listed(2, "off")]);
     let first = fleet.plan(&known.scene(), at(100));
     assert!(first.contains(&FleetEffect::Mark(host(2), UPKEEP)), "{first:?}");
@@ -287,3 +292,45 @@
     let later = fleet.plan(&known.scene(), at(2_600));
     assert!(!later.iter().any(|e| matches!(e, FleetEffect::Maintained(..))), "{later:?}");
 }
+
+/// A pool with a wish far past the fleet took the hosts that others needed for what they had to do.
+#[test]
+fn a_wish_past_the_fleet_leaves_other_pools_what_they_need() {
+    let mut known = Known::new();
+    known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
+    known.demands.insert(pool("busy"), asked(400_000, 0));
+    known.demands.insert(pool("peak"), asked(40_000_000, 0));
+    let hosts = (1..101).map(|n| listed(n, if n < 19 { "busy" } else { "peak" })).collect();
+    let mut fleet = fleet(hosts);
+    let effects = fleet.plan(&known.scene(), at(100));
+    let gives = |effect: &&FleetEffect| matches!(effect, FleetEffect::Mark(_, Leave::Move(to)) if *to == pool("peak"));
+    assert_eq!(effects.iter().filter(gives).count(), 0, "{effects:?}");
+}
+
+/// Hosts for the first second of a turn of 60 jobs a second, 264 core-seconds each: about the
+/// 15,840 cores that it takes, not three times the growth of its backlog.
+#[test]
+fn a_turn_calls_the_hosts_that_its_arrivals_need() {
+    let mut known = Known::new();
+    let mut hosts: Vec<ListedHost> = (0..100).map(|n| listed(n, "busy")).collect();
+    hosts.extend((100..1_100).map(|n| listed(n, "off")));
+    let sizing =
+        Sizing { full_percent: 50, growth_percent: 300, margin_hosts: 3, shrink_after_ms: 2_500 };
+    let mut fleet = Fleet::new(7, sizing, at(0));
+    fleet.heard_list(at(1), Some(hosts));
+    let mut called = 0;
+    for tick in 1..=10 {
+        let part = tick * 1_000 / 10;
+        let turn = Demand {
+            cpu: 9_300 * part,
+            ends: true,
+            arriving: 15_840 * part,
+            arrivals: (60 * tick / 10) as u32,
+            ..Demand::default()
+        };
+        known.demands.insert(pool("busy"), turn);
+        called += moves(&fleet.plan(&known.scene(), at(tick * 100)));
+    }
+    let has = 100 + called;
+    assert!((500..760).contains(&has), "{has} hosts of 32 cores");
+}
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -50,6 +50,14 @@
 /// looks at all open jobs, and at hundreds of events a second each would cost more than the orders.
 const STEP_PAUSE: Duration = Duration::from_millis(4);
 
+/// How much longer than a decision took the pause after it is, at the least: deciding takes a
+/// quarter of the node's time at the most, and calls, messages and callers have the rest. An owner of
+/// 900 workers takes some 3 ms a decision on half a core.
+const STEP_REST: u32 = 3;
+
+/// The longest pause between two decisions while events wait.
+const STEP_MOST_PAUSE: Duration = Duration::from_millis(60);
+
 /// How often the owned pools are told of in the log, in milliseconds.
 pub(super) const SUMMARY_MS: u64 = 1_000;
 
@@ -234,13 +242,13 @@
     pub(crate) async fn run(mut self, mut from: mpsc::UnboundedReceiver<Input>) {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut stepped = Instant::now();
+        let (mut stepped, mut pause) = (Instant::now(), STEP_PAUSE);
         loop {
             tokio::select! {
                 input = from.recv() => {
                     let Some(input) = input else { return };
                     self.take(input);
-                    let early = STEP_PAUSE.saturating_sub(stepped.elapsed());
+                    let early = pause.saturating_sub(stepped.elapsed());
                     if !early.is_zero() {
                         sleep(early).await;
                     }
@@ -250,9 +258,11 @@
                 }
                 _ = tick.tick() => {}
             }
+            let began = Instant::now();
             self.step();
             self.flush();
             stepped = Instant::now();
+            pause = (STEP_REST * (stepped - began)).clamp(STEP_PAUSE, STEP_MOST_PAUSE);
         }
     }
 
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -211,6 +211,7 @@
         if let Some(record) = &job.record {
             let demand = demands.entry(record.value.pool.clone()).or_default();
             add_demand(demand, &record.value, job, wall);
+            add_arrival(demand, &record.value, wall);
         }
     }
     let marks = |at: &crate::scheduler::view::At<Leave>| at.value.clone();
@@ -240,6 +241,23 @@
     })
 }
 
+/// The time over which arrivals are counted.
+const ARRIVALS: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Adds what it takes to keep up with a job, if it came lately: its work, done within that time.
+fn add_arrival(demand: &mut Demand, record: &JobRecord, wall: Time) {
+    if ARRIVALS <= wall.since(record.accepted) {
+        return;
+    }
+    let passing = record.steps.iter().filter(|step| !step.lasting);
+    let work = passing.map(|step| {
+        let cpu = u64::from(step.count) * u64::from(step.charge().cpu.0);
+        cpu * step.estimate_ms / ARRIVALS.as_millis() as u64
+    });
+    demand.arriving += work.sum::<u64>();
+    demand.arrivals += 1;
+}
+
 /// Adds what a job's steps ask for whose turn has come.
 fn add_demand(demand: &mut Demand, record: &JobRecord, job: &KnownJob, wall: Time) {
     let none = Progress::default();
