Hosts go to work that can be in time before late work

Change: what a pool asks for is told apart by whether its jobs can still be in time; late work comes last and asks for half of what it could use; a pool with timely work waiting also takes hosts that are busy, if none of their tasks lasts (they take no new ones, and leave once theirs have ended).

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -71,8 +71,10 @@
 /// What a pool asks for now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(crate) struct Demand {
-    /// Processor time of what runs or could run, in millicores.
+    /// Processor time of what runs or could run, in millicores, of jobs that can end in time.
     pub(crate) cpu: u64,
+    /// The same, of jobs that cannot.
+    pub(crate) late: u64,
     /// Hosts over which its tasks must be spread.
     pub(crate) spread: usize,
     /// Whether some of it ends by itself.
@@ -95,17 +97,19 @@
     pub(crate) expected: usize,
     /// Hosts that its demand asks for.
     pub(crate) wanted: usize,
-    /// Processor time that its demand asks for, in cores.
+    /// Processor time that work which can be in time asks for, in cores.
     pub(crate) cores: u64,
+    /// The same of late work.
+    pub(crate) late: u64,
 }
 
 impl fmt::Display for PoolSummary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let PoolSummary { pool, listed, free, expected, wanted, cores } = self;
+        let PoolSummary { pool, listed, free, expected, wanted, cores, late } = self;
         write!(
             f,
             "fleet: pool {pool}: {listed} hosts, {free} stay, {expected} come, {wanted} wanted for \
-             {cores} cores"
+             {cores} cores, {late} of late work"
         )
     }
 }
@@ -127,6 +131,8 @@
     /// Hosts with little to do, as their pools' owners last wrote: by pool, the one with the least
     /// first.
     pub(crate) light: &'a [HostId],
+    /// Hosts with more to do, none of which lasts: by pool, the one with the least first.
+    pub(crate) busy: &'a [HostId],
     /// Hosts that an earlier owner has called so lately that another must not yet.
     pub(crate) resting: &'a BTreeSet<HostId>,
 }
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -31,12 +31,30 @@
     (demand.arriving as f64 * (1.0 + spread)) as u64
 }
 
+/// The share, in percent, of the processor time that late work could use for which a pool asks for
+/// hosts: it earns about what its hosts cost, and must be done all the same.
+const LATE_PERCENT: u64 = 50;
+
+/// Which hosts a pool takes that has less than its share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taking {
+    /// Those that have little to do: they leave soon.
+    Light,
+    /// Also those that have more to do, since work is waiting that can be in time.
+    Busy,
+    /// Any, since lasting tasks need them.
+    Any,
+}
+
 /// What a pool asks for, in hosts.
 struct Wish {
     /// For lasting tasks to be spread.
     spread: usize,
-    /// For the work that is there.
+    /// For the work that is there and can be in time.
     needed: usize,
+    /// And for what will come.
+    timely: usize,
+    /// And for late work.
     most: usize,
 }
 
@@ -46,7 +64,8 @@
         let class = match () {
             () if has < self.spread => 0,
             () if has < self.needed => 1,
-            () => 2,
+            () if has < self.timely => 2,
+            () => 3,
         };
         (class, has)
     }
@@ -83,8 +102,15 @@
         grown.max(demand.cpu)
     }
 
-    /// Hosts that a pool should have for a demand.
+    /// Hosts that a pool should have for a demand, late work included.
     pub(super) fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
+        let late = demand.late * LATE_PERCENT / 100;
+        let filled = self.hosts_for(self.forecast(pool, demand) + late);
+        filled.max(demand.spread) + self.sizing.margin_hosts
+    }
+
+    /// Hosts that a pool should have for what can be done in time.
+    fn timely(&self, pool: &PoolId, demand: &Demand) -> usize {
         let filled = self.hosts_for(self.forecast(pool, demand));
         filled.max(demand.spread) + self.sizing.margin_hosts
     }
@@ -131,7 +157,13 @@
                 }
                 let floor = self.floor(&scene.demands[*pool]);
                 let short = free[*pool].len() < floor;
-                let Some(host) = self.borrowed(scene, &mut free, &shares, short) else {
+                let needs = free[*pool].len() < self.needed(&scene.demands[*pool]);
+                let taking = match () {
+                    () if short => Taking::Any,
+                    () if needs => Taking::Busy,
+                    () => Taking::Light,
+                };
+                let Some(host) = self.borrowed(scene, &mut free, &shares, taking) else {
                     break;
                 };
                 self.mark(host, Leave::Move((*pool).clone()), now, out);
@@ -159,8 +191,8 @@
     }
 
     /// Hosts for each pool: what it wants. Where that is more than there are, hosts over which
-    /// lasting tasks are spread come first, then what is needed for the work that is there, then
-    /// what is wanted for more; each time one by one to the pool that has the fewest, so that one
+    /// lasting tasks are spread come first, then what is needed for the work that can be in time,
+    /// then what is wanted for more, and late work last; each time one by one to the pool that has the fewest, so that one
     /// with a large wish leaves those their hosts that need few.
     pub(super) fn shares(
         &self,
@@ -173,9 +205,12 @@
             .map(|pool| {
                 let demand = &scene.demands[*pool];
                 let most = self.wanted(pool, demand);
-                let (spread, needed) =
-                    (self.floor(demand).min(most), self.needed(demand).min(most));
-                Wish { spread, needed, most }
+                Wish {
+                    spread: self.floor(demand).min(most),
+                    needed: self.needed(demand).min(most),
+                    timely: self.timely(pool, demand).min(most),
+                    most,
+                }
             })
             .collect();
         let mut shares = vec![0; pools.len()];
@@ -190,22 +225,28 @@
     }
 
     /// A host of a pool that has more than its share: an idle one, or else the one with the least
-    /// to do; any, if lasting tasks need it.
-    pub(super) fn borrowed(
+    /// to do, as far as such hosts are taken.
+    fn borrowed(
         &self,
         scene: &Scene<'_>,
         free: &mut BTreeMap<PoolId, Vec<HostId>>,
         shares: &BTreeMap<PoolId, usize>,
-        busy: bool,
+        taking: Taking,
     ) -> Option<HostId> {
         for (pool, hosts) in free.iter_mut() {
             if hosts.len() <= shares[pool] {
                 continue;
             }
             let idle = hosts.iter().position(|host| scene.idle.contains(host));
-            let mut light = scene.light.iter();
-            let light = light.find_map(|host| hosts.iter().position(|here| here == host));
-            if let Some(place) = idle.or(light).or(busy.then_some(hosts.len() - 1)) {
+            let first = |listed: &[HostId]| {
+                listed.iter().find_map(|host| hosts.iter().position(|here| here == host))
+            };
+            let place = idle.or_else(|| first(scene.light)).or_else(|| match taking {
+                Taking::Light => None,
+                Taking::Busy => first(scene.busy),
+                Taking::Any => Some(hosts.len() - 1),
+            });
+            if let Some(place) = place {
                 return Some(hosts.remove(place));
             }
         }
@@ -235,6 +276,7 @@
                 expected: self.expected(scene, pool, now),
                 wanted: self.wanted(pool, demand),
                 cores: demand.cpu / 1000,
+                late: demand.late / 1000,
             }
         };
         scene.demands.iter().map(of).collect()
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -71,6 +71,9 @@
     /// Hosts with little to do, none of which lasts: the one with the least first.
     #[serde(rename = "l", default)]
     pub(crate) light: Vec<HostId>,
+    /// Hosts with more to do, none of which lasts: the one with the least first.
+    #[serde(rename = "b", default)]
+    pub(crate) busy: Vec<HostId>,
 }
 
 /// A host on which nothing runs or can begin, as long as its mark stands.
@@ -224,20 +227,21 @@
     /// How the pool's hosts are used.
     pub(crate) fn usage(&self) -> HostUsage {
         let mut usage = HostUsage::default();
-        let mut light = Vec::new();
+        let (mut light, mut busy) = (Vec::new(), Vec::new());
         for worker in self.workers.values().filter(|worker| worker.touched) {
             let host = worker.report.host.clone();
             let share = worker.used.cpu.0 * 100 / worker.report.room.cpu.0.max(1);
             if worker.copies.is_empty() {
                 usage.idle.insert(host);
-            } else if share <= LIGHT_PERCENT
-                && !worker.copies.keys().any(|task| self.is_lasting(task))
-            {
-                light.push((share, host));
+            } else if !worker.copies.keys().any(|task| self.is_lasting(task)) {
+                let list = if share <= LIGHT_PERCENT { &mut light } else { &mut busy };
+                list.push((share, host));
             }
         }
         light.sort();
+        busy.sort();
         usage.light = light.into_iter().map(|(_, host)| host).collect();
+        usage.busy = busy.into_iter().map(|(_, host)| host).collect();
         usage
     }
 
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -26,6 +26,7 @@
     reported: BTreeSet<u64>,
     idle: BTreeSet<HostId>,
     light: Vec<HostId>,
+    busy: Vec<HostId>,
     resting: BTreeSet<HostId>,
 }
 
@@ -43,6 +44,7 @@
             reported: BTreeSet::new(),
             idle: BTreeSet::new(),
             light: Vec::new(),
+            busy: Vec::new(),
             resting: BTreeSet::new(),
         }
     }
@@ -58,6 +60,7 @@
             reported: &self.reported,
             idle: &self.idle,
             light: &self.light,
+            busy: &self.busy,
             resting: &self.resting,
         }
     }
@@ -334,3 +337,21 @@
     let has = 100 + called;
     assert!((500..760).contains(&has), "{has} hosts of 32 cores");
 }
+
+/// A pool with a backlog that earns nothing any more kept the hosts that another needed for work
+/// that could be in time.
+#[test]
+fn hosts_leave_late_work_for_work_that_can_be_in_time() {
+    let mut known = Known::new();
+    known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
+    let late = Demand { cpu: 64_000, late: 9_000_000, ends: true, ..Demand::default() };
+    known.demands.insert(pool("busy"), late);
+    known.demands.insert(pool("peak"), asked(9_000_000, 0));
+    known.busy = (1..9).map(host).collect();
+    let hosts = (1..11).map(|n| listed(n, if n < 10 { "busy" } else { "peak" })).collect();
+    let mut fleet = fleet(hosts);
+    let effects = fleet.plan(&known.scene(), at(100));
+    let gives = |effect: &&FleetEffect| matches!(effect, FleetEffect::Mark(_, Leave::Move(to)) if *to == pool("peak"));
+    // Three stay for what can be in time, and one to be moved to.
+    assert_eq!(effects.iter().filter(gives).count(), 6, "{effects:?}");
+}
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -47,6 +47,7 @@
     reported: BTreeSet<u64>,
     idle: BTreeSet<HostId>,
     light: Vec<HostId>,
+    busy: Vec<HostId>,
     resting: BTreeSet<HostId>,
 }
 
@@ -75,6 +76,7 @@
             reported: &known.reported,
             idle: &known.idle,
             light: &known.light,
+            busy: &known.busy,
             resting: &known.resting,
         };
         let token = fleet.token;
@@ -238,6 +240,7 @@
         resting: BTreeSet::new(),
         idle: view.usages.values().flat_map(|at| at.value.idle.iter().cloned()).collect(),
         light: view.usages.values().flat_map(|at| at.value.light.iter().cloned()).collect(),
+        busy: view.usages.values().flat_map(|at| at.value.busy.iter().cloned()).collect(),
     })
 }
 
@@ -258,6 +261,30 @@
     demand.arrivals += 1;
 }
 
+/// What a job asks for now.
+#[derive(Default)]
+struct Asked {
+    /// Processor time of the steps whose turn has come, in millicores.
+    cpu: u64,
+    /// Work of the longest chain that is left, in milliseconds.
+    left_ms: u64,
+}
+
+/// The share of a job's declared work, in percent, that is taken as certain to be left: what callers
+/// declare is off by half in both directions.
+const CERTAIN_PERCENT: u64 = 60;
+
+/// Whether a job cannot end in time any more, by what its caller declared.
+fn is_late(record: &JobRecord, asked: &Asked, wall: Time) -> bool {
+    if record.is_lasting() || record.times() != 1 {
+        return false;
+    }
+    let chain: u64 = record.steps.iter().map(|step| step.estimate_ms).sum();
+    let objective = chain * u64::from(record.stretch) / 100 + record.target_ms;
+    let age = wall.since(record.due(0)).as_millis() as u64;
+    objective < age + asked.left_ms * CERTAIN_PERCENT / 100
+}
+
 /// Adds what a job's steps ask for whose turn has come.
 fn add_demand(demand: &mut Demand, record: &JobRecord, job: &KnownJob, wall: Time) {
     let none = Progress::default();
@@ -265,11 +292,16 @@
     let done = |time: u32, number: u32| {
         progress.steps.get(&format!("{time}.{number}")).map_or(0, |note| note.done.len() as u32)
     };
+    let mut asked = Asked::default();
     for time in 0..record.times() {
         if wall < record.due(time) {
             continue;
         }
         for (number, step) in record.steps.iter().enumerate() {
+            let left = step.count.saturating_sub(done(time, number as u32));
+            if left != 0 {
+                asked.left_ms += step.estimate_ms;
+            }
             let ready = step.after.iter().all(|earlier| {
                 record
                     .steps
@@ -279,12 +311,15 @@
             if !ready {
                 continue;
             }
-            let left = step.count.saturating_sub(done(time, number as u32));
             demand.ends |= !step.lasting && left != 0;
-            demand.cpu += u64::from(left) * u64::from(step.charge().cpu.0);
+            asked.cpu += u64::from(left) * u64::from(step.charge().cpu.0);
             if step.apart != 0 && step.lasting {
                 demand.spread = demand.spread.max(left.div_ceil(step.apart) as usize);
             }
         }
     }
+    match is_late(record, &asked, wall) {
+        true => demand.late += asked.cpu,
+        false => demand.cpu += asked.cpu,
+    }
 }
