Only nodes that may own work hear of everything

Change: twelve nodes (setting `keepers`), those with the most processor time, and owners hear of all records and workers. The others hear of configurations, nodes and counts of waiting jobs, and answer a caller's question by one read of what the store keeps of the job; records of one job lie under one prefix for that. Work goes to the first kind only. Tests: a node that hears of little answers all questions and takes over when the others are gone.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -23,7 +23,7 @@
     },
     model::{
         id::{HostId, WorkerId},
-        job::{JobId, Room, TaskId},
+        job::{JobId, JobState, Room, TaskId},
         unit::{Now, Revision, Steady},
         worker::{OrderEnd, Refusal, WorkerReport},
     },
@@ -245,6 +245,16 @@
         usage
     }
 
+    /// How many jobs of each queue have not begun.
+    pub(crate) fn queued(&self) -> BTreeMap<String, usize> {
+        let mut queued = BTreeMap::new();
+        for job in self.jobs.values() {
+            let waits = job.is_open() && job.state == JobState::Queued;
+            *queued.entry(job.record.queue.clone()).or_default() += usize::from(waits);
+        }
+        queued
+    }
+
     fn is_lasting(&self, task: &TaskId) -> bool {
         self.jobs.get(&task.of.job).is_some_and(|job| job.step(task.of.step).lasting)
     }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -222,18 +222,6 @@
         Kv { client, bulk, peer: address.into(), limit, note: Arc::new(note) }
     }
 
-    /// Reads one key, as it stands now.
-    pub(crate) async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
-        let query = [("private_key", key)];
-        let request = self.client.get(self.url("kv-key")).query(&query);
-        let answer = self.send("get", request, self.limit).await?;
-        match answer.status {
-            StatusCode::OK => self.item(answer.step, self.parse(&answer)?).map(Some),
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => Err(self.refused(&answer)),
-        }
-    }
-
     /// Reads all keys that begin with a prefix, and the revision from which a watch goes on: that
     /// of the first page, since pages are no snapshot.
     pub(crate) async fn range(&self, prefix: &str) -> Result<(Vec<Item>, Revision), StoreError> {
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -28,6 +28,7 @@
         dispatch, keys,
         lease::Lease,
         relay::{Call, RELAYED_HEADER, Relay, Relayed},
+        view,
     },
 };
 
@@ -203,13 +204,7 @@
         if *method != Method::GET {
             return http::text(StatusCode::METHOD_NOT_ALLOWED, "GET\n");
         }
-        let view = self.node.view();
-        let waits = |known: &&crate::scheduler::view::KnownJob| {
-            let here = known.record.as_ref().is_some_and(|record| record.value.queue == queue.name);
-            here && known.state() == JobState::Queued
-        };
-        let pending = view.jobs.values().filter(waits).count();
-        drop(view);
+        let pending = self.node.view().pending(&queue.name);
         http::json(StatusCode::OK, &PendingAnswer { pending })
     }
 
@@ -252,12 +247,8 @@
     }
 
     async fn state(&self, id: JobId) -> Response {
-        let known = self.node.view().jobs.get(&id).filter(|known| known.is_accepted()).cloned();
-        if let Some(known) = known {
-            return http::json(StatusCode::OK, &caller::state(known.state()));
-        }
-        match self.node.kv.get(&keys::id(id)).await {
-            Ok(Some(_)) => http::json(StatusCode::OK, &caller::state(JobState::Queued)),
+        match self.standing(id).await {
+            Ok(Some(state)) => http::json(StatusCode::OK, &caller::state(state)),
             Ok(None) => http::text(StatusCode::GONE, "there is no such job\n"),
             Err(error) => {
                 log::info!("job {id}: state not known: {error}");
@@ -266,19 +257,25 @@
         }
     }
 
-    async fn cancel(&self, id: JobId, deadline: Instant) -> Response {
-        let known = self.node.view().jobs.get(&id).cloned();
-        if known.as_ref().is_some_and(|known| known.state().is_final()) {
-            return http::text(StatusCode::OK, "");
+    /// How a job stands; nothing if it was never accepted. By what the node hears, or what it has
+    /// not heard of by what the store has.
+    async fn standing(&self, id: JobId) -> Result<Option<JobState>, StoreError> {
+        let known = self.node.view().jobs.get(&id).filter(|known| known.is_accepted()).cloned();
+        if let Some(known) = known {
+            return Ok(Some(known.state()));
         }
-        if known.is_none_or(|known| known.record.is_none()) {
-            match self.node.kv.get(&keys::id(id)).await {
-                Ok(Some(_)) => {}
-                Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
-                Err(error) => {
-                    log::info!("job {id}: cancel not taken: {error}");
-                    return away("the store is not reached");
-                }
+        let (items, _) = self.node.kv.range(&keys::standing(id)).await?;
+        Ok(view::standing(id, &items))
+    }
+
+    async fn cancel(&self, id: JobId, deadline: Instant) -> Response {
+        match self.standing(id).await {
+            Ok(Some(state)) if state.is_final() => return http::text(StatusCode::OK, ""),
+            Ok(Some(_)) => {}
+            Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
+            Err(error) => {
+                log::info!("job {id}: cancel not taken: {error}");
+                return away("the store is not reached");
             }
         }
         let key = keys::cancel(id);
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -161,6 +161,10 @@
     told_usage: Option<HostUsage>,
     /// When it is next looked at.
     next_usage: Steady,
+    /// How many jobs of each queue had not begun when that was last written.
+    told_queued: BTreeMap<String, usize>,
+    /// When that is next looked at.
+    next_queued: Steady,
 }
 
 /// A piece of work that nobody owns.
@@ -425,6 +429,7 @@
             self.remove_finished(&name, now);
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
+            self.tell_queued(&name, now);
         }
         if self.lease.held(now.steady).is_some() {
             self.fleet_step(now);
@@ -527,6 +532,8 @@
             next_removal: now.steady,
             told_usage: None,
             next_usage: now.steady,
+            told_queued: BTreeMap::new(),
+            next_queued: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -38,6 +38,14 @@
 /// The least time between two words on how hosts are used, in milliseconds: a hint only.
 const USAGE_PAUSE_MS: u64 = 300;
 
+/// The least time between two words on how many jobs have not begun, in milliseconds: callers may
+/// be told what is two seconds old, and other nodes hear of it half a second later at the most.
+const QUEUED_PAUSE_MS: u64 = 500;
+
+/// How much later it is told again though nothing has changed, in milliseconds: the last word may
+/// not have been taken.
+const QUEUED_AGAIN_MS: u64 = 1_000;
+
 /// Workers' records in one transaction, beside two conditions and the record of those that are
 /// silent.
 const ROSTER_BATCH: usize = TXN_ENTRIES - 3;
@@ -261,6 +269,34 @@
     }
 }
 
+impl Drive {
+    /// Tells the nodes that do not hear of jobs how many have not begun.
+    pub(super) fn tell_queued(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if now.steady < owned.next_queued {
+            return;
+        }
+        let queued = owned.owner.queued();
+        let again = owned.next_queued.after(QUEUED_AGAIN_MS) <= now.steady;
+        if owned.told_queued == queued && !again {
+            return;
+        }
+        owned.next_queued = now.steady.after(QUEUED_PAUSE_MS);
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(owned.owner.token))
+            .put(keys::queued(name), json(&queued));
+        owned.told_queued = queued;
+        let (node, name) = (self.node.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::debug!("owner {name}: jobs that wait not written: {error}");
+            }
+        });
+    }
+}
+
 /// Writes what workers may hold under the condition that there is no later owner, and no write
 /// since the one before.
 async fn write_note(
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -76,14 +76,15 @@
         }
     }
 
-    /// The nodes that may own work, with what they own by the view; of this one, with all that it
+    /// The nodes that hear of everything and may own work, with what they own by the view; of this one, with all that it
     /// has won or reaches for.
     fn nodes(&self) -> BTreeMap<String, Capacity> {
         let view = self.node.view();
-        let none = Millicores(0);
+        let (none, keepers) = (Millicores(0), view.keepers(self.node.settings.keepers));
         let mut nodes: BTreeMap<String, Capacity> = view
             .nodes
             .iter()
+            .filter(|(name, _)| keepers.contains(name.as_str()))
             .map(|(name, at)| (name.clone(), Capacity { cpu: at.value.cpu, used: none }))
             .collect();
         for (name, owner) in &view.owners {
@@ -132,7 +133,7 @@
     /// The pieces of work that nobody owns, or this node without acting on it.
     fn vacancies(&self) -> BTreeSet<String> {
         let view = self.node.view();
-        let Some(config) = view.is_ready().then_some(view.config.as_ref()).flatten() else {
+        let Some(config) = view.is_whole().then_some(view.config.as_ref()).flatten() else {
             return BTreeSet::new();
         };
         let pools = config.pools.keys().map(keys::pool);
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -11,9 +11,8 @@
 /// What belongs to one piece of work: its owner, and the jobs handed in to it. One watch of both
 /// hears of a new owner before any job that came after it.
 const WORK: &str = "ch/work/";
-const ID: &str = "ch/id/";
-const PROGRESS: &str = "ch/progress/";
-const CANCEL: &str = "ch/cancel/";
+/// What is kept of a job beside what was handed in: one read tells how it stands.
+const STANDING: &str = "ch/job/";
 const TERM: &str = "ch/term/";
 const LEAVE: &str = "ch/leave/";
 const EMPTY: &str = "ch/empty/";
@@ -22,7 +21,11 @@
 const USAGE: &str = "ch/usage/";
 const ROSTER: &str = "ch/roster/";
 const AWAY: &str = "ch/away/";
-const NODE: &str = "ch/node/";
+const NODE: &str = "ch/all/node/";
+const QUEUED: &str = "ch/all/queued/";
+
+/// What every node hears of, whether or not it may own work.
+pub(crate) const ALL: &str = "ch/all/";
 
 /// The work of all pools together: waves of upkeep, and hosts that change pools.
 pub(crate) const FLEET: &str = "fleet";
@@ -58,6 +61,8 @@
     Called(HostId),
     /// A node that may own work, by its name.
     Node(String),
+    /// How many jobs of each queue have not begun, by the owner of a pool.
+    Queued(String),
 }
 
 impl Key {
@@ -70,14 +75,15 @@
                 (_, record) => record.strip_prefix("job/")?.parse().ok().map(Key::Job),
             };
         }
-        if let Some(id) = rest(ID) {
-            return id.parse().ok().map(Key::Id);
-        }
-        if let Some(id) = rest(PROGRESS) {
-            return id.parse().ok().map(Key::Progress);
-        }
-        if let Some(id) = rest(CANCEL) {
-            return id.parse().ok().map(Key::Cancel);
+        if let Some(standing) = rest(STANDING) {
+            let (id, kind) = standing.split_once('/')?;
+            let id = id.parse().ok()?;
+            return match kind {
+                "id" => Some(Key::Id(id)),
+                "progress" => Some(Key::Progress(id)),
+                "cancel" => Some(Key::Cancel(id)),
+                _ => None,
+            };
         }
         if let Some(name) = rest(TERM) {
             return Some(Key::Term(name.to_owned()));
@@ -101,6 +107,9 @@
         if let Some(name) = rest(NODE) {
             return Some(Key::Node(name.to_owned()));
         }
+        if let Some(name) = rest(QUEUED) {
+            return Some(Key::Queued(name.to_owned()));
+        }
         if let Some(host) = rest(CALLED) {
             return host.parse().ok().map(Key::Called);
         }
@@ -117,16 +126,25 @@
     format!("{WORK}{}/job/{id}", self::pool(pool))
 }
 
+/// All that is kept of how a job stands.
+pub(crate) fn standing(id: JobId) -> String {
+    format!("{STANDING}{id}/")
+}
+
 pub(crate) fn id(id: JobId) -> String {
-    format!("{ID}{id}")
+    format!("{STANDING}{id}/id")
 }
 
 pub(crate) fn progress(id: JobId) -> String {
-    format!("{PROGRESS}{id}")
+    format!("{STANDING}{id}/progress")
 }
 
 pub(crate) fn cancel(id: JobId) -> String {
-    format!("{CANCEL}{id}")
+    format!("{STANDING}{id}/cancel")
+}
+
+pub(crate) fn queued(name: &str) -> String {
+    format!("{QUEUED}{name}")
 }
 
 pub(crate) fn owner(name: &str) -> String {
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -19,43 +19,99 @@
     },
 };
 
-/// The prefixes that are mirrored. The order is that of [`View::ready`].
-///
-/// [`View::ready`]: crate::scheduler::view::View
-const PREFIXES: [&str; 3] = [ROOT, OPERATOR_PREFIX, WORKER_PREFIX];
+/// A prefix that is mirrored.
+#[derive(Debug, Clone, Copy)]
+struct Prefix {
+    path: &'static str,
+    /// The least time between two answers of its watch, so that many small changes come in few
+    /// answers: each is paid for.
+    pause: Duration,
+    /// The same at a node that owns work: of each host that changes pools its owners hear four
+    /// times, one after the other, and work that can be in time waits for it meanwhile.
+    owner_pause: Duration,
+    /// Whether it is read anew when its watch was lost. What was written meanwhile may be many
+    /// versions of one large configuration, too much for a slow link within the time of a watch,
+    /// and only the newest counts.
+    reads_anew: bool,
+}
+
+/// Configurations and waves, which come at once.
+const OPERATOR: Prefix = Prefix {
+    path: OPERATOR_PREFIX,
+    pause: Duration::ZERO,
+    owner_pause: Duration::ZERO,
+    reads_anew: true,
+};
+
+/// What every node hears of: the nodes, and how many jobs wait, which may be two seconds old.
+const COMMON: Prefix = Prefix {
+    path: keys::ALL,
+    pause: Duration::from_millis(500),
+    owner_pause: Duration::from_millis(500),
+    reads_anew: false,
+};
+
+/// All records of ours. Owners hear of new jobs by a watch of their own.
+const RECORDS: Prefix = Prefix {
+    path: ROOT,
+    pause: Duration::from_millis(120),
+    owner_pause: Duration::from_millis(40),
+    reads_anew: false,
+};
+
+/// What workers say of themselves.
+const WORKERS: Prefix = Prefix {
+    path: WORKER_PREFIX,
+    pause: Duration::from_millis(250),
+    owner_pause: Duration::from_millis(60),
+    reads_anew: false,
+};
+
+/// How long after it has read which nodes there are a node decides whether it is to hear of
+/// everything: nodes that start together are listed within that.
+const SETTLE: Duration = Duration::from_millis(250);
+
+/// How often it looks whether that has changed.
+const KEEPER_CHECK: Duration = Duration::from_millis(200);
 
 /// How long a watch waits for a change. A watch that hangs because its connection is cut is
 /// noticed soon after, within what a change of the configuration may take.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
-/// The least time between two answers of each watch, in the order of the prefixes, so that many
-/// small changes come in few answers: each answer is paid for, by every node. Owners hear of new
-/// jobs by a watch of their own; configurations come at once. Workers matter to owners only, so that
-/// other nodes hear of them late: of 690 watches a minute for each node these were 200.
-const PAUSES: [Duration; 3] =
-    [Duration::from_millis(120), Duration::ZERO, Duration::from_millis(2_000)];
-
-/// The same at a node that owns work: of each host that changes pools its owners hear four times,
-/// one after the other, and work that can be in time waits for it meanwhile.
-const OWNER_PAUSES: [Duration; 3] =
-    [Duration::from_millis(40), Duration::ZERO, Duration::from_millis(60)];
-
 /// The least time between two answers of an owner's own watch.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(8);
 
-/// Whether a prefix whose watch was lost is read anew, in the order of the prefixes. What was
-/// written meanwhile may be many versions of one large configuration, too much for a slow link
-/// within the time of a watch, and only the newest counts.
-const READ_ANEW: [bool; 3] = [false, true, false];
-
 /// How long to wait after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 
-/// Mirrors every prefix until the node ends.
+/// Mirrors what the node is to hear of until it ends: what all nodes hear of from the start, and the
+/// rest once the node is one of those that may own work. Such a node goes on as one.
 pub(crate) fn start(node: &Arc<Node>, to: &mpsc::UnboundedSender<Input>) {
-    for (place, prefix) in PREFIXES.into_iter().enumerate() {
-        let (node, to) = (node.clone(), to.clone());
-        tokio::spawn(async move { mirror(&node, place, prefix, &to).await });
+    for prefix in [OPERATOR, COMMON] {
+        spawn(node, prefix, to);
+    }
+    let (node, to) = (node.clone(), to.clone());
+    tokio::spawn(async move {
+        until_keeper(&node).await;
+        log::info!("node {}: hears of everything from now on", node.settings.node);
+        for prefix in [RECORDS, WORKERS] {
+            spawn(&node, prefix, &to);
+        }
+    });
+}
+
+fn spawn(node: &Arc<Node>, prefix: Prefix, to: &mpsc::UnboundedSender<Input>) {
+    let (node, to) = (node.clone(), to.clone());
+    tokio::spawn(async move { mirror(&node, prefix, &to).await });
+}
+
+async fn until_keeper(node: &Node) {
+    while !node.view().is_ready() {
+        sleep(KEEPER_CHECK / 10).await;
+    }
+    sleep(SETTLE).await;
+    while !node.view().keepers(node.settings.keepers).contains(node.settings.node.as_str()) {
+        sleep(KEEPER_CHECK).await;
     }
 }
 
@@ -110,61 +166,55 @@
     }
 }
 
-async fn mirror(
-    node: &Arc<Node>,
-    place: usize,
-    prefix: &'static str,
-    to: &mpsc::UnboundedSender<Input>,
-) {
+async fn mirror(node: &Arc<Node>, prefix: Prefix, to: &mpsc::UnboundedSender<Input>) {
     let mut since: Option<Revision> = None;
     let mut keys: BTreeSet<String> = BTreeSet::new();
     let mut lost = false;
     loop {
         let outcome = match since {
-            None => read_all(node, place, prefix, &mut keys, to).await.map(Some),
-            Some(from) => watch(node, place, prefix, from, &mut keys, to).await,
+            None => read_all(node, prefix.path, &mut keys, to).await.map(Some),
+            Some(from) => watch(node, prefix.path, from, &mut keys, to).await,
         };
         match outcome {
             Ok(at) => {
                 if lost {
-                    log::info!("store: watch of {prefix} goes on at {at:?}");
+                    log::info!("store: watch of {} goes on at {at:?}", prefix.path);
                 }
                 lost = false;
                 since = at;
             }
             Err(error) => {
                 if !lost {
-                    log::warn!("store: watch of {prefix} lost at {since:?}: {error}");
+                    log::warn!("store: watch of {} lost at {since:?}: {error}", prefix.path);
                 }
                 lost = true;
-                if READ_ANEW[place] {
+                if prefix.reads_anew {
                     since = None;
                 }
                 sleep(FAILED_PAUSE).await;
             }
         }
         if !lost {
-            rest(node, place).await;
+            rest(node, prefix).await;
         }
     }
 }
 
 /// Reads a whole prefix; what is known and not there any more is gone.
 /// Waits until the next answer may come: a node that has just come to own work is told at once.
-async fn rest(node: &Node, place: usize) {
+async fn rest(node: &Node, prefix: Prefix) {
     if node.owns_work() {
-        return sleep(OWNER_PAUSES[place]).await;
+        return sleep(prefix.owner_pause).await;
     }
     tokio::select! {
-        () = sleep(PAUSES[place]) => {}
+        () = sleep(prefix.pause) => {}
         () = node.until_owning() => {}
     }
 }
 
 async fn read_all(
     node: &Arc<Node>,
-    place: usize,
-    prefix: &str,
+    prefix: &'static str,
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
 ) -> Result<Revision, StoreError> {
@@ -182,15 +232,14 @@
     });
     let changes = gone.into_iter().chain(written).collect();
     *keys = there;
-    take_in(node, place, changes, at, to);
+    take_in(node, prefix, changes, at, to);
     Ok(at)
 }
 
 /// Waits for changes. With the history gone, all is read again.
 async fn watch(
     node: &Arc<Node>,
-    place: usize,
-    prefix: &str,
+    prefix: &'static str,
     since: Revision,
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
@@ -209,26 +258,25 @@
             None => keys.remove(&change.key),
         };
     }
-    take_in(node, place, heard.changes, heard.at, to);
+    take_in(node, prefix, heard.changes, heard.at, to);
     Ok(Some(heard.at.max(since)))
 }
 
 fn take_in(
     node: &Arc<Node>,
-    place: usize,
+    prefix: &'static str,
     changes: Vec<Change>,
     at: Revision,
     to: &mpsc::UnboundedSender<Input>,
 ) {
     let mut view = node.view();
     let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
-    let first = !view.ready[place];
-    view.ready[place] = true;
-    if place == 0 {
+    let first = view.ready.insert(prefix);
+    if prefix == ROOT {
         view.known = view.known.max(at);
     }
     drop(view);
-    if !deltas.is_empty() || first || place == 0 {
+    if !deltas.is_empty() || first || prefix == ROOT {
         // The receiver ends with the process only.
         let _ = to.send(Input::Deltas(deltas));
     }
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -18,8 +18,11 @@
         unit::{Millicores, Revision, Time},
         worker::{Upkeep, WorkerReport},
     },
-    platform::{kv::Change, records},
-    scheduler::keys::Key,
+    platform::{
+        kv::{Change, Item},
+        records::{self, OPERATOR_PREFIX, WORKER_PREFIX},
+    },
+    scheduler::keys::{self, Key},
 };
 
 /// Who owns a piece of work.
@@ -120,6 +123,20 @@
     }
 }
 
+/// How a job stands by what the store keeps of it; nothing if it was never accepted.
+pub(crate) fn standing(id: JobId, items: &[Item]) -> Option<JobState> {
+    let find = |key: String| items.iter().find(|item| item.key == key);
+    let progress = find(keys::progress(id));
+    let progress: Option<At<Progress>> =
+        progress.and_then(|item| read(&item.key, Some(&item.value), item.revision));
+    let known = KnownJob {
+        progress: progress.map(share),
+        cancelled: find(keys::cancel(id)).is_some(),
+        ..KnownJob::default()
+    };
+    (find(keys::id(id)).is_some() || known.state().is_final()).then(|| known.state())
+}
+
 /// What changed, for those that act on it.
 #[derive(Debug, Clone)]
 pub(crate) enum Delta {
@@ -153,16 +170,49 @@
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
     pub(crate) config: Option<Arc<QueueConfig>>,
     pub(crate) upkeeps: BTreeMap<u64, At<Upkeep>>,
+    /// By pool, how many jobs of each queue have not begun.
+    pub(crate) queued: BTreeMap<String, At<BTreeMap<String, usize>>>,
     /// The revision up to which our own records are known.
     pub(crate) known: Revision,
-    /// Whether each of the prefixes has been read once.
-    pub(crate) ready: [bool; 3],
+    /// Which of the prefixes have been read once.
+    pub(crate) ready: BTreeSet<&'static str>,
 }
 
 impl View {
-    /// Whether everything has been read once.
+    /// Whether callers can be answered.
     pub(crate) fn is_ready(&self) -> bool {
-        self.ready.iter().all(|ready| *ready) && self.config.is_some()
+        self.ready.contains(OPERATOR_PREFIX)
+            && self.ready.contains(keys::ALL)
+            && self.config.is_some()
+    }
+
+    /// Whether everything has been read once, so that work can be owned.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.is_ready() && self.ready.contains(keys::ROOT) && self.ready.contains(WORKER_PREFIX)
+    }
+
+    /// The nodes that are to hear of everything: so many of those with the most processor time, and
+    /// owners.
+    pub(crate) fn keepers(&self, most: usize) -> BTreeSet<&str> {
+        let mut nodes: Vec<(&String, u32)> =
+            self.nodes.iter().map(|(name, at)| (name, at.value.cpu.0)).collect();
+        nodes.sort_by_key(|(name, cpu)| (std::cmp::Reverse(*cpu), *name));
+        let first = nodes.into_iter().take(most).map(|(name, _)| name.as_str());
+        let owners = self.owners.values().map(|owner| owner.value.node.as_str());
+        first.chain(owners).collect()
+    }
+
+    /// Jobs of a queue none of whose tasks has begun.
+    pub(crate) fn pending(&self, queue: &str) -> usize {
+        if !self.is_whole() {
+            let counts = self.queued.values().filter_map(|at| at.value.get(queue));
+            return counts.sum();
+        }
+        let waits = |known: &&KnownJob| {
+            let here = known.record.as_ref().is_some_and(|record| record.value.queue == queue);
+            here && known.state() == JobState::Queued
+        };
+        self.jobs.values().filter(waits).count()
     }
 
     /// The pool of the owner's piece of work.
@@ -268,6 +318,10 @@
                 set(&mut self.nodes, name, revision, read(&text, value, revision));
                 None
             }
+            Key::Queued(name) => {
+                set(&mut self.queued, name, revision, read(&text, value, revision));
+                None
+            }
             Key::Roster(name, worker) => {
                 let report = read(&text, value, revision);
                 set(&mut self.rosters, (name, worker), revision, report);
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -149,9 +149,14 @@
     }
 
     async fn node_with(&self, name: &str, store: &str, cores: f64) -> Node {
+        self.node_of(name, store, cores, 12).await
+    }
+
+    /// A node of a deployment in which so many nodes hear of everything.
+    async fn node_of(&self, name: &str, store: &str, cores: f64, keepers: u32) -> Node {
         let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let settings = json!({
-            "node": name, "zone": "hall-a", "cpu_cores": cores,
+            "node": name, "zone": "hall-a", "cpu_cores": cores, "keepers": keepers,
             "listen": {
                 "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers,
             },
@@ -194,6 +199,12 @@
         body["state"].as_str().map(str::to_owned)
     }
 
+    async fn pending(&self, node: &Node) -> Option<u64> {
+        let url = format!("http://{}/quotes/", node.callers);
+        let answer = self.client.get(url).header("Host", HOST).send().await.ok()?;
+        answer.json::<Value>().await.ok()?["pending"].as_u64()
+    }
+
     async fn until_state(&self, node: &Node, id: &str, wanted: &str) {
         let what = format!("job {id} {wanted}");
         until(&what, async || (self.state(node, id).await? == wanted).then_some(())).await;
@@ -360,6 +371,41 @@
     assert_eq!(ask("2").await, StatusCode::SERVICE_UNAVAILABLE);
 }
 
+/// A node that does not hear of jobs answers its callers by what the store has, and takes part once
+/// those that do are gone.
+#[tokio::test]
+async fn a_node_that_hears_of_little_answers_all_the_same_and_takes_over() {
+    let site = Site::start("little", 3).await;
+    let mut one = site.node_of("one", &site.address, 1.0, 1).await;
+    let two = site.node_of("two", &site.address, 0.5, 1).await;
+    let id = "00000000000000a1";
+    assert_eq!(site.state(&two, id).await.unwrap(), "410");
+    assert_eq!(site.hand_in(&two, id, &two_steps()).await, StatusCode::OK);
+    assert_eq!(site.hand_in(&two, id, &two_steps()).await, StatusCode::OK);
+    site.until_state(&two, id, "succeeded").await;
+    let vast = json!({ "spec": "1", "steps": [{ "count": 1, "cpu": 900_000_000 }] });
+    assert_eq!(site.hand_in(&two, "00000000000000a2", &vast).await, StatusCode::OK);
+    assert_eq!(site.state(&two, "00000000000000a2").await.unwrap(), "queued");
+    for node in [&one, &two] {
+        until("a job that waits", async || (site.pending(node).await? == 1).then_some(())).await;
+    }
+    let url = format!("http://{}/quotes/00000000000000a2", two.callers);
+    let answer = site.client.delete(url).header("Host", HOST).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    for node in [&one, &two] {
+        site.until_state(node, "00000000000000a2", "cancelled").await;
+    }
+    let log = || fs::read_to_string(site.folder.join("two.log")).unwrap();
+    assert!(!log().contains("hears of everything"), "one node is enough");
+    one.process.0.kill().unwrap();
+    one.process.0.wait().unwrap();
+    assert_eq!(site.hand_in(&two, "00000000000000a3", &two_steps()).await, StatusCode::OK);
+    site.until_state(&two, "00000000000000a3", "succeeded").await;
+    assert!(log().contains("hears of everything"));
+    assert_eq!(site.state(&two, id).await.unwrap(), "succeeded");
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
 /// An owner that has too little processor time for its calls has other nodes make them. One that is
 /// killed, or falls silent without closing its connections, costs no job and no second run.
 #[tokio::test]
