What an owner shows, what pools ask for, and what is told have files of their own

No change of behaviour: owner.rs, scheduler/fleet.rs and drive/keep.rs held several jobs each; two figures stood twice.

--- a/src/jobs/helpers.rs
+++ b/src/jobs/helpers.rs
@@ -6,11 +6,10 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-use crate::model::{id::WorkerId, unit::Millicores};
-
-/// What the calls to one worker cost, in millicores, at the peak of its pool: five starts and as
-/// many looks a second, at some 0.2 ms for a start with the look that tells of its end.
-const WORKER_COST: u32 = 2;
+use crate::{
+    jobs::balance::pool_cost,
+    model::{id::WorkerId, unit::Millicores},
+};
 
 /// The share of its processor, in percent, that an owner spends on calls of its own before others
 /// make them: the rest is for deciding, and for what callers ask of the node.
@@ -29,7 +28,7 @@
 
 /// Whether an owner makes the calls to so many workers itself.
 pub(crate) fn is_small(workers: usize, cpu: Millicores) -> bool {
-    workers as u64 * u64::from(WORKER_COST) * 100 <= u64::from(cpu.0) * u64::from(OWN_PERCENT)
+    u64::from(pool_cost(workers).0) * 100 <= u64::from(cpu.0) * u64::from(OWN_PERCENT)
 }
 
 impl Helpers {
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -6,11 +6,10 @@
 mod pace;
 mod plan;
 mod roster;
+mod shown;
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use serde::{Deserialize, Serialize};
-
 use crate::{
     jobs::{
         event::{Effect, Event, Save, StoredJob},
@@ -23,12 +22,14 @@
     },
     model::{
         id::{HostId, WorkerId},
-        job::{JobId, JobState, Room, TaskId},
+        job::{JobId, Room, TaskId},
         unit::{Now, Revision, Steady},
         worker::{OrderEnd, Refusal, WorkerReport},
     },
 };
 
+pub(crate) use shown::{Emptied, HostUsage};
+
 /// How long a node that is not heard of keeps what it owns, in milliseconds. Three renewals fit.
 pub(crate) const LEASE_MS: u64 = 2_000;
 
@@ -45,47 +46,6 @@
 /// milliseconds: the last order of the earlier owner, held on a clock that is 2 % slow.
 const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS + HOLD_MS / 50 + 200;
 
-/// What a pool does at one moment.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(crate) struct Summary {
-    pub(crate) jobs: usize,
-    /// Tasks that wait for their turn or for room.
-    pub(crate) waiting: usize,
-    pub(crate) workers: usize,
-    /// Workers that answer.
-    pub(crate) touched: usize,
-    /// Of the workers' processor time, in millicores.
-    pub(crate) used: u32,
-    pub(crate) room: u32,
-}
-
-/// The share of a host's processor time, in percent, up to which its use is light.
-const LIGHT_PERCENT: u32 = 50;
-
-/// How the hosts of a pool are used: a hint, as old as the record that tells of it.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub(crate) struct HostUsage {
-    /// Hosts on which nothing runs.
-    #[serde(rename = "i", default)]
-    pub(crate) idle: BTreeSet<HostId>,
-    /// Hosts with little to do, none of which lasts: the one with the least first.
-    #[serde(rename = "l", default)]
-    pub(crate) light: Vec<HostId>,
-    /// Hosts with more to do, none of which lasts: the one with the least first.
-    #[serde(rename = "b", default)]
-    pub(crate) busy: Vec<HostId>,
-}
-
-/// A host on which nothing runs or can begin, as long as its mark stands.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct Emptied {
-    pub(crate) host: HostId,
-    /// The worker on which nothing runs.
-    pub(crate) worker: WorkerId,
-    /// The revision of the mark for which the host was emptied.
-    pub(crate) mark: Revision,
-}
-
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
     /// The revision of the ownership.
@@ -186,79 +146,11 @@
         self.plan(now, out);
     }
 
-    /// What the pool does now, for the log.
-    pub(crate) fn summary(&self) -> Summary {
-        let mut summary = Summary { jobs: self.jobs.len(), ..Summary::default() };
-        for worker in self.workers.values() {
-            summary.workers += 1;
-            summary.touched += usize::from(worker.touched && worker.misses == 0);
-            summary.used += worker.used.cpu.0;
-            summary.room += worker.report.room.cpu.0;
-        }
-        let steps = self.jobs.values().flat_map(|job| job.steps.values());
-        let tasks = steps.flat_map(|step| &step.tasks);
-        summary.waiting = tasks.filter(|task| task.is_waiting()).count();
-        summary
-    }
-
-    /// The pool's workers.
-    pub(crate) fn worker_ids(&self) -> Vec<WorkerId> {
-        self.workers.keys().cloned().collect()
-    }
-
     /// Says which hosts are to be emptied.
     pub(crate) fn set_emptying(&mut self, hosts: BTreeMap<HostId, Revision>) {
         self.emptying = hosts;
     }
 
-    /// The hosts among those to be emptied on whose workers nothing runs or can begin.
-    pub(crate) fn emptied(&self) -> Vec<Emptied> {
-        let empty = |worker: &&Worker| {
-            self.emptying.contains_key(&worker.report.host) && worker.touched && worker.is_empty()
-        };
-        let workers = self.workers.values().filter(empty);
-        let emptied = |worker: &Worker| {
-            let (host, worker) = (worker.report.host.clone(), worker.report.id.clone());
-            Emptied { mark: self.emptying[&host], host, worker }
-        };
-        workers.map(emptied).collect()
-    }
-
-    /// How the pool's hosts are used.
-    pub(crate) fn usage(&self) -> HostUsage {
-        let mut usage = HostUsage::default();
-        let (mut light, mut busy) = (Vec::new(), Vec::new());
-        for worker in self.workers.values().filter(|worker| worker.touched) {
-            let host = worker.report.host.clone();
-            let share = worker.used.cpu.0 * 100 / worker.report.room.cpu.0.max(1);
-            if worker.copies.is_empty() {
-                usage.idle.insert(host);
-            } else if !worker.copies.keys().any(|task| self.is_lasting(task)) {
-                let list = if share <= LIGHT_PERCENT { &mut light } else { &mut busy };
-                list.push((share, host));
-            }
-        }
-        light.sort();
-        busy.sort();
-        usage.light = light.into_iter().map(|(_, host)| host).collect();
-        usage.busy = busy.into_iter().map(|(_, host)| host).collect();
-        usage
-    }
-
-    /// How many jobs of each queue have not begun.
-    pub(crate) fn queued(&self) -> BTreeMap<String, usize> {
-        let mut queued = BTreeMap::new();
-        for job in self.jobs.values() {
-            let waits = job.is_open() && job.state == JobState::Queued;
-            *queued.entry(job.record.queue.clone()).or_default() += usize::from(waits);
-        }
-        queued
-    }
-
-    fn is_lasting(&self, task: &TaskId) -> bool {
-        self.jobs.get(&task.of.job).is_some_and(|job| job.step(task.of.step).lasting)
-    }
-
     /// How many jobs' progress waits to be written.
     pub(crate) fn unsaved(&self) -> usize {
         self.saves.len()
@@ -601,7 +493,8 @@
 /// How long a task or worker is left alone after an order was refused, in milliseconds: one look.
 const REFUSED_PAUSE_MS: u64 = 150;
 
-/// How long a task waits after its start never left its node, in milliseconds.
+/// How long after an order that never left its node the next is sent, in milliseconds: by then
+/// another node makes the worker's calls.
 const UNSENT_PAUSE_MS: u64 = 20;
 
 /// Whether two different workers cannot live at one time: a host runs one, and so does an address.
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use super::{Owner, acknowledge};
+use super::{Owner, UNSENT_PAUSE_MS, acknowledge};
 use crate::{
     jobs::{
         event::Effect,
@@ -20,10 +20,6 @@
 /// How long after an unanswered look the next is sent, in milliseconds.
 const MISSED_PAUSE_MS: u64 = 150;
 
-/// How long after a look that never left its node the next is sent, in milliseconds: by then
-/// another node makes the worker's calls.
-const UNSENT_PAUSE_MS: u64 = 20;
-
 /// How long an order to stop may be on its way before it is given again, in milliseconds.
 const STOP_AGAIN_MS: u64 = 900;
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod accept;
 pub(crate) mod api;
+pub(crate) mod demand;
 pub(crate) mod dispatch;
 pub(crate) mod drive;
 pub(crate) mod fleet;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -3,6 +3,7 @@
 mod keep;
 mod orders;
 mod reach;
+mod tell;
 
 use std::{
     collections::{BTreeMap, HashMap},
--- /dev/null
+++ b/src/scheduler/drive/tell.rs
@@ -0,0 +1,111 @@
+//! What an owner tells other nodes by way of the store: which hosts are empty, how the others are
+//! used, and how many jobs wait.
+
+use super::{Drive, json};
+use crate::{
+    jobs::owner::Emptied,
+    model::unit::{Now, Revision, Steady},
+    platform::kv::Txn,
+    scheduler::{keys, view::EmptyRecord},
+};
+
+/// The least time between two words on how hosts are used, in milliseconds: a hint only.
+const USAGE_PAUSE_MS: u64 = 300;
+
+/// The least time between two words on how many jobs have not begun, in milliseconds: callers may
+/// be told what is two seconds old, and other nodes hear of it half a second later at the most.
+const QUEUED_PAUSE_MS: u64 = 500;
+
+/// How much later it is told again though nothing has changed, in milliseconds: the last word may
+/// not have been taken.
+const QUEUED_AGAIN_MS: u64 = 1_000;
+
+/// How long after an empty host was told of it is told again if the view does not show it, in
+/// milliseconds.
+const EMPTY_AGAIN_MS: u64 = 700;
+
+impl Drive {
+    /// Tells the fleet's owner which hosts are empty.
+    pub(super) fn tell_empty(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        let token = owned.owner.token;
+        for emptied in owned.owner.emptied() {
+            let host = emptied.host.clone();
+            let told = owned.told_empty.get(&host);
+            let lately = |(was, at): &(Emptied, Steady)| {
+                *was == emptied && now.steady.since(*at) < EMPTY_AGAIN_MS
+            };
+            let shown = self.node.view().empties.get(&host).is_some_and(|at| {
+                at.value.mark == emptied.mark && at.value.worker == emptied.worker
+            });
+            if shown || told.is_some_and(lately) {
+                continue;
+            }
+            let record = EmptyRecord { worker: emptied.worker.clone(), mark: emptied.mark };
+            let txn = Txn::default()
+                .expect(keys::owner(name), Revision(token))
+                .expect(keys::leave(&host), emptied.mark)
+                .put(keys::empty(&host), json(&record));
+            owned.told_empty.insert(host.clone(), (emptied, now.steady));
+            let node = self.node.clone();
+            tokio::spawn(async move {
+                if let Err(error) = node.kv.commit(&txn).await {
+                    log::warn!("host {host}: not told to be empty: {error}");
+                }
+            });
+        }
+    }
+
+    /// Tells the fleet's owner now and then how the hosts are used.
+    pub(super) fn tell_usage(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if now.steady < owned.next_usage {
+            return;
+        }
+        owned.next_usage = now.steady.after(USAGE_PAUSE_MS);
+        let usage = owned.owner.usage();
+        if owned.told_usage.as_ref() == Some(&usage) {
+            return;
+        }
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(owned.owner.token))
+            .put(keys::usage(name), json(&usage));
+        owned.told_usage = Some(usage);
+        let (node, name) = (self.node.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::debug!("owner {name}: use of hosts not written: {error}");
+            }
+        });
+    }
+
+    /// Tells the nodes that do not hear of jobs how many have not begun.
+    pub(super) fn tell_queued(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        if now.steady < owned.next_queued {
+            return;
+        }
+        let queued = owned.owner.queued();
+        let again = owned.next_queued.after(QUEUED_AGAIN_MS) <= now.steady;
+        if owned.told_queued == queued && !again {
+            return;
+        }
+        owned.next_queued = now.steady.after(QUEUED_PAUSE_MS);
+        let txn = Txn::default()
+            .expect(keys::owner(name), Revision(owned.owner.token))
+            .put(keys::queued(name), json(&queued));
+        owned.told_queued = queued;
+        let (node, name) = (self.node.clone(), name.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = node.kv.commit(&txn).await {
+                log::debug!("owner {name}: jobs that wait not written: {error}");
+            }
+        });
+    }
+}
