Hosts to be given away are looked up, not searched for

For each host that changes pools a plan searched lists of busy hosts through all hosts of a pool: with 900 of 1,000 hosts to be given, 518 ms of a whole core for one plan, every 50 ms, in the loop that also owns pools and answers workers. Change: what each host has to do is looked up once a plan, and each pool's hosts are sorted by it once. Plans are 100 ms apart again. Test: 1,100 hosts, 900 given: failed before (518 ms), some milliseconds now.

--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -1,6 +1,6 @@
 //! How large pools are: what their demand asks for, and which hosts change pools for it.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::{Coming, Demand, Fleet, FleetEffect, Leave, PoolSummary, Scene};
 use crate::model::{
@@ -46,6 +46,50 @@
     Any,
 }
 
+impl Taking {
+    fn takes(self, work: Work) -> bool {
+        match self {
+            Taking::Light => matches!(work, Work::Idle | Work::Light(_)),
+            Taking::Busy => work != Work::Lasting,
+            Taking::Any => true,
+        }
+    }
+}
+
+/// What a host has to do, as its pool's owner last wrote; within one kind, its place among them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Work {
+    Idle,
+    Light(usize),
+    Busy(usize),
+    /// Some of it lasts, or nothing is known of it.
+    Lasting,
+}
+
+/// What all hosts have to do. It is looked up for each host of a plan: with a thousand of them a
+/// search through lists took half a second at a change of turns.
+struct Works<'a>(HashMap<&'a HostId, Work>);
+
+impl<'a> Works<'a> {
+    fn new(scene: &Scene<'a>) -> Works<'a> {
+        let busy = scene.busy.iter().enumerate().map(|(n, host)| (host, Work::Busy(n)));
+        let light = scene.light.iter().enumerate().map(|(n, host)| (host, Work::Light(n)));
+        let idle = scene.idle.iter().map(|host| (host, Work::Idle));
+        Works(busy.chain(light).chain(idle).collect())
+    }
+
+    fn of(&self, host: &HostId) -> Work {
+        self.0.get(host).copied().unwrap_or(Work::Lasting)
+    }
+}
+
+/// A host that a pool may give to another.
+#[derive(Debug, Clone)]
+struct Lendable {
+    host: HostId,
+    work: Work,
+}
+
 /// What a pool asks for, in hosts.
 struct Wish {
     /// For lasting tasks to be spread.
@@ -138,10 +182,11 @@
         };
         let off = off.0;
         let pools: Vec<&PoolId> = scene.demands.keys().filter(|pool| *pool != off).collect();
+        let works = Works::new(scene);
         let mut have = BTreeMap::new();
         let mut free = BTreeMap::new();
         for pool in &pools {
-            let here = self.free_hosts(scene, pool);
+            let here = self.lendable(scene, pool, &works);
             have.insert((*pool).clone(), here.len() + self.expected(scene, pool, now));
             free.insert((*pool).clone(), here);
         }
@@ -163,7 +208,7 @@
                     () if needs => Taking::Busy,
                     () => Taking::Light,
                 };
-                let Some(host) = self.borrowed(scene, &mut free, &shares, taking) else {
+                let Some(host) = Fleet::borrowed(&mut free, &shares, taking) else {
                     break;
                 };
                 self.mark(host, Leave::Move((*pool).clone()), now, out);
@@ -178,8 +223,8 @@
             let here = &free[*pool];
             let surplus = here.len().saturating_sub(most.max(shares[*pool]));
             if long && have[*pool] == here.len() && self.worked.contains(*pool) {
-                for host in here.iter().take(surplus) {
-                    self.mark(host.clone(), Leave::Move(off.clone()), now, out);
+                for lendable in here.iter().take(surplus) {
+                    self.mark(lendable.host.clone(), Leave::Move(off.clone()), now, out);
                 }
             }
         }
@@ -224,33 +269,28 @@
         pools.iter().map(|pool| (*pool).clone()).zip(shares).collect()
     }
 
-    /// A host of a pool that has more than its share: an idle one, or else the one with the least
-    /// to do, as far as such hosts are taken.
+    /// A host of a pool that has more than its share: the one with the least to do, as far as such
+    /// hosts are taken.
     fn borrowed(
-        &self,
-        scene: &Scene<'_>,
-        free: &mut BTreeMap<PoolId, Vec<HostId>>,
+        free: &mut BTreeMap<PoolId, VecDeque<Lendable>>,
         shares: &BTreeMap<PoolId, usize>,
         taking: Taking,
     ) -> Option<HostId> {
-        for (pool, hosts) in free.iter_mut() {
-            if hosts.len() <= shares[pool] {
-                continue;
-            }
-            let idle = hosts.iter().position(|host| scene.idle.contains(host));
-            let first = |listed: &[HostId]| {
-                listed.iter().find_map(|host| hosts.iter().position(|here| here == host))
-            };
-            let place = idle.or_else(|| first(scene.light)).or_else(|| match taking {
-                Taking::Light => None,
-                Taking::Busy => first(scene.busy),
-                Taking::Any => Some(hosts.len() - 1),
-            });
-            if let Some(place) = place {
-                return Some(hosts.remove(place));
-            }
-        }
-        None
+        let lends = |(pool, hosts): &(&PoolId, &mut VecDeque<Lendable>)| {
+            shares[*pool] < hosts.len()
+                && hosts.front().is_some_and(|first| taking.takes(first.work))
+        };
+        let (_, hosts) = free.iter_mut().find(lends)?;
+        hosts.pop_front().map(|lendable| lendable.host)
+    }
+
+    /// Hosts that are up and not marked to leave, those with the least to do first.
+    fn lendable(&self, scene: &Scene<'_>, pool: &PoolId, works: &Works<'_>) -> VecDeque<Lendable> {
+        let free = self.free_hosts(scene, pool).into_iter();
+        let mut lendable: Vec<Lendable> =
+            free.map(|host| Lendable { work: works.of(&host), host }).collect();
+        lendable.sort_by_key(|lendable| lendable.work);
+        lendable.into()
     }
 
     /// Hosts that are to come to a pool, and may be expected to: one that takes too long may be
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -355,3 +355,23 @@
     // Three stay for what can be in time, and one to be moved to.
     assert_eq!(effects.iter().filter(gives).count(), 6, "{effects:?}");
 }
+
+/// Hosts to be given away were searched for in lists, one after the other: at a change of turns a
+/// plan for a thousand hosts took half a second of a whole core, in which the node did nothing else.
+#[test]
+fn a_change_of_turns_over_a_thousand_hosts_is_decided_on_at_once() {
+    let mut known = Known::new();
+    known.config.pools.insert(pool("peak"), PoolRules { off: false, guards: true });
+    known.demands.insert(pool("busy"), asked(1_000_000, 0));
+    known.demands.insert(pool("peak"), asked(30_000_000, 0));
+    known.busy = (0..1_000).rev().map(host).collect();
+    let hosts = (0..1_100).map(|n| listed(n, if n < 1_000 { "busy" } else { "peak" })).collect();
+    let mut fleet = fleet(hosts);
+    let began = std::time::Instant::now();
+    let effects = fleet.plan(&known.scene(), at(100));
+    let took = began.elapsed();
+    let given = effects.iter().filter(|effect| matches!(effect, FleetEffect::Mark(..))).count();
+    assert!(900 < given, "{given} hosts are given");
+    // Some 4 ms; 518 ms before.
+    assert!(took.as_millis() < 150, "{took:?}");
+}
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -24,7 +24,7 @@
 };
 
 /// How often the fleet's owner decides, in milliseconds.
-const PLAN_MS: u64 = 50;
+const PLAN_MS: u64 = 100;
 
 /// How far the nodes' clocks may differ.
 const CLOCKS_DIFFER: std::time::Duration = std::time::Duration::from_millis(500);
