What calls cost is weighed without what a pool costs

Traced: when two figures were made one, the cost of a pool without workers was added to that of its calls, so that a node of 0.12 of a core made the calls of 19 workers instead of 24. The figure is shared, the sum is not.

--- a/src/jobs/balance.rs
+++ b/src/jobs/balance.rs
@@ -11,7 +11,7 @@
 /// What each worker of an owned pool costs its owner, in millicores. On the deployments with 349
 /// workers the busiest owner, of some 85, took 0.105 to 0.117 of a core over a day; demand at its
 /// peak is several times the mean.
-const WORKER_COST: u32 = 2;
+pub(crate) const WORKER_COST: u32 = 2;
 
 /// What owning the work of all pools together costs, in millicores.
 const FLEET_COST: u32 = 30;
--- a/src/jobs/helpers.rs
+++ b/src/jobs/helpers.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    jobs::balance::pool_cost,
+    jobs::balance::WORKER_COST,
     model::{id::WorkerId, unit::Millicores},
 };
 
@@ -28,7 +28,7 @@
 
 /// Whether an owner makes the calls to so many workers itself.
 pub(crate) fn is_small(workers: usize, cpu: Millicores) -> bool {
-    u64::from(pool_cost(workers).0) * 100 <= u64::from(cpu.0) * u64::from(OWN_PERCENT)
+    workers as u64 * u64::from(WORKER_COST) * 100 <= u64::from(cpu.0) * u64::from(OWN_PERCENT)
 }
 
 impl Helpers {
