Read as a newcomer: calls, hints and samples stand once; waiting jobs are counted when it is time

Cause: read of the whole change. The call of an order stood beside the serving side, though owners use it too; two hints were written by two copies; a sample job stood in three tests; test nodes were started by four functions one over the other; what a node is called that holds all records had a name of our own. Found by reading: jobs that wait were counted, and what each worker may hold was worked out, with every decision (each 4 ms) instead of each 500 and 20 ms, as long as nothing had changed. Change: dispatch/call.rs, one write for hints, tests/sample.rs, one shape for test nodes; the setting keepers is replicas; both looks are paced. No assertion of a test changed.

--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -19,8 +19,8 @@
 /// 3.2 a pool of ten is half full, as it is by the settings, and one of 600 at seven eighths.
 const CHANCE_HOSTS: f64 = 3.2;
 
-/// How many times the spread of one second's arrivals a forecast goes beyond them: of sixty jobs a
-/// second 1.4 times what came, of five 2.3 times.
+/// How many times the spread of the latest arrivals a forecast goes beyond them: of sixty jobs that
+/// came 1.4 times as much, of five 2.3 times.
 const ARRIVALS_SPREAD: f64 = 3.0;
 
 /// The most that a pool may be thought to ask for soon, in millicores: what it takes to keep up with
@@ -149,14 +149,16 @@
     /// Hosts that a pool should have for a demand, late work included.
     pub(super) fn wanted(&self, pool: &PoolId, demand: &Demand) -> usize {
         let late = demand.late * LATE_PERCENT / 100;
-        let filled = self.hosts_for(self.forecast(pool, demand) + late);
-        filled.max(demand.spread) + self.sizing.margin_hosts
+        self.wanted_for(self.forecast(pool, demand) + late, demand)
     }
 
-    /// Hosts that a pool should have for what can be done in time.
+    /// Hosts that a pool should have for what can be in time.
     fn timely(&self, pool: &PoolId, demand: &Demand) -> usize {
-        let filled = self.hosts_for(self.forecast(pool, demand));
-        filled.max(demand.spread) + self.sizing.margin_hosts
+        self.wanted_for(self.forecast(pool, demand), demand)
+    }
+
+    fn wanted_for(&self, cpu: u64, demand: &Demand) -> usize {
+        self.hosts_for(cpu).max(demand.spread) + self.sizing.margin_hosts
     }
 
     /// Hosts that a pool needs for what it asks for now.
--- a/src/jobs/owner/shown.rs
+++ b/src/jobs/owner/shown.rs
@@ -71,6 +71,11 @@
         summary
     }
 
+    /// How many workers the pool has.
+    pub(crate) fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
     /// The pool's workers.
     pub(crate) fn worker_ids(&self) -> Vec<WorkerId> {
         self.workers.keys().cloned().collect()
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -19,10 +19,11 @@
     },
     model::{
         id::WorkerId,
-        job::{JobId, JobRecord, JobState, Progress, Room, Step, TaskId},
+        job::{JobId, JobState, Progress, Room, Step, TaskId},
         unit::{Megabytes, Millicores, Now, Revision, Steady, Time},
         worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal, WorkerReport},
     },
+    tests::sample,
 };
 
 const TOKEN: u64 = 100;
@@ -65,21 +66,7 @@
 }
 
 fn stored(number: u64, steps: Vec<Step>, revision: u64) -> StoredJob {
-    let record = JobRecord {
-        queue: "q".to_owned(),
-        pool: "pool".parse().unwrap(),
-        payload: "payload".into(),
-        steps,
-        repeats: 0,
-        first: Time::default(),
-        every_ms: 0,
-        priority: 0,
-        attempts: 3,
-        stretch: 200,
-        target_ms: 600,
-        advice: None,
-        accepted: Time::from_millis(1_000_000),
-    };
+    let record = sample::record(steps);
     StoredJob {
         id: id(number),
         record: Arc::new(record),
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -49,7 +49,7 @@
 struct Asked {
     /// Processor time of the steps whose turn has come, in millicores.
     cpu: u64,
-    /// Work of the longest chain that is left, in milliseconds.
+    /// Declared work of one task of each step that is left, in milliseconds.
     left_ms: u64,
 }
 
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -5,6 +5,7 @@
 //! counts on the worker's clock, both from when it was decided, so that one that is carried out late
 //! does what a call that was held up on its way would do.
 
+pub(crate) mod call;
 pub(crate) mod link;
 pub(crate) mod serve;
 pub(crate) mod wire;
--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -20,7 +20,8 @@
 
 use super::{
     PATH,
-    serve::{config, event},
+    call::event,
+    serve::config,
     wire::{self, Answer, Answers, Namer},
 };
 use crate::{
--- a/src/scheduler/dispatch/serve.rs
+++ b/src/scheduler/dispatch/serve.rs
@@ -24,14 +24,10 @@
 
 use super::{
     MOST_BYTES,
+    call::call,
     wire::{self, Answer, Answers, Batch, Names},
 };
-use crate::{
-    http,
-    jobs::event::{Effect, Event},
-    model::{unit::Steady, worker::OrderEnd},
-    platform::runner::Runners,
-};
+use crate::{http, platform::runner::Runners};
 
 /// How long the first answer waits for others, so that they share a message: with ends of some
 /// twelve workers, each message and each wake-up at its reader serves several.
@@ -49,52 +45,6 @@
     WebSocketConfig::default().max_message_size(Some(MOST_BYTES)).max_frame_size(Some(MOST_BYTES))
 }
 
-/// Makes the call of one order, and tells what became of it. Questions for advice are no orders.
-pub(crate) async fn carry_out(runners: &Runners, effect: &Effect) -> Answer {
-    match effect {
-        Effect::Start { to, start } => Answer::End(runners.start(to, start).await),
-        Effect::Stop { to, task, run } => Answer::End(runners.stop(to, *task, *run).await),
-        Effect::Pace { to, task, run, percent } => {
-            Answer::End(runners.pace(to, *task, *run, *percent).await)
-        }
-        Effect::Look { to, acknowledged, until_ms, wait } => {
-            Answer::Look(runners.look(to, *acknowledged, *until_ms, *wait).await)
-        }
-        Effect::Advise { .. } => Answer::End(OrderEnd::Unsent),
-    }
-}
-
-/// What its owner is told of an order that was decided on at a moment.
-pub(crate) fn event(effect: Effect, sent: Steady, answer: Answer) -> Option<Event> {
-    let end = |answer| match answer {
-        Answer::End(end) => end,
-        Answer::Look(_) => OrderEnd::Unknown,
-    };
-    Some(match effect {
-        Effect::Start { to, start } => {
-            Event::Started { worker: to.worker, task: start.task, run: start.run, end: end(answer) }
-        }
-        Effect::Stop { to, task, run } => {
-            Event::Stopped { worker: to.worker, task, run, end: end(answer) }
-        }
-        Effect::Pace { to, task, percent, .. } => {
-            Event::Paced { worker: to.worker, task, percent, end: end(answer) }
-        }
-        Effect::Look { to, .. } => {
-            let end = match answer {
-                Answer::Look(end) => end,
-                Answer::End(OrderEnd::Refused { why, clock_ms }) => {
-                    OrderEnd::Refused { why, clock_ms }
-                }
-                Answer::End(OrderEnd::Unsent) => OrderEnd::Unsent,
-                Answer::End(OrderEnd::Done(_) | OrderEnd::Unknown) => OrderEnd::Unknown,
-            };
-            Event::Looked { worker: to.worker, sent, end }
-        }
-        Effect::Advise { .. } => return None,
-    })
-}
-
 /// Takes a request for a link, and serves the link until it ends.
 pub(crate) fn upgrade(request: &Request, runners: Runners) -> Response {
     let key =
@@ -139,7 +89,7 @@
         for order in wire::orders(&mut names, batch) {
             let (runners, done) = (runners.clone(), done.clone());
             tokio::spawn(async move {
-                let answer = carry_out(&runners, &order.effect).await;
+                let answer = call(&runners, &order.effect).await;
                 // The owner has gone: whoever follows it asks the workers.
                 let _ = done.send((order.number, answer));
             });
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -162,8 +162,8 @@
     told_usage: Option<HostUsage>,
     /// When it is next looked at.
     next_usage: Steady,
-    /// How many jobs of each queue had not begun when that was last written.
-    told_queued: BTreeMap<String, usize>,
+    /// How many jobs of each queue had not begun when that was last written, and when it was.
+    told_queued: (BTreeMap<String, usize>, Steady),
     /// When that is next looked at.
     next_queued: Steady,
 }
@@ -533,7 +533,7 @@
             next_removal: now.steady,
             told_usage: None,
             next_usage: now.steady,
-            told_queued: BTreeMap::new(),
+            told_queued: (BTreeMap::new(), Steady::default()),
             next_queued: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -107,6 +107,8 @@
             return;
         }
         let Some(note) = owned.owner.roster_note(ROSTER_BATCH) else {
+            // It is worked out over all workers: not with each decision.
+            owned.next_roster = now.steady.after(ROSTER_PAUSE_MS);
             return;
         };
         owned.rostering = true;
--- a/src/scheduler/drive/orders.rs
+++ b/src/scheduler/drive/orders.rs
@@ -10,8 +10,8 @@
     },
     model::{id::WorkerId, order::Advised, unit::Steady, worker::OrderEnd},
     scheduler::dispatch::{
+        call::{self, call},
         link::Outgoing,
-        serve::{self, carry_out},
         wire::Answer,
     },
 };
@@ -25,6 +25,7 @@
 const DETOUR_MS: u64 = 2_000;
 
 impl Drive {
+    /// Has an owner's orders carried out, by this node or another.
     pub(super) fn carry_out(&mut self, name: &str, token: u64, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -69,11 +70,11 @@
         tokio::spawn(async move {
             // Between the decision and this moment the process may have been paused.
             let answer = match lease.allows_orders(node.now().steady) {
-                true => carry_out(&runners, &effect).await,
+                true => call(&runners, &effect).await,
                 false => Answer::End(OrderEnd::Unsent),
             };
             metrics.ordered(kind(&effect), outcome(&answer), began.elapsed());
-            if let Some(event) = serve::event(effect, sent, answer) {
+            if let Some(event) = call::event(effect, sent, answer) {
                 tell(event);
             }
         });
@@ -86,6 +87,7 @@
         let worker = addressee(&effect).cloned();
         let tell = move |event, unanswered: bool| {
             if let Some(worker) = worker.filter(|_| unanswered) {
+                // The receiver ends with the process only.
                 let _ = to.send(Input::Detour(worker));
             }
             tell(event);
@@ -113,6 +115,7 @@
         self.links.is_open(address).then_some(address)
     }
 
+    /// Takes note that a worker gave no answer to the node that was to call it.
     pub(super) fn detour(&mut self, worker: WorkerId, now: Steady) {
         self.detours.insert(worker, now.after(DETOUR_MS));
     }
@@ -126,7 +129,7 @@
         self.detours.retain(|_, until| now < *until);
         let candidates = self.candidates();
         let cpu = self.node.settings.cpu;
-        let all = self.owned.values().map(|owned| owned.owner.worker_ids().len()).sum();
+        let all = self.owned.values().map(|owned| owned.owner.worker_count()).sum();
         for (name, owned) in &mut self.owned {
             if helpers::is_small(all, cpu) {
                 owned.helpers.clear();
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -80,11 +80,11 @@
     /// has won or reaches for.
     fn nodes(&self) -> BTreeMap<String, Capacity> {
         let view = self.node.view();
-        let (none, keepers) = (Millicores(0), view.keepers(self.node.settings.keepers));
+        let (none, replicas) = (Millicores(0), view.replicas(self.node.settings.replicas));
         let mut nodes: BTreeMap<String, Capacity> = view
             .nodes
             .iter()
-            .filter(|(name, _)| keepers.contains(name.as_str()))
+            .filter(|(name, _)| replicas.contains(name.as_str()))
             .map(|(name, at)| (name.clone(), Capacity { cpu: at.value.cpu, used: none }))
             .collect();
         for (name, owner) in &view.owners {
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -16,9 +16,9 @@
 /// be told what is two seconds old, and other nodes hear of it half a second later at the most.
 const QUEUED_PAUSE_MS: u64 = 500;
 
-/// How much later it is told again though nothing has changed, in milliseconds: the last word may
-/// not have been taken.
-const QUEUED_AGAIN_MS: u64 = 1_000;
+/// How long after the last word it is told again though nothing has changed, in milliseconds: that
+/// one may not have been taken.
+const QUEUED_AGAIN_MS: u64 = 1_500;
 
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
@@ -71,16 +71,9 @@
         if owned.told_usage.as_ref() == Some(&usage) {
             return;
         }
-        let txn = Txn::default()
-            .expect(keys::owner(name), Revision(owned.owner.token))
-            .put(keys::usage(name), json(&usage));
+        let (token, value) = (owned.owner.token, json(&usage));
         owned.told_usage = Some(usage);
-        let (node, name) = (self.node.clone(), name.to_owned());
-        tokio::spawn(async move {
-            if let Err(error) = node.kv.commit(&txn).await {
-                log::debug!("owner {name}: use of hosts not written: {error}");
-            }
-        });
+        self.write_hint(name, token, keys::usage(name), value);
     }
 
     /// Tells the nodes that do not hear of jobs how many have not begun.
@@ -91,20 +84,24 @@
         if now.steady < owned.next_queued {
             return;
         }
+        owned.next_queued = now.steady.after(QUEUED_PAUSE_MS);
         let queued = owned.owner.queued();
-        let again = owned.next_queued.after(QUEUED_AGAIN_MS) <= now.steady;
-        if owned.told_queued == queued && !again {
+        let lately = now.steady.since(owned.told_queued.1) < QUEUED_AGAIN_MS;
+        if owned.told_queued.0 == queued && lately {
             return;
         }
-        owned.next_queued = now.steady.after(QUEUED_PAUSE_MS);
-        let txn = Txn::default()
-            .expect(keys::owner(name), Revision(owned.owner.token))
-            .put(keys::queued(name), json(&queued));
-        owned.told_queued = queued;
-        let (node, name) = (self.node.clone(), name.to_owned());
+        let (token, value) = (owned.owner.token, json(&queued));
+        owned.told_queued = (queued, now.steady);
+        self.write_hint(name, token, keys::queued(name), value);
+    }
+
+    /// Writes what others may know late or not at all, as long as there is no later owner.
+    fn write_hint(&self, name: &str, token: u64, key: String, value: Vec<u8>) {
+        let txn = Txn::default().expect(keys::owner(name), Revision(token)).put(key.clone(), value);
+        let node = self.node.clone();
         tokio::spawn(async move {
             if let Err(error) = node.kv.commit(&txn).await {
-                log::debug!("owner {name}: jobs that wait not written: {error}");
+                log::debug!("record {key}: not written: {error}");
             }
         });
     }
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -72,7 +72,7 @@
 const SETTLE: Duration = Duration::from_millis(250);
 
 /// How often it looks whether that has changed.
-const KEEPER_CHECK: Duration = Duration::from_millis(200);
+const REPLICA_CHECK: Duration = Duration::from_millis(200);
 
 /// How long a watch waits for a change. A watch that hangs because its connection is cut is
 /// noticed soon after, within what a change of the configuration may take.
@@ -92,7 +92,7 @@
     }
     let (node, to) = (node.clone(), to.clone());
     tokio::spawn(async move {
-        until_keeper(&node).await;
+        until_replica(&node).await;
         log::info!("node {}: hears of everything from now on", node.settings.node);
         for prefix in [RECORDS, WORKERS] {
             spawn(&node, prefix, &to);
@@ -105,13 +105,13 @@
     tokio::spawn(async move { mirror(&node, prefix, &to).await });
 }
 
-async fn until_keeper(node: &Node) {
+async fn until_replica(node: &Node) {
     while !node.view().is_ready() {
-        sleep(KEEPER_CHECK / 10).await;
+        sleep(REPLICA_CHECK / 10).await;
     }
     sleep(SETTLE).await;
-    while !node.view().keepers(node.settings.keepers).contains(node.settings.node.as_str()) {
-        sleep(KEEPER_CHECK).await;
+    while !node.view().replicas(node.settings.replicas).contains(node.settings.node.as_str()) {
+        sleep(REPLICA_CHECK).await;
     }
 }
 
--- a/src/scheduler/tests/demand.rs
+++ b/src/scheduler/tests/demand.rs
@@ -12,6 +12,7 @@
     },
     platform::kv::Change,
     scheduler::{demand, drive::json, keys, view::View},
+    tests::sample,
 };
 
 /// When jobs of these tests came, in milliseconds.
@@ -25,21 +26,8 @@
 fn record() -> JobRecord {
     let need = Room { cpu: Millicores(4_000), memory: Megabytes(1), gpus: 0 };
     let step = Step { count: 10, need, estimate_ms: 1_000, ..Step::default() };
-    JobRecord {
-        queue: "q".to_owned(),
-        pool: pool(),
-        payload: "payload".into(),
-        steps: vec![step.clone(), Step { after: vec![0], ..step }],
-        repeats: 0,
-        first: Time::default(),
-        every_ms: 0,
-        priority: 0,
-        attempts: 3,
-        stretch: 160,
-        target_ms: 600,
-        advice: None,
-        accepted: Time::from_millis(CAME),
-    }
+    let steps = vec![step.clone(), Step { after: vec![0], ..step }];
+    JobRecord { stretch: 160, ..sample::record(steps) }
 }
 
 /// What a pool with one job asks for, so many milliseconds after the job came.
--- a/src/scheduler/tests/watches.rs
+++ b/src/scheduler/tests/watches.rs
@@ -14,7 +14,7 @@
     },
     model::{
         id::{PoolId, WorkerId},
-        job::{JobId, JobRecord, JobState, Room, Step, TaskId},
+        job::{JobId, JobState, Room, Step, TaskId},
         unit::{Megabytes, Millicores, Now, Revision, Steady, Time},
         worker::{Ended, HowEnded, Look, OrderEnd, Present, WorkerReport},
     },
@@ -24,7 +24,7 @@
         keys,
         view::{Delta, View},
     },
-    tests::fuzz,
+    tests::{fuzz, sample},
 };
 
 /// Jobs of one run at the most.
@@ -91,24 +91,6 @@
     }
 }
 
-fn record(step: Step) -> JobRecord {
-    JobRecord {
-        queue: "q".to_owned(),
-        pool: pool(),
-        payload: "payload".into(),
-        steps: vec![step],
-        repeats: 0,
-        first: Time::default(),
-        every_ms: 0,
-        priority: 0,
-        attempts: 3,
-        stretch: 200,
-        target_ms: 600,
-        advice: None,
-        accepted: Time::from_millis(1_000_000),
-    }
-}
-
 impl World {
     fn new() -> World {
         let mut world = World {
@@ -171,7 +153,7 @@
         let need = Room { cpu: Millicores(1_000), memory: Megabytes(100), gpus: 0 };
         let step = Step { count: 2, need, estimate_ms: 100, ..Step::default() };
         self.jobs.insert(id, step.clone());
-        self.write(keys::job(&pool(), id), Some(json(&record(step))));
+        self.write(keys::job(&pool(), id), Some(json(&sample::record(vec![step]))));
     }
 
     /// Takes in a change, as a node does.
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -193,7 +193,7 @@
 
     /// The nodes that are to hear of everything: so many of those with the most processor time, and
     /// owners.
-    pub(crate) fn keepers(&self, most: usize) -> BTreeSet<&str> {
+    pub(crate) fn replicas(&self, most: usize) -> BTreeSet<&str> {
         let mut nodes: Vec<(&String, u32)> =
             self.nodes.iter().map(|(name, at)| (name, at.value.cpu.0)).collect();
         nodes.sort_by_key(|(name, cpu)| (std::cmp::Reverse(*cpu), *name));
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -25,7 +25,7 @@
 /// of a deployment with five pools its owner, and one that can take over at once. Each such node hears
 /// up to 700 KB a second while 160 jobs a second come, by their records' sizes; 147 of them would take
 /// what a store's link of 1,000 Mbit/s has.
-const DEFAULT_KEEPERS: u64 = 12;
+const DEFAULT_REPLICAS: u64 = 12;
 
 /// All that a scheduler node is told when it starts.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,7 +40,7 @@
     pub(crate) grace: Duration,
     pub(crate) sizing: Sizing,
     /// Nodes that hear of everything and may own work, beside those that own some.
-    pub(crate) keepers: usize,
+    pub(crate) replicas: usize,
 }
 
 /// Where a scheduler node listens.
@@ -87,7 +87,7 @@
         inner.millis_or("grace_ms", 1_000..=600_000, Duration::from_secs(6))
     });
     let sizing = section.section_or_default("pools", sizing);
-    let keepers = section.number_or("keepers", 1..=10_000, DEFAULT_KEEPERS);
+    let replicas = section.number_or("replicas", 1..=10_000, DEFAULT_REPLICAS);
     Some(SchedulerSettings {
         node: node?,
         zone: zone?,
@@ -96,7 +96,7 @@
         platform: platform?,
         grace: grace?,
         sizing: sizing?,
-        keepers: keepers? as usize,
+        replicas: replicas? as usize,
     })
 }
 
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -1,9 +1,11 @@
-//! What tests share: fuzzing that draws the same operations in every run.
+//! What tests share: samples, and fuzzing that draws the same operations in every run.
 //!
 //! Bolero's own test engine draws its seeds from the system, so that two runs of CI could differ.
 //! Here its generators are fed from fixed seeds instead. `CAPERHOLLOW_FUZZ_SEED` and
 //! `CAPERHOLLOW_FUZZ_RUNS` look elsewhere, and further.
 
+pub(crate) mod sample;
+
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use bolero::{
--- /dev/null
+++ b/src/tests/sample.rs
@@ -0,0 +1,26 @@
+//! Samples of records.
+
+use crate::model::{
+    job::{JobRecord, Step},
+    unit::Time,
+};
+
+/// A job of `pool` that came at one million milliseconds, to be done once, in time within twice its
+/// work and 600 ms.
+pub(crate) fn record(steps: Vec<Step>) -> JobRecord {
+    JobRecord {
+        queue: "q".to_owned(),
+        pool: "pool".parse().unwrap(),
+        payload: "payload".into(),
+        steps,
+        repeats: 0,
+        first: Time::default(),
+        every_ms: 0,
+        priority: 0,
+        attempts: 3,
+        stretch: 200,
+        target_ms: 600,
+        advice: None,
+        accepted: Time::from_millis(1_000_000),
+    }
+}
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -49,6 +49,16 @@
     peers: String,
 }
 
+/// What differs between nodes.
+struct Shape<'a> {
+    /// Where the store is reached.
+    store: &'a str,
+    /// Processor time.
+    cores: f64,
+    /// Nodes that hear of everything.
+    replicas: u32,
+}
+
 struct Site {
     _process: Process,
     address: String,
@@ -126,7 +136,12 @@
 
     /// A node that reaches the store at an address of its own.
     async fn node_by(&self, name: &str, store: &str) -> Node {
-        self.node_with(name, store, 1.0).await
+        self.node_of(name, Shape { store, ..self.shape() }).await
+    }
+
+    /// What nodes are unless a test says otherwise.
+    fn shape(&self) -> Shape<'_> {
+        Shape { store: &self.address, cores: 1.0, replicas: 12 }
     }
 
     /// Three nodes with so little processor time that whichever owns the pool leaves the calls to
@@ -134,7 +149,7 @@
     async fn small_nodes(&self) -> Vec<Node> {
         let mut nodes = Vec::new();
         for name in ["one", "two", "three"] {
-            nodes.push(self.node_with(name, &self.address, 0.001).await);
+            nodes.push(self.node_of(name, Shape { cores: 0.001, ..self.shape() }).await);
         }
         nodes
     }
@@ -148,15 +163,11 @@
         names.iter().enumerate().filter(|(_, name)| opened(name)).map(|(place, _)| place).collect()
     }
 
-    async fn node_with(&self, name: &str, store: &str, cores: f64) -> Node {
-        self.node_of(name, store, cores, 12).await
-    }
-
-    /// A node of a deployment in which so many nodes hear of everything.
-    async fn node_of(&self, name: &str, store: &str, cores: f64, keepers: u32) -> Node {
+    async fn node_of(&self, name: &str, shape: Shape<'_>) -> Node {
+        let Shape { store, cores, replicas } = shape;
         let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let settings = json!({
-            "node": name, "zone": "hall-a", "cpu_cores": cores, "keepers": keepers,
+            "node": name, "zone": "hall-a", "cpu_cores": cores, "replicas": replicas,
             "listen": {
                 "callers": callers, "readiness": readiness, "metrics": metrics, "peers": peers,
             },
@@ -376,8 +387,8 @@
 #[tokio::test]
 async fn a_node_that_hears_of_little_answers_all_the_same_and_takes_over() {
     let site = Site::start("little", 3).await;
-    let mut one = site.node_of("one", &site.address, 1.0, 1).await;
-    let two = site.node_of("two", &site.address, 0.5, 1).await;
+    let mut one = site.node_of("one", Shape { replicas: 1, ..site.shape() }).await;
+    let two = site.node_of("two", Shape { cores: 0.5, replicas: 1, ..site.shape() }).await;
     let id = "00000000000000a1";
     assert_eq!(site.state(&two, id).await.unwrap(), "410");
     assert_eq!(site.hand_in(&two, id, &two_steps()).await, StatusCode::OK);
