Sight: why a task starts again, and runs that should not be there

Cause: starts of tasks that do not last were not logged, and a run that was found beside another one was stopped without a word. From the logs of two runs of one task nobody could tell which owner, by what belief, had started the second.

Change: an owner keeps, for each task, the run before and why it was held to be over (an end, a refusal, a stop, a list without it, a lapse, a worker that is over), and tells it when the task starts again, with its token. A run that should not be there is told with what is wrong with it. Both are counted in metrics (task_restarts, stray_runs, by why). A new owner tells once what it rested on when it let tasks of earlier jobs start. No decision changes.

One first test was wrong about the order (a done task of a job that is over counted as no job); the code was changed so that done goes first.

Ruled out: a line for each first start (hundreds a second at a peak).

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    jobs::event::StoredJob,
+    jobs::{event::StoredJob, gone::Previous},
     model::{
         id::WorkerId,
         job::{JobId, JobRecord, JobState, Progress, Step, StepId, StepNote, TaskNote},
@@ -66,6 +66,8 @@
     pub(crate) saved: String,
     /// At most one, but for steps whose copies may run at the same time.
     pub(crate) copies: Vec<Copy>,
+    /// The copy that was there before.
+    pub(crate) previous: Option<Box<Previous>>,
     /// Not to be started before.
     pub(crate) not_before: Steady,
     /// It was started by this owner, or runs at a worker that has seen this owner's token, so that
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -13,6 +13,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event, Save, StoredJob},
+        gone::{Counts, Gone, Previous},
         job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
         losses::Losses,
         roster::{Holding, Roster},
@@ -76,6 +77,9 @@
     /// Jobs whose end is durable: of their records in the store only the end is of use.
     finished: BTreeSet<JobId>,
     deposed: bool,
+    counts: Counts,
+    /// Whether it was told that tasks of earlier jobs may start.
+    told_clear: bool,
 }
 
 impl Owner {
@@ -99,6 +103,8 @@
             saves: SaveQueue::default(),
             finished: BTreeSet::new(),
             deposed: false,
+            counts: Counts::default(),
+            told_clear: earlier == 0,
         }
     }
 
@@ -107,6 +113,11 @@
         self.deposed
     }
 
+    /// What was counted since this was last asked.
+    pub(crate) fn take_counts(&mut self) -> Counts {
+        std::mem::take(&mut self.counts)
+    }
+
     /// Takes note of an event.
     pub(crate) fn handle(&mut self, event: Event, now: Now, out: &mut Vec<Effect>) {
         match event {
@@ -322,12 +333,20 @@
     }
 
     /// Removes a copy that is certain not to run any more.
-    fn drop_copy(&mut self, task: TaskId, at: &WorkerId) -> Option<crate::jobs::job::Copy> {
+    fn drop_copy(
+        &mut self,
+        task: TaskId,
+        at: &WorkerId,
+        why: Gone,
+        now: Steady,
+    ) -> Option<crate::jobs::job::Copy> {
         let job = self.jobs.get_mut(&task.of.job)?;
         let charge = job.step(task.of.step).charge();
         let entry = job.task_mut(task.of, task.index)?;
         let place = entry.copies.iter().position(|copy| copy.worker == *at)?;
         let copy = entry.copies.remove(place);
+        let previous = Previous { worker: at.clone(), run: copy.run, why, at: now };
+        entry.previous = Some(Box::new(previous));
         if let Some(worker) = self.workers.get_mut(at) {
             worker.vacate(task, &charge);
         }
@@ -360,26 +379,26 @@
     }
 
     /// Forgets those whose place a worker has that has just answered.
-    fn supersede(&mut self, by: &WorkerId) {
+    fn supersede(&mut self, by: &WorkerId, now: Steady) {
         let Some(report) = self.workers.get(by).map(|worker| &worker.report) else {
             return;
         };
         let others = self.workers.values().filter(|w| shares_place(&w.report, report));
         let others: Vec<WorkerId> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
-            self.bury(&id, "another life answers in its place");
+            self.bury(&id, "another life answers in its place", now);
         }
     }
 
     /// Forgets a worker that is certain to be over, and with it all that ran there.
-    fn bury(&mut self, id: &WorkerId, why: &str) {
+    fn bury(&mut self, id: &WorkerId, why: &str, now: Steady) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
         let runs: Vec<TaskId> = worker.copies.keys().copied().collect();
         log::info!("worker {id}: over: {why}; {} runs with it", runs.len());
         for task in runs {
-            self.drop_copy(task, id);
+            self.drop_copy(task, id, Gone::WorkerOver, now);
         }
         self.workers.remove(id);
         self.over.insert(id.clone());
@@ -417,7 +436,7 @@
             }
             OrderEnd::Refused { why, .. } => self.start_refused(at, task, why, now),
             OrderEnd::Unsent => {
-                self.drop_copy(task, at);
+                self.drop_copy(task, at, Gone::Unsent, now);
                 if let Some(entry) = self.task_mut(task) {
                     entry.not_before = now.after(UNSENT_PAUSE_MS);
                 }
@@ -427,7 +446,7 @@
 
     fn start_refused(&mut self, at: &WorkerId, task: TaskId, why: Refusal, now: Steady) {
         log::info!("job {}: task {task} at {at}: refused: {why:?}", task.of.job);
-        self.drop_copy(task, at);
+        self.drop_copy(task, at, Gone::Refused(why), now);
         if let Some(job) = self.jobs.get_mut(&task.of.job) {
             if let Some(tasks) = job.steps.get_mut(&(task.of.time, task.of.step))
                 && why == Refusal::Ticket
@@ -443,7 +462,7 @@
         }
         match why {
             Refusal::Fenced => self.deposed = true,
-            Refusal::OtherLife => self.bury(at, "another life answers at its address"),
+            Refusal::OtherLife => self.bury(at, "another life answers at its address", now),
             Refusal::Unwell | Refusal::Room => {
                 if let Some(worker) = self.workers.get_mut(at) {
                     worker.pause(now.after(REFUSED_PAUSE_MS));
@@ -472,7 +491,7 @@
             }
             OrderEnd::Refused { why: Refusal::Fenced, .. } => self.deposed = true,
             OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
-                self.bury(at, "another life answers at its address");
+                self.bury(at, "another life answers at its address", now);
             }
             // The next look that still finds the run has it stopped again.
             OrderEnd::Refused { why: Refusal::Unwell, .. }
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -2,7 +2,7 @@
 
 use super::Owner;
 use crate::{
-    jobs::{event::Effect, job::Copy, worker::Unacknowledged},
+    jobs::{event::Effect, gone::Gone, job::Copy, worker::Unacknowledged},
     model::{
         id::WorkerId,
         job::{JobState, TaskId},
@@ -36,7 +36,8 @@
     fn count(&mut self, id: &WorkerId, end: Ended, now: Now, out: &mut Vec<Effect>) -> u64 {
         let Ended { task, run, how, saved, .. } = end;
         let is_copy = self.copy_mut(task, id).is_some_and(|copy| copy.run == run);
-        let copy = if is_copy { self.drop_copy(task, id) } else { None };
+        let copy =
+            if is_copy { self.drop_copy(task, id, Gone::Ended(how), now.steady) } else { None };
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
             return 0;
         };
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -6,6 +6,7 @@
 use crate::{
     jobs::{
         event::Effect,
+        gone::{Gone, Stray},
         job::{Copy, Phase},
         worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Worker},
     },
@@ -87,7 +88,7 @@
             OrderEnd::Done(look) => self.found(id, sent, look, now, out),
             OrderEnd::Refused { why: Refusal::Fenced, .. } => self.deposed = true,
             OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
-                self.bury(id, "another life answers at its address");
+                self.bury(id, "another life answers at its address", now.steady);
             }
             OrderEnd::Unsent => worker.next_look = now.steady.after(UNSENT_PAUSE_MS),
             OrderEnd::Refused { .. } | OrderEnd::Unknown => {
@@ -121,7 +122,7 @@
         }
         worker.misses = 0;
         worker.answered = Some(now.steady);
-        self.supersede(id);
+        self.supersede(id, now.steady);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
@@ -149,18 +150,14 @@
         out: &mut Vec<Effect>,
     ) {
         let Present { task, run, saved, percent, gauge } = found;
-        let wanted = self.jobs.get(&task.of.job).filter(|job| job.is_open()).is_some_and(|job| {
-            job.task(task.of, task.index).is_some_and(|entry| {
-                let elsewhere = entry.copies.iter().any(|copy| copy.worker != *id);
-                !entry.done && (!elsewhere || job.step(task.of.step).speculative)
-            })
-        });
+        let stray = self.stray(id, task);
         if let Some(copy) = self.copy_mut(task, id).filter(|copy| copy.run == run) {
             if copy.percent < percent || copy.began.is_none() {
                 copy.moved = now;
             }
             copy.percent = percent;
             copy.gauge = gauge;
+            let stopping = matches!(copy.phase, Phase::Stopping | Phase::Stopped(_));
             copy.began.get_or_insert(now);
             match copy.phase {
                 Phase::Starting | Phase::Unknown => {
@@ -178,18 +175,56 @@
             {
                 entry.saved = saved;
             }
-            if !wanted {
+            if let Some(stray) = stray {
+                if !stopping {
+                    self.note_stray(id, task, run, stray);
+                }
                 self.stop(task, id, now, out);
             }
             return;
         }
-        if !wanted || self.copy_mut(task, id).is_some() {
+        let other = self.copy_mut(task, id).map(|_| Stray::OtherRun);
+        if let Some(stray) = stray.or(other) {
+            self.note_stray(id, task, run, stray);
             self.send_stop(id, task, run, out);
             return;
         }
         self.adopt(id, task, run, percent, sent, now);
     }
 
+    /// What is wrong with a run of a task at a worker, if anything is.
+    fn stray(&self, id: &WorkerId, task: TaskId) -> Option<Stray> {
+        let job = self.jobs.get(&task.of.job);
+        let found = job.and_then(|job| Some((job, job.task(task.of, task.index)?)));
+        let Some((job, entry)) = found else {
+            return Some(Stray::NoJob);
+        };
+        if entry.done {
+            return Some(Stray::Done);
+        }
+        if !job.is_open() {
+            return Some(Stray::NoJob);
+        }
+        let elsewhere = entry.copies.iter().any(|copy| copy.worker != *id);
+        (elsewhere && !job.step(task.of.step).speculative).then_some(Stray::Elsewhere)
+    }
+
+    /// Tells of a run that should not be there. Two runs of one task show here first, whichever of
+    /// the two owners looks.
+    fn note_stray(&mut self, id: &WorkerId, task: TaskId, run: u32, stray: Stray) {
+        *self.counts.strays.entry(stray.word()).or_default() += 1;
+        let (job, token, why) = (task.of.job, self.token, stray.word());
+        let entry = self.jobs.get(&job).and_then(|job| job.task(task.of, task.index));
+        let others = entry.iter().flat_map(|entry| &entry.copies);
+        let others: Vec<String> =
+            others.map(|copy| format!("run {} at {}", copy.run, copy.worker)).collect();
+        let level = if stray == Stray::NoJob { log::Level::Info } else { log::Level::Warn };
+        log::log!(
+            level,
+            "job {job}: task {task} run {run} at {id}: stopped by token {token}: {why} {others:?}"
+        );
+    }
+
     /// Takes over a run that an earlier owner started.
     fn adopt(
         &mut self,
@@ -249,10 +284,10 @@
             match copy.phase {
                 Phase::Running if copy.since < sent => {
                     log::warn!("job {}: task {task} at {id}: gone without an end", task.of.job);
-                    self.drop_copy(task, id);
+                    self.drop_copy(task, id, Gone::Unlisted, now);
                 }
                 Phase::Stopped(at) if at < sent => {
-                    self.drop_copy(task, id);
+                    self.drop_copy(task, id, Gone::Stopped, now);
                 }
                 Phase::Unknown => self.stop(task, id, now, out),
                 Phase::Stopping if STOP_AGAIN_MS < now.since(copy.since) => {
@@ -285,7 +320,7 @@
             let runs: Vec<TaskId> = self.workers[&id].copies.keys().copied().collect();
             for task in runs {
                 log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
-                self.drop_copy(task, &id);
+                self.drop_copy(task, &id, Gone::Lapsed, now);
             }
             let worker = &self.workers[&id];
             let untouched = !worker.touched && now < self.quiet_until;
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -49,6 +49,7 @@
         self.reserved.clear();
         self.full.clear();
         let doubt = self.doubt(now.steady);
+        self.tell_clear(&doubt, now.steady);
         for (_, id) in order {
             self.plan_job(id, &doubt, now, out);
         }
@@ -315,6 +316,7 @@
         };
         entry.run += 1;
         entry.accounted = true;
+        let previous = entry.previous.take();
         let (run, checkpoint) = (entry.run, saved.unwrap_or_else(|| entry.saved.clone()));
         entry.copies.push(Copy {
             worker: id.clone(),
@@ -330,8 +332,19 @@
         });
         let task = TaskId { of, index };
         worker.occupy(task, run, &charge);
-        if lasting {
-            log::info!("job {}: task {task} run {run} at {id}: started", of.job);
+        match &previous {
+            Some(before) => {
+                *self.counts.restarts.entry(before.why.word()).or_default() += 1;
+                let before = before.told(now.steady);
+                log::info!(
+                    "job {}: task {task} run {run} at {id}: started again by token {token}: {before}",
+                    of.job
+                );
+            }
+            None if lasting => {
+                log::info!("job {}: task {task} run {run} at {id}: started", of.job);
+            }
+            None => {}
         }
         if job.state == JobState::Queued {
             job.state = JobState::Running;
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -97,6 +97,21 @@
         (kept.is_some() || !tasks.is_empty()).then_some(Holding::Only(tasks))
     }
 
+    /// Tells once that no task of earlier jobs is held back any more, and what that rests on.
+    pub(super) fn tell_clear(&mut self, doubt: &Doubt, now: Steady) {
+        let clear = matches!(doubt, Doubt::Only(tasks) if tasks.is_empty());
+        if self.told_clear || !clear {
+            return;
+        }
+        self.told_clear = true;
+        let asked = self.workers.values().filter(|worker| worker.touched).count();
+        let (workers, token) = (self.workers.len(), self.token);
+        let rest = if self.quiet_until <= now { "all else has lapsed" } else { "all that may run" };
+        log::info!(
+            "jobs: token {token} starts tasks of earlier jobs: {asked} of {workers} workers asked, {rest}"
+        );
+    }
+
     /// The tasks of earlier jobs that may run where this owner does not see them: on workers that
     /// earlier owners could give work to and that have not answered this one yet.
     pub(super) fn doubt(&self, now: Steady) -> Doubt {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod fleet;
 mod fuzz;
+mod gone;
 mod helpers;
 mod looks;
 mod roster;
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -424,6 +424,8 @@
                 self.owned.remove(&name);
                 continue;
             }
+            let counts = owned.owner.take_counts();
+            self.node.metrics.counted(&counts);
             self.carry_out(&name, token, out);
             self.save(&name, now);
             self.write_roster(&name, now);
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -18,7 +18,7 @@
     registry::Registry,
 };
 
-use crate::{http, logging};
+use crate::{http, jobs::gone::Counts, logging};
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StoreCall {
@@ -44,6 +44,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Because {
+    why: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Ended {
     queue: String,
@@ -69,6 +74,8 @@
     orders: Family<Ordered, Counter>,
     order_seconds: Family<Ordered, Histogram, Latencies>,
     ended: Family<Ended, Counter>,
+    restarts: Family<Because, Counter>,
+    strays: Family<Because, Counter>,
     job_seconds: Family<OfQueue, Histogram, Latencies>,
     owned: Gauge,
     config: Gauge,
@@ -88,6 +95,8 @@
             orders: Family::default(),
             order_seconds: Family::new_with_constructor(latencies as Latencies),
             ended: Family::default(),
+            restarts: Family::default(),
+            strays: Family::default(),
             job_seconds: Family::new_with_constructor(latencies as Latencies),
             owned: Gauge::default(),
             config: Gauge::default(),
@@ -116,6 +125,16 @@
             "Time from a job's acceptance to its success, by its owner",
             self.job_seconds.clone(),
         );
+        registry.register(
+            "task_restarts",
+            "Tasks started again, by why the run before was held to be over",
+            self.restarts.clone(),
+        );
+        registry.register(
+            "stray_runs",
+            "Runs that workers listed and that should not be there, by what is wrong with them",
+            self.strays.clone(),
+        );
         registry.register("owned", "Pieces of work that the node owns", self.owned.clone());
         registry.register("config_version", "The configuration in force", self.config.clone());
         registry.register(
@@ -164,6 +183,16 @@
         self.job_seconds.get_or_create(&label).observe(took.as_secs_f64());
     }
 
+    /// Notes what an owner has counted.
+    pub(crate) fn counted(&self, counts: &Counts) {
+        for (why, count) in &counts.restarts {
+            self.restarts.get_or_create(&Because { why }).inc_by(*count);
+        }
+        for (why, count) in &counts.strays {
+            self.strays.get_or_create(&Because { why }).inc_by(*count);
+        }
+    }
+
     /// Notes what the node owns and which configuration is in force.
     pub(crate) fn holds(&self, owned: usize, config: u64) {
         self.owned.set(owned as i64);
