A list of 500 ends is not taken for whole

Cause: an owner took a run that a look listed neither as running nor as ended for gone, and started the task again. A worker lists 500 ends at once; those behind them follow once these are acknowledged, which takes progress in the store.

What a list of that length allows: ends on it count, runs on it are there, and a run that is on neither list may have ended. So no run is dropped by it (neither one that runs nor one that was stopped), the worker has not yet told a new owner all that it holds, so that tasks of earlier jobs wait for it (also past the time in which runs lapse: ends do not), its holding is kept as it was found, and its host is not empty. A worker that falls silent and lapses holds up nothing.

Ruled out: the same for lists of runs, which the contract does not cut short.

--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -121,6 +121,8 @@
         }
         worker.misses = 0;
         worker.answered = Some(now.steady);
+        let whole = look.is_whole();
+        worker.told_all |= whole;
         self.supersede(id);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
@@ -131,7 +133,7 @@
         for present in look.present {
             self.present(id, present, sent, now.steady, out);
         }
-        self.check_unlisted(id, &listed, sent, now.steady, out);
+        self.check_unlisted(id, &listed, whole, sent, now.steady, out);
         if let Some(worker) = self.workers.get_mut(id) {
             acknowledge(worker, &self.jobs);
         }
@@ -227,11 +229,13 @@
         log::info!("job {}: task {task} run {run} at {id}: taken over", task.of.job);
     }
 
-    /// Decides on the runs that are thought to be at a worker and that it does not list.
+    /// Decides on the runs that are thought to be at a worker and that it does not list. With a list
+    /// of ends that is not whole they may have ended: none counts as gone.
     fn check_unlisted(
         &mut self,
         id: &WorkerId,
         listed: &BTreeSet<TaskId>,
+        whole: bool,
         sent: Steady,
         now: Steady,
         out: &mut Vec<Effect>,
@@ -247,11 +251,11 @@
             };
             // A look that was sent in the same millisecond may have come first.
             match copy.phase {
-                Phase::Running if copy.since < sent => {
+                Phase::Running if whole && copy.since < sent => {
                     log::warn!("job {}: task {task} at {id}: gone without an end", task.of.job);
                     self.drop_copy(task, id);
                 }
-                Phase::Stopped(at) if at < sent => {
+                Phase::Stopped(at) if whole && at < sent => {
                     self.drop_copy(task, id);
                 }
                 Phase::Unknown => self.stop(task, id, now, out),
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -86,7 +86,7 @@
 
     fn holding_of(&self, worker: &Worker) -> Option<Holding> {
         let kept = self.roster.holding(&worker.report.id);
-        if !worker.touched {
+        if !worker.told_all {
             return kept.cloned();
         }
         if worker.misses < SILENT_MISSES {
@@ -98,13 +98,15 @@
     }
 
     /// The tasks of earlier jobs that may run where this owner does not see them: on workers that
-    /// earlier owners could give work to and that have not answered this one yet.
+    /// earlier owners could give work to and that have not told this one all that they hold yet.
     pub(super) fn doubt(&self, now: Steady) -> Doubt {
         let mut tasks = BTreeSet::new();
-        if self.quiet_until <= now {
-            return Doubt::Only(tasks);
-        }
-        for worker in self.workers.values().filter(|worker| !worker.touched) {
+        let quiet = self.quiet_until <= now;
+        let hides = |worker: &&Worker| match quiet {
+            true => worker.owes_ends(now),
+            false => !worker.told_all,
+        };
+        for worker in self.workers.values().filter(hides) {
             match self.roster.holding(&worker.report.id) {
                 Some(Holding::Any) => return Doubt::All,
                 Some(Holding::Only(held)) => tasks.extend(held),
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -65,6 +65,9 @@
     pub(crate) listed: bool,
     /// Whether it has seen this owner's token and told what it runs.
     pub(crate) touched: bool,
+    /// Whether it has told this owner all that it holds: the list of ends of some look was whole.
+    /// Whatever came to it later is of this owner.
+    pub(crate) told_all: bool,
     /// Whether a later owner would reckon with anything running here.
     pub(crate) rostered: bool,
     reading: Option<Reading>,
@@ -105,6 +108,7 @@
             report,
             listed: true,
             touched: false,
+            told_all: false,
             rostered: false,
             reading: None,
             until_ms: 0,
@@ -196,7 +200,14 @@
 
     /// Whether nothing runs or can begin here, and no end is left to be counted durably.
     pub(crate) fn is_empty(&self) -> bool {
-        self.copies.is_empty() && self.unacknowledged.is_empty()
+        self.told_all && self.copies.is_empty() && self.unacknowledged.is_empty()
+    }
+
+    /// Whether it may list ends of earlier owners' runs that this one has not seen. They do not
+    /// lapse with the runs: only a worker that is over for all that is known lists none.
+    pub(crate) fn owes_ends(&self, now: Steady) -> bool {
+        let silent = self.misses != 0 && self.has_lapsed(now);
+        self.touched && !self.told_all && !silent
     }
 
     /// Whether the worker has failed tasks since it last did one.
--- a/src/model/worker.rs
+++ b/src/model/worker.rs
@@ -83,6 +83,17 @@
     pub(crate) ended: Vec<Ended>,
 }
 
+/// The most ends that a worker lists at once, by the platform's contract. Those behind them are
+/// listed once these are acknowledged.
+pub(crate) const MOST_ENDS: usize = 500;
+
+impl Look {
+    /// Whether it lists all ends. Else a run that it lists nowhere may have ended all the same.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.ended.len() < MOST_ENDS
+    }
+}
+
 /// Why a worker refused an order for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
