Runs at silent workers lapse only for an owner that nobody can have followed

Cause: an owner goes on for 3 s after its lease may be over. If it is cut off from the store and from a worker, it took what ran there for lapsed 3.6 s after its last word of the worker, within that time, though a later owner may have reached the worker and given its runs more time, or have counted their ends. It started the task once more at a worker that the later owner had not reached.

Change: time alone shows something only to an owner that is alone. The drive says with each decision whether the lease certainly holds; while it does not, no run is taken for lapsed, and workers that were not reached stay in doubt past the time in which they fall quiet. What workers answer counts as before: a worker that obeys this owner has not seen a later one.

Costs: while an owner does not reach the store, tasks of silent workers begin elsewhere up to 3 s later.

Ruled out on the way: moments that are compared. A running copy's moment is when word of it was handled, that of a look when it was decided on, and both err to the same side, with answers up to 3 s late and in any order.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -54,6 +54,9 @@
     first_run: u32,
     /// Until then, a worker that has not seen the token may run tasks of earlier jobs.
     quiet_until: Steady,
+    /// Whether nobody else can own the pool yet. Time alone shows nothing otherwise: a later owner
+    /// may have reached a worker that is silent here, and have let its runs go on.
+    sole: bool,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that ended under this owner. What the store tells of them may be older than that.
     ended: HashSet<JobId>,
@@ -85,6 +88,7 @@
             token,
             first_run: earlier * RUNS_PER_OWNER,
             quiet_until: now.after(if earlier == 0 { 0 } else { QUIET_MS }),
+            sole: true,
             jobs: BTreeMap::new(),
             ended: HashSet::new(),
             workers: BTreeMap::new(),
@@ -107,6 +111,11 @@
         self.deposed
     }
 
+    /// Says whether the pool certainly has no later owner now.
+    pub(crate) fn set_sole(&mut self, sole: bool) {
+        self.sole = sole;
+    }
+
     /// Takes note of an event.
     pub(crate) fn handle(&mut self, event: Event, now: Now, out: &mut Vec<Effect>) {
         match event {
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -280,8 +280,11 @@
     }
 
     /// Forgets runs at workers that are silent for so long that everything there has lapsed, and
-    /// workers that are gone.
+    /// workers that are gone; none while a later owner may have given them more time.
     pub(super) fn drop_lapsed(&mut self, now: Steady) {
+        if !self.sole {
+            return;
+        }
         let lapsed = |worker: &&Worker| worker.misses != 0 && worker.has_lapsed(now);
         let lapsed: Vec<WorkerId> =
             self.workers.values().filter(lapsed).map(|w| w.report.id.clone()).collect();
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -101,7 +101,7 @@
     /// earlier owners could give work to and that have not told this one all that they hold yet.
     pub(super) fn doubt(&self, now: Steady) -> Doubt {
         let mut tasks = BTreeSet::new();
-        let quiet = self.quiet_until <= now;
+        let quiet = self.sole && self.quiet_until <= now;
         let hides = |worker: &&Worker| match quiet {
             true => worker.owes_ends(now),
             false => !worker.told_all,
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -418,6 +418,7 @@
             };
             let token = owned.owner.token;
             let mut out = Vec::new();
+            owned.owner.set_sole(self.lease.held(now.steady).is_some());
             owned.owner.work(now, &mut out);
             if owned.owner.is_deposed() {
                 log::warn!("owner {name}: a worker knows a later owner than token {token}");
