--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -122,6 +122,8 @@
         }
         worker.misses = 0;
         worker.answered = Some(now.steady);
+        let whole = look.is_whole();
+        worker.told_all |= whole;
         self.supersede(id, now.steady);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
@@ -132,7 +134,7 @@
         for present in look.present {
             self.present(id, present, sent, now.steady, out);
         }
-        self.check_unlisted(id, &listed, sent, now.steady, out);
+        self.check_unlisted(id, &listed, whole, sent, now.steady, out);
         if let Some(worker) = self.workers.get_mut(id) {
             acknowledge(worker, &self.jobs);
         }
@@ -262,11 +264,13 @@
         log::info!("job {}: task {task} run {run} at {id}: taken over", task.of.job);
     }
 
-    /// Decides on the runs that are thought to be at a worker and that it does not list.
+    /// Decides on the runs that are thought to be at a worker and that it does not list. With a list
+    /// of ends that is not whole they may have ended: none counts as gone.
     fn check_unlisted(
         &mut self,
         id: &WorkerId,
         listed: &BTreeSet<TaskId>,
+        whole: bool,
         sent: Steady,
         now: Steady,
         out: &mut Vec<Effect>,
@@ -282,11 +286,11 @@
             };
             // A look that was sent in the same millisecond may have come first.
             match copy.phase {
-                Phase::Running if copy.since < sent => {
+                Phase::Running if whole && copy.since < sent => {
                     log::warn!("job {}: task {task} at {id}: gone without an end", task.of.job);
                     self.drop_copy(task, id, Gone::Unlisted, now);
                 }
-                Phase::Stopped(at) if at < sent => {
+                Phase::Stopped(at) if whole && at < sent => {
                     self.drop_copy(task, id, Gone::Stopped, now);
                 }
                 Phase::Unknown => self.stop(task, id, now, out),
@@ -311,8 +315,11 @@
     }
 
     /// Forgets runs at workers that are silent for so long that everything there has lapsed, and
-    /// workers that are gone.
+    /// workers that are gone; none while a later owner may have given them more time.
     pub(super) fn drop_lapsed(&mut self, now: Steady) {
+        if !self.sole {
+            return;
+        }
         let lapsed = |worker: &&Worker| worker.misses != 0 && worker.has_lapsed(now);
         let lapsed: Vec<WorkerId> =
             self.workers.values().filter(lapsed).map(|w| w.report.id.clone()).collect();
