Tests that fail: older news that comes last, and entries that somebody else wrote

Cause: the view is told of one key by up to three sources (the mirror's watch, the watch of an owner, reads in pages), none as far as the others. It tells older news only while it holds the record: after a removal nothing is held, and cancels, workers' entries and waves had no guard at all. And an entry under a worker's id that cannot be read left the report before it in force, while one that names another address was believed: an answer from there ended the worker, and its tasks were started elsewhere while they ran on.

Shown up to the owner: run 2 of a task is ordered at w2 while run 1 goes on at w1, by a foreign address in w1's entry (two ways: another life answers there, or it is w2's own address and w2 answers). A node holds an ownership again that it was told is over.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -5,6 +5,7 @@
 mod fuzz;
 mod helpers;
 mod looks;
+mod places;
 mod roster;
 
 use std::{collections::BTreeMap, sync::Arc};
--- /dev/null
+++ b/src/jobs/tests/places.rs
@@ -0,0 +1,99 @@
+//! Tests of what an owner makes of a worker's place: a worker counts as over only if another life
+//! answers where it was itself heard. Entries may come from another writer.
+
+use super::{Bench, id, one_worker, present, report, step, stored, worker_id};
+use crate::{
+    jobs::event::Event,
+    model::{
+        id::WorkerId,
+        job::TaskId,
+        unit::Steady,
+        worker::{OrderEnd, Refusal},
+    },
+};
+
+/// Two workers, the first of which runs a task.
+fn two_workers() -> (Bench, TaskId, u32) {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    bench.tell(Event::Worker(report("w2", "h2")));
+    bench.touch("w2", vec![]);
+    assert_eq!(bench.starts(), vec![]);
+    (bench, task, run)
+}
+
+fn other_life(bench: &mut Bench, name: &str) {
+    let (worker, sent): (WorkerId, _) = (worker_id(name), Steady::from_millis(bench.now));
+    let end = OrderEnd::Refused { why: Refusal::OtherLife, clock_ms: None };
+    bench.tell(Event::Looked { worker, sent, end });
+}
+
+/// Another writer put a third party's address into the entry of a worker that ran a task. The
+/// owner called there, heard that it was another life, took the worker for over, and started its
+/// task elsewhere while it ran on at the old address.
+#[test]
+fn another_life_at_an_address_that_was_never_the_workers_does_not_end_it() {
+    let (mut bench, task, run) = two_workers();
+    bench.look("w1", vec![present(task, run, 10)], vec![]);
+    let mut foreign = report("w1", "h1");
+    foreign.address = "h3:80".to_owned();
+    bench.tell(Event::Worker(foreign));
+    bench.now += 200;
+    bench.work();
+    let calls = std::mem::take(&mut bench.effects);
+    let moved = calls.iter().any(|effect| format!("{effect:?}").contains("h3:80"));
+    if moved {
+        other_life(&mut bench, "w1");
+    }
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "it may still run at w1");
+}
+
+/// The same with the address of another worker of the pool: when that one answered, the first was
+/// taken for over.
+#[test]
+fn a_worker_with_the_address_of_another_in_its_entry_is_not_superseded_by_that_one() {
+    let (mut bench, task, run) = two_workers();
+    let mut foreign = report("w1", "h1");
+    foreign.address = "h2:80".to_owned();
+    bench.tell(Event::Worker(foreign));
+    bench.now += 200;
+    bench.look("w2", vec![], vec![]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "it may still run at w1");
+    bench.look("w1", vec![present(task, run, 20)], vec![]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![]);
+}
+
+/// A worker that was told of first by a foreign entry is used once its own is back.
+#[test]
+fn a_worker_that_was_never_heard_is_used_once_its_entry_is_right() {
+    let mut bench = Bench::new(0);
+    let mut foreign = report("w1", "h1");
+    foreign.address = "h3:80".to_owned();
+    bench.tell(Event::Worker(foreign));
+    bench.work();
+    other_life(&mut bench, "w1");
+    bench.tell(Event::Worker(report("w1", "h1")));
+    bench.now += 200;
+    bench.touch("w1", vec![]);
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// A host that was given to another worker tells so at the address at which the first was heard.
+#[test]
+fn another_life_at_the_address_of_a_worker_that_was_heard_ends_it() {
+    let (mut bench, task, run) = two_workers();
+    bench.now += 200;
+    other_life(&mut bench, "w1");
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts, vec![(task, run + 1, worker_id("w2"))]);
+    assert_eq!(task.of.job, id(1));
+}
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of what a node knows of the store.
 
 mod demand;
+mod foreign;
+mod news;
 mod orders;
 mod watches;
 
--- /dev/null
+++ b/src/scheduler/tests/foreign.rs
@@ -0,0 +1,144 @@
+//! Tests of entries that another writer wrote over ours or the workers': they name nothing to use,
+//! the others hold, and nothing that may run is started again because of them.
+
+use serde_json::{Value, json};
+
+use crate::{
+    model::{id::WorkerId, job::JobState, unit::Revision},
+    platform::kv::Change,
+    scheduler::{
+        drive::json as bytes,
+        keys,
+        view::{Delta, View},
+    },
+    tests::sample,
+};
+
+fn worker(name: &str) -> WorkerId {
+    name.parse().unwrap()
+}
+
+fn server(host: &str) -> Value {
+    json!({ "service": "pool", "address": format!("{host}:80"), "zone": "z1", "state": "ready",
+        "machine": host, "labels": ["a", "r1"], "capacity": { "cpu": 1000, "mem_mb": 100 } })
+}
+
+fn with(field: &str, value: Value) -> Vec<u8> {
+    let mut entry = server("h1");
+    entry[field] = value;
+    bytes(&entry)
+}
+
+fn without(field: &str) -> Vec<u8> {
+    let mut entry = server("h1");
+    entry.as_object_mut().unwrap().remove(field);
+    bytes(&entry)
+}
+
+/// What another writer may have put in the place of a worker's entry.
+fn unreadable() -> Vec<(&'static str, Vec<u8>)> {
+    vec![
+        ("no bytes", vec![]),
+        ("no text", vec![0xff, 0xfe, 0x00, 0x80]),
+        ("no JSON", b"ready".to_vec()),
+        ("half of it", bytes(&server("h1"))[..40].to_vec()),
+        ("another type", b"[]".to_vec()),
+        ("null", b"null".to_vec()),
+        ("no service", without("service")),
+        ("no address", without("address")),
+        ("no zone", without("zone")),
+        ("no state", without("state")),
+        ("a number as service", with("service", json!(7))),
+        ("a service that is no name", with("service", json!("a/b"))),
+        ("an empty service", with("service", json!(""))),
+        ("a list as address", with("address", json!(["h1:80"]))),
+        ("an empty address", with("address", json!(""))),
+        ("a number as zone", with("zone", json!(1))),
+        ("another state", with("state", json!("resting"))),
+        ("a state in capitals", with("state", json!("READY"))),
+        ("a number as state", with("state", json!(0))),
+        ("a number as machine", with("machine", json!(4))),
+        ("a text as capacity", with("capacity", json!("much"))),
+        ("labels that are none", with("labels", json!({ "a": 1 }))),
+    ]
+}
+
+fn put(view: &mut View, key: &str, revision: u64, value: Vec<u8>) -> Option<Delta> {
+    let value = Some(value.into());
+    view.apply(Change { key: key.to_owned(), revision: Revision(revision), value })
+}
+
+/// Such an entry was logged and the report before it stayed in force: the worker got work on.
+#[test]
+fn an_entry_that_cannot_be_read_names_no_worker_to_use_and_the_others_hold() {
+    for (what, value) in unreadable() {
+        let mut view = View::default();
+        put(&mut view, "servers/w1", 10, bytes(&server("h1")));
+        put(&mut view, "servers/w2", 11, bytes(&server("h2")));
+        let delta = put(&mut view, "servers/w1", 12, value);
+        assert!(delta.is_some(), "{what}: whoever uses the worker is told");
+        assert!(!view.workers.contains_key(&worker("w1")), "{what}");
+        assert!(view.workers.contains_key(&worker("w2")), "{what}: the others hold");
+        let delta = put(&mut view, "servers/w1", 13, bytes(&server("h1")));
+        assert!(matches!(delta, Some(Delta::Worker(_))), "{what}: used again, {delta:?}");
+    }
+}
+
+/// A worker's life keeps its host, pool and address. An entry that says otherwise is not its own:
+/// it would have another pool's owner give it orders too, and calls go to another worker.
+#[test]
+fn an_entry_with_the_place_of_another_worker_names_no_worker_to_use() {
+    let moved = [("address", "h2:80"), ("machine", "h2"), ("service", "other")];
+    for (field, value) in moved {
+        let mut view = View::default();
+        put(&mut view, "servers/w1", 10, bytes(&server("h1")));
+        let delta = put(&mut view, "servers/w1", 12, with(field, json!(value)));
+        assert!(delta.is_some(), "{field}");
+        assert!(!view.workers.contains_key(&worker("w1")), "{field}");
+        put(&mut view, "servers/w1", 13, bytes(&server("h1")));
+        assert!(view.workers.contains_key(&worker("w1")), "{field}: as it was");
+    }
+}
+
+/// The progress of a job that had ended was overwritten, and a later owner was told of the job as
+/// one that had not begun: all of it ran twice.
+#[test]
+fn a_job_whose_progress_cannot_be_read_is_not_told_as_new() {
+    let mut view = View::default();
+    let (job, pool) = (super::job(), "pool".parse().unwrap());
+    put(&mut view, &keys::job(&pool, job), 10, bytes(&sample::record(vec![])));
+    assert!(view.jobs[&job].stored(job).is_some());
+    put(&mut view, &keys::progress(job), 11, b"garbage".to_vec());
+    assert!(view.jobs[&job].stored(job).is_none(), "it waits");
+    let delta = view.apply(super::progress(JobState::Running, 12));
+    assert!(matches!(delta, Some(Delta::Job(_))), "it is told once it can be read: {delta:?}");
+    assert!(view.jobs[&job].stored(job).is_some());
+}
+
+/// An end that was known stays known when another writer overwrites it.
+#[test]
+fn a_job_that_ended_stays_so_when_its_progress_cannot_be_read_any_more() {
+    let mut view = View::default();
+    view.apply(super::progress(JobState::Succeeded, 120));
+    put(&mut view, &keys::progress(super::job()), 121, b"{}x".to_vec());
+    assert_eq!(view.jobs[&super::job()].state(), JobState::Succeeded);
+}
+
+/// A later owner that finds no record of a worker takes it that nothing can run there.
+#[test]
+fn a_worker_whose_roster_record_cannot_be_read_is_still_reckoned_with() {
+    let mut view = View::default();
+    put(&mut view, &keys::roster("pool-a", &worker("w1")), 10, vec![]);
+    let roster = view.roster("pool-a");
+    assert_eq!(roster.iter().map(|report| &report.id).collect::<Vec<_>>(), [&worker("w1")]);
+}
+
+/// Nobody could take the pool up: the key was there, and no revision was known to write over.
+#[test]
+fn an_owner_that_cannot_be_read_can_be_succeeded() {
+    let mut view = View::default();
+    put(&mut view, &keys::owner("pool-a"), 10, b"who?".to_vec());
+    let owner = view.owners.get("pool-a").map(|owner| owner.revision);
+    assert_eq!(owner, Some(Revision(10)));
+    assert!(!view.owns("pool-a", 9), "the one before has lost it");
+}
