One guard for all news of the store; entries of another writer name nothing to use

Cause: of a key that was removed nothing was held, so that whatever source came last won, also with older news; cancels, workers' entries and waves were never guarded. And a worker's entry was believed whatever it said: one that cannot be read left the report before it in force, one with another address led an owner to somebody else, whose "another life" ended a worker that ran on.

Ruled out: a guard a kind (as jobs had one): the next kind is forgotten again. Ruled out: removals kept for ever, as jobs' were: one entry a job that ended.

Change: - View::apply asks one place (view/heard.rs) whether a change is news: the newest revision of each key, which survives a removal until every source of that key has passed it. Sources (the mirror's watches, the watch of an owner) say how far they are. An owner's own watch starts where the mirror is, not at its token. - A worker's entry that cannot be read (no JSON, no UTF-8, empty, fields missing or of another type, an address that is none, a state that is neither ready nor draining), or that names another host, pool or address than before: the worker is barred. It gets no new work, what may run there is reckoned with as at one whose entry is gone, and it is used again once its own entry is back. - A worker is over only if another life answers at the address at which it was itself heard (by this owner, or by the one that kept it in the roster). A host in an entry proves nothing. - Progress that cannot be read: the job is not told to a later owner until it can be; an end that was known stays. A roster record that cannot be read: the worker is reckoned with. An owner that cannot be read can be succeeded, at the revision of its key. - A gauge counts such records, and each is logged as an error.

Conclusion: what comes last by revision counts, whoever tells it, and what cannot be read is no sign that nothing runs.

--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -37,6 +37,8 @@
     Elsewhere(WorkerReport),
     /// The worker's report is no longer listed.
     Unlisted(WorkerId),
+    /// What is listed under the worker's id is not its own report, or cannot be read.
+    Barred(WorkerId),
     Started {
         worker: WorkerId,
         task: TaskId,
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -116,7 +116,18 @@
             }
             Event::Cancelled(id) => self.cancel(id, now.steady, out),
             Event::Worker(report) => self.list(report, now.steady),
-            Event::Elsewhere(report) => self.check_place(&report, now.steady),
+            Event::Elsewhere(report) => {
+                // No worker changes its pool.
+                if let Some(worker) = self.workers.get_mut(&report.id) {
+                    worker.bar();
+                }
+                self.check_place(&report, now.steady);
+            }
+            Event::Barred(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.bar();
+                }
+            }
             Event::Unlisted(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.listed = false;
@@ -336,8 +347,7 @@
 
     fn list(&mut self, report: WorkerReport, now: Steady) {
         if let Some(worker) = self.workers.get_mut(&report.id) {
-            worker.report = report;
-            worker.listed = true;
+            worker.list(report, now);
             return;
         }
         if self.over.contains(&report.id) {
@@ -359,12 +369,17 @@
         }
     }
 
-    /// Forgets those whose place a worker has that has just answered.
+    /// Forgets those that were heard at the address where another worker has just answered. That a
+    /// report names their host proves nothing: another writer may have written it.
     fn supersede(&mut self, by: &WorkerId) {
         let Some(report) = self.workers.get(by).map(|worker| &worker.report) else {
             return;
         };
-        let others = self.workers.values().filter(|w| shares_place(&w.report, report));
+        let is_over = |worker: &&Worker| {
+            let other = &worker.report;
+            worker.heard && other.id != report.id && other.address == report.address
+        };
+        let others = self.workers.values().filter(is_over);
         let others: Vec<WorkerId> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
             self.bury(&id, "another life answers in its place");
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -83,10 +83,15 @@
         if worker.looking.is_some_and(|newest| newest <= sent) {
             worker.looking = None;
         }
+        if sent < worker.placed {
+            // The answer came from an address that was not the worker's.
+            return;
+        }
         match end {
             OrderEnd::Done(look) => self.found(id, sent, look, now, out),
             OrderEnd::Refused { why: Refusal::Fenced, .. } => self.deposed = true,
-            OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
+            // At an address where it was never heard, another life says nothing of it.
+            OrderEnd::Refused { why: Refusal::OtherLife, .. } if worker.heard => {
                 self.bury(id, "another life answers at its address");
             }
             OrderEnd::Unsent => worker.next_look = now.steady.after(UNSENT_PAUSE_MS),
@@ -120,6 +125,7 @@
             log::info!("worker {id}: back after {} looks without an answer", worker.misses);
         }
         worker.misses = 0;
+        worker.heard = true;
         worker.answered = Some(now.steady);
         self.supersede(id);
         let mut ended = look.ended;
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -51,8 +51,13 @@
         for report in workers {
             let id = report.id.clone();
             if self.roster.holding(&id).is_some() {
+                // Whoever gave it work has heard it at that address.
+                let heard = !report.address.is_empty();
                 self.handle(Event::Worker(report), now, out);
-                self.handle(Event::Unlisted(id), now, out);
+                self.handle(Event::Unlisted(id.clone()), now, out);
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.heard = heard;
+                }
             }
         }
     }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -63,6 +63,12 @@
     pub(crate) report: WorkerReport,
     /// Whether the store still lists it.
     pub(crate) listed: bool,
+    /// Whether what the store lists under its id is not its own: it gets no work.
+    pub(crate) barred: bool,
+    /// Whether it has answered at its address, to this owner or an earlier one.
+    pub(crate) heard: bool,
+    /// Since when it is called at that address: an answer to an earlier call is of another one.
+    pub(crate) placed: Steady,
     /// Whether it has seen this owner's token and told what it runs.
     pub(crate) touched: bool,
     /// Whether a later owner would reckon with anything running here.
@@ -104,6 +110,9 @@
         Worker {
             report,
             listed: true,
+            barred: false,
+            heard: false,
+            placed: now,
             touched: false,
             rostered: false,
             reading: None,
@@ -127,6 +136,38 @@
         }
     }
 
+    /// Takes in what is listed under the worker's id. Once it was heard it keeps its place: a report
+    /// with another one is not its own, and what runs there goes on.
+    pub(crate) fn list(&mut self, report: WorkerReport, now: Steady) {
+        let moved = !self.report.has_place_of(&report);
+        if moved && self.heard {
+            log::error!(
+                "worker {}: not used: its entry names {} at {}, and it was heard at {}",
+                self.report.id,
+                report.host,
+                report.address,
+                self.report.address
+            );
+            self.bar();
+            return;
+        }
+        if moved {
+            self.placed = now.after(1);
+            self.looking = None;
+            self.next_look = self.placed;
+        }
+        self.report = report;
+        self.listed = true;
+        self.barred = false;
+    }
+
+    /// Gives the worker no work until its own report is listed. What may run there is reckoned with
+    /// as at one that is not listed.
+    pub(crate) fn bar(&mut self) {
+        self.barred = true;
+        self.listed = false;
+    }
+
     /// Whom orders go to.
     pub(crate) fn addressee(&self, token: u64) -> Addressee {
         let report = &self.report;
@@ -182,6 +223,7 @@
     pub(crate) fn takes_work(&self, now: Steady) -> bool {
         self.touched
             && self.rostered
+            && !self.barred
             && self.report.leaves_ms.is_none()
             && self.suspended_until <= now
             && self.reading.is_some()
--- a/src/model/worker.rs
+++ b/src/model/worker.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
-    id::{HostId, PoolId, WorkerId, ZoneId},
+    id::{HostId, IdError, PoolId, WorkerId, ZoneId},
     job::{Room, TaskId},
 };
 
@@ -21,6 +21,27 @@
     pub(crate) leaves_ms: Option<u64>,
 }
 
+impl WorkerReport {
+    /// What is known of a worker of which there is only its id and pool: no call reaches it.
+    pub(crate) fn without_place(id: &WorkerId, pool: &str) -> Result<WorkerReport, IdError> {
+        Ok(WorkerReport {
+            id: id.clone(),
+            host: id.as_str().parse()?,
+            pool: pool.parse()?,
+            address: String::new(),
+            zone: "unknown".parse()?,
+            room: Room::default(),
+            labels: Vec::new(),
+            leaves_ms: None,
+        })
+    }
+
+    /// Whether another report names the same place: a worker keeps its own as long as it lives.
+    pub(crate) fn has_place_of(&self, other: &WorkerReport) -> bool {
+        self.host == other.host && self.pool == other.pool && self.address == other.address
+    }
+}
+
 /// A run that a worker lists as present.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Present {
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -27,6 +27,12 @@
     Garbled(#[from] serde_json::Error),
     #[error(transparent)]
     Name(#[from] IdError),
+    #[error("`{0}` is not the address of a worker")]
+    Address(String),
+    #[error("`{0}` is not the state of a worker")]
+    State(String),
+    #[error("a worker that is known has another host, pool or address")]
+    Place,
 }
 
 #[derive(Deserialize)]
@@ -149,16 +155,24 @@
     remaining_ms: u64,
 }
 
-/// Reads a worker's report on itself from below [`WORKER_PREFIX`].
-pub(crate) fn worker(key: &str, value: &[u8]) -> Result<WorkerReport, RecordError> {
+/// Reads a worker's report on itself from below [`WORKER_PREFIX`]. Another writer may have written
+/// it: whatever is not understood names no worker to use.
+pub(crate) fn worker(id: WorkerId, value: &[u8]) -> Result<WorkerReport, RecordError> {
     let wire: WireServer = serde_json::from_slice(value)?;
-    let id: WorkerId = key.trim_start_matches(WORKER_PREFIX).parse()?;
     let host: HostId = match wire.machine.as_str() {
         "" => id.as_str().parse()?,
         machine => machine.parse()?,
     };
     let pool: PoolId = wire.service.parse()?;
     let zone: ZoneId = wire.zone.parse()?;
+    let leaves_ms = match wire.state.as_str() {
+        "ready" => None,
+        "draining" => Some(wire.remaining_ms),
+        _ => return Err(RecordError::State(wire.state)),
+    };
+    if !is_address(&wire.address) {
+        return Err(RecordError::Address(wire.address));
+    }
     Ok(WorkerReport {
         id,
         host,
@@ -167,10 +181,19 @@
         address: wire.address,
         room: wire.capacity.into(),
         labels: wire.labels,
-        leaves_ms: (wire.state != "ready").then_some(wire.remaining_ms),
+        leaves_ms,
     })
 }
 
+/// Whether a text is a host and a port.
+fn is_address(text: &str) -> bool {
+    let Some((host, port)) = text.rsplit_once(':') else {
+        return false;
+    };
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.:[]".contains(c);
+    !host.is_empty() && host.chars().all(allowed) && port.parse::<u16>().is_ok_and(|port| port != 0)
+}
+
 #[derive(Deserialize)]
 struct WireWave {
     wave: u64,
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -351,6 +351,12 @@
                     self.tell(&name, Event::Unlisted(id.clone()), now);
                 }
             }
+            Delta::Barred(id) => {
+                let names: Vec<String> = self.owned.keys().cloned().collect();
+                for name in names {
+                    self.tell(&name, Event::Barred(id.clone()), now);
+                }
+            }
             Delta::Owner(name) => self.check_owner(&name),
             Delta::Leave => self.set_emptying(),
             Delta::Config => {}
@@ -396,7 +402,10 @@
     /// Does what is due now.
     fn step(&mut self) {
         let now = self.node.now();
-        let config = self.node.view().config.as_ref().map_or(0, |config| config.version);
+        let view = self.node.view();
+        let config = view.config.as_ref().map_or(0, |config| config.version);
+        self.node.metrics.refused(view.refused);
+        drop(view);
         let owned = self.owned.len() + usize::from(self.fleet.is_some());
         self.node.metrics.holds(owned, config);
         self.node.note_owning(owned != 0);
@@ -508,6 +517,9 @@
         for (_, report) in workers {
             owner.handle(Event::Worker(report), now, &mut out);
         }
+        for id in view.barred.keys() {
+            owner.handle(Event::Barred(id.clone()), now, &mut out);
+        }
         for (id, known) in &view.jobs {
             if let Some(stored) = known.stored(*id).filter(|stored| stored.record.pool == pool) {
                 owner.handle(Event::Job(stored), now, &mut out);
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -144,7 +144,11 @@
             .filter(|name| match view.owners.get(name) {
                 None => true,
                 // An earlier life of this node won it, or this one did and was not told.
-                Some(owner) => owner.value.node == self.node.settings.node.as_str(),
+                // One that cannot be read is nobody's, and is succeeded at its revision.
+                Some(owner) => {
+                    let node = owner.value.node.as_str();
+                    node.is_empty() || node == self.node.settings.node.as_str()
+                }
             })
             .collect()
     }
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -72,6 +72,7 @@
     job_seconds: Family<OfQueue, Histogram, Latencies>,
     owned: Gauge,
     config: Gauge,
+    refused: Gauge,
     lines_left_out: Gauge,
 }
 
@@ -91,6 +92,7 @@
             job_seconds: Family::new_with_constructor(latencies as Latencies),
             owned: Gauge::default(),
             config: Gauge::default(),
+            refused: Gauge::default(),
             lines_left_out: Gauge::default(),
         };
         metrics.register();
@@ -118,6 +120,11 @@
         );
         registry.register("owned", "Pieces of work that the node owns", self.owned.clone());
         registry.register("config_version", "The configuration in force", self.config.clone());
+        registry.register(
+            "records_refused",
+            "Records of the store that could not be read, or were not their worker's own",
+            self.refused.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Log lines that were left out because there were too many",
@@ -170,6 +177,11 @@
         self.config.set(config as i64);
     }
 
+    /// Notes how many records of the store named nothing to use.
+    pub(crate) fn refused(&self, records: u64) {
+        self.refused.set(records as i64);
+    }
+
     /// Calls of the store so far, for the log.
     pub(crate) fn store_summary(&self) -> String {
         const CALLS: [&str; 6] = ["get", "range", "watch", "commit", "grant", "keep"];
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -16,6 +16,7 @@
         Node,
         drive::Input,
         keys::{self, ROOT},
+        view::heard::SourceId,
     },
 };
 
@@ -124,41 +125,62 @@
     over: CancellationToken,
     to: &mpsc::UnboundedSender<Input>,
 ) {
-    let (node, prefix, to) = (node.clone(), keys::work(name), to.clone());
+    let (prefix, to) = (keys::work(name), to.clone());
+    // What the mirror has told, the owner was given when it took the work up.
+    let mut view = node.view();
+    let since = view.known.max(Revision(token));
+    let source = view.heard.open(&prefix, since);
+    drop(view);
+    let follower = Follower { node: node.clone(), source };
     tokio::spawn(async move {
-        let following = follow_until_over(&node, &prefix, Revision(token), &to);
+        let following = follower.run(&prefix, since, &to);
         over.run_until_cancelled(following).await;
     });
 }
 
-async fn follow_until_over(
-    node: &Arc<Node>,
-    prefix: &str,
-    token: Revision,
-    to: &mpsc::UnboundedSender<Input>,
-) {
-    let mut since = token;
-    loop {
-        match node.kv.watch(prefix, since, WATCH_WAIT).await {
-            Ok(heard) => {
-                since = heard.at.max(since);
-                tell(node, heard.changes, to);
-                sleep(FOLLOW_PAUSE).await;
-            }
-            Err(error) => {
-                log::debug!("store: watch of {prefix} lost at {since}: {error}");
-                sleep(FAILED_PAUSE).await;
-                // What the mirror has told needs no history.
-                since = since.max(node.view().known);
+/// An owner's own watch: a source of changes until it is dropped.
+struct Follower {
+    node: Arc<Node>,
+    source: SourceId,
+}
+
+impl Follower {
+    async fn run(&self, prefix: &str, mut since: Revision, to: &mpsc::UnboundedSender<Input>) {
+        loop {
+            match self.node.kv.watch(prefix, since, WATCH_WAIT).await {
+                Ok(heard) => {
+                    since = heard.at.max(since);
+                    tell(&self.node, self.source, heard.changes, since, to);
+                    sleep(FOLLOW_PAUSE).await;
+                }
+                Err(error) => {
+                    log::debug!("store: watch of {prefix} lost at {since}: {error}");
+                    sleep(FAILED_PAUSE).await;
+                    // What the mirror has told needs no history.
+                    since = since.max(self.node.view().known);
+                }
             }
         }
     }
 }
 
-/// Takes in changes and tells the loop what they mean.
-fn tell(node: &Arc<Node>, changes: Vec<Change>, to: &mpsc::UnboundedSender<Input>) {
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.node.view().heard.close(self.source);
+    }
+}
+
+/// Takes in changes of a source up to a revision, and tells the loop what they mean.
+fn tell(
+    node: &Arc<Node>,
+    source: SourceId,
+    changes: Vec<Change>,
+    at: Revision,
+    to: &mpsc::UnboundedSender<Input>,
+) {
     let mut view = node.view();
     let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
+    view.heard.passed(source, at);
     drop(view);
     if !deltas.is_empty() {
         // The receiver ends with the process only.
@@ -167,13 +189,14 @@
 }
 
 async fn mirror(node: &Arc<Node>, prefix: Prefix, to: &mpsc::UnboundedSender<Input>) {
+    let source = node.view().heard.open(prefix.path, Revision::default());
     let mut since: Option<Revision> = None;
     let mut keys: BTreeSet<String> = BTreeSet::new();
     let mut lost = false;
     loop {
         let outcome = match since {
-            None => read_all(node, prefix.path, &mut keys, to).await.map(Some),
-            Some(from) => watch(node, prefix.path, from, &mut keys, to).await,
+            None => read_all(node, (prefix.path, source), &mut keys, to).await.map(Some),
+            Some(from) => watch(node, (prefix.path, source), from, &mut keys, to).await,
         };
         match outcome {
             Ok(at) => {
@@ -200,7 +223,6 @@
     }
 }
 
-/// Reads a whole prefix; what is known and not there any more is gone.
 /// Waits until the next answer may come: a node that has just come to own work is told at once.
 async fn rest(node: &Node, prefix: Prefix) {
     if node.owns_work() {
@@ -212,9 +234,10 @@
     }
 }
 
+/// Reads a whole prefix; what is known and not there any more is gone.
 async fn read_all(
     node: &Arc<Node>,
-    prefix: &'static str,
+    (prefix, source): (&'static str, SourceId),
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
 ) -> Result<Revision, StoreError> {
@@ -232,14 +255,14 @@
     });
     let changes = gone.into_iter().chain(written).collect();
     *keys = there;
-    take_in(node, prefix, changes, at, to);
+    take_in(node, (prefix, source), changes, at, to);
     Ok(at)
 }
 
 /// Waits for changes. With the history gone, all is read again.
 async fn watch(
     node: &Arc<Node>,
-    prefix: &'static str,
+    (prefix, source): (&'static str, SourceId),
     since: Revision,
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
@@ -258,19 +281,20 @@
             None => keys.remove(&change.key),
         };
     }
-    take_in(node, prefix, heard.changes, heard.at, to);
+    take_in(node, (prefix, source), heard.changes, heard.at, to);
     Ok(Some(heard.at.max(since)))
 }
 
 fn take_in(
     node: &Arc<Node>,
-    prefix: &'static str,
+    (prefix, source): (&'static str, SourceId),
     changes: Vec<Change>,
     at: Revision,
     to: &mpsc::UnboundedSender<Input>,
 ) {
     let mut view = node.view();
     let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
+    view.heard.passed(source, at);
     let first = view.ready.insert(prefix);
     if prefix == ROOT {
         view.known = view.known.max(at);
--- a/src/scheduler/tests/news.rs
+++ b/src/scheduler/tests/news.rs
@@ -218,3 +218,37 @@
     assert_eq!(tell(20, None), Some(7));
     assert_eq!(tell(10, Some(7)), Some(7));
 }
+
+/// A removal is known until no source can tell of anything older, and no longer.
+#[test]
+fn removals_are_forgotten_once_every_source_of_the_key_has_passed_them() {
+    let mut view = View::default();
+    let at = Revision;
+    let mirror = view.heard.open("ch/", at(0));
+    let own = view.heard.open("ch/work/pool-a/", at(5));
+    let workers = view.heard.open("servers/", at(0));
+    let kinds = kinds();
+    let [owner, worker] = ["ch/work/pool-a/owner", "servers/w1"]
+        .map(|key| kinds.iter().find(|kind| kind.key == key).unwrap());
+    owner.put(&mut view, 10, &owner.first);
+    owner.remove(&mut view, 20);
+    worker.put(&mut view, 11, &worker.first);
+    worker.remove(&mut view, 21);
+    view.heard.passed(mirror, at(20));
+    assert_eq!(view.heard.removals(), 2, "the owner's own watch may repeat the first");
+    owner.put(&mut view, 10, &owner.first);
+    assert!(view.owners.is_empty());
+    view.heard.passed(own, at(19));
+    assert_eq!(view.heard.removals(), 2);
+    view.heard.close(own);
+    assert_eq!(view.heard.removals(), 1, "the workers' watch says nothing of owners");
+    view.heard.passed(workers, at(30));
+    assert_eq!(view.heard.removals(), 0);
+    worker.put(&mut view, 40, &worker.first);
+    worker.remove(&mut view, 41);
+    worker.put(&mut view, 42, &worker.first);
+    view.heard.passed(workers, at(50));
+    assert_eq!(view.heard.removals(), 0);
+    worker.put(&mut view, 42, &worker.second);
+    assert!(view.workers[&"w1".parse().unwrap()].value.leaves_ms.is_none(), "it is still known");
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -1,4 +1,9 @@
 //! What a node knows of the store: our own records, the operator's and the workers'.
+//!
+//! Another writer may have been at any of them. What cannot be read is logged and counted, names
+//! nothing to use, and is never taken for a sign that nothing runs.
+
+pub(crate) mod heard;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -20,13 +25,16 @@
     },
     platform::{
         kv::{Change, Item},
-        records::{self, OPERATOR_PREFIX, WORKER_PREFIX},
+        records::{self, OPERATOR_PREFIX, RecordError, WORKER_PREFIX},
+    },
+    scheduler::{
+        keys::{self, Key},
+        view::heard::Heard,
     },
-    scheduler::keys::{self, Key},
 };
 
-/// Who owns a piece of work.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Who owns a piece of work; no node if that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct OwnerRecord {
     pub(crate) node: String,
     /// The life of the node's process.
@@ -87,9 +95,8 @@
     pub(crate) record: Option<At<Arc<JobRecord>>>,
     pub(crate) progress: Option<At<Arc<Progress>>>,
     pub(crate) cancelled: bool,
-    /// When the record was removed, as far as that was told; what is older is not taken in. Kept as
-    /// long as the job's end, which the store keeps too: one such entry for each job that ended.
-    removed: Revision,
+    /// Whether the newest progress cannot be read; `progress` is the one before then.
+    is_garbled: bool,
 }
 
 impl KnownJob {
@@ -108,9 +115,10 @@
         self.record.is_some() || self.state().is_final()
     }
 
-    /// The job as its owner is told of it.
+    /// The job as its owner is told of it. One whose progress cannot be read waits until it can:
+    /// what of it was done would run again.
     pub(crate) fn stored(&self, id: JobId) -> Option<StoredJob> {
-        let record = self.record.as_ref()?;
+        let record = self.record.as_ref().filter(|_| !self.is_garbled)?;
         let progress = self.progress.as_ref();
         Some(StoredJob {
             id,
@@ -128,7 +136,7 @@
     let find = |key: String| items.iter().find(|item| item.key == key);
     let progress = find(keys::progress(id));
     let progress: Option<At<Progress>> =
-        progress.and_then(|item| read(&item.key, Some(&item.value), item.revision));
+        progress.and_then(|item| read(&item.key, Some(&item.value), item.revision, &mut 0));
     let known = KnownJob {
         progress: progress.map(share),
         cancelled: find(keys::cancel(id)).is_some(),
@@ -147,6 +155,8 @@
     Leave,
     Worker(WorkerReport),
     Unlisted(WorkerId),
+    /// The worker's entry is not its own, or cannot be read.
+    Barred(WorkerId),
     Config,
 }
 
@@ -168,6 +178,8 @@
     /// By pool, which of these are silent.
     pub(crate) away: BTreeMap<String, At<Away>>,
     pub(crate) workers: BTreeMap<WorkerId, At<WorkerReport>>,
+    /// Workers whose entry names nothing to use, with the last report that did.
+    pub(crate) barred: BTreeMap<WorkerId, Option<WorkerReport>>,
     pub(crate) config: Option<Arc<QueueConfig>>,
     pub(crate) upkeeps: BTreeMap<u64, At<Upkeep>>,
     /// By pool, how many jobs of each queue have not begun.
@@ -176,6 +188,10 @@
     pub(crate) known: Revision,
     /// Which of the prefixes have been read once.
     pub(crate) ready: BTreeSet<&'static str>,
+    /// What was last heard of each key.
+    pub(crate) heard: Heard,
+    /// How many records could not be read, or were not their worker's own.
+    pub(crate) refused: u64,
 }
 
 impl View {
@@ -228,55 +244,57 @@
 
     /// Takes in a change; what that means for others.
     pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
-        if let Some(key) = Key::parse(&change.key) {
-            return self.apply_own(key, change);
-        }
-        if change.key.starts_with(records::WORKER_PREFIX) {
-            return self.apply_worker(change);
+        let own = Key::parse(&change.key).filter(|key| !matches!(key, Key::Id(_)));
+        let is_worker = change.key.starts_with(records::WORKER_PREFIX);
+        let is_operator = change.key == records::CONFIG_KEY || records::is_wave(&change.key);
+        let is_kept = own.is_some() || is_worker || is_operator;
+        if !is_kept || !self.heard.is_news(&change) {
+            return None;
         }
-        if change.key == records::CONFIG_KEY {
-            return self.apply_config(&change);
+        match own {
+            Some(key) => self.apply_own(key, change),
+            None if is_worker => self.apply_worker(&change),
+            None if change.key == records::CONFIG_KEY => self.apply_config(&change),
+            None => {
+                self.apply_upkeep(&change);
+                None
+            }
         }
-        if records::is_wave(&change.key) {
-            match change.value.as_deref().map(records::wave) {
-                Some(Ok(upkeep)) => {
-                    let at = At { value: upkeep, revision: change.revision };
-                    self.upkeeps.insert(at.value.wave, at);
-                }
-                Some(Err(error)) => log::error!("record {}: {error}", change.key),
-                None => self.upkeeps.retain(|wave, _| !change.key.ends_with(&format!("/{wave}"))),
+    }
+
+    fn apply_upkeep(&mut self, change: &Change) {
+        match change.value.as_deref().map(records::wave) {
+            Some(Ok(upkeep)) => {
+                let at = At { value: upkeep, revision: change.revision };
+                self.upkeeps.insert(at.value.wave, at);
             }
+            Some(Err(error)) => self.refuse(&change.key, &error),
+            None => self.upkeeps.retain(|wave, _| !change.key.ends_with(&format!("/{wave}"))),
         }
-        None
     }
 
     fn apply_own(&mut self, key: Key, change: Change) -> Option<Delta> {
         let Change { revision, value, key: text } = change;
         let value = value.as_ref();
+        let refused = &mut self.refused;
         match key {
             Key::Id(_) => None,
             Key::Job(id) => {
                 let known = self.jobs.entry(id).or_default();
-                // Two watches tell of it, and one of them may be seconds behind the other.
-                let heard = known.record.as_ref().map_or(known.removed, |record| record.revision);
-                if revision <= heard {
-                    return None;
-                }
-                known.record = read(&text, value, revision).map(share);
-                if value.is_some() {
-                    return Some(Delta::Job(id));
-                }
-                known.removed = revision;
-                Some(Delta::Removed(id))
+                known.record = read(&text, value, revision, refused).map(share);
+                self.drop_empty(id);
+                Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
             }
             Key::Progress(id) => {
                 let known = self.jobs.entry(id).or_default();
-                let later = known.progress.as_ref().is_some_and(|at| revision < at.revision);
-                if !later {
-                    known.progress = read(&text, value, revision).map(share);
+                let progress = read(&text, value, revision, refused).map(share);
+                let was_garbled = known.is_garbled;
+                known.is_garbled = value.is_some() && progress.is_none();
+                if !known.is_garbled {
+                    known.progress = progress;
                 }
                 self.drop_empty(id);
-                None
+                was_garbled.then_some(Delta::Job(id))
             }
             Key::Cancel(id) => {
                 self.jobs.entry(id).or_default().cancelled = value.is_some();
@@ -284,51 +302,54 @@
                 Some(Delta::Cancelled(id))
             }
             Key::Owner(name) => {
-                if self.owners.get(&name).is_some_and(|owner| revision <= owner.revision) {
-                    return None;
-                }
-                set(&mut self.owners, name.clone(), revision, read(&text, value, revision));
+                // The key is there, and its revision is what a later owner must write over.
+                let nobody = At { value: OwnerRecord::default(), revision };
+                let owner = value.map(|_| read(&text, value, revision, refused).unwrap_or(nobody));
+                set(&mut self.owners, name.clone(), owner);
                 Some(Delta::Owner(name))
             }
             Key::Term(name) => {
-                set(&mut self.terms, name, revision, read(&text, value, revision));
+                set(&mut self.terms, name, read(&text, value, revision, refused));
                 None
             }
             Key::Leave(host) => {
-                set(&mut self.leaves, host, revision, read(&text, value, revision));
+                set(&mut self.leaves, host, read(&text, value, revision, refused));
                 Some(Delta::Leave)
             }
             Key::Empty(host) => {
-                set(&mut self.empties, host, revision, read(&text, value, revision));
+                set(&mut self.empties, host, read(&text, value, revision, refused));
                 None
             }
             Key::Wave(wave) => {
-                set(&mut self.waves, wave, revision, read(&text, value, revision));
+                set(&mut self.waves, wave, read(&text, value, revision, refused));
                 None
             }
             Key::Usage(name) => {
-                set(&mut self.usages, name, revision, read(&text, value, revision));
+                set(&mut self.usages, name, read(&text, value, revision, refused));
                 None
             }
             Key::Called(host) => {
-                set(&mut self.called, host, revision, read(&text, value, revision));
+                set(&mut self.called, host, read(&text, value, revision, refused));
                 None
             }
             Key::Node(name) => {
-                set(&mut self.nodes, name, revision, read(&text, value, revision));
+                set(&mut self.nodes, name, read(&text, value, revision, refused));
                 None
             }
             Key::Queued(name) => {
-                set(&mut self.queued, name, revision, read(&text, value, revision));
+                set(&mut self.queued, name, read(&text, value, revision, refused));
                 None
             }
             Key::Roster(name, worker) => {
-                let report = read(&text, value, revision);
-                set(&mut self.rosters, (name, worker), revision, report);
+                let report = match value {
+                    Some(value) => rostered(&text, value, revision, refused, (&name, &worker)),
+                    None => None,
+                };
+                set(&mut self.rosters, (name, worker), report);
                 None
             }
             Key::Away(name) => {
-                set(&mut self.away, name, revision, read(&text, value, revision));
+                set(&mut self.away, name, read(&text, value, revision, refused));
                 None
             }
         }
@@ -336,34 +357,56 @@
 
     fn drop_empty(&mut self, id: JobId) {
         let known = &self.jobs[&id];
-        let removed = known.removed != Revision::default();
-        if known.record.is_none() && known.progress.is_none() && !known.cancelled && !removed {
+        let told = known.cancelled || known.is_garbled;
+        if known.record.is_none() && known.progress.is_none() && !told {
             self.jobs.remove(&id);
         }
     }
 
-    fn apply_worker(&mut self, change: Change) -> Option<Delta> {
-        let Some(value) = change.value else {
-            let id: WorkerId =
-                change.key.trim_start_matches(records::WORKER_PREFIX).parse().ok()?;
-            self.workers.remove(&id)?;
-            return Some(Delta::Unlisted(id));
+    fn apply_worker(&mut self, change: &Change) -> Option<Delta> {
+        let id = change.key.strip_prefix(records::WORKER_PREFIX).unwrap_or_default();
+        let id: WorkerId = match id.parse() {
+            Ok(id) => id,
+            Err(error) => {
+                self.refuse(&change.key, &error);
+                return None;
+            }
+        };
+        let Some(value) = &change.value else {
+            let was_barred = self.barred.remove(&id).is_some();
+            let was_known = self.workers.remove(&id).is_some() || was_barred;
+            return was_known.then_some(Delta::Unlisted(id));
         };
-        match records::worker(&change.key, &value) {
+        let before = self.workers.get(&id).map(|at| &at.value);
+        let before = before.or_else(|| self.barred.get(&id).and_then(Option::as_ref)).cloned();
+        let report = records::worker(id.clone(), value).and_then(|report| match &before {
+            Some(before) if !before.has_place_of(&report) => Err(RecordError::Place),
+            _ => Ok(report),
+        });
+        match report {
             Ok(report) => {
                 let at = At { value: report.clone(), revision: change.revision };
-                let before = self.workers.insert(report.id.clone(), at);
+                self.barred.remove(&id);
+                let before = self.workers.insert(id, at);
                 // A prefix that is read anew, and each heartbeat, tell much that is known.
                 let news = before.is_none_or(|before| before.value != report);
                 news.then_some(Delta::Worker(report))
             }
             Err(error) => {
-                log::error!("record {}: {error}", change.key);
-                None
+                self.refuse(&change.key, &error);
+                self.workers.remove(&id);
+                self.barred.insert(id.clone(), before);
+                Some(Delta::Barred(id))
             }
         }
     }
 
+    /// Tells and counts a record that another writer may have written.
+    fn refuse(&mut self, key: &str, error: &dyn std::fmt::Display) {
+        log::error!("record {key}: not used: {error}");
+        self.refused += 1;
+    }
+
     fn apply_config(&mut self, change: &Change) -> Option<Delta> {
         match records::config(change.value.as_ref()?) {
             Ok(config) => {
@@ -376,41 +419,55 @@
                 Some(Delta::Config)
             }
             Err(error) => {
-                log::error!("record {}: {error}", change.key);
+                self.refuse(&change.key, &error);
                 None
             }
         }
     }
 }
 
-/// Takes in what a record says at a revision. A prefix that was read in pages is told of changes
-/// from the first page on, so that what a later page had already shown is told again, step by step;
-/// the record does not go back meanwhile.
-fn set<K: Ord, V>(map: &mut BTreeMap<K, At<V>>, key: K, revision: Revision, value: Option<At<V>>) {
-    if map.get(&key).is_some_and(|known| revision < known.revision) {
-        return;
-    }
+/// Takes in what a record says; nothing if it is removed.
+fn set<K: Ord, V>(map: &mut BTreeMap<K, At<V>>, key: K, value: Option<At<V>>) {
     match value {
-        Some(value) => {
-            map.insert(key, value);
-        }
-        None => {
-            map.remove(&key);
-        }
-    }
+        Some(value) => map.insert(key, value),
+        None => map.remove(&key),
+    };
 }
 
 fn share<T>(at: At<T>) -> At<Arc<T>> {
     At { value: Arc::new(at.value), revision: at.revision }
 }
 
-/// Reads a record of ours; one that is not understood is told and left out.
+/// Reads a record of ours; one that is not understood is told, counted and left out.
 fn read<T: serde::de::DeserializeOwned>(
     key: &str,
     value: Option<&Bytes>,
     revision: Revision,
+    refused: &mut u64,
 ) -> Option<At<T>> {
-    let value = serde_json::from_slice(value?);
-    let value = value.inspect_err(|error| log::error!("record {key}: not understood: {error}"));
-    Some(At { value: value.ok()?, revision })
+    match serde_json::from_slice(value?) {
+        Ok(value) => Some(At { value, revision }),
+        Err(error) => {
+            log::error!("record {key}: not used: {error}");
+            *refused += 1;
+            None
+        }
+    }
+}
+
+/// Reads a worker's record in a pool's roster. Where it cannot be read something may run all the
+/// same: a later owner asks the worker once its entry tells where, or waits.
+fn rostered(
+    key: &str,
+    value: &Bytes,
+    revision: Revision,
+    refused: &mut u64,
+    (name, worker): (&str, &WorkerId),
+) -> Option<At<WorkerReport>> {
+    read(key, Some(value), revision, refused).or_else(|| {
+        let pool = name.strip_prefix("pool-").unwrap_or(name);
+        let unknown = WorkerReport::without_place(worker, pool);
+        let unknown = unknown.inspect_err(|error| log::error!("record {key}: {error}"));
+        Some(At { value: unknown.ok()?, revision })
+    })
 }
