--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -4,6 +4,7 @@
 mod foreign;
 mod news;
 mod orders;
+mod takeovers;
 mod watches;
 
 use crate::{
