--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -7,6 +7,7 @@
 mod gone;
 mod helpers;
 mod looks;
+mod places;
 mod roster;
 
 use std::{collections::BTreeMap, sync::Arc};
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,7 +1,10 @@
 //! Tests of what a node knows of the store.
 
 mod demand;
+mod foreign;
+mod news;
 mod orders;
+mod takeovers;
 mod watches;
 
 use crate::{
