Tests that fail: an ownership outlives the lease under which it was won

Cause shown: once the store has said that a lease is over, the node takes a new one at once, and what it had won under the old one stays until a watch tells of the later owner or a worker refuses the token. With watches that hang and lease calls that are answered, orders go on without end, and the longest time on which a later owner relies does not hold.

Two tests over real sockets, in one process: nodes' parts, the stand-in's store and workers, and a gate before one node's store that holds watches. The store's own call ends the lease. Workers of the stand-in can be deaf to orders by their token, and tell how many they heard under each.

--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -2,6 +2,7 @@
 
 mod demand;
 mod orders;
+mod ownership;
 mod watches;
 
 use crate::{
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -9,6 +9,7 @@
 mod worker;
 
 use std::{
+    collections::BTreeMap,
     io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -60,6 +61,23 @@
     store_compact: bool,
 }
 
+/// Orders that a worker does not hear, by their tokens: they get no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Unheard {
+    worker: usize,
+    from: u64,
+    /// The last of the tokens.
+    to: u64,
+}
+
+/// The orders that a worker has heard under a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Heard {
+    worker: usize,
+    token: u64,
+    orders: u32,
+}
+
 /// What must never happen, as counted.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 struct Counted {
@@ -77,7 +95,10 @@
     store: Store,
     workers: Vec<Worker>,
     faults: Faults,
+    unheard: Vec<Unheard>,
     counted: Counted,
+    /// Orders that were heard, by worker and token.
+    heard: BTreeMap<(usize, u64), u32>,
 }
 
 /// The stand-in, as its addresses share it.
@@ -107,6 +128,27 @@
     fn now_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
+
+    /// Takes note of an order; whether the worker hears it.
+    fn hears(&mut self, worker: usize, token: u64) -> bool {
+        let deaf = |fault: &&Unheard| fault.worker == worker && fault.from <= token;
+        if self.unheard.iter().filter(deaf).any(|fault| token <= fault.to) {
+            return false;
+        }
+        *self.heard.entry((worker, token)).or_default() += 1;
+        true
+    }
+
+    fn heard(&self) -> Vec<Heard> {
+        let heard = self.heard.iter();
+        heard
+            .map(|((worker, token), orders)| Heard {
+                worker: *worker,
+                token: *token,
+                orders: *orders,
+            })
+            .collect()
+    }
 }
 
 /// Starts the stand-in.
@@ -116,7 +158,9 @@
         store: Store::default(),
         workers: Vec::new(),
         faults: Faults::default(),
+        unheard: Vec::new(),
         counted: Counted::default(),
+        heard: BTreeMap::new(),
     };
     let site = Site { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 };
     for number in 0..options.workers {
@@ -170,6 +214,8 @@
         let path = request.uri().path().to_owned();
         let response = match path.as_str() {
             "/faults" => self.set_faults(&mut request).await,
+            "/unheard" => self.set_unheard(&mut request).await,
+            "/heard" => http::json(StatusCode::OK, &self.site.state().heard()),
             "/put" => self.put(&mut request).await,
             "/counted" => http::json(StatusCode::OK, &self.site.state().counted),
             "/-/machines" => hosts::list(&self.site),
@@ -196,6 +242,16 @@
         }
     }
 
+    async fn set_unheard(&self, request: &mut Request) -> Response {
+        match http::read_json::<Vec<Unheard>>(request, MAX_BODY).await {
+            Ok(unheard) => {
+                self.site.state().unheard = unheard;
+                http::text(StatusCode::OK, "")
+            }
+            Err(error) => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        }
+    }
+
     /// Writes a record in the operator's name: the path's query is the key.
     async fn put(&self, request: &mut Request) -> Response {
         let key = request.uri().query().unwrap_or_default().to_owned();
--- a/src/standin/site/tests.rs
+++ b/src/standin/site/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the stand-in's store.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -19,7 +20,9 @@
         store: store::Store::default(),
         workers: Vec::new(),
         faults: Faults::default(),
+        unheard: Vec::new(),
         counted: Counted::default(),
+        heard: BTreeMap::new(),
     };
     let site = Site { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 };
     let wait = Duration::from_millis(200);
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -8,9 +8,9 @@
 use poem::{Endpoint, Request, Response, http::StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{Counted, MAX_BODY, Site};
+use super::{Counted, LOST_FOR, MAX_BODY, Site};
 use crate::http;
 
 /// The pool that all workers are in.
@@ -217,6 +217,11 @@
 
 impl Face {
     async fn obey(&self, path: &str, order: &Order) -> Response {
+        let heard = self.site.state().hears(self.number, order.fencing_token);
+        if !heard {
+            sleep(LOST_FOR).await;
+            return http::text(StatusCode::SERVICE_UNAVAILABLE, "not heard\n");
+        }
         let now = self.site.state().now_ms();
         {
             let mut state = self.site.state();
