An ownership lasts as long as the lease under which it was won

Cause: whether orders are allowed was asked of the node's present lease. A lease that the store had called over was replaced within a call or two, and what had been won under the one before counted as owned again, for as long as watches did not tell of the later owner. The longest time on which a later owner relies was no bound.

Ruled out: that the store's conditions protect here (they guard writes, not orders to workers), and that workers do (only those that have heard the later token refuse the earlier one).

Change: each ownership carries the lease under which it was won, from the write that may win on: won, owned, and the work of all pools. It is given up before anything else is handled or decided once the store has said that this lease is over, or it has run out beyond the overtime, whatever lease the node holds by then. A write that wins under a lease that was over meanwhile is not taken up. Calls that were spawned ask the same lease again when they are sent, and so do orders that go by way of other nodes, which asked nothing before. No grant counts for longer than was asked for. What is given up is told with its token, both leases, and for how long it was owned.

What else asks for a lease means the one held now: reaching for work, giving work away, readiness, and whether the store was in touch for callers.

New: an owner that misses the store for longer than the overtime gives up and wins the work again under a new token, where it paused and went on before.

--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -57,13 +57,15 @@
     pub(crate) effect: Effect,
     /// When it was decided on.
     pub(crate) sent: Steady,
+    /// Whether it may still be sent.
+    pub(crate) may_go: Box<dyn Fn() -> bool + Send>,
     pub(crate) tell: Tell,
 }
 
 impl Outgoing {
     fn end(self, answer: Answer) {
         let unanswered = answer == Answer::End(OrderEnd::Unknown);
-        let Outgoing { effect, sent, tell } = self;
+        let Outgoing { effect, sent, tell, .. } = self;
         if let Some(event) = event(effect, sent, answer) {
             tell(event, unanswered);
         }
@@ -235,9 +237,12 @@
         Ok(())
     }
 
-    /// Notes what is sent, and how it is written.
+    /// Notes what is sent, and how it is written. While the link was opened, or the message before
+    /// was written, an ownership may have come to its end.
     fn note(&mut self, batch: Vec<Outgoing>) -> eyre::Result<Vec<u8>> {
         let now = Instant::now();
+        let (batch, over): (Vec<_>, Vec<_>) = batch.into_iter().partition(|one| (one.may_go)());
+        over.into_iter().for_each(|order| order.end(Answer::End(OrderEnd::Unsent)));
         if self.pending.is_empty() {
             self.heard = now;
         }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -38,7 +38,7 @@
         Node,
         dispatch::link::{Links, Outgoing},
         keys,
-        lease::Lease,
+        lease::{Lease, Tenure},
         mirror,
         view::{Delta, View},
     },
@@ -74,7 +74,7 @@
     /// What became of a try to own a piece of work.
     Reached {
         name: String,
-        won: Option<(u64, u32)>,
+        won: Option<Won>,
     },
     /// What became of a write of progress.
     Saved {
@@ -116,6 +116,14 @@
     Leave,
 }
 
+/// A piece of work that was won.
+pub(crate) struct Won {
+    token: u64,
+    /// Owners before.
+    earlier: u32,
+    tenure: Tenure,
+}
+
 /// How a write of progress ended.
 pub(crate) enum SaveEnd {
     Done(Revision),
@@ -138,6 +146,7 @@
 struct Owned {
     pool: PoolId,
     owner: Owner,
+    tenure: Tenure,
     /// Who makes the calls to its workers.
     helpers: Helpers,
     /// Ends the owner's own watch with it.
@@ -168,6 +177,12 @@
     next_queued: Steady,
 }
 
+/// The work of all pools together, owned by this node.
+pub(super) struct OwnedFleet {
+    pub(super) fleet: Fleet,
+    pub(super) tenure: Tenure,
+}
+
 /// A piece of work that nobody owns.
 struct Vacancy {
     since: Steady,
@@ -191,13 +206,13 @@
     /// When it is next decided who makes whose calls.
     next_helpers: Steady,
     owned: BTreeMap<String, Owned>,
-    pub(super) fleet: Option<Fleet>,
+    pub(super) fleet: Option<OwnedFleet>,
     pub(super) next_fleet: Steady,
     pub(super) next_fleet_summary: Steady,
     next_summary: Steady,
     pub(super) machines: Machines,
-    /// Won, but not yet seen in the view: name, token, owners before.
-    won: BTreeMap<String, (u64, u32)>,
+    /// Won, but not yet seen in the view, by name.
+    won: BTreeMap<String, Won>,
     vacant: BTreeMap<String, Vacancy>,
     /// Work may be given away from then on.
     next_give: Steady,
@@ -273,6 +288,7 @@
 
     fn take(&mut self, input: Input) {
         let now = self.node.now();
+        self.give_up(now.steady);
         match input {
             Input::Deltas(deltas) => {
                 for delta in deltas {
@@ -298,12 +314,12 @@
                 self.removed(&name, token, jobs, done, now);
             }
             Input::HostList { token, sent, hosts } => {
-                if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
+                if let Some(fleet) = self.fleet_under(token) {
                     fleet.heard_list(sent, hosts);
                 }
             }
             Input::HostCalled { token, host, leave, begun } => {
-                if let Some(fleet) = self.fleet.as_mut().filter(|fleet| fleet.token == token) {
+                if let Some(fleet) = self.fleet_under(token) {
                     fleet.called(&host, leave, begun, now.steady);
                 }
             }
@@ -369,7 +385,7 @@
     /// Gives up what the store says is owned by another, or by nobody.
     fn check_owner(&mut self, name: &str) {
         if name == keys::FLEET
-            && let Some(fleet) = &self.fleet
+            && let Some(OwnedFleet { fleet, .. }) = &self.fleet
             && !self.node.view().owns(name, fleet.token)
         {
             log::warn!("owner {name}: token {} is over", fleet.token);
@@ -384,6 +400,21 @@
         }
     }
 
+    /// Gives up what was won under a lease that is over, before anything else is done: another node
+    /// may have won it, and relies on how long this one goes on.
+    fn give_up(&mut self, now: Steady) {
+        let lasts = |name: &str, token: u64, tenure: &Tenure| {
+            let lasts = tenure.allows_orders(now);
+            if !lasts {
+                log::warn!("owner {name}: given up: token {token}, {}", tenure.describe(now));
+            }
+            lasts
+        };
+        self.won.retain(|name, won| lasts(name, won.token, &won.tenure));
+        self.owned.retain(|name, owned| lasts(name, owned.owner.token, &owned.tenure));
+        self.fleet.take_if(|owned| !lasts(keys::FLEET, owned.fleet.token, &owned.tenure));
+    }
+
     fn set_emptying(&mut self) {
         let view = self.node.view();
         for owned in self.owned.values_mut() {
@@ -396,6 +427,7 @@
     /// Does what is due now.
     fn step(&mut self) {
         let now = self.node.now();
+        self.give_up(now.steady);
         let config = self.node.view().config.as_ref().map_or(0, |config| config.version);
         let owned = self.owned.len() + usize::from(self.fleet.is_some());
         self.node.metrics.holds(owned, config);
@@ -404,10 +436,6 @@
         self.reach(now);
         self.give(now);
         self.choose_helpers(now.steady);
-        if !self.lease.allows_orders(now.steady) {
-            // Another node owns it by now: no order is given until the lease is known to hold.
-            return;
-        }
         let names: Vec<String> = self.owned.keys().cloned().collect();
         for name in names {
             // Two watches tell of new jobs and new owners: a job may be told of before the owner
@@ -432,9 +460,7 @@
             self.tell_usage(&name, now);
             self.tell_queued(&name, now);
         }
-        if self.lease.held(now.steady).is_some() {
-            self.fleet_step(now);
-        }
+        self.fleet_step(now);
         self.summarize(now);
     }
 
@@ -463,12 +489,12 @@
         let known: Vec<String> = self
             .won
             .iter()
-            .filter(|(_, (token, _))| *token <= view.known.0)
+            .filter(|(_, won)| won.token <= view.known.0)
             .map(|(name, _)| name.clone())
             .collect();
         drop(view);
         for name in known {
-            let Some((token, earlier)) = self.won.remove(&name) else {
+            let Some(Won { token, earlier, tenure }) = self.won.remove(&name) else {
                 continue;
             };
             if !self.node.view().owns(&name, token) || self.leaving {
@@ -476,15 +502,17 @@
             }
             if name == keys::FLEET {
                 log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
-                self.fleet = Some(Fleet::new(token, self.node.settings.sizing, now.steady));
-            }
-            if let Some(pool) = name.strip_prefix("pool-").and_then(|pool| pool.parse().ok()) {
-                self.take_up_pool(&name, pool, token, earlier, now);
+                let fleet = Fleet::new(token, self.node.settings.sizing, now.steady);
+                self.fleet = Some(OwnedFleet { fleet, tenure });
+            } else if let Some(pool) = name.strip_prefix("pool-").and_then(|pool| pool.parse().ok())
+            {
+                self.take_up_pool(&name, pool, Won { token, earlier, tenure }, now);
             }
         }
     }
 
-    fn take_up_pool(&mut self, name: &str, pool: PoolId, token: u64, earlier: u32, now: Now) {
+    fn take_up_pool(&mut self, name: &str, pool: PoolId, won: Won, now: Now) {
+        let Won { token, earlier, tenure } = won;
         let mut owner = Owner::new(token, earlier, now.steady);
         let view = self.node.view();
         let mut out = Vec::new();
@@ -521,6 +549,7 @@
         let owned = Owned {
             pool,
             owner,
+            tenure,
             helpers: Helpers::default(),
             _following: over.drop_guard(),
             saving: 0,
--- a/src/scheduler/drive/orders.rs
+++ b/src/scheduler/drive/orders.rs
@@ -61,15 +61,22 @@
         }
     }
 
+    /// Tells whether an order under an ownership may still be sent: between the decision and that
+    /// moment the process may have been paused.
+    fn permit(&self, name: &str) -> impl Fn() -> bool + Send + 'static {
+        let tenure = self.owned.get(name).map(|owned| owned.tenure.clone());
+        let node = self.node.clone();
+        move || tenure.as_ref().is_some_and(|tenure| tenure.allows_orders(node.now().steady))
+    }
+
     /// Makes the call itself.
     fn call(&self, name: &str, token: u64, effect: Effect) {
-        let tell = self.teller(name, token);
-        let (node, lease, runners) = (self.node.clone(), self.lease.clone(), self.runners.clone());
+        let (tell, may_go) = (self.teller(name, token), self.permit(name));
+        let runners = self.runners.clone();
         let metrics = self.node.metrics.clone();
         let (sent, began) = (self.node.now().steady, Instant::now());
         tokio::spawn(async move {
-            // Between the decision and this moment the process may have been paused.
-            let answer = match lease.allows_orders(node.now().steady) {
+            let answer = match may_go() {
                 true => call(&runners, &effect).await,
                 false => Answer::End(OrderEnd::Unsent),
             };
@@ -92,8 +99,8 @@
             }
             tell(event);
         };
-        let sent = self.node.now().steady;
-        let order = Outgoing { effect, sent, tell: Box::new(tell) };
+        let (sent, may_go) = (self.node.now().steady, Box::new(self.permit(name)));
+        let order = Outgoing { effect, sent, may_go, tell: Box::new(tell) };
         self.outbox.entry(address).or_default().push(order);
     }
 
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Drive, Input, Vacancy, json};
+use super::{Drive, Input, Vacancy, Won, json};
 use crate::{
     jobs::balance::{self, Capacity},
     model::unit::{Millicores, Now, Revision},
@@ -12,6 +12,7 @@
     },
     scheduler::{
         keys,
+        lease::Tenure,
         view::{OwnerRecord, TermRecord, View},
     },
 };
@@ -32,15 +33,21 @@
 
 impl Drive {
     /// Takes note of what became of a try to own a piece of work.
-    pub(super) fn reached(&mut self, name: String, won: Option<(u64, u32)>, now: Now) {
+    pub(super) fn reached(&mut self, name: String, won: Option<Won>, now: Now) {
         if let Some(vacancy) = self.vacant.get_mut(&name) {
             vacancy.reaching = false;
             vacancy.not_before = now.steady.after(REACH_AGAIN_MS);
         }
-        if let Some(won) = won {
-            self.next_give = now.steady.after(GIVE_AFTER_MS);
-            self.won.insert(name, won);
+        let Some(won) = won else {
+            return;
+        };
+        if !won.tenure.allows_orders(now.steady) {
+            let (token, tenure) = (won.token, won.tenure.describe(now.steady));
+            log::warn!("owner {name}: not taken up: token {token}, {tenure}");
+            return;
         }
+        self.next_give = now.steady.after(GIVE_AFTER_MS);
+        self.won.insert(name, won);
     }
 
     /// Tries to own what nobody does.
@@ -70,7 +77,7 @@
                 continue;
             }
             vacancy.reaching = true;
-            self.reach_for(name, lease);
+            self.reach_for(name, lease, now);
             // One at a time: the next waits until this one counts.
             return;
         }
@@ -149,7 +156,7 @@
             .collect()
     }
 
-    fn reach_for(&self, name: String, lease: LeaseId) {
+    fn reach_for(&self, name: String, lease: LeaseId, now: Now) {
         let view = self.node.view();
         let term = view.terms.get(&name).cloned();
         let held = view.owners.get(&name).map(|owner| owner.revision).unwrap_or_default();
@@ -163,9 +170,12 @@
             .put_leased(&owner_key, json(&record), lease)
             .put(term_key, json(&TermRecord { count: count + 1 }));
         let (node, to) = (self.node.clone(), self.to.clone());
+        let tenure = Tenure::new(&self.lease, lease, now.steady);
         tokio::spawn(async move {
             let won = match node.kv.commit(&txn).await {
-                Ok(Committed::Done(revision)) => Some((revision.0, count)),
+                Ok(Committed::Done(revision)) => {
+                    Some(Won { token: revision.0, earlier: count, tenure })
+                }
                 Ok(Committed::Conflict(_) | Committed::LeaseOver) => None,
                 Err(error) => {
                     log::warn!("owner {name}: not reached: {error}");
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    jobs::fleet::{Demand, FleetEffect, Leave, Scene},
+    jobs::fleet::{Demand, Fleet, FleetEffect, Leave, Scene},
     model::{
         id::{HostId, PoolId, WorkerId},
         queue::QueueConfig,
@@ -17,7 +17,7 @@
     },
     scheduler::{
         demand,
-        drive::{Drive, Input, SUMMARY_MS, json},
+        drive::{Drive, Input, OwnedFleet, SUMMARY_MS, json},
         keys,
         view::{CalledRecord, View, WaveRecord},
     },
@@ -54,13 +54,16 @@
 impl Drive {
     /// Decides for the fleet, if this node owns that work and it is time.
     pub(super) fn fleet_step(&mut self, now: Now) {
-        if self.fleet.is_none() || now.steady < self.next_fleet {
+        if now.steady < self.next_fleet {
             return;
         }
-        self.next_fleet = now.steady.after(PLAN_MS);
-        let Some(fleet) = self.fleet.as_mut() else {
+        let Some(OwnedFleet { fleet, tenure }) = self.fleet.as_mut() else {
             return;
         };
+        if !tenure.holds(now.steady) {
+            return;
+        }
+        self.next_fleet = now.steady.after(PLAN_MS);
         let handover = self.node.settings.platform.handover + CLOCKS_DIFFER;
         let Some(mut known) = known(&self.node.view(), now.wall) else {
             return;
@@ -92,6 +95,11 @@
         }
     }
 
+    /// The owner of the fleet's work, if it is still the one of an earlier decision.
+    pub(super) fn fleet_under(&mut self, token: u64) -> Option<&mut Fleet> {
+        self.fleet.as_mut().map(|owned| &mut owned.fleet).filter(|fleet| fleet.token == token)
+    }
+
     fn carry_out_fleet(&self, effect: FleetEffect, token: u64, now: Now) {
         let guard = Txn::default().expect(keys::owner(keys::FLEET), Revision(token));
         match effect {
@@ -154,8 +162,8 @@
     }
 
     fn call_host(&self, token: u64, host: HostId, leave: Leave) {
-        let (machines, to) = (self.machines.clone(), self.to.clone());
-        let (node, lease) = (self.node.clone(), self.lease.clone());
+        let (machines, to, node) = (self.machines.clone(), self.to.clone(), self.node.clone());
+        let tenure = self.fleet.as_ref().map(|owned| owned.tenure.clone());
         tokio::spawn(async move {
             // Kept first, so that a later owner leaves the host alone for a while, and under the
             // condition that there is none yet.
@@ -167,7 +175,8 @@
             let kept = matches!(node.kv.commit(&txn).await, Ok(Committed::Done(_)));
             // Meanwhile the process may have been paused.
             let late = CALL_AFTER_MS < node.now().steady.since(now.steady);
-            if !kept || late || lease.held(node.now().steady).is_none() {
+            let holds = tenure.is_some_and(|tenure| tenure.holds(node.now().steady));
+            if !kept || late || !holds {
                 let _ = to.send(Input::HostCalled { token, host, leave, begun: Some(false) });
                 return;
             }
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -1,10 +1,7 @@
 //! The node's lease in the store: what the node owns goes with it.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -36,44 +33,89 @@
 /// The lease, as last heard.
 #[derive(Default)]
 pub(crate) struct Lease {
-    /// 0 for none.
-    id: AtomicU64,
-    /// When it may be over, in milliseconds of the steady clock.
-    until: AtomicU64,
+    heard: Mutex<Heard>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Heard {
+    /// The lease, unless the store has said that it is over, and when it may be.
+    last: Option<(LeaseId, Steady)>,
     /// Whether the last renewal failed.
-    failing: AtomicBool,
+    failing: bool,
 }
 
 impl Lease {
     /// The lease, while it certainly holds.
     pub(crate) fn held(&self, now: Steady) -> Option<LeaseId> {
-        let id = self.id.load(Ordering::Acquire);
-        let until = Steady::from_millis(self.until.load(Ordering::Acquire));
-        (id != 0 && now < until).then_some(id as LeaseId)
-    }
-
-    /// Whether orders to workers may be given: also for a while after the lease may be over, as
-    /// long as the store has not said that it is.
-    pub(crate) fn allows_orders(&self, now: Steady) -> bool {
-        let id = self.id.load(Ordering::Acquire);
-        let until = Steady::from_millis(self.until.load(Ordering::Acquire));
-        id != 0 && now < until.after(OVERTIME_MS)
+        self.heard().last.filter(|(_, until)| now < *until).map(|(id, _)| id)
     }
 
     /// Whether the store was reached when the lease was last to be renewed.
     pub(crate) fn is_in_touch(&self, now: Steady) -> bool {
-        self.held(now).is_some() && !self.failing.load(Ordering::Acquire)
+        self.held(now).is_some() && !self.heard().failing
+    }
+
+    /// Takes note that the lease was granted or renewed by a call that was sent at a moment.
+    pub(crate) fn renewed(&self, id: LeaseId, sent: Steady, ttl: Duration) {
+        // Later owners rely on the time that was asked for.
+        let left = (ttl.min(TTL).as_millis() as u64).saturating_sub(MARGIN_MS);
+        *self.heard() = Heard { last: Some((id, sent.after(left))), failing: false };
+    }
+
+    /// Takes note that it could not be renewed, or not for certain.
+    pub(crate) fn failed(&self) {
+        self.heard().failing = true;
+    }
+
+    /// Takes note that the store has said that it is over.
+    pub(crate) fn ended(&self) {
+        self.heard().last = None;
     }
 
-    fn set(&self, id: LeaseId, sent: Steady, ttl: Duration) {
-        let until = sent.after((ttl.as_millis() as u64).saturating_sub(MARGIN_MS));
-        self.until.store(until.since(Steady::default()), Ordering::Release);
-        self.id.store(id as u64, Ordering::Release);
-        self.failing.store(false, Ordering::Release);
+    fn heard(&self) -> MutexGuard<'_, Heard> {
+        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The lease under which something was won. What was won lasts as long as that lease: one that the
+/// node takes after it says nothing of whether another node has won the same meanwhile.
+#[derive(Clone)]
+pub(crate) struct Tenure {
+    lease: Arc<Lease>,
+    id: LeaseId,
+    /// When it was won.
+    since: Steady,
+}
+
+impl Tenure {
+    /// What is won at a moment under a lease of the node.
+    pub(crate) fn new(lease: &Arc<Lease>, id: LeaseId, since: Steady) -> Tenure {
+        Tenure { lease: lease.clone(), id, since }
+    }
+
+    /// Whether it certainly lasts.
+    pub(crate) fn holds(&self, now: Steady) -> bool {
+        self.lease.held(now) == Some(self.id)
+    }
+
+    /// Whether orders may be given: also for a while after the lease may be over, as long as the
+    /// store has not said that it is.
+    pub(crate) fn allows_orders(&self, now: Steady) -> bool {
+        let last = self.lease.heard().last;
+        last.is_some_and(|(id, until)| id == self.id && now < until.after(OVERTIME_MS))
     }
 
-    fn clear(&self) {
-        self.id.store(0, Ordering::Release);
+    /// What is told of it in the log.
+    pub(crate) fn describe(&self, now: Steady) -> String {
+        let last = self.lease.heard().last;
+        let lease = match last {
+            Some((id, until)) if id == self.id => {
+                format!("which may be over since {} ms", now.since(until))
+            }
+            Some((id, _)) => format!("which is over, now lease {id}"),
+            None => "which is over, now none".to_owned(),
+        };
+        format!("won {} ms ago under lease {}, {lease}", now.since(self.since), self.id)
     }
 }
 
@@ -93,7 +135,7 @@
                     log::info!("store: lease {id} for {} ms", ttl.as_millis());
                 }
                 held = Some(id);
-                lease.set(id, sent, ttl);
+                lease.renewed(id, sent, ttl);
                 if !listed {
                     listed = list(&node, id).await;
                 }
@@ -103,11 +145,11 @@
                 log::warn!("store: lease {held:?} is over: what was owned is lost");
                 held = None;
                 listed = false;
-                lease.clear();
+                lease.ended();
             }
             Err(error) => {
                 log::warn!("store: lease not renewed: {error}");
-                lease.failing.store(true, Ordering::Release);
+                lease.failed();
                 sleep(FAILED_PAUSE).await;
             }
         }
