Fuzzing holds leases and ownerships to what later owners rely on

Fuzzing of owners takes it as given that an earlier one gives no order later than lease and overtime after another node could have won; nothing showed that leases keep to it.

Each counts what it saw, so that it cannot pass by doing nothing. What is asked of the store next is read from the lease itself, so that the model and the node keep one state.

Breaks, one at a time, each taken back: - orders are allowed by whatever lease is held: both fuzz tests and both tests over sockets fail; - what was won but not yet taken up is not given up: the fuzz test of the loop fails, the others pass; - three times the overtime: the fuzz test of the lease fails, the others pass.

--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -4,6 +4,8 @@
 mod orders;
 mod reach;
 mod tell;
+#[cfg(test)]
+mod tests;
 
 use std::{
     collections::{BTreeMap, HashMap},
--- /dev/null
+++ b/src/scheduler/drive/tests.rs
@@ -0,0 +1,169 @@
+//! Fuzzing of what a node keeps of what it won while leases end and follow each other, answers come
+//! late, and the view lags. Nothing is kept for a decision that was won under a lease which the
+//! store has called over, whatever lease the node holds by then.
+
+use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
+
+use bolero::TypeGenerator;
+use serde_json::json;
+use tokio::{runtime, sync::mpsc};
+
+use super::{Drive, Input, Won, json as bytes};
+use crate::{
+    jobs::owner::LEASE_MS,
+    model::unit::Revision,
+    platform::{
+        kv::{Change, Kv},
+        runner::Runners,
+        store::LeaseId,
+    },
+    scheduler::{
+        Node, accept, keys,
+        lease::{Lease, Tenure},
+        metrics::Metrics,
+        node,
+        view::OwnerRecord,
+    },
+    settings::scheduler::parse,
+    tests::fuzz,
+};
+
+/// What nobody listens at: calls of the store are begun, and the test ends before they go out.
+const NOWHERE: &str = "127.0.0.1:1";
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Op {
+    /// The lease is renewed, or a new one is taken.
+    Renew,
+    /// The store says that the lease is over.
+    End,
+    /// A write that may win is sent.
+    Reach {
+        fleet: bool,
+    },
+    /// It has won, and the answer comes.
+    Reached,
+    /// The view shows what was won last.
+    Show,
+    /// Something else happens.
+    Hear,
+    Step,
+}
+
+struct World {
+    node: Arc<Node>,
+    lease: Arc<Lease>,
+    drive: Drive,
+    next_lease: LeaseId,
+    /// Writes on their way, by the lease that they bear.
+    reaching: Vec<(String, LeaseId)>,
+    /// What was won: revisions, and their leases.
+    tokens: BTreeMap<u64, LeaseId>,
+    last: Option<(String, u64)>,
+    /// What was kept, counted at each decision.
+    kept: usize,
+}
+
+impl World {
+    fn new() -> World {
+        let settings = json!({
+            "node": "one", "zone": "hall-a",
+            "listen": { "callers": NOWHERE, "readiness": NOWHERE, "metrics": NOWHERE },
+            "platform": { "store": NOWHERE, "hosts": NOWHERE },
+        });
+        let settings = parse("settings", &settings.to_string()).unwrap();
+        let kv = Kv::new(NOWHERE, Duration::from_millis(LEASE_MS), |_, _, _| {});
+        let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+        let lease = Arc::new(Lease::default());
+        let (to, _) = mpsc::unbounded_channel();
+        let drive = Drive::new(node.clone(), lease.clone(), Runners::new(), to);
+        World {
+            node,
+            lease,
+            drive,
+            next_lease: 1,
+            reaching: Vec::new(),
+            tokens: BTreeMap::new(),
+            last: None,
+            kept: 0,
+        }
+    }
+
+    fn reached(&mut self) {
+        let Some((name, id)) = self.reaching.pop() else {
+            return;
+        };
+        let token = self.tokens.len() as u64 + 1;
+        self.tokens.insert(token, id);
+        self.last = Some((name.clone(), token));
+        let tenure = Tenure::new(&self.lease, id, self.node.now().steady);
+        let won = Some(Won { token, earlier: 0, tenure });
+        self.drive.take(Input::Reached { name, won });
+        self.check();
+    }
+
+    fn show(&mut self) {
+        let Some((name, token)) = self.last.take() else {
+            return;
+        };
+        let record = bytes(&OwnerRecord { node: "one".to_owned(), life: 1 });
+        let (key, revision) = (keys::owner(&name), Revision(token));
+        let mut view = self.node.view();
+        view.apply(Change { key, revision, value: Some(record.into()) });
+        view.known = view.known.max(revision);
+    }
+
+    /// What is kept after something was decided or heard.
+    fn check(&mut self) {
+        let won = self.drive.won.values().map(|won| won.token);
+        let owned = self.drive.owned.values().map(|owned| owned.owner.token);
+        let fleet = self.drive.fleet.iter().map(|owned| owned.fleet.token);
+        for token in won.chain(owned).chain(fleet) {
+            self.kept += 1;
+            let (under, now) = (self.tokens[&token], self.lease.last());
+            assert_eq!(Some(under), now, "token {token} is kept, won under lease {under}");
+        }
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Renew => {
+                let id = self.lease.last().unwrap_or_else(|| {
+                    self.next_lease += 1;
+                    self.next_lease
+                });
+                let sent = self.node.now().steady;
+                self.lease.renewed(id, sent, Duration::from_millis(LEASE_MS));
+            }
+            Op::End => self.lease.ended(),
+            Op::Reach { fleet } => {
+                let name = if fleet { keys::FLEET } else { "pool-work" };
+                let lease = self.lease.held(self.node.now().steady);
+                self.reaching.extend(lease.map(|id| (name.to_owned(), id)));
+            }
+            Op::Reached => self.reached(),
+            Op::Show => self.show(),
+            Op::Hear => {
+                self.drive.take(Input::Deltas(Vec::new()));
+                self.check();
+            }
+            Op::Step => {
+                self.drive.step();
+                self.check();
+            }
+        }
+    }
+}
+
+#[test]
+fn nothing_is_kept_that_was_won_under_a_lease_that_is_over() {
+    let kept = Cell::new(0);
+    fuzz(300, 60, |ops: &[Op]| {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let _entered = runtime.enter();
+        let mut world = World::new();
+        ops.iter().for_each(|op| world.apply(*op));
+        kept.set(kept.get() + world.kept);
+    });
+    assert!(1_000 < kept.get(), "{} kept: too few to tell", kept.get());
+}
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -50,6 +50,11 @@
         self.heard().last.filter(|(_, until)| now < *until).map(|(id, _)| id)
     }
 
+    /// The lease that was last granted or renewed, unless the store has said that it is over.
+    pub(crate) fn last(&self) -> Option<LeaseId> {
+        self.heard().last.map(|(id, _)| id)
+    }
+
     /// Whether the store was reached when the lease was last to be renewed.
     pub(crate) fn is_in_touch(&self, now: Steady) -> bool {
         self.held(now).is_some() && !self.heard().failing
@@ -121,10 +126,10 @@
 
 /// Takes a lease and keeps it until the node ends.
 pub(crate) async fn keep(node: Arc<Node>, lease: Arc<Lease>) {
-    let mut held: Option<LeaseId> = None;
     let mut listed = false;
     loop {
         let sent = node.now().steady;
+        let held = lease.last();
         let outcome = match held {
             None => node.kv.grant(TTL).await.map(Some),
             Some(id) => node.kv.keep(id).await.map(|ttl| ttl.map(|ttl| (id, ttl))),
@@ -134,7 +139,6 @@
                 if held.is_none() {
                     log::info!("store: lease {id} for {} ms", ttl.as_millis());
                 }
-                held = Some(id);
                 lease.renewed(id, sent, ttl);
                 if !listed {
                     listed = list(&node, id).await;
@@ -143,7 +147,6 @@
             }
             Ok(None) => {
                 log::warn!("store: lease {held:?} is over: what was owned is lost");
-                held = None;
                 listed = false;
                 lease.ended();
             }
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of what a node knows of the store.
 
 mod demand;
+mod lease;
+mod links;
 mod orders;
 mod ownership;
 mod watches;
