A real process that stands still for longer than later owners wait

The owner is stopped by a signal until a later owner has started its task anew elsewhere, and goes on. One worker hears only the earlier token, the other only the later.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -125,6 +125,30 @@
         assert_eq!(answer.status(), StatusCode::OK);
     }
 
+    /// Has workers not hear orders with some tokens.
+    async fn unheard(&self, unheard: Value) {
+        let url = format!("http://{}/unheard", self.address);
+        let answer = self.client.post(url).json(&unheard).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+
+    /// How many orders a worker has heard under a token.
+    async fn heard(&self, worker: u64, token: u64) -> u64 {
+        let url = format!("http://{}/heard", self.address);
+        let all: Value = self.client.get(url).send().await.unwrap().json().await.unwrap();
+        let mut all = all.as_array().unwrap().iter();
+        let mine = all.find(|one| one["worker"] == json!(worker) && one["token"] == json!(token));
+        mine.map_or(0, |one| one["orders"].as_u64().unwrap())
+    }
+
+    /// The token of the pool's owner.
+    async fn token(&self) -> Option<u64> {
+        let url = format!("http://{}/-/kv-key", self.address);
+        let query = [("private_key", "ch/work/pool-work/owner")];
+        let answer = self.client.get(url).query(&query).send().await.unwrap();
+        answer.json::<Value>().await.ok()?["revision"].as_u64()
+    }
+
     async fn counted(&self) -> Value {
         let url = format!("http://{}/counted", self.address);
         self.client.get(url).send().await.unwrap().json().await.unwrap()
@@ -444,6 +468,53 @@
     assert_eq!(site.counted().await["twice"], json!(0));
 }
 
+/// What users saw: a task that must run once ran on two hosts at a time. The process of the pool's
+/// owner stood still for longer than its lease and all that later owners wait for. As it went on it
+/// took a new lease within milliseconds, while its watches had failed and rested; until they told of
+/// the later owner it gave orders by what it had known before, to a host that had not heard the
+/// later token: what had lapsed there was started anew, and ran elsewhere by then.
+#[tokio::test]
+async fn an_owner_that_stood_still_gives_no_order_once_it_goes_on() {
+    let site = Site::start("still", 2).await;
+    let last = u64::MAX;
+    site.unheard(json!([{ "worker": 1, "from": 0, "to": last }])).await;
+    let one = site.node("one").await;
+    let task = json!({ "spec": "600000", "steps": [{ "count": 1, "cpu": 100 }] });
+    assert_eq!(site.hand_in(&one, "00000000000000a1", &task).await, StatusCode::OK);
+    site.until_state(&one, "00000000000000a1", "running").await;
+    let token = site.token().await.unwrap();
+    let unheard = json!([
+        { "worker": 0, "from": token + 1, "to": last }, { "worker": 1, "from": 0, "to": token },
+    ]);
+    site.unheard(unheard).await;
+    let signal = |signal| kill(Pid::from_raw(one.process.0.id() as i32), signal).unwrap();
+    signal(Signal::SIGSTOP);
+    let _two = site.node("two").await;
+    until("the task to be started anew", async || {
+        (site.counted().await["starts"] == json!(2)).then_some(())
+    })
+    .await;
+    let before = site.heard(0, token).await;
+    signal(Signal::SIGCONT);
+    let log = || fs::read_to_string(site.folder.join("one.log")).unwrap();
+    let (given_up, told) = (format!("given up: token {token}"), format!("token {token} is over"));
+    until("the end of the ownership", async || {
+        let log = log();
+        (log.contains(&given_up) || log.contains(&told)).then_some(())
+    })
+    .await;
+    until("its readiness", async || site.is_ready(&one).await.then_some(())).await;
+    // The end of a second job is heard of by way of the later owner.
+    let short = json!({ "spec": "50", "steps": [{ "count": 1, "cpu": 100 }] });
+    assert_eq!(site.hand_in(&one, "00000000000000a2", &short).await, StatusCode::OK);
+    site.until_state(&one, "00000000000000a2", "succeeded").await;
+    let counted = site.counted().await;
+    assert_eq!((&counted["twice"], &counted["starts"]), (&json!(0), &json!(3)));
+    // One that was decided on may have been on its way through the process.
+    let more = site.heard(0, token).await - before;
+    assert!(more <= 1, "{more} orders under token {token} after its owner stood still");
+}
+
 /// With the store away for all, nobody hands requests on in a circle.
 #[tokio::test]
 async fn nodes_that_all_miss_the_store_refuse_at_once() {
