--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -2,8 +2,11 @@
 
 mod demand;
 mod foreign;
+mod lease;
+mod links;
 mod news;
 mod orders;
+mod ownership;
 mod takeovers;
 mod watches;
 
