Tests that fail: a renewal after a gap brings an ownership back

Cause to be mended: the bound to the lease is not enough where what a node owns is taken away without its lease: a renewal after a time in which the lease may have been over counts as if nothing had been, and orders go on under the old token until watches tell of the later owner.

--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod ownership;
 mod takeovers;
+mod terms;
 mod watches;
 
 use crate::{
