Stand-in site: several pools, a log of what workers did, troubles of single workers; a soak of real processes

Cause: what users saw on machines of their own (a task that ran twice) was never played with processes, sockets and pauses of the system; the stand-in site had one pool, hosts that lost nothing when they moved, clocks that agreed, and no record of what its workers did.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -426,6 +426,14 @@
                         .default_value("4")
                         .help("Run so many workers, of 8 cores each."),
                 )
+                .arg(
+                    Arg::new("pools")
+                        .long("pools")
+                        .value_name("N")
+                        .value_parser(value_parser!(u32))
+                        .default_value("1")
+                        .help("Spread them over so many pools."),
+                )
                 .arg(
                     Arg::new("work-ms")
                         .long("work-ms")
--- a/src/options.rs
+++ b/src/options.rs
@@ -130,6 +130,7 @@
         "site" => Job::Site(site::Options {
             listen,
             workers: *given::<u32>(inner, "workers"),
+            pools: *given::<u32>(inner, "pools"),
             work: Duration::from_millis(*given::<u64>(inner, "work-ms")),
         }),
         "worker" => Job::Worker(Box::new(worker::Options {
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -3,9 +3,12 @@
 //! counts what must never happen.
 
 mod hosts;
+mod life;
+mod log;
 mod store;
 #[cfg(test)]
 mod tests;
+mod trouble;
 mod worker;
 
 use std::{
@@ -21,7 +24,7 @@
 
 use crate::{
     http,
-    standin::site::{store::Store, worker::Worker},
+    standin::site::{log::Log, store::Store, worker::Worker},
 };
 
 /// Largest body that the stand-in reads.
@@ -40,8 +43,9 @@
 pub(crate) struct Options {
     /// Where store, hosts and faults are; port 0 takes a free one.
     pub(crate) listen: String,
-    /// Workers in the pool `work`.
     pub(crate) workers: u32,
+    /// Pools that the workers are spread over: `work`, `work-1` and so on.
+    pub(crate) pools: u32,
     /// How long a worker takes for a task whose payload names no time.
     pub(crate) work: Duration,
 }
@@ -58,6 +62,23 @@
     store_long_history: bool,
     /// The watches' history is gone, once.
     store_compact: bool,
+    /// Every call takes that much longer.
+    store_slow_ms: u64,
+    /// Writes are done that much later, and not answered.
+    store_late_ms: u64,
+    /// Only every so many writes, if not 0; the others are done at once.
+    store_late_every: u64,
+    /// The leases that are held end, once: all, or the one of a number.
+    leases_over: Option<LeasesOver>,
+}
+
+/// Which leases end though they were renewed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum LeasesOver {
+    All,
+    /// Counted from the oldest, and from it again after the newest.
+    Nth(usize),
 }
 
 /// What must never happen, as counted.
@@ -78,6 +99,7 @@
     workers: Vec<Worker>,
     faults: Faults,
     counted: Counted,
+    log: Log,
 }
 
 /// The stand-in, as its addresses share it.
@@ -117,11 +139,13 @@
         workers: Vec::new(),
         faults: Faults::default(),
         counted: Counted::default(),
+        log: Log::default(),
     };
     let site = Site { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 };
     for number in 0..options.workers {
         let (listener, address) = http::listen("127.0.0.1:0").await?;
-        let worker = Worker::new(number, &address.to_string(), options.work);
+        let pool = worker::pool(number % options.pools.max(1));
+        let worker = Worker::new(number, pool, &address.to_string(), options.work);
         site.state().workers.push(worker);
         let endpoint = worker::Face { site: site.clone(), number: number as usize };
         tokio::spawn(http::serve(listener, MAX_CONNECTIONS, endpoint, http::Stop::default()));
@@ -142,8 +166,13 @@
             let now = state.now_ms();
             let mut changed = state.store.expire(now);
             for worker in &mut state.workers {
-                changed |= worker.run(now, &mut state.counted);
-                if ticks % TICKS_PER_REPORT == 0 {
+                worker.come_back(now);
+                changed |= worker.run(now, &mut state.counted, &mut state.log);
+                for key in worker.take_stale(now) {
+                    state.store.take_away(&key);
+                    changed = true;
+                }
+                if ticks % TICKS_PER_REPORT == 0 && worker.is_up() {
                     state.store.put(&worker.report_key(), worker.report(), 0);
                     changed = true;
                 }
@@ -170,6 +199,8 @@
         let path = request.uri().path().to_owned();
         let response = match path.as_str() {
             "/faults" => self.set_faults(&mut request).await,
+            "/trouble" => trouble::set(&self.site, &mut request).await,
+            "/log" => self.log(&request),
             "/put" => self.put(&mut request).await,
             "/counted" => http::json(StatusCode::OK, &self.site.state().counted),
             "/-/machines" => hosts::list(&self.site),
@@ -189,13 +220,26 @@
                 if faults.store_compact {
                     state.store.compact();
                 }
+                match faults.leases_over {
+                    Some(LeasesOver::All) => state.store.end_leases(None),
+                    Some(LeasesOver::Nth(number)) => state.store.end_leases(Some(number)),
+                    None => {}
+                }
                 state.faults = faults;
+                drop(state);
+                self.site.note_change();
                 http::json(StatusCode::OK, &faults)
             }
             Err(error) => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         }
     }
 
+    /// What workers did, from the event on whose number the path's query is.
+    fn log(&self, request: &Request) -> Response {
+        let first = request.uri().query().and_then(|query| query.parse().ok());
+        http::json(StatusCode::OK, &self.site.state().log.since(first.unwrap_or_default()))
+    }
+
     /// Writes a record in the operator's name: the path's query is the key.
     async fn put(&self, request: &mut Request) -> Response {
         let key = request.uri().query().unwrap_or_default().to_owned();
--- a/src/standin/site/hosts.rs
+++ b/src/standin/site/hosts.rs
@@ -7,6 +7,9 @@
 use super::{MAX_BODY, Site};
 use crate::http;
 
+/// How long a host is away when it changes its pool or is maintained, in milliseconds.
+const AWAY_MS: u64 = 1_000;
+
 #[derive(Deserialize)]
 struct Change {
     machine: String,
@@ -22,8 +25,9 @@
         .iter()
         .map(|worker| {
             json!({
-                "machine": worker.host, "pool": worker.pool, "state": "up", "zone": "hall-a",
-                "labels": ["a", "r1"], "id": worker.id,
+                "machine": worker.host, "pool": worker.pool, "state": worker.phase_name(),
+                "zone": "hall-a", "labels": ["a", "r1"],
+                "id": worker.is_up().then_some(&worker.id),
                 "capacity": { "cpu": 8_000, "mem_mb": 16_000, "gpu": 0 },
             })
         })
@@ -31,31 +35,41 @@
     http::json(StatusCode::OK, &json!({ "machines": hosts, "next_page_token": null }))
 }
 
-/// Moves a host to another pool, at once.
+/// Moves a host to another pool: what runs there dies, and a new worker joins that pool.
 pub(super) async fn move_host(site: &Site, request: &mut Request) -> Response {
-    change(site, request, |worker_pool, change| *worker_pool = change.pool.clone()).await
+    change(site, request, "moving").await
 }
 
-/// Maintains a host, at once.
+/// Maintains a host: what runs there dies.
 pub(super) async fn maintain(site: &Site, request: &mut Request) -> Response {
-    change(site, request, |_, _| {}).await
+    change(site, request, "upkeep").await
 }
 
-async fn change(
-    site: &Site,
-    request: &mut Request,
-    apply: impl FnOnce(&mut String, &Change),
-) -> Response {
+async fn change(site: &Site, request: &mut Request, phase: &'static str) -> Response {
+    let token = request.header("Fencing-Token").and_then(|token| token.parse::<u64>().ok());
     let change = match http::read_json::<Change>(request, MAX_BODY).await {
         Ok(change) => change,
         Err(error) => return http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
     };
     let mut state = site.state();
-    match state.workers.iter_mut().find(|worker| worker.host == change.machine) {
-        Some(worker) => {
-            apply(&mut worker.pool, &change);
-            http::text(StatusCode::OK, "")
-        }
-        None => http::text(StatusCode::BAD_REQUEST, "no such host\n"),
+    let now = state.now_ms();
+    let state = &mut *state;
+    let Some(worker) = state.workers.iter_mut().find(|worker| worker.host == change.machine) else {
+        return http::text(StatusCode::BAD_REQUEST, "no such host\n");
+    };
+    if token.unwrap_or_default() < worker.host_fence {
+        return http::json(StatusCode::CONFLICT, &json!({ "reason": "fence" }));
+    }
+    worker.host_fence = token.unwrap_or_default();
+    if phase == "moving" && worker.pool == change.pool {
+        return http::text(StatusCode::OK, "");
+    }
+    if !worker.is_up() {
+        return http::json(StatusCode::CONFLICT, &json!({ "reason": "busy" }));
+    }
+    if phase == "moving" {
+        worker.pool = change.pool;
     }
+    worker.end_life(phase, now, AWAY_MS, &mut state.log);
+    http::text(StatusCode::OK, "")
 }
--- /dev/null
+++ b/src/standin/site/life.rs
@@ -0,0 +1,82 @@
+//! The lives of a worker: how one ends and the next begins, and the clock that each has.
+
+use super::{
+    log::{Kind, Log},
+    worker::Worker,
+};
+
+/// How long the report of a life that is over stays in the store, in milliseconds.
+const REPORT_STAYS_MS: u64 = 1_500;
+
+/// How much one worker's clock differs from the next one's, in milliseconds.
+const CLOCK_STEP_MS: u64 = 100_003;
+
+/// Every so many workers have a clock that is 2 % slow.
+const SLOW_EVERY: u32 = 3;
+
+/// What a host is doing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Phase {
+    Up,
+    /// Away until a time, for a cause that the list of hosts names.
+    Away(&'static str, u64),
+}
+
+/// A clock of its own.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Clock {
+    offset: u64,
+    slow: bool,
+}
+
+impl Clock {
+    pub(super) fn new(number: u32) -> Clock {
+        Clock { offset: u64::from(number) * CLOCK_STEP_MS, slow: number % SLOW_EVERY == 1 }
+    }
+
+    /// What the clock shows at a time of the stand-in.
+    pub(super) fn at(&self, now: u64) -> u64 {
+        self.offset + if self.slow { now - now / 50 } else { now }
+    }
+}
+
+impl Worker {
+    pub(super) fn is_up(&self) -> bool {
+        self.phase == Phase::Up
+    }
+
+    /// What the list of hosts says.
+    pub(super) fn phase_name(&self) -> &'static str {
+        match self.phase {
+            Phase::Up => "up",
+            Phase::Away(name, _) => name,
+        }
+    }
+
+    /// Ends all runs with the worker's life; the next one begins after so long.
+    pub(super) fn end_life(&mut self, why: &'static str, now: u64, away_ms: u64, log: &mut Log) {
+        for (task, run) in std::mem::take(&mut self.runs) {
+            log.note(now, (&self.id, run.token), Kind::Crashed, (&task, run.run));
+        }
+        self.phase = Phase::Away(why, now + away_ms);
+        self.stale_reports.push((self.report_key(), now + REPORT_STAYS_MS));
+        self.life += 1;
+        self.id = format!("w{}-{}", self.number, self.life);
+        self.forget();
+    }
+
+    /// Begins the next life if it is time.
+    pub(super) fn come_back(&mut self, now: u64) {
+        if let Phase::Away(_, until) = self.phase
+            && until <= now
+        {
+            self.phase = Phase::Up;
+        }
+    }
+
+    /// The keys of reports that are over by now.
+    pub(super) fn take_stale(&mut self, now: u64) -> Vec<String> {
+        let stale = self.stale_reports.extract_if(.., |(_, at)| *at <= now);
+        stale.map(|(key, _)| key).collect()
+    }
+}
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{LOST_FOR, MAX_BODY, Site};
+use super::{Faults, LOST_FOR, MAX_BODY, Site};
 use crate::http;
 
 /// Changes that are kept for watches.
@@ -50,6 +50,7 @@
     /// Leases with their length and end, in milliseconds.
     leases: BTreeMap<u64, (u64, u64)>,
     next_lease: u64,
+    writes: u64,
 }
 
 #[derive(Deserialize)]
@@ -102,6 +103,12 @@
         }
     }
 
+    /// Removes a key by itself.
+    pub(super) fn take_away(&mut self, key: &str) {
+        self.revision += 1;
+        self.remove(key);
+    }
+
     fn note(&mut self, key: &str, value: Option<Vec<u8>>) {
         let (key, revision) = (key.to_owned(), self.revision);
         self.history.push_back(Changed { key, revision, value });
@@ -126,6 +133,14 @@
         !over.is_empty()
     }
 
+    /// Ends all leases, or the one of a number.
+    pub(super) fn end_leases(&mut self, number: Option<usize>) {
+        let leases: Vec<u64> = self.leases.keys().copied().collect();
+        let chosen = |at: usize| number.is_none_or(|number| number % leases.len() == at);
+        let over = leases.iter().enumerate().filter(|(at, _)| chosen(*at));
+        over.for_each(|(_, lease)| self.end_lease(*lease));
+    }
+
     fn end_lease(&mut self, lease: u64) {
         self.leases.remove(&lease);
         let held = self.items.iter().filter(|(_, stored)| stored.lease == lease);
@@ -211,6 +226,9 @@
     if faults.store_down {
         return http::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
     }
+    if faults.store_slow_ms != 0 {
+        sleep(Duration::from_millis(faults.store_slow_ms)).await;
+    }
     let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
     let text = |name: &str| query.get(name).cloned().unwrap_or_default();
     let number = |name: &str| text(name).parse::<u64>().unwrap_or_default();
@@ -226,14 +244,7 @@
             watch(site, &text("path_prefix"), number("since_revision"), wait).await
         }
         "kv-txn" => match http::read_json::<Txn>(request, MAX_BODY).await {
-            Ok(txn) => {
-                let answer = site.state().store.commit(txn);
-                site.note_change();
-                if faults.store_lost {
-                    sleep(LOST_FOR).await;
-                }
-                answer
-            }
+            Ok(txn) => write(site, txn, faults).await,
             Err(error) => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
         },
         "kv-lease" => match http::read_json::<Ttl>(request, MAX_BODY).await {
@@ -244,6 +255,38 @@
     }
 }
 
+/// Does a transaction, late if that is switched on. What has arrived is done, also if the caller
+/// hangs up meanwhile.
+async fn write(site: &Site, txn: Txn, faults: Faults) -> Response {
+    let number = {
+        let mut state = site.state();
+        state.store.writes += 1;
+        state.store.writes
+    };
+    let is_late =
+        faults.store_late_ms != 0 && number.is_multiple_of(faults.store_late_every.max(1));
+    if !is_late {
+        let answer = site.state().store.commit(txn);
+        site.note_change();
+        if faults.store_lost {
+            sleep(LOST_FOR).await;
+        }
+        return answer;
+    }
+    let site = site.clone();
+    let late = tokio::spawn(async move {
+        sleep(Duration::from_millis(faults.store_late_ms)).await;
+        let answer = site.state().store.commit(txn);
+        site.note_change();
+        log::debug!("store: late write: {}", answer.status());
+    });
+    sleep(LOST_FOR).await;
+    match late.await {
+        Ok(()) => http::text(StatusCode::GATEWAY_TIMEOUT, ""),
+        Err(error) => http::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
 pub(super) async fn watch(site: &Site, prefix: &str, since: u64, wait: Duration) -> Response {
     let until = Instant::now() + wait;
     let mut changed = site.changed.subscribe();
--- a/src/standin/site/tests.rs
+++ b/src/standin/site/tests.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use tokio::{sync::watch, time::sleep};
 
-use super::{Counted, Faults, Site, State, store};
+use super::{Counted, Faults, Site, State, log::Log, store};
 
 /// Found by CI beside load: a watch that ended between a change and its note told the revision of
 /// the change without the change, and a node waited for ever for the end of another's ownership.
@@ -20,6 +20,7 @@
         workers: Vec::new(),
         faults: Faults::default(),
         counted: Counted::default(),
+        log: Log::default(),
     };
     let site = Site { state: Arc::new(Mutex::new(state)), changed: watch::channel(0).0 };
     let wait = Duration::from_millis(200);
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -8,13 +8,21 @@
 use poem::{Endpoint, Request, Response, http::StatusCode};
 use serde::Deserialize;
 use serde_json::{Value, json};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::{Counted, MAX_BODY, Site};
+use super::{
+    Counted, LOST_FOR, MAX_BODY, Site,
+    life::{Clock, Phase},
+    log::{Kind, Log},
+    trouble::Trouble,
+};
 use crate::http;
 
-/// The pool that all workers are in.
-pub(super) const POOL: &str = "work";
+/// The pool that all workers are in; with several, the first one.
+const POOL: &str = "work";
+
+/// How long a run takes at a worker where every run fails, in milliseconds.
+const FAILS_AFTER_MS: u64 = 100;
 
 /// How long a stop takes, in milliseconds.
 const STOP_MS: u64 = 100;
@@ -24,8 +32,10 @@
 
 /// A run of a task.
 #[derive(Debug, Clone)]
-struct Run {
-    run: u32,
+pub(super) struct Run {
+    pub(super) run: u32,
+    /// The fencing token of its start.
+    pub(super) token: u64,
     began: u64,
     /// When it ends by itself, and how.
     ends: u64,
@@ -39,7 +49,7 @@
     number: u64,
     task: String,
     run: u32,
-    how: &'static str,
+    how: Kind,
 }
 
 /// A worker.
@@ -47,11 +57,24 @@
     pub(super) id: String,
     pub(super) host: String,
     pub(super) pool: String,
+    pub(super) number: u32,
+    /// How many lives ended.
+    pub(super) life: u32,
+    pub(super) phase: Phase,
+    pub(super) trouble: Trouble,
+    /// Reports of earlier lives, and when they go.
+    pub(super) stale_reports: Vec<(String, u64)>,
+    /// The highest fencing token of a call that changes the host.
+    pub(super) host_fence: u64,
     address: String,
     work: Duration,
+    clock: Clock,
+    orders: u64,
     fence: u64,
+    /// The end of the lease, by the worker's clock.
     until: u64,
-    runs: BTreeMap<String, Run>,
+    expired: bool,
+    pub(super) runs: BTreeMap<String, Run>,
     ended: Vec<Ended>,
     next: u64,
     /// The highest run of each task that was stopped or ended here.
@@ -75,16 +98,33 @@
     wait_ms: u64,
 }
 
+/// The name of a pool by its number.
+pub(super) fn pool(number: u32) -> String {
+    match number {
+        0 => POOL.to_owned(),
+        _ => format!("{POOL}-{number}"),
+    }
+}
+
 impl Worker {
-    pub(super) fn new(number: u32, address: &str, work: Duration) -> Worker {
+    pub(super) fn new(number: u32, pool: String, address: &str, work: Duration) -> Worker {
         Worker {
             id: format!("w{number}"),
             host: format!("h{number}"),
-            pool: POOL.to_owned(),
+            pool,
+            number,
+            life: 0,
+            phase: Phase::Up,
+            trouble: Trouble::default(),
+            stale_reports: Vec::new(),
+            host_fence: 0,
             address: address.to_owned(),
             work,
+            clock: Clock::new(number),
+            orders: 0,
             fence: 0,
             until: 0,
+            expired: true,
             runs: BTreeMap::new(),
             ended: Vec::new(),
             next: 1,
@@ -92,6 +132,17 @@
         }
     }
 
+    /// Begins anew, as a process that has just started.
+    pub(super) fn forget(&mut self) {
+        (self.fence, self.until, self.expired, self.next) = (0, 0, true, 1);
+        self.ended.clear();
+        self.over.clear();
+    }
+
+    pub(super) fn fence(&self) -> u64 {
+        self.fence
+    }
+
     pub(super) fn report_key(&self) -> String {
         format!("servers/{}", self.id)
     }
@@ -107,36 +158,42 @@
     }
 
     /// Ends what is over by now; whether there was anything.
-    pub(super) fn run(&mut self, now: u64, counted: &mut Counted) -> bool {
-        let lapsed = self.until <= now;
+    pub(super) fn run(&mut self, now: u64, counted: &mut Counted, log: &mut Log) -> bool {
+        let lapsed = self.until <= self.clock.at(now);
         let how = |run: &Run| match () {
-            () if lapsed => Some("lapsed"),
-            () if run.stopping.is_some_and(|at| at <= now) => Some("stopped"),
-            () if run.ends <= now => Some(if run.fails { "failed" } else { "done" }),
+            () if lapsed => Some(Kind::Lapsed),
+            () if run.stopping.is_some_and(|at| at <= now) => Some(Kind::Stopped),
+            () if run.ends <= now => Some(if run.fails { Kind::Failed } else { Kind::Done }),
             () => None,
         };
-        let over: Vec<(String, u32, &'static str)> = self
+        let over: Vec<(String, Run, Kind)> = self
             .runs
             .iter()
-            .filter_map(|(task, run)| Some((task.clone(), run.run, how(run)?)))
+            .filter_map(|(task, run)| Some((task.clone(), run.clone(), how(run)?)))
             .collect();
         for (task, run, how) in &over {
-            counted.done += u32::from(*how == "done");
+            counted.done += u32::from(*how == Kind::Done);
+            log.note(now, (&self.id, run.token), *how, (task, run.run));
             self.runs.remove(task);
-            self.over.insert(task.clone(), *run);
+            self.over.insert(task.clone(), run.run);
             let number = self.next;
             self.next += 1;
-            self.ended.push(Ended { number, task: task.clone(), run: *run, how });
+            self.ended.push(Ended { number, task: task.clone(), run: run.run, how: *how });
         }
+        if lapsed && !self.expired {
+            log.note(now, (&self.id, self.fence), Kind::Expired, ("", 0));
+        }
+        self.expired = lapsed;
         !over.is_empty()
     }
 
     fn refuse(&self, now: u64, reason: &str) -> Response {
-        http::json(StatusCode::CONFLICT, &json!({ "clock_ms": now, "reason": reason }))
+        let clock = self.clock.at(now);
+        http::json(StatusCode::CONFLICT, &json!({ "clock_ms": clock, "reason": reason }))
     }
 
-    fn start(&mut self, order: &Order, now: u64) -> Result<bool, &'static str> {
-        if order.until_ms.is_none_or(|until| until <= now) {
+    fn start(&mut self, order: &Order, now: u64, log: &mut Log) -> Result<bool, &'static str> {
+        if order.until_ms.is_none_or(|until| until <= self.clock.at(now)) {
             return Err("late");
         }
         self.until = self.until.max(order.until_ms.unwrap_or(0));
@@ -149,13 +206,16 @@
         }
         let work = order.spec.trim_start_matches(FAILS).trim();
         let work = work.parse().unwrap_or(self.work.as_millis() as u64);
+        let work = if self.trouble.fails { FAILS_AFTER_MS } else { work };
         let run = Run {
             run: order.run,
+            token: order.fencing_token,
             began: now,
             ends: now + work,
-            fails: order.spec.starts_with(FAILS),
+            fails: order.spec.starts_with(FAILS) || self.trouble.fails,
             stopping: None,
         };
+        log.note(now, (&self.id, order.fencing_token), Kind::Started, (&order.task, order.run));
         self.runs.insert(order.task.clone(), run);
         Ok(true)
     }
@@ -187,9 +247,19 @@
             .iter()
             .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
             .collect();
-        let look = json!({ "clock_ms": now, "running": running, "finished": finished });
+        let clock = self.clock.at(now);
+        let look = json!({ "clock_ms": clock, "running": running, "finished": finished });
         http::json(StatusCode::OK, &look)
     }
+
+    /// Renews the lease, and forgets the ends that the caller has taken note of.
+    fn hold(&mut self, order: &Order, now: u64, log: &mut Log) {
+        self.until = self.until.max(order.until_ms.unwrap_or(0));
+        for end in self.ended.extract_if(.., |end| end.number <= order.last_seen) {
+            let by = (self.id.as_str(), order.fencing_token);
+            log.note(now, by, Kind::Acknowledged, (&end.task, end.run));
+        }
+    }
 }
 
 /// A worker's address.
@@ -208,46 +278,81 @@
             Ok(order) => order,
             Err(error) => return Ok(http::text(StatusCode::BAD_REQUEST, format!("{error}\n"))),
         };
-        if meant.is_some_and(|meant| meant != self.site.state().workers[self.number].id) {
-            return Ok(http::text(StatusCode::MISDIRECTED_REQUEST, "another life\n"));
+        let (lost, delay) = self.note_order(&order);
+        if lost {
+            sleep(LOST_FOR).await;
+            return Ok(http::text(StatusCode::GATEWAY_TIMEOUT, ""));
         }
-        Ok(self.obey(&path, &order).await)
+        // In a task of its own: what has arrived is carried out, also if the caller hangs up.
+        let face = Face { site: self.site.clone(), number: self.number };
+        let obeyed = tokio::spawn(async move {
+            if !delay.is_zero() {
+                sleep(delay).await;
+            }
+            face.receive(&path, meant, &order).await
+        });
+        let answer = obeyed.await.map_err(poem::error::InternalServerError)?;
+        if self.site.state().workers[self.number].trouble.is_mute() {
+            sleep(LOST_FOR).await;
+        }
+        Ok(answer)
     }
 }
 
 impl Face {
-    async fn obey(&self, path: &str, order: &Order) -> Response {
-        let now = self.site.state().now_ms();
+    /// Whether an order does not arrive, and otherwise how late.
+    fn note_order(&self, order: &Order) -> (bool, Duration) {
+        let mut state = self.site.state();
+        let worker = &mut state.workers[self.number];
+        worker.orders += 1;
+        let lost = !worker.is_up() || worker.trouble.loses(order.fencing_token);
+        (lost, Duration::from_millis(worker.trouble.delay_ms(worker.orders)))
+    }
+
+    async fn receive(&self, path: &str, meant: Option<String>, order: &Order) -> Response {
         {
             let mut state = self.site.state();
+            let now = state.now_ms();
             let worker = &mut state.workers[self.number];
+            if !worker.is_up() || meant.is_some_and(|meant| meant != worker.id) {
+                return http::text(StatusCode::MISDIRECTED_REQUEST, "another life\n");
+            }
             if order.fencing_token < worker.fence {
                 return worker.refuse(now, "fence");
             }
             worker.fence = order.fencing_token;
         }
         match path {
-            "/-/run-start" => self.start(order, now),
+            "/-/run-start" => self.start(order),
             "/-/run-stop" => {
-                self.site.state().workers[self.number].stop(order, now);
-                http::json(StatusCode::OK, &json!({ "clock_ms": now }))
+                let mut state = self.site.state();
+                let now = state.now_ms();
+                let worker = &mut state.workers[self.number];
+                worker.stop(order, now);
+                http::json(StatusCode::OK, &json!({ "clock_ms": worker.clock.at(now) }))
+            }
+            "/-/pace" => {
+                let state = self.site.state();
+                let clock = state.workers[self.number].clock.at(state.now_ms());
+                http::json(StatusCode::OK, &json!({ "clock_ms": clock }))
             }
-            "/-/pace" => http::json(StatusCode::OK, &json!({ "clock_ms": now })),
             "/-/hold" => self.look(order).await,
             _ => http::text(StatusCode::NOT_FOUND, "no such call\n"),
         }
     }
 
-    fn start(&self, order: &Order, now: u64) -> Response {
+    fn start(&self, order: &Order) -> Response {
         let mut state = self.site.state();
+        let now = state.now_ms();
+        let state = &mut *state;
         let others = state.workers.iter().enumerate().filter(|(n, _)| *n != self.number);
         let elsewhere = others.filter(|(_, w)| w.runs.contains_key(&order.task)).count();
         let worker = &mut state.workers[self.number];
-        match worker.start(order, now) {
+        match worker.start(order, now, &mut state.log) {
             Ok(begun) => {
                 state.counted.starts += u32::from(begun);
                 state.counted.twice += u32::from(begun && elsewhere != 0);
-                http::json(StatusCode::OK, &json!({ "clock_ms": now }))
+                http::json(StatusCode::OK, &json!({ "clock_ms": worker.clock.at(now) }))
             }
             Err(reason) => worker.refuse(now, reason),
         }
@@ -256,16 +361,21 @@
     async fn look(&self, order: &Order) -> Response {
         let until = Instant::now() + Duration::from_millis(order.wait_ms);
         let mut changed = self.site.changed.subscribe();
-        {
+        let life = {
             let mut state = self.site.state();
+            let now = state.now_ms();
+            let state = &mut *state;
             let worker = &mut state.workers[self.number];
-            worker.until = worker.until.max(order.until_ms.unwrap_or(0));
-            worker.ended.retain(|end| order.last_seen < end.number);
-        }
+            worker.hold(order, now, &mut state.log);
+            worker.life
+        };
         loop {
             {
                 let state = self.site.state();
                 let worker = &state.workers[self.number];
+                if worker.life != life {
+                    return http::text(StatusCode::MISDIRECTED_REQUEST, "another life\n");
+                }
                 if !worker.ended.is_empty() || until <= Instant::now() {
                     return worker.look(state.now_ms());
                 }
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,158 @@
+//! What is injected when, as a seed draws it.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+
+/// What is done to a node's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    Freeze,
+    Term,
+    Kill,
+    Hup,
+}
+
+/// What is done to a node's way to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    Delay(u64),
+    CutOut,
+    CutIn,
+    CutBoth,
+    Refuse,
+    Reset,
+    /// Of the connections that are open one in so many falls silent for good.
+    Silent(u64),
+    /// The same, also of those that are opened while this lasts.
+    Flaky(u64),
+}
+
+/// One injection.
+#[derive(Debug, Clone, PartialEq)]
+pub enum What {
+    Node(usize, Signal),
+    Way(usize, Harm),
+    Store(Value),
+    Worker(usize, Value),
+    /// The owner of a pool, as it is then, is cut off or frozen or loses its lease, and single
+    /// workers are cut off from whoever comes after.
+    Owner(u32, Vec<What>, Vec<usize>),
+}
+
+/// When an injection begins, and how long it holds, in milliseconds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Injection {
+    pub at: u64,
+    pub lasts: u64,
+    pub what: What,
+}
+
+/// The size of what is played.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub nodes: usize,
+    pub workers: usize,
+    pub pools: u32,
+    pub millis: u64,
+}
+
+/// Draws the injections of a seed.
+pub fn draw(seed: u64, size: Size) -> Vec<Injection> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut at = 2_500;
+    // Some seeds are calmer than others; between two series there is some calm.
+    let pause = rng.random_range(150..900);
+    while at < size.millis {
+        let series = rng.random_range(1..5);
+        for _ in 0..series {
+            plan.push(one(&mut rng, at, size));
+            at += rng.random_range(0..pause);
+        }
+        at += rng.random_range(0..3 * pause);
+    }
+    plan
+}
+
+fn one(rng: &mut Pcg64Mcg, at: u64, size: Size) -> Injection {
+    let node = rng.random_range(0..size.nodes);
+    let worker = rng.random_range(0..size.workers);
+    let lasts = match rng.random_range(0..3) {
+        0 => rng.random_range(300..1_500),
+        1 => rng.random_range(1_500..5_000),
+        _ => rng.random_range(5_000..12_000),
+    };
+    let what = match rng.random_range(0..10) {
+        0..2 => What::Node(node, signal(rng)),
+        2..5 => What::Way(node, harm(rng)),
+        5 => What::Store(store(rng)),
+        6..8 => What::Worker(worker, trouble(rng)),
+        _ => {
+            let most = rng.random_range(1..3);
+            let whats = (0..most).map(|_| owners(rng)).collect();
+            let count = rng.random_range(0..4);
+            let workers = (0..count).map(|_| rng.random_range(0..size.workers)).collect();
+            What::Owner(rng.random_range(0..size.pools), whats, workers)
+        }
+    };
+    // What harms all at once is short.
+    let lasts = if matches!(what, What::Store(_)) { lasts.min(2_500) } else { lasts };
+    Injection { at, lasts, what }
+}
+
+fn owners(rng: &mut Pcg64Mcg) -> What {
+    match rng.random_range(0..8) {
+        0..2 => What::Node(0, signal(rng)),
+        2..4 => What::Store(json!({ "leases_over": "all" })),
+        _ => What::Way(0, harm(rng)),
+    }
+}
+
+fn signal(rng: &mut Pcg64Mcg) -> Signal {
+    match rng.random_range(0..10) {
+        0..6 => Signal::Freeze,
+        6..8 => Signal::Kill,
+        8 => Signal::Term,
+        _ => Signal::Hup,
+    }
+}
+
+fn harm(rng: &mut Pcg64Mcg) -> Harm {
+    match rng.random_range(0..10) {
+        0 => Harm::Delay(rng.random_range(20..600)),
+        1 => Harm::CutOut,
+        2..4 => Harm::CutIn,
+        4 => Harm::CutBoth,
+        5 => Harm::Refuse,
+        6 => Harm::Reset,
+        7 => Harm::Flaky(rng.random_range(2..5)),
+        _ => Harm::Silent(rng.random_range(1..4)),
+    }
+}
+
+fn store(rng: &mut Pcg64Mcg) -> Value {
+    match rng.random_range(0..7) {
+        0 => json!({ "store_down": true }),
+        1 => json!({ "store_lost": true }),
+        2 => json!({ "store_compact": true }),
+        3 => json!({ "store_slow_ms": rng.random_range(100..900) }),
+        4 => json!({ "leases_over": { "nth": rng.random_range(0..8) } }),
+        _ => json!({
+            "store_late_ms": rng.random_range(300..4_000),
+            "store_late_every": rng.random_range(1..6),
+        }),
+    }
+}
+
+fn trouble(rng: &mut Pcg64Mcg) -> Value {
+    match rng.random_range(0..7) {
+        0 => json!({ "late_ms": rng.random_range(100..3_000) }),
+        1 => json!({ "mute": true }),
+        2 => json!({ "cut": "all" }),
+        3 => json!({ "cut": "newer" }),
+        4 => json!({ "cut": "older" }),
+        5 => json!({ "crash_ms": rng.random_range(100..4_000) }),
+        _ => json!({ "fails": true }),
+    }
+}
