--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -26,6 +26,9 @@
     Silent(u64),
     /// The same, also of those that are opened while this lasts.
     Flaky(u64),
+    /// Of the connections one in so many, counted from one of them, is held up again and again for
+    /// so many milliseconds.
+    Lag(u64, u64, u64),
 }
 
 /// One injection.
@@ -62,12 +65,14 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut plan = Vec::new();
     let mut at = 2_500;
+    // What comes often in this run: what takes several of one kind is seldom drawn otherwise.
+    let often = rng.random_range(0..FAVOURITES);
     // Some seeds are calmer than others; between two series there is some calm.
     let pause = rng.random_range(150..900);
     while at < size.millis {
         let series = rng.random_range(1..5);
         for _ in 0..series {
-            plan.push(one(&mut rng, at, size));
+            plan.push(one(&mut rng, at, size, often));
             at += rng.random_range(0..pause);
         }
         at += rng.random_range(0..3 * pause);
@@ -75,7 +80,42 @@
     plan
 }
 
-fn one(rng: &mut Pcg64Mcg, at: u64, size: Size) -> Injection {
+/// How many kinds there are of what may come often.
+const FAVOURITES: u32 = 8;
+
+fn favourite(rng: &mut Pcg64Mcg, often: u32, size: Size) -> What {
+    let whats = match often {
+        0 => vec![What::Way(0, lag(rng))],
+        1 => vec![What::Store(json!({ "leases_over": "all" })), What::Way(0, lag(rng))],
+        2 => vec![What::Store(json!({ "leases_over": "all" }))],
+        3 => vec![What::Node(0, Signal::Freeze)],
+        4 => vec![What::Way(0, Harm::CutIn)],
+        5 => vec![What::Way(0, Harm::Flaky(rng.random_range(2..4)))],
+        6 => return What::Store(late(rng)),
+        _ => return What::Worker(rng.random_range(0..size.workers), trouble(rng)),
+    };
+    What::Owner(rng.random_range(0..size.pools), whats, cut_off(rng, size))
+}
+
+/// Workers that are cut off from later owners.
+fn cut_off(rng: &mut Pcg64Mcg, size: Size) -> Vec<usize> {
+    let count = rng.random_range(0..4);
+    (0..count).map(|_| rng.random_range(0..size.workers)).collect()
+}
+
+fn lag(rng: &mut Pcg64Mcg) -> Harm {
+    let every = rng.random_range(2..6);
+    Harm::Lag(every, rng.random_range(0..every), rng.random_range(200..1_450))
+}
+
+fn late(rng: &mut Pcg64Mcg) -> Value {
+    json!({
+        "store_late_ms": rng.random_range(300..4_000),
+        "store_late_every": rng.random_range(1..6),
+    })
+}
+
+fn one(rng: &mut Pcg64Mcg, at: u64, size: Size, often: u32) -> Injection {
     let node = rng.random_range(0..size.nodes);
     let worker = rng.random_range(0..size.workers);
     let lasts = match rng.random_range(0..3) {
@@ -83,7 +123,8 @@
         1 => rng.random_range(1_500..5_000),
         _ => rng.random_range(5_000..12_000),
     };
-    let what = match rng.random_range(0..10) {
+    let what = match rng.random_range(0..20) {
+        10.. => favourite(rng, often, size),
         0..2 => What::Node(node, signal(rng)),
         2..5 => What::Way(node, harm(rng)),
         5 => What::Store(store(rng)),
@@ -91,9 +132,7 @@
         _ => {
             let most = rng.random_range(1..3);
             let whats = (0..most).map(|_| owners(rng)).collect();
-            let count = rng.random_range(0..4);
-            let workers = (0..count).map(|_| rng.random_range(0..size.workers)).collect();
-            What::Owner(rng.random_range(0..size.pools), whats, workers)
+            What::Owner(rng.random_range(0..size.pools), whats, cut_off(rng, size))
         }
     };
     // What harms all at once is short.
@@ -122,7 +161,8 @@
     match rng.random_range(0..10) {
         0 => Harm::Delay(rng.random_range(20..600)),
         1 => Harm::CutOut,
-        2..4 => Harm::CutIn,
+        2 => lag(rng),
+        3 => Harm::CutIn,
         4 => Harm::CutBoth,
         5 => Harm::Refuse,
         6 => Harm::Reset,
@@ -138,10 +178,7 @@
         2 => json!({ "store_compact": true }),
         3 => json!({ "store_slow_ms": rng.random_range(100..900) }),
         4 => json!({ "leases_over": { "nth": rng.random_range(0..8) } }),
-        _ => json!({
-            "store_late_ms": rng.random_range(300..4_000),
-            "store_late_every": rng.random_range(1..6),
-        }),
+        _ => late(rng),
     }
 }
 
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -27,6 +27,8 @@
     /// Connections with a number below are silent for good: of every so many one, 0 for none.
     pub silent_below: u64,
     pub silent_every: u64,
+    /// Connections of which the number leaves this rest of this divisor are held up for now.
+    pub held: Option<(u64, u64)>,
 }
 
 impl Way {
@@ -35,7 +37,8 @@
     }
 
     fn holds(&self, number: u64, outward: bool) -> bool {
-        self.is_silent(number) || if outward { self.cut_out } else { self.cut_in }
+        let is_held = self.held.is_some_and(|(every, rest)| number % every == rest);
+        is_held || self.is_silent(number) || if outward { self.cut_out } else { self.cut_in }
     }
 }
 
--- a/tests/soak/rig.rs
+++ b/tests/soak/rig.rs
@@ -34,6 +34,9 @@
 /// How long a node that was ended stays away, in milliseconds.
 const AWAY_MS: u64 = 700;
 
+/// How long connections that are held up again and again pass in between, in milliseconds.
+const LET_GO_MS: u64 = 60;
+
 /// How long a node has to end after it was told to.
 const GRACE: Duration = Duration::from_millis(3_500);
 
@@ -95,7 +98,8 @@
         let mut ready = String::new();
         BufReader::new(child.stdout.take().unwrap()).read_line(&mut ready).unwrap();
         let site = ready.trim().rsplit(' ').next().unwrap().to_owned();
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}-{seed}"));
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("soak-{name}-{seed}-{}", std::process::id()));
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).unwrap();
         let client = Client::builder().no_proxy().timeout(Duration::from_secs(4)).build().unwrap();
@@ -185,23 +189,26 @@
     async fn inject_one(&self, what: What, lasts: u64) {
         let line = format!("{what:?} for {lasts} ms");
         self.injected.lock().await.push((now_ms(), line));
-        let rest = Duration::from_millis(lasts);
+        let wait = Duration::from_millis(lasts);
         match what {
-            What::Node(node, signal) => self.nodes[node].signal(signal, rest).await,
+            What::Node(node, signal) => self.nodes[node].signal(signal, wait).await,
             What::Way(node, harm) => {
                 let way = &self.nodes[node].way;
                 way.set(|way, opened| hurt(way, harm, opened));
-                sleep(rest).await;
+                match harm {
+                    Harm::Lag(every, rest, hold) => lag(way, (every, rest), hold, lasts).await,
+                    _ => sleep(wait).await,
+                }
                 way.set(|way, opened| heal(way, harm, opened));
             }
             What::Store(faults) => {
                 self.tell("faults", &faults).await;
-                sleep(rest).await;
+                sleep(wait).await;
                 self.tell("faults", &json!({})).await;
             }
             What::Worker(worker, trouble) => {
                 self.tell(&format!("trouble?{worker}"), &trouble).await;
-                sleep(rest).await;
+                sleep(wait).await;
                 self.tell(&format!("trouble?{worker}"), &json!({})).await;
             }
             What::Owner(..) => {}
@@ -229,6 +236,17 @@
     }
 }
 
+/// Holds connections up again and again, and lets them go in between.
+async fn lag(way: &Proxy, which: (u64, u64), hold: u64, lasts: u64) {
+    let end = Instant::now() + Duration::from_millis(lasts);
+    while Instant::now() < end {
+        way.set(|way, _| way.held = Some(which));
+        sleep(Duration::from_millis(hold)).await;
+        way.set(|way, _| way.held = None);
+        sleep(Duration::from_millis(LET_GO_MS)).await;
+    }
+}
+
 fn hurt(way: &mut Way, harm: Harm, opened: u64) {
     match harm {
         Harm::Delay(millis) => way.delay_ms = millis,
@@ -237,6 +255,7 @@
         Harm::CutBoth => (way.cut_out, way.cut_in) = (true, true),
         Harm::Refuse => way.refuse = true,
         Harm::Reset => way.reset_below = opened,
+        Harm::Lag(..) => {}
         Harm::Flaky(every) => (way.silent_below, way.silent_every) = (u64::MAX, every),
         Harm::Silent(every) => (way.silent_below, way.silent_every) = (opened, every),
     }
@@ -251,7 +270,7 @@
         Harm::CutBoth => (way.cut_out, way.cut_in) = (false, false),
         Harm::Refuse => way.refuse = false,
         Harm::Flaky(_) => way.silent_below = opened,
-        Harm::Reset | Harm::Silent(_) => {}
+        Harm::Reset | Harm::Silent(_) | Harm::Lag(..) => {}
     }
 }
 
