What time alone suggests counts up to the store's last word

Cause: an owner concludes from time that runs at a silent worker have lapsed, or that an earlier owner's orders are over. Both hold only as long as nobody follows it. By the clock it cannot know: its lease may have been over for a moment, and what it owns can be taken away in the store without its lease. And a lease that was renewed after such a gap counted as if there had been none.

Change: each write under the condition that the owner is still the owner, once done, confirms the ownership up to when it was sent. Lapses and the quiet time count up to there only. After a renewal that came when the lease may have been over, orders go on until the end of the overtime unless such a write is done first. Where something waits for the word and no write is due, the count of waiting jobs is written again, at most each 100 ms.

Costs: tasks of silent workers begin up to 100 ms later where the owner writes nothing else.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -55,9 +55,10 @@
     first_run: u32,
     /// Until then, a worker that has not seen the token may run tasks of earlier jobs.
     quiet_until: Steady,
-    /// Whether nobody else can own the pool yet. Time alone shows nothing otherwise: a later owner
-    /// may have reached a worker that is silent here, and have let its runs go on.
-    sole: bool,
+    /// Up to when the store has confirmed that there is no later owner. What time alone suggests
+    /// counts up to then only: a later owner may have reached a worker that is silent here, and have
+    /// let its runs go on.
+    confirmed: Steady,
     jobs: BTreeMap<JobId, Job>,
     /// Jobs that ended under this owner. What the store tells of them may be older than that.
     ended: HashSet<JobId>,
@@ -92,7 +93,7 @@
             token,
             first_run: earlier * RUNS_PER_OWNER,
             quiet_until: now.after(if earlier == 0 { 0 } else { QUIET_MS }),
-            sole: true,
+            confirmed: now,
             jobs: BTreeMap::new(),
             ended: HashSet::new(),
             workers: BTreeMap::new(),
@@ -122,9 +123,20 @@
         std::mem::take(&mut self.counts)
     }
 
-    /// Says whether the pool certainly has no later owner now.
-    pub(crate) fn set_sole(&mut self, sole: bool) {
-        self.sole = sole;
+    /// Says up to when the store has confirmed that there is no later owner.
+    pub(crate) fn set_confirmed(&mut self, confirmed: Steady) {
+        self.confirmed = self.confirmed.max(confirmed);
+    }
+
+    /// Whether something waits for a word of the store that there is no later owner: runs at silent
+    /// workers that have lapsed, or the end of the time in which an earlier owner's may run unseen.
+    pub(crate) fn awaits_word(&self, now: Steady) -> bool {
+        let lapsed = |worker: &Worker| {
+            let open = worker.misses != 0 && !worker.has_lapsed(self.confirmed);
+            open && worker.has_lapsed(now) && !worker.copies.is_empty()
+        };
+        let quiet = self.confirmed < self.quiet_until && self.quiet_until <= now;
+        quiet && !self.told_clear || self.workers.values().any(lapsed)
     }
 
     /// Takes note of an event.
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -321,12 +321,11 @@
     }
 
     /// Forgets runs at workers that are silent for so long that everything there has lapsed, and
-    /// workers that are gone; none while a later owner may have given them more time.
+    /// workers that are gone. Counted is what had lapsed when the store last confirmed the owner: a
+    /// later one may give a worker more time that is silent here.
     pub(super) fn drop_lapsed(&mut self, now: Steady) {
-        if !self.sole {
-            return;
-        }
-        let lapsed = |worker: &&Worker| worker.misses != 0 && worker.has_lapsed(now);
+        let confirmed = self.confirmed.min(now);
+        let lapsed = |worker: &&Worker| worker.misses != 0 && worker.has_lapsed(confirmed);
         let lapsed: Vec<WorkerId> =
             self.workers.values().filter(lapsed).map(|w| w.report.id.clone()).collect();
         for id in lapsed {
@@ -336,7 +335,7 @@
                 self.drop_copy(task, &id, Gone::Lapsed, now);
             }
             let worker = &self.workers[&id];
-            let untouched = !worker.touched && now < self.quiet_until;
+            let untouched = !worker.touched && confirmed < self.quiet_until;
             if !worker.listed && !untouched {
                 log::info!("worker {id}: over: not listed, and silent");
                 self.workers.remove(&id);
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -121,9 +121,10 @@
     /// earlier owners could give work to and that have not told this one all that they hold yet.
     pub(super) fn doubt(&self, now: Steady) -> Doubt {
         let mut tasks = BTreeSet::new();
-        let quiet = self.sole && self.quiet_until <= now;
+        let confirmed = self.confirmed.min(now);
+        let quiet = self.quiet_until <= confirmed;
         let hides = |worker: &&Worker| match quiet {
-            true => worker.owes_ends(now),
+            true => worker.owes_ends(confirmed),
             false => !worker.told_all,
         };
         for worker in self.workers.values().filter(hides) {
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -98,6 +98,7 @@
 
     fn work(&mut self) {
         let now = self.at();
+        self.owner.set_confirmed(now.steady);
         self.owner.work(now, &mut self.effects);
     }
 
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -272,13 +272,15 @@
     }
 
     fn work(&mut self, owner: usize) {
-        let (at, now, sole) = (self.at(), self.now, owner == self.current());
+        let (at, now, last) = (self.at(), self.now, owner == self.current());
         let held = &mut self.owners[owner];
         if held.allowed_until <= now || held.owner.is_deposed() {
             return;
         }
         let mut out = Vec::new();
-        held.owner.set_sole(sole);
+        if last {
+            held.owner.set_confirmed(at.steady);
+        }
         held.owner.work(at, &mut out);
         held.orders.extend(out.into_iter().map(|effect| (effect, now)));
     }
--- a/src/jobs/tests/gone.rs
+++ b/src/jobs/tests/gone.rs
@@ -112,3 +112,31 @@
     let told = previous.told(Steady::from_millis(1_120)).to_string();
     assert_eq!(told, "run 2 at w3: lapsed unseen, 120 ms ago");
 }
+
+/// A later owner may have won the pool though this one's lease holds, and may have given the worker
+/// that is silent here more time: only a write under the condition that there is none tells.
+#[test]
+fn what_has_lapsed_counts_up_to_when_the_store_confirmed_the_owner() {
+    let (mut bench, ..) = running();
+    bench.tell(Event::Worker(report("w2", "h2")));
+    bench.touch("w2", vec![]);
+    bench.now += 10;
+    bench.miss("w1");
+    let confirmed = bench.at().steady;
+    let unconfirmed = |bench: &mut Bench| {
+        bench.look("w2", vec![], vec![]);
+        let now = bench.at();
+        bench.owner.work(now, &mut bench.effects);
+    };
+    for _ in 0..5 {
+        bench.now += 1_000;
+        unconfirmed(&mut bench);
+    }
+    assert_eq!(restarts(&mut bench), vec![], "confirmed at {confirmed:?}");
+    assert!(bench.owner.awaits_word(bench.at().steady));
+    let now = bench.at().steady;
+    bench.owner.set_confirmed(now);
+    unconfirmed(&mut bench);
+    assert_eq!(restarts(&mut bench), vec![(Gone::Lapsed.word(), 1)]);
+    assert!(!bench.owner.awaits_word(bench.at().steady));
+}
--- a/src/measure/owner.rs
+++ b/src/measure/owner.rs
@@ -206,6 +206,7 @@
         for event in events {
             self.owner.handle(event, now, &mut out);
         }
+        self.owner.set_confirmed(now.steady);
         self.owner.work(now, &mut out);
         let saves = self.owner.saves(usize::MAX);
         self.owner.saved(&saves, Revision(2 + self.now));
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -177,6 +177,8 @@
     told_queued: (BTreeMap<String, usize>, Steady),
     /// When that is next looked at.
     next_queued: Steady,
+    /// When the store may next be asked to confirm that there is no later owner.
+    next_word: Steady,
 }
 
 /// The work of all pools together, owned by this node.
@@ -211,6 +213,8 @@
     pub(super) fleet: Option<OwnedFleet>,
     pub(super) next_fleet: Steady,
     pub(super) next_fleet_summary: Steady,
+    /// When the store may next be asked to confirm that the fleet's work has no later owner.
+    next_fleet_word: Steady,
     next_summary: Steady,
     pub(super) machines: Machines,
     /// Won, but not yet seen in the view, by name.
@@ -250,6 +254,7 @@
             fleet: None,
             next_fleet: Steady::default(),
             next_fleet_summary: Steady::default(),
+            next_fleet_word: Steady::default(),
             next_summary: Steady::default(),
             machines,
             won: BTreeMap::new(),
@@ -457,7 +462,7 @@
             };
             let token = owned.owner.token;
             let mut out = Vec::new();
-            owned.owner.set_sole(owned.tenure.holds(now.steady));
+            owned.owner.set_confirmed(owned.tenure.confirmed());
             owned.owner.work(now, &mut out);
             if owned.owner.is_deposed() {
                 log::warn!("owner {name}: a worker knows a later owner than token {token}");
@@ -473,7 +478,9 @@
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
             self.tell_queued(&name, now);
+            self.ask_word(&name, now);
         }
+        self.ask_fleet_word(now);
         self.fleet_step(now);
         self.summarize(now);
     }
@@ -581,6 +588,7 @@
             next_usage: now.steady,
             told_queued: (BTreeMap::new(), Steady::default()),
             next_queued: now.steady,
+            next_word: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -7,8 +7,11 @@
         job::JobId,
         unit::{Now, Revision},
     },
-    platform::kv::{Committed, TXN_ENTRIES, Txn},
-    scheduler::{Node, keys},
+    platform::{
+        kv::{Committed, TXN_ENTRIES, Txn},
+        store::StoreError,
+    },
+    scheduler::{Node, keys, lease::Tenure},
 };
 
 /// Jobs in one transaction: each needs a condition and a write, beside the one of the owner.
@@ -61,8 +64,9 @@
             }
             owned.saving += 1;
             let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+            let tenure = owned.tenure.clone();
             tokio::spawn(async move {
-                let end = write_progress(&node, &name, token, &saves).await;
+                let end = write_progress(&node, &tenure, &name, token, &saves).await;
                 let _ = to.send(Input::Saved { name, token, saves, end });
             });
         }
@@ -114,8 +118,9 @@
         owned.rostering = true;
         let (token, away_at) = (owned.owner.token, owned.away_at);
         let (node, to, name) = (self.node.clone(), self.to.clone(), name.to_owned());
+        let tenure = owned.tenure.clone();
         tokio::spawn(async move {
-            let end = write_note(&node, &name, token, away_at, &note).await;
+            let end = write_note(&node, &tenure, &name, token, away_at, &note).await;
             let _ = to.send(Input::Rostered { name, token, note, end });
         });
     }
@@ -201,6 +206,7 @@
 /// since the one before.
 async fn write_note(
     node: &Node,
+    tenure: &Tenure,
     name: &str,
     token: u64,
     away_at: Revision,
@@ -217,7 +223,7 @@
     for worker in &note.dropped {
         txn = txn.remove(keys::roster(name, worker));
     }
-    match node.kv.commit(&txn).await {
+    match commit(node, tenure, &txn).await {
         Ok(Committed::Done(revision)) => RosterEnd::Kept(revision),
         Ok(Committed::Conflict(items)) => {
             let found = items.iter().find(|item| item.key == away_key);
@@ -232,14 +238,20 @@
 }
 
 /// Writes progress under the condition that there is no later owner.
-async fn write_progress(node: &Node, name: &str, token: u64, saves: &[Save]) -> SaveEnd {
+async fn write_progress(
+    node: &Node,
+    tenure: &Tenure,
+    name: &str,
+    token: u64,
+    saves: &[Save],
+) -> SaveEnd {
     let owner_key = keys::owner(name);
     let mut txn = Txn::default().expect(owner_key.clone(), Revision(token));
     for save in saves {
         let key = keys::progress(save.job);
         txn = txn.expect(key.clone(), save.expects).put(key, save.value.clone());
     }
-    let items = match node.kv.commit(&txn).await {
+    let items = match commit(node, tenure, &txn).await {
         Ok(Committed::Done(revision)) => return SaveEnd::Done(revision),
         Ok(Committed::Conflict(items)) => items,
         Ok(Committed::LeaseOver) => return SaveEnd::Failed,
@@ -260,3 +272,18 @@
     });
     SaveEnd::Rebase(moved.collect())
 }
+
+/// Does a write under the condition that the owner is still the owner. If it was done, there was no
+/// later one when it was sent.
+pub(super) async fn commit(
+    node: &Node,
+    tenure: &Tenure,
+    txn: &Txn,
+) -> Result<Committed, StoreError> {
+    let sent = node.now().steady;
+    let end = node.kv.commit(txn).await;
+    if matches!(end, Ok(Committed::Done(_))) {
+        tenure.confirm(sent);
+    }
+    end
+}
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -1,12 +1,14 @@
 //! What an owner tells other nodes by way of the store: which hosts are empty, how the others are
 //! used, and how many jobs wait.
 
-use super::{Drive, json};
+use std::collections::BTreeMap;
+
+use super::{Drive, json, keep::commit};
 use crate::{
     jobs::owner::Emptied,
     model::unit::{Now, Revision, Steady},
     platform::kv::Txn,
-    scheduler::{keys, view::EmptyRecord},
+    scheduler::{keys, lease::Tenure, view::EmptyRecord},
 };
 
 /// The least time between two words on how hosts are used, in milliseconds: a hint only.
@@ -20,6 +22,10 @@
 /// one may not have been taken.
 const QUEUED_AGAIN_MS: u64 = 1_500;
 
+/// The least time between two writes for the sake of a confirmation, in milliseconds: one tick of
+/// the owner's loop.
+const WORD_PAUSE_MS: u64 = 100;
+
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
 const EMPTY_AGAIN_MS: u64 = 700;
@@ -49,9 +55,9 @@
                 .expect(keys::leave(&host), emptied.mark)
                 .put(keys::empty(&host), json(&record));
             owned.told_empty.insert(host.clone(), (emptied, now.steady));
-            let node = self.node.clone();
+            let (node, tenure) = (self.node.clone(), owned.tenure.clone());
             tokio::spawn(async move {
-                if let Err(error) = node.kv.commit(&txn).await {
+                if let Err(error) = commit(&node, &tenure, &txn).await {
                     log::warn!("host {host}: not told to be empty: {error}");
                 }
             });
@@ -73,7 +79,8 @@
         }
         let (token, value) = (owned.owner.token, json(&usage));
         owned.told_usage = Some(usage);
-        self.write_hint(name, token, keys::usage(name), value);
+        let tenure = owned.tenure.clone();
+        self.write_hint(name, token, tenure, keys::usage(name), value);
     }
 
     /// Tells the nodes that do not hear of jobs how many have not begun.
@@ -92,15 +99,48 @@
         }
         let (token, value) = (owned.owner.token, json(&queued));
         owned.told_queued = (queued, now.steady);
-        self.write_hint(name, token, keys::queued(name), value);
+        let tenure = owned.tenure.clone();
+        self.write_hint(name, token, tenure, keys::queued(name), value);
+    }
+
+    /// Has the store confirm that a pool has no later owner, where something waits for that: any
+    /// write under that condition does, and most often one has just been made.
+    pub(super) fn ask_word(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get_mut(name) else {
+            return;
+        };
+        let waits = owned.owner.awaits_word(now.steady) || owned.tenure.is_doubtful();
+        if !waits || now.steady < owned.next_word {
+            return;
+        }
+        owned.next_word = now.steady.after(WORD_PAUSE_MS);
+        let queued = owned.owner.queued();
+        let (token, value) = (owned.owner.token, json(&queued));
+        owned.told_queued = (queued, now.steady);
+        let tenure = owned.tenure.clone();
+        self.write_hint(name, token, tenure, keys::queued(name), value);
+    }
+
+    /// The same for the fleet's work, which has no queues of its own.
+    pub(super) fn ask_fleet_word(&mut self, now: Now) {
+        let Some(owned) = self.fleet.as_ref().filter(|owned| owned.tenure.is_doubtful()) else {
+            return;
+        };
+        if now.steady < self.next_fleet_word {
+            return;
+        }
+        self.next_fleet_word = now.steady.after(WORD_PAUSE_MS);
+        let (token, tenure) = (owned.fleet.token, owned.tenure.clone());
+        let none = BTreeMap::<String, usize>::new();
+        self.write_hint(keys::FLEET, token, tenure, keys::queued(keys::FLEET), json(&none));
     }
 
     /// Writes what others may know late or not at all, as long as there is no later owner.
-    fn write_hint(&self, name: &str, token: u64, key: String, value: Vec<u8>) {
+    fn write_hint(&self, name: &str, token: u64, tenure: Tenure, key: String, value: Vec<u8>) {
         let txn = Txn::default().expect(keys::owner(name), Revision(token)).put(key.clone(), value);
         let node = self.node.clone();
         tokio::spawn(async move {
-            if let Err(error) = node.kv.commit(&txn).await {
+            if let Err(error) = commit(&node, &tenure, &txn).await {
                 log::debug!("record {key}: not written: {error}");
             }
         });
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -1,7 +1,10 @@
 //! The node's lease in the store: what the node owns goes with it.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -40,6 +43,9 @@
 struct Heard {
     /// The lease, unless the store has said that it is over, and when it may be.
     last: Option<(LeaseId, Steady)>,
+    /// The last renewal that came when the lease may have been over: until when it had held for
+    /// certain, and when that renewal was sent. What was owned may have been taken away meanwhile.
+    gap: Option<(Steady, Steady)>,
     /// Whether the last renewal failed.
     failing: bool,
 }
@@ -64,7 +70,13 @@
     pub(crate) fn renewed(&self, id: LeaseId, sent: Steady, ttl: Duration) {
         // Later owners rely on the time that was asked for.
         let left = (ttl.min(TTL).as_millis() as u64).saturating_sub(MARGIN_MS);
-        *self.heard() = Heard { last: Some((id, sent.after(left))), failing: false };
+        let mut heard = self.heard();
+        let before = heard.last.filter(|(held, _)| *held == id).map(|(_, until)| until);
+        if let Some(until) = before.filter(|until| *until <= sent) {
+            heard.gap = Some((until, sent));
+        }
+        heard.last = Some((id, sent.after(left)));
+        heard.failing = false;
     }
 
     /// Takes note that it could not be renewed, or not for certain.
@@ -90,12 +102,33 @@
     id: LeaseId,
     /// When it was won.
     since: Steady,
+    /// When the last write was sent that the store did under the condition that it lasts, in
+    /// milliseconds of the steady clock.
+    confirmed: Arc<AtomicU64>,
 }
 
 impl Tenure {
     /// What is won at a moment under a lease of the node.
     pub(crate) fn new(lease: &Arc<Lease>, id: LeaseId, since: Steady) -> Tenure {
-        Tenure { lease: lease.clone(), id, since }
+        let confirmed = Arc::new(AtomicU64::new(since.since(Steady::default())));
+        Tenure { lease: lease.clone(), id, since, confirmed }
+    }
+
+    /// Takes note that the store has done a write, sent at a moment, under the condition that it
+    /// lasts.
+    pub(crate) fn confirm(&self, sent: Steady) {
+        self.confirmed.fetch_max(sent.since(Steady::default()), Ordering::AcqRel);
+    }
+
+    /// Up to when it has lasted for certain.
+    pub(crate) fn confirmed(&self) -> Steady {
+        Steady::from_millis(self.confirmed.load(Ordering::Acquire))
+    }
+
+    /// Whether the lease was renewed when it may have been over, and the store has not confirmed
+    /// since then that this lasts.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.lease.heard().gap.is_some_and(|(_, renewed)| self.confirmed() < renewed)
     }
 
     /// Whether it certainly lasts.
@@ -104,10 +137,16 @@
     }
 
     /// Whether orders may be given: also for a while after the lease may be over, as long as the
-    /// store has not said that it is.
+    /// store has not said that it is. A renewal after that while shows nothing of what was owned:
+    /// only a write does that the store has done under the condition that it lasts.
     pub(crate) fn allows_orders(&self, now: Steady) -> bool {
-        let last = self.lease.heard().last;
-        last.is_some_and(|(id, until)| id == self.id && now < until.after(OVERTIME_MS))
+        let heard = *self.lease.heard();
+        let is_last =
+            |(id, until): (LeaseId, Steady)| id == self.id && now < until.after(OVERTIME_MS);
+        let is_whole = |(until, renewed): (Steady, Steady)| {
+            renewed <= self.confirmed() || now < until.after(OVERTIME_MS)
+        };
+        heard.last.is_some_and(is_last) && heard.gap.is_none_or(is_whole)
     }
 
     /// What is told of it in the log.
--- a/src/scheduler/tests/takeovers.rs
+++ b/src/scheduler/tests/takeovers.rs
@@ -424,6 +424,9 @@
         }
         take_up(node, now, &mut out);
         if let Some(owner) = node.owner.as_mut() {
+            if self.holder.is_some_and(|(token, _)| token == owner.token) {
+                owner.set_confirmed(now.steady);
+            }
             owner.work(now, &mut out);
         }
         self.carry_out(number, out, work.slow % 4 == 3);
--- a/src/scheduler/tests/watches.rs
+++ b/src/scheduler/tests/watches.rs
@@ -266,6 +266,7 @@
     fn work(&mut self) {
         self.now += 200;
         let (now, mut out) = (self.at(), Vec::new());
+        self.owner.set_confirmed(now.steady);
         self.owner.work(now, &mut out);
         self.carry_out(out);
         for (task, run) in std::mem::take(&mut self.runs) {
