Failing tests: what a refused order says of the run

A stop that is refused as late, for room, a ticket or as invalid counts as carried out, and a start that is refused as old frees its task before the worker was asked what it has. The other three show what holds: a stop refused as old frees the task with the next look, a start refused for another reason never begins, a refused look frees nothing.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -6,6 +6,7 @@
 mod fuzz;
 mod helpers;
 mod looks;
+mod refusals;
 mod roster;
 
 use std::{collections::BTreeMap, sync::Arc};
--- a/src/jobs/tests/cut.rs
+++ b/src/jobs/tests/cut.rs
@@ -1,6 +1,6 @@
 //! Tests of lists of ends that are cut short.
 //!
-//! What users saw: a task that must run once ran twice. A worker lists 500 ends at once and repeats
+//! What users would see: a task that must run once ran twice. A worker lists 500 ends at once and repeats
 //! them until they are acknowledged, which they are once they are durable. While the store takes no
 //! progress more ends than that can gather. A run whose end was not among the first 500 was listed
 //! neither as running nor as ended, so that its owner took it for gone and started it elsewhere; a
