A refused order frees a task only when the run can't be there or begin

Cause: any refusal of a stop but for a later owner, another life and bad health counted as carried out, and a start refused as old freed its task at once. By the contract only a run that was stopped or has ended is refused from then on, and a worker that answers old has a run of the task that is not below, or its end.

A start refused as old leaves its task bound to the worker until a look shows what is there; that look is sent at once and does not wait.

Ruled out by tests that passed before: starts refused for another reason (nothing was done, by the contract), looks that are refused.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -436,7 +436,13 @@
 
     fn start_refused(&mut self, at: &WorkerId, task: TaskId, why: Refusal, now: Steady) {
         log::info!("job {}: task {task} at {at}: refused: {why:?}", task.of.job);
-        self.drop_copy(task, at);
+        match why {
+            // It has a run of the task that is not below this one, or had one: the next look tells.
+            Refusal::Old => self.ask_what_is_there(at, task, now),
+            _ => {
+                self.drop_copy(task, at);
+            }
+        }
         if let Some(job) = self.jobs.get_mut(&task.of.job) {
             if let Some(tasks) = job.steps.get_mut(&(task.of.time, task.of.step))
                 && why == Refusal::Ticket
@@ -483,18 +489,31 @@
             OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
                 self.bury(at, "another life answers at its address");
             }
-            // The next look that still finds the run has it stopped again.
-            OrderEnd::Refused { why: Refusal::Unwell, .. }
-            | OrderEnd::Unknown
-            | OrderEnd::Unsent => {}
-            // The worker knows of no such run: what it does not list from now on is not there.
+            // The worker knows the run, or a later one, to be over: it will not begin.
+            OrderEnd::Refused { why: Refusal::Old, .. } => {
+                log::info!("job {}: task {task} at {at}: stop refused: old", task.of.job);
+                if self.copy_mut(task, at).is_some_and(|copy| copy.run == run) {
+                    self.ask_what_is_there(at, task, now);
+                }
+            }
+            // Nothing was done, and a start on its way may yet begin: it is stopped again.
             OrderEnd::Refused { why, .. } => {
                 log::info!("job {}: task {task} at {at}: stop refused: {why:?}", task.of.job);
-                if let Some(copy) = self.copy_mut(task, at).filter(|copy| copy.run == run) {
-                    copy.phase = Phase::Stopped(now);
-                    copy.since = now;
-                }
             }
+            OrderEnd::Unknown | OrderEnd::Unsent => {}
+        }
+    }
+
+    /// Has a worker looked at that will not begin a run any more: what it does not list from now on
+    /// is not there.
+    fn ask_what_is_there(&mut self, at: &WorkerId, task: TaskId, now: Steady) {
+        if let Some(copy) = self.copy_mut(task, at) {
+            copy.phase = Phase::Stopped(now);
+            copy.since = now;
+        }
+        if let Some(worker) = self.workers.get_mut(at) {
+            worker.next_look = now;
+            worker.hurried = true;
         }
     }
 }
