Failing tests: workers end what has lapsed later than owners reckon with

Lateness of timers of 20 ms for 60 s beside 24 busy processes on 12 shared cores: load 24 to 28: a thread's sleep median 0.07, 99 % 8.0, most 68 ms; a timer of tokio 1.1, 10.9, 104 ms. Load 21 to 44: 1.65, 24, 55 ms and 1.4, 16.2, 157 ms. (A first measurement cut everything above 2 ms off by a mistake in its histogram, and says nothing.) Owners reckon with 150 ms.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod fuzz;
 mod helpers;
+mod late;
 mod looks;
 mod refusals;
 mod roster;
