Owners reckon with timers that fire 400 ms late

Cause: what ran at a silent worker was given up 150 ms after it lapsed on the slowest clock, and the time in which workers fall quiet after a change of owners had no more than 2 ms beside a timer that fires 157 ms late. Beside 24 busy processes on 12 shared cores that is how late one fired (104 in another minute; 99 % within 24).

Change: 400 ms, more than twice the measured most, for both; the drift of the clock by which the owner before reckoned is counted apart. A worker that crashed is certain to be over sooner, by the one that follows it.

Costs: tasks of silent workers begin 250 ms later, those of earlier jobs at workers that were not reached 300 ms later (9.0 s instead of 8.7).

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -18,7 +18,7 @@
         roster::{Holding, Roster},
         saves::SaveQueue,
         urgency::Durations,
-        worker::{HOLD_MS, Worker},
+        worker::{HOLD_MS, LATE_MS, SLOWEST_PERCENT, Worker},
     },
     model::{
         id::{HostId, WorkerId},
@@ -43,8 +43,13 @@
 const PREDECESSOR_MS: u64 = LEASE_MS + OVERTIME_MS;
 
 /// How long after a change of owners a worker that was not reached may still run something, in
-/// milliseconds: the last order of the earlier owner, held on a clock that is 2 % slow.
-const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS + HOLD_MS / 50 + 200;
+/// milliseconds: the last order of the earlier owner, held on the slowest clock, by a worker that acts
+/// late on its end.
+const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS * 100 / SLOWEST_PERCENT + DRIFT_MS + LATE_MS;
+
+/// How far ahead of a worker's clock the owner before may have taken it to be, in milliseconds: 2 %
+/// of the 1.25 s for which a worker without an answer still gets work, twice over.
+const DRIFT_MS: u64 = 50;
 
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
--- a/src/jobs/tests/fuzz/wire.rs
+++ b/src/jobs/tests/fuzz/wire.rs
@@ -184,7 +184,7 @@
 /// What users would see: a task that must run once ran twice, after a zone had been cut off. The owner's
 /// node was cut off from the store and from the worker of the task, and reached another worker. A
 /// node on the other side won the pool, found the run and let it go on. The owner before went on in
-/// its overtime: 3.6 s after its last word of the silent worker it took all that ran there for
+/// its overtime: 3.9 s after its last word of the silent worker it took all that ran there for
 /// lapsed, though another had given it more time, and started the task on the worker that the later
 /// owner did not reach. Evidence: fuzzing of calls and answers, seed 20011, shortened by hand.
 #[test]
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -15,10 +15,12 @@
 pub(crate) const HOLD_MS: u64 = 3_400;
 
 /// The slowest a worker's clock may run, in percent: 2 % slow, by the platform's contract.
-const SLOWEST_PERCENT: u64 = 98;
+pub(crate) const SLOWEST_PERCENT: u64 = 98;
 
-/// How late a worker may act on the end of its time, in milliseconds: timers fire a little late.
-pub(crate) const LATE_MS: u64 = 150;
+/// How late a worker may act on the end of its time, in milliseconds. Beside 24 busy processes on 12
+/// cores a timer of 20 ms fired up to 157 ms late within a minute (tests/lateness.rs); this is more
+/// than twice that. It delays only what ran at workers that are silent.
+pub(crate) const LATE_MS: u64 = 400;
 
 /// How long a look waits for an end, in milliseconds. Each look also renews the worker's time.
 pub(crate) const LOOK_WAIT_MS: u64 = 1_000;
