Tests over real sockets: what is told of starts and writes holds

Shown, nothing to mend: the client repeats no start and no write of its own accord once it was read (connections kept open that end as the next call is written, 60 tries; reset, closed or with the listener gone, on new and kept connections); a start that a paused worker reads after the call was given up is in doubt; a write that is told as not reached was read by nobody (four ways to end, 60 tries each). Starts are never told as unsent by this client, also where nobody listens.

--- /dev/null
+++ b/src/platform/tests.rs
@@ -0,0 +1,4 @@
+//! Tests of what is spoken to the platform, over real sockets.
+
+mod peer;
+mod sockets;
