A list that ends early, or lacks an end, tells nothing of what is not on it

Cause: absence from a list was taken for word that something is gone, with lists that were not whole. A page of the store without items that tells of more is now an answer that is not understood, and the prefix is read again; a look whose ends are not all understood counts as unanswered.

Ruled out elsewhere: the list of hosts is taken only with its last page; a host that it lacks loses its mark, which starts no work. Answers of workers that cannot be read whole were unanswered looks before.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -244,9 +244,13 @@
             for item in page.items {
                 items.push(self.item("range", item)?);
             }
-            if !page.more || empty {
+            if !page.more {
                 return Ok((items, at));
             }
+            // What is not listed counts as removed.
+            if empty {
+                return Err(self.garbled("range", "a page without items tells of more"));
+            }
         }
     }
 
--- a/src/scheduler/dispatch/wire.rs
+++ b/src/scheduler/dispatch/wire.rs
@@ -265,11 +265,15 @@
         let present = present.into_iter().map(|PresentRow(task, run, saved, percent, gauge)| {
             Present { task: task.into(), run, saved, percent, gauge }
         });
-        let ended = ended.into_iter().filter_map(|EndedRow(number, task, run, how, saved)| {
+        let ended = ended.into_iter().map(|EndedRow(number, task, run, how, saved)| {
             Some(Ended { number, task: task.into(), run, how: how_of(how)?, saved })
         });
-        let (present, ended) = (present.collect(), ended.collect());
-        (number, Answer::Look(OrderEnd::Done(Look { clock_ms, present, ended })))
+        // A run whose end is left out would count as gone.
+        let end = match ended.collect::<Option<Vec<Ended>>>() {
+            Some(ended) => OrderEnd::Done(Look { clock_ms, present: present.collect(), ended }),
+            None => OrderEnd::Unknown,
+        };
+        (number, Answer::Look(end))
     });
     ends.chain(found).collect()
 }
