--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -19,7 +19,7 @@
         roster::{Holding, Roster},
         saves::SaveQueue,
         urgency::Durations,
-        worker::{HOLD_MS, Worker},
+        worker::{HOLD_MS, LATE_MS, SLOWEST_PERCENT, Worker},
     },
     model::{
         id::{HostId, WorkerId},
@@ -44,8 +44,13 @@
 const PREDECESSOR_MS: u64 = LEASE_MS + OVERTIME_MS;
 
 /// How long after a change of owners a worker that was not reached may still run something, in
-/// milliseconds: the last order of the earlier owner, held on a clock that is 2 % slow.
-const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS + HOLD_MS / 50 + 200;
+/// milliseconds: the last order of the earlier owner, held on the slowest clock, by a worker that acts
+/// late on its end.
+const QUIET_MS: u64 = PREDECESSOR_MS + HOLD_MS * 100 / SLOWEST_PERCENT + DRIFT_MS + LATE_MS;
+
+/// How far ahead of a worker's clock the owner before may have taken it to be, in milliseconds: 2 %
+/// of the 1.25 s for which a worker without an answer still gets work, twice over.
+const DRIFT_MS: u64 = 50;
 
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
@@ -482,7 +487,13 @@
 
     fn start_refused(&mut self, at: &WorkerId, task: TaskId, why: Refusal, now: Steady) {
         log::info!("job {}: task {task} at {at}: refused: {why:?}", task.of.job);
-        self.drop_copy(task, at, Gone::Refused(why), now);
+        match why {
+            // It has a run of the task that is not below this one, or had one: the next look tells.
+            Refusal::Old => self.ask_what_is_there(at, task, now),
+            _ => {
+                self.drop_copy(task, at, Gone::Refused(why), now);
+            }
+        }
         if let Some(job) = self.jobs.get_mut(&task.of.job) {
             if let Some(tasks) = job.steps.get_mut(&(task.of.time, task.of.step))
                 && why == Refusal::Ticket
@@ -529,18 +540,31 @@
             OrderEnd::Refused { why: Refusal::OtherLife, .. } => {
                 self.bury(at, "another life answers at its address", now);
             }
-            // The next look that still finds the run has it stopped again.
-            OrderEnd::Refused { why: Refusal::Unwell, .. }
-            | OrderEnd::Unknown
-            | OrderEnd::Unsent => {}
-            // The worker knows of no such run: what it does not list from now on is not there.
+            // The worker knows the run, or a later one, to be over: it will not begin.
+            OrderEnd::Refused { why: Refusal::Old, .. } => {
+                log::info!("job {}: task {task} at {at}: stop refused: old", task.of.job);
+                if self.copy_mut(task, at).is_some_and(|copy| copy.run == run) {
+                    self.ask_what_is_there(at, task, now);
+                }
+            }
+            // Nothing was done, and a start on its way may yet begin: it is stopped again.
             OrderEnd::Refused { why, .. } => {
                 log::info!("job {}: task {task} at {at}: stop refused: {why:?}", task.of.job);
-                if let Some(copy) = self.copy_mut(task, at).filter(|copy| copy.run == run) {
-                    copy.phase = Phase::Stopped(now);
-                    copy.since = now;
-                }
             }
+            OrderEnd::Unknown | OrderEnd::Unsent => {}
+        }
+    }
+
+    /// Has a worker looked at that will not begin a run any more: what it does not list from now on
+    /// is not there.
+    fn ask_what_is_there(&mut self, at: &WorkerId, task: TaskId, now: Steady) {
+        if let Some(copy) = self.copy_mut(task, at) {
+            copy.phase = Phase::Stopped(now);
+            copy.since = now;
+        }
+        if let Some(worker) = self.workers.get_mut(at) {
+            worker.next_look = now;
+            worker.hurried = true;
         }
     }
 }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -6,8 +6,10 @@
 mod fuzz;
 mod gone;
 mod helpers;
+mod late;
 mod looks;
 mod places;
+mod refusals;
 mod roster;
 
 use std::{collections::BTreeMap, sync::Arc};
