Grants that are longer than asked are drawn too; what is told of ownerships

A grant counts for no longer than was asked for, since later owners rely on that time: nothing tested it. Break: a grant counts for as long as the store says: the fuzz test of the lease fails, the others pass; taken back.

The test that stops a process by a signal told its story as if it had been seen. It was not: with the code before the mend it passed in 3 of 3 runs. Seen there, in 2 of 2 logs that were read: the new lease comes within 1 ms, two watches rest for 150 ms, and another watch tells of the later owner 4 to 5 ms after the new lease. So the time in which a stale owner could act was there, and short by luck. The comment says what is guarded against; the checks are as they were.

--- a/src/scheduler/tests/lease.rs
+++ b/src/scheduler/tests/lease.rs
@@ -35,9 +35,10 @@
     Wait {
         steps: u8,
     },
-    /// The lease is taken or renewed, one call at a time.
+    /// The lease is taken or renewed, one call at a time; the store may grant more than is asked.
     Renew {
         fate: Fate,
+        generous: bool,
     },
     Renewed,
     /// The pool is reached for, one call at a time.
@@ -60,8 +61,12 @@
     Waiting,
 }
 
-/// What the store says of a lease; nothing if it is over.
-type Told = Option<LeaseId>;
+/// The lease and the time that the store grants; nothing if it is over.
+type Told = Option<(LeaseId, u64)>;
+
+/// A call that takes or renews a lease: when it was sent, the lease that it names, and the time
+/// that the store grants.
+type Renewing = (Steady, Option<LeaseId>, u64);
 
 /// The store, and one node.
 struct World {
@@ -77,7 +82,7 @@
     /// The leases under which tokens were written.
     tokens: BTreeMap<u64, LeaseId>,
     lease: Arc<Lease>,
-    renewing: Option<(Steady, Told, Pending<Told>)>,
+    renewing: Option<(Renewing, Pending<Told>)>,
     reaching: Option<(LeaseId, Steady, Pending<Option<u64>>)>,
     owned: Vec<(u64, Tenure)>,
     orders: Vec<(u64, Tenure)>,
@@ -124,15 +129,15 @@
     }
 
     /// The store grants a lease, or renews one.
-    fn keep(&mut self, asked: Told) -> Told {
+    fn keep(&mut self, asked: Option<LeaseId>, ttl: u64) -> Told {
         let lease = match asked {
             Some(lease) if self.leases.contains_key(&lease) => lease,
             Some(_) => return None,
             None => self.next_lease,
         };
         self.next_lease = self.next_lease.max(lease + 1);
-        self.leases.insert(lease, self.now + LEASE_MS);
-        Some(lease)
+        self.leases.insert(lease, self.now + ttl);
+        Some((lease, ttl))
     }
 
     /// The store writes an ownership, unless there is one or the lease is over. The node's own is
@@ -148,7 +153,7 @@
         Some(token)
     }
 
-    fn renew(&mut self, fate: Fate) {
+    fn renew(&mut self, fate: Fate, ttl: u64) {
         if self.renewing.is_some() {
             return;
         }
@@ -156,9 +161,9 @@
         let pending = match fate {
             Fate::Lost => return self.lease.failed(),
             Fate::Late => Pending::Waiting,
-            Fate::Done | Fate::Slow | Fate::AnswerLost => Pending::Answered(self.keep(asked)),
+            Fate::Done | Fate::Slow | Fate::AnswerLost => Pending::Answered(self.keep(asked, ttl)),
         };
-        self.renewing = Some((sent, asked, pending));
+        self.renewing = Some(((sent, asked, ttl), pending));
         match fate {
             Fate::Done => self.renewed(),
             Fate::AnswerLost => {
@@ -170,15 +175,15 @@
     }
 
     fn renewed(&mut self) {
-        let Some((sent, asked, pending)) = self.renewing.take() else {
+        let Some(((sent, asked, ttl), pending)) = self.renewing.take() else {
             return;
         };
         let told = match pending {
             Pending::Answered(told) => told,
-            Pending::Waiting => self.keep(asked),
+            Pending::Waiting => self.keep(asked, ttl),
         };
         match told {
-            Some(lease) => self.lease.renewed(lease, sent, Duration::from_millis(LEASE_MS)),
+            Some((lease, ttl)) => self.lease.renewed(lease, sent, Duration::from_millis(ttl)),
             None => self.lease.ended(),
         }
     }
@@ -252,7 +257,9 @@
                 let steps = u64::from(steps);
                 self.wait(if steps < LONG { steps * 4 } else { (steps - LONG) * 100 });
             }
-            Op::Renew { fate } => self.renew(fate),
+            Op::Renew { fate, generous } => {
+                self.renew(fate, if generous { 4 * LEASE_MS } else { LEASE_MS });
+            }
             Op::Renewed => self.renewed(),
             Op::Reach { fate } => self.reach(fate),
             Op::Reached => self.reached(),
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -468,11 +468,10 @@
     assert_eq!(site.counted().await["twice"], json!(0));
 }
 
-/// What users saw: a task that must run once ran on two hosts at a time. The process of the pool's
-/// owner stood still for longer than its lease and all that later owners wait for. As it went on it
-/// took a new lease within milliseconds, while its watches had failed and rested; until they told of
-/// the later owner it gave orders by what it had known before, to a host that had not heard the
-/// later token: what had lapsed there was started anew, and ran elsewhere by then.
+/// A process that has stood still for longer than its lease, and all that later owners wait for,
+/// takes a new lease within a millisecond once it goes on; watches that have failed meanwhile rest
+/// for 150. Until one of them tells of the later owner, nothing may be ordered by what was known
+/// before: what has lapsed at a worker that did not hear the later token runs elsewhere by then.
 #[tokio::test]
 async fn an_owner_that_stood_still_gives_no_order_once_it_goes_on() {
     let site = Site::start("still", 2).await;
