Fuzzing of owners: more of what matters in each sequence

Rare events were drawn as often as rounds, what was to be kept was written at once, and no node's own watch ran far ahead of its mirror.

Change: rounds, rounds with the mirror standing still, hand-ins and ends are drawn as often as all rare events together; writes of progress may lag.

--- a/src/scheduler/tests/takeovers.rs
+++ b/src/scheduler/tests/takeovers.rs
@@ -39,26 +39,46 @@
 
 const WORKERS: usize = 3;
 
+/// A decision that is carried out at once.
+const PROMPT: Work = Work { slow: 0, unsaved: false };
+
+/// What happens often: each of these is drawn as often as all of [`Rare`] together.
 #[derive(Debug, Clone, Copy, TypeGenerator)]
 enum Op {
     HandIn,
-    Cancel {
-        job: u8,
-    },
-    /// A node decides, unless it is paused. Its starts may be on their way for long.
-    Work {
+    /// A node hears of some changes by both watches and decides.
+    Round {
         node: bool,
-        slow: bool,
+        quick: u8,
+        general: u8,
+        work: Work,
     },
-    /// A node's own watch tells of some changes.
-    Quick {
+    /// The same, by its own watch only: its mirror stands still.
+    Ahead {
         node: bool,
-        changes: u8,
+        quick: u8,
+        work: Work,
     },
-    /// A node's mirror tells of some changes.
-    General {
-        node: bool,
-        changes: u8,
+    /// Everything at a worker is done.
+    Finish {
+        worker: u8,
+    },
+    Rare(Rare),
+}
+
+/// How a node's decision is carried out.
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+struct Work {
+    /// Its starts are on their way for long, and get no answer; once in four.
+    slow: u8,
+    /// What is to be kept is not written yet; once in two.
+    unsaved: bool,
+}
+
+#[derive(Debug, Clone, Copy, TypeGenerator)]
+enum Rare {
+    Cancel {
+        job: u8,
     },
     /// A node begins to read all in pages; the first have the jobs' progress.
     ReadFirst {
@@ -70,23 +90,22 @@
     },
     Pause {
         node: bool,
-        paused: bool,
     },
-    /// The ownership goes with its lease, and another node may win it.
-    Lapse,
-    Win {
+    Resume {
+        node: bool,
+    },
+    /// The ownership goes with its lease, and a node wins it, if it is not paused.
+    Pass {
         node: bool,
     },
+    /// The ownership goes with its lease.
+    Lapse,
     /// A node gives its ownership back and wins it once more.
     WinAgain {
         node: bool,
     },
     /// The starts that were on their way arrive.
     Arrive,
-    /// Everything at a worker is done.
-    Finish {
-        worker: u8,
-    },
     /// What the store lists under a worker's id.
     Entry {
         worker: u8,
@@ -387,7 +406,7 @@
     }
 
     /// A node decides, as its loop does.
-    fn work(&mut self, number: usize, slow: bool) {
+    fn work(&mut self, number: usize, work: Work) {
         self.tick(200);
         if self.nodes[number].paused {
             return;
@@ -407,12 +426,14 @@
         if let Some(owner) = node.owner.as_mut() {
             owner.work(now, &mut out);
         }
-        self.carry_out(number, out, slow);
+        self.carry_out(number, out, work.slow % 4 == 3);
         if self.nodes[number].owner.as_ref().is_some_and(Owner::is_deposed) {
             self.nodes[number].release();
         }
-        self.save(number);
         self.write_roster(number);
+        if !work.unsaved {
+            self.save(number);
+        }
         self.remove_finished(number);
     }
 
@@ -649,36 +670,52 @@
     fn apply_op(&mut self, op: Op) {
         match op {
             Op::HandIn => self.hand_in(),
-            Op::Cancel { job } => {
+            Op::Round { node, quick, general, work } => {
+                self.general(node as usize, general as usize % 12);
+                self.quick(node as usize, quick as usize % 12);
+                self.work(node as usize, work);
+            }
+            Op::Ahead { node, quick, work } => {
+                self.quick(node as usize, quick as usize % 24);
+                self.work(node as usize, work);
+            }
+            Op::Finish { worker } => self.finish(worker as usize % WORKERS),
+            Op::Rare(rare) => self.apply_rare(rare),
+        }
+    }
+
+    fn apply_rare(&mut self, rare: Rare) {
+        match rare {
+            Rare::Cancel { job } => {
                 if let Some(job) = self.some_job(job).filter(|_| job % 4 == 0) {
                     self.write(keys::cancel(job), Some(b"1".to_vec()));
                     self.cancelled.insert(job);
                 }
             }
-            Op::Work { node, slow } => self.work(node as usize, slow),
-            Op::Quick { node, changes } => self.quick(node as usize, changes as usize % 12),
-            Op::General { node, changes } => self.general(node as usize, changes as usize % 24),
-            Op::ReadFirst { node } => self.read_first(node as usize),
-            Op::ReadRest { node } => self.read_rest(node as usize),
-            Op::Pause { node, paused } => self.nodes[node as usize].paused = paused,
-            Op::Lapse => self.lapse(),
-            Op::Win { node } => self.win(node as usize),
-            Op::WinAgain { node } => {
+            Rare::ReadFirst { node } => self.read_first(node as usize),
+            Rare::ReadRest { node } => self.read_rest(node as usize),
+            Rare::Pause { node } => self.nodes[node as usize].paused = true,
+            Rare::Resume { node } => self.nodes[node as usize].paused = false,
+            Rare::Pass { node } => {
+                self.lapse();
+                self.win(node as usize);
+            }
+            Rare::Lapse => self.lapse(),
+            Rare::WinAgain { node } => {
                 if self.holder.is_some_and(|(_, holder)| holder == node as usize) {
                     self.nodes[node as usize].release();
                     self.lapse();
                     self.win(node as usize);
                 }
             }
-            Op::Arrive => self.arrive(),
-            Op::Finish { worker } => self.finish(worker as usize % WORKERS),
-            Op::Entry { worker, entry } => self.set_entry(worker as usize % WORKERS, entry),
-            Op::Garble { job } => {
+            Rare::Arrive => self.arrive(),
+            Rare::Entry { worker, entry } => self.set_entry(worker as usize % WORKERS, entry),
+            Rare::Garble { job } => {
                 if let Some(job) = self.some_job(job).filter(|_| job % 8 == 0) {
                     self.garble(job);
                 }
             }
-            Op::Wait { ticks } => self.tick(u64::from(ticks % 32) * 200),
+            Rare::Wait { ticks } => self.tick(u64::from(ticks % 32) * 200),
         }
     }
 
@@ -698,7 +735,7 @@
             for number in 0..2 {
                 self.quick(number, usize::MAX / 2);
                 self.general(number, usize::MAX / 2);
-                self.work(number, false);
+                self.work(number, PROMPT);
             }
             self.arrive();
             (0..WORKERS).for_each(|number| self.finish(number));
@@ -786,7 +823,7 @@
         let mut world = World::new();
         world.hand_in();
         world.general(0, usize::MAX / 2);
-        (0..3).for_each(|_| world.work(0, false));
+        (0..3).for_each(|_| world.work(0, PROMPT));
         for op in ops {
             world.apply_op(*op);
         }
