A host whose row is not understood is there and left alone; tests of barred workers

Cause: one row of the platform's list of hosts with a field of another type hid the whole list, and one with a pool that is no name was left out, which counts as a host that is gone for good: its mark is removed and its call forgotten.

Change: rows are read one by one. One that names its host is taken as a host that is down, in no pool; one that names none is left out and logged.

Left as it is, on purpose: an answer of a worker with a run that is not understood counts as no answer. A row left out would read as a run that is not there, and its task would start elsewhere; a worker that is silent gets no more time, so that what runs there ends first. And a configuration or a wave counts whole or not at all: the store takes only valid ones.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,3 +10,6 @@
 pub(crate) mod runner;
 pub(crate) mod store;
 pub(crate) mod worker;
+
+#[cfg(test)]
+mod tests;
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -10,7 +10,10 @@
         id::{HostId, NodeId, PoolId},
         worker::{HostPhase, ListedHost},
     },
-    platform::{records::WireRoom, store::chain},
+    platform::{
+        records::{RecordError, WireRoom},
+        store::chain,
+    },
 };
 
 /// How long a call may take.
@@ -35,7 +38,8 @@
 
 #[derive(Deserialize)]
 struct WirePage {
-    machines: Vec<WireMachine>,
+    /// Each is read for itself: one that is not understood hides none of the others.
+    machines: Vec<serde_json::Value>,
     #[serde(default)]
     next_page_token: Option<serde_json::Value>,
 }
@@ -170,19 +174,44 @@
     }
 }
 
-fn listed(wire: WireMachine) -> Option<ListedHost> {
+/// Reads one row of the list. A host whose row is not understood is there, and nothing is done with
+/// it: one that is missing would count as gone for good.
+pub(super) fn listed(row: serde_json::Value) -> Option<ListedHost> {
+    let name = row.get("machine").and_then(|name| name.as_str()).map(str::to_owned);
+    let host = name.as_deref().and_then(|name| name.parse::<HostId>().ok());
+    let read = serde_json::from_value::<WireMachine>(row).map_err(RecordError::from);
+    let read = read.and_then(|wire| listed_host(host.clone(), wire));
+    read.or_else(|error| {
+        log::warn!("hosts: list: the row of {name:?} is not understood: {error}");
+        unknown_host(host.ok_or(error)?)
+    })
+    .ok()
+}
+
+fn listed_host(host: Option<HostId>, wire: WireMachine) -> Result<ListedHost, RecordError> {
     let phase = match wire.state.as_str() {
         "up" => HostPhase::Up,
         "moving" => HostPhase::Moving,
         "upkeep" => HostPhase::Upkeep,
         _ => HostPhase::Down,
     };
-    Some(ListedHost {
-        host: wire.machine.parse().ok()?,
-        pool: wire.pool.parse().ok()?,
+    Ok(ListedHost {
+        host: host.map_or_else(|| wire.machine.parse(), Ok)?,
+        pool: wire.pool.parse()?,
         phase,
         worker: wire.id.and_then(|id| id.parse().ok()),
         labels: wire.labels,
         room: wire.capacity.into(),
     })
 }
+
+fn unknown_host(host: HostId) -> Result<ListedHost, RecordError> {
+    Ok(ListedHost {
+        host,
+        pool: "unknown".parse()?,
+        phase: HostPhase::Down,
+        worker: None,
+        labels: Vec::new(),
+        room: WireRoom::default().into(),
+    })
+}
