--- a/src/jobs/tests/places.rs
+++ b/src/jobs/tests/places.rs
@@ -69,6 +69,23 @@
     assert_eq!(bench.starts(), vec![]);
 }
 
+/// A later owner heard first of a worker by an entry that named the host of another. That one ran a
+/// task, and was taken for over as soon as the first answered at its own address.
+#[test]
+fn a_worker_whose_host_stands_in_the_entry_of_another_is_not_superseded_by_that_one() {
+    let mut bench = one_worker();
+    bench.tell(Event::Job(stored(1, vec![step(1)], 110)));
+    bench.work();
+    let (task, run, worker) = bench.starts()[0].clone();
+    bench.started(task, run, &worker);
+    let mut foreign = report("w2", "h1");
+    foreign.address = "h2:80".to_owned();
+    bench.tell(Event::Worker(foreign));
+    bench.touch("w2", vec![]);
+    bench.work();
+    assert_eq!(bench.starts(), vec![], "it runs at w1");
+}
+
 /// A worker that was told of first by a foreign entry is used once its own is back.
 #[test]
 fn a_worker_that_was_never_heard_is_used_once_its_entry_is_right() {
