A worker that another pool keeps is no worker of the pool in its entry

Cause: a node that has just started knows nothing of a worker but its entry. One that another writer gave the service of another pool made that pool's owner look at it: the worker's own owner is fenced off there, the other stops runs that it does not know, and ends of jobs that it does not know are acknowledged at once, so that what was done is started again by the pool's own owner. Nodes that had heard of the worker before bar it already.

Ruled out: keeping such ends unacknowledged. Ends are acknowledged by number, and one that is never counted would keep all later ones listed.

Change: a worker that stands in the roster of another pool is not given to the owner of the pool in its entry, at its start and later.

--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -343,6 +343,11 @@
                 for name in others {
                     self.tell(&name, Event::Elsewhere(report.clone()), now);
                 }
+                let owns = self.owned.contains_key(&own);
+                if owns && self.node.view().is_of_another(&own, &report.id) {
+                    log::error!("worker {}: not used: another pool's, not {own}'s", report.id);
+                    return self.tell(&own, Event::Barred(report.id), now);
+                }
                 self.tell(&own, Event::Worker(report), now);
             }
             Delta::Unlisted(id) => {
@@ -497,10 +502,11 @@
         let mut owner = Owner::new(token, earlier, now.steady);
         let view = self.node.view();
         let mut out = Vec::new();
+        let others = view.rostered_by_others(name);
         let mut workers: Vec<(Revision, WorkerReport)> = view
             .workers
             .values()
-            .filter(|at| at.value.pool == pool)
+            .filter(|at| at.value.pool == pool && !others.contains(&at.value.id))
             .map(|at| (at.revision, at.value.clone()))
             .collect();
         workers.sort_by_key(|(revision, _)| *revision);
--- a/src/scheduler/tests/foreign.rs
+++ b/src/scheduler/tests/foreign.rs
@@ -142,3 +142,20 @@
     assert_eq!(owner, Some(Revision(10)));
     assert!(!view.owns("pool-a", 9), "the one before has lost it");
 }
+
+/// A node that had just started knew of a worker only by an entry that named its own pool, which
+/// another writer had written. Its owner would have looked at a worker that runs another pool's
+/// tasks: ends of jobs that an owner does not know are acknowledged at once, and what was done
+/// there would have been started again by the pool's own owner.
+#[test]
+fn a_worker_that_another_pool_keeps_is_no_worker_of_the_pool_in_its_entry() {
+    let mut view = View::default();
+    put(&mut view, "servers/w1", 10, with("service", json!("other")));
+    assert!(!view.is_of_another("pool-other", &worker("w1")));
+    let report = view.workers[&worker("w1")].value.clone();
+    put(&mut view, &keys::roster("pool-pool", &worker("w1")), 9, bytes(&report));
+    assert!(view.is_of_another("pool-other", &worker("w1")));
+    assert!(view.rostered_by_others("pool-other").contains(&worker("w1")));
+    assert!(!view.is_of_another("pool-pool", &worker("w1")));
+    assert!(view.rostered_by_others("pool-pool").is_empty());
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -6,7 +6,7 @@
 pub(crate) mod heard;
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
@@ -242,6 +242,18 @@
         listed.map(|(_, at)| at.value.clone()).collect()
     }
 
+    /// Whether the owners of another pool have kept that a worker may run something of theirs. No
+    /// worker changes its pool, so that its entry is not its own; and an owner that looked at it
+    /// would acknowledge the ends of jobs that it does not know.
+    pub(crate) fn is_of_another(&self, name: &str, worker: &WorkerId) -> bool {
+        self.rosters.keys().any(|(pool, id)| id == worker && pool != name)
+    }
+
+    /// The workers that may run something of other pools than this one.
+    pub(crate) fn rostered_by_others(&self, name: &str) -> HashSet<&WorkerId> {
+        self.rosters.keys().filter(|(pool, _)| pool != name).map(|(_, id)| id).collect()
+    }
+
     /// Takes in a change; what that means for others.
     pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
         let own = Key::parse(&change.key).filter(|key| !matches!(key, Key::Id(_)));
