Tests of links over real sockets: unsent is told only of what nobody read

Shown, nothing to mend: a start that another node read is in doubt once the link ends, also when that node is paused and goes on after the order was given up; over a link that rests, or that never opens, a start is unsent and is read by nobody; with links that end or are reset as orders are written (30 tries) no start that was read is told as unsent. Of a look unsent says only that nothing was heard, as written.

A first form of the test of the paused node waited for a link to end that stays open, and hung; it reads the two starts now.

--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of what a node knows of the store.
 
 mod demand;
+mod links;
 mod orders;
 mod watches;
 
