--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -9,6 +9,7 @@
 mod ownership;
 mod takeovers;
 mod terms;
+mod unsent;
 mod watches;
 
 use crate::{
