--- a/src/platform/tests/peer.rs
+++ b/src/platform/tests/peer.rs
@@ -1,6 +1,9 @@
 //! A server that answers, ends or resets connections as a test says, and keeps what it has read.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc, Mutex,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -27,6 +30,8 @@
     pub(super) address: String,
     /// The bodies of the requests that were read whole.
     received: Arc<Mutex<Vec<String>>>,
+    /// Connections that were taken.
+    opened: Arc<AtomicUsize>,
 }
 
 impl Peer {
@@ -43,11 +48,17 @@
     ) -> Peer {
         let address = listener.local_addr().unwrap().to_string();
         let received = Arc::new(Mutex::new(Vec::new()));
-        let peer = Peer { address, received: received.clone() };
-        tokio::spawn(take(listener, received, Arc::new(then)));
+        let opened = Arc::new(AtomicUsize::new(0));
+        let peer = Peer { address, received: received.clone(), opened: opened.clone() };
+        tokio::spawn(take(listener, received, opened, Arc::new(then)));
         peer
     }
 
+    /// How many connections were taken.
+    pub(super) fn opened(&self) -> usize {
+        self.opened.load(Ordering::Acquire)
+    }
+
     /// How many requests were read whole whose body has a text.
     pub(super) fn count(&self, text: &str) -> usize {
         self.received.lock().unwrap().iter().filter(|body| body.contains(text)).count()
@@ -56,12 +67,18 @@
 
 type Script = Arc<dyn Fn(usize) -> Then + Send + Sync>;
 
-async fn take(listener: TcpListener, received: Arc<Mutex<Vec<String>>>, then: Script) {
+async fn take(
+    listener: TcpListener,
+    received: Arc<Mutex<Vec<String>>>,
+    opened: Arc<AtomicUsize>,
+    then: Script,
+) {
     let (vanish, mut vanished) = tokio::sync::mpsc::channel::<TcpStream>(1);
     loop {
         tokio::select! {
             taken = listener.accept() => {
                 let (stream, _) = taken.unwrap();
+                opened.fetch_add(1, Ordering::AcqRel);
                 tokio::spawn(serve(stream, received.clone(), then.clone(), vanish.clone()));
             }
             Some(last) = vanished.recv() => {
--- a/src/platform/tests/sockets.rs
+++ b/src/platform/tests/sockets.rs
@@ -170,3 +170,24 @@
     let listed = kv(&peer.address).range("").await;
     assert!(matches!(listed, Err(StoreError::Garbled { .. })), "{listed:?}");
 }
+
+/// What users saw: after all nodes had lost power at one time, two tasks never ran, with room for
+/// them. A worker takes a bounded number of connections and keeps those of nodes that are gone.
+/// Owners had opened one for each start of a burst and kept them all, so that none was left for the
+/// next owner: its looks came through on the one it had, its starts were reset. Evidence: the worker
+/// reset 594 connections over its bound, and 101 starts there got no answer while looks did.
+#[tokio::test]
+async fn a_burst_of_starts_opens_few_connections_to_a_worker() {
+    const BURST: u32 = 40;
+    let peer = Peer::new(|_| Then::Answer(CLOCK)).await;
+    let runners = Runners::new();
+    let starts = (1..=BURST).map(|number| {
+        let (runners, to) = (runners.clone(), to(&peer.address));
+        tokio::spawn(async move { runners.start(&to, &start(number)).await })
+    });
+    for started in starts.collect::<Vec<_>>() {
+        assert_eq!(started.await.unwrap(), OrderEnd::Done(5));
+    }
+    assert!(peer.opened() <= 6, "{} connections for {BURST} starts", peer.opened());
+    assert_eq!(peer.count(r#""run":"#), BURST as usize);
+}
