A node makes six calls at a time to a worker, and keeps as many connections

Cause: each start of a burst opened a connection, and all were kept for 90 s. A worker takes 64 and keeps those of nodes that lost power, so that the next owner found none.

Ruled out: taking a reset connection for unsent (bytes may have been read); closing idle connections sooner (each new one has a price, and those of dead nodes stay).

Change: calls to one worker take turns, six at a time (src/platform/lines.rs). One that gets no turn within the limit of an order is unsent, which is true. Six idle connections are kept.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,6 +5,7 @@
 pub(crate) mod caller;
 pub(crate) mod hosts;
 pub(crate) mod kv;
+mod lines;
 pub(crate) mod machines;
 pub(crate) mod records;
 pub(crate) mod runner;
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -4,6 +4,7 @@
 
 use reqwest::StatusCode;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 
 use crate::{
     model::{
@@ -11,7 +12,10 @@
         order::{Addressee, Start},
         worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal},
     },
-    platform::store::chain,
+    platform::{
+        lines::{Lines, MOST_CALLS},
+        store::chain,
+    },
 };
 
 /// How long a connection to a worker may take to open: two crossings between zones take 4 ms.
@@ -93,6 +97,7 @@
 #[derive(Clone)]
 pub(crate) struct Runners {
     client: reqwest::Client,
+    lines: Lines,
 }
 
 impl Runners {
@@ -102,9 +107,10 @@
             .no_proxy()
             .tcp_nodelay(true)
             .connect_timeout(CONNECT_LIMIT)
+            .pool_max_idle_per_host(MOST_CALLS)
             .build()
             .expect("a client without TLS needs nothing of the system");
-        Runners { client }
+        Runners { client, lines: Lines::default() }
     }
 
     /// Starts a run. Done also if the run exists already.
@@ -169,6 +175,12 @@
         body: &impl Serialize,
         limit: Duration,
     ) -> OrderEnd<WireAnswer> {
+        let line = self.lines.to(&to.address);
+        // Nothing was sent: the owner may decide anew.
+        let Ok(Ok(_turn)) = timeout(ORDER_LIMIT, line.acquire()).await else {
+            log::debug!("worker {}: {call}: too many calls there", to.worker);
+            return OrderEnd::Unsent;
+        };
         let url = format!("http://{}/-/{call}", to.address);
         let request = self.client.post(url).header(LIFE_HEADER, to.worker.as_str());
         let answer = match request.json(body).timeout(limit).send().await {
