Failing test: ends of a job that cannot be read are acknowledged

Cause, not mended here: an end of a job that an owner does not know counts as one of which nothing need be kept. A job whose progress another writer has overwritten is not told to a new owner until it can be read; until then its ends are acknowledged and forgotten by the workers, and its tasks run again afterwards. The fuzzing of owners that come and go leaves such jobs out of its oracle (`is_counted`). The test fails on this code: run 1001 is started after the end of run 1 was acknowledged.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner of a pool, event by event.
 
 mod balance;
+mod cold;
 mod cut;
 mod fleet;
 mod fuzz;
