Failing test: a count of owners that cannot be read blocks a pool

Cause, not mended here: a record `ch/term/<name>` that cannot be read is taken for absent, so that every try to own the pool bears a condition that the store refuses, for ever. The owner's own record is succeeded at its revision in that case. A mend must not read such a count as zero: the first owner of all waits for nobody, and the numbers of its runs begin at 1. The test fails on this code (None, not revision 21).

--- a/src/scheduler/tests/cold.rs
+++ b/src/scheduler/tests/cold.rs
@@ -4,8 +4,13 @@
 
 use crate::{
     jobs::owner::{LEASE_MS, OVERTIME_MS},
-    model::unit::Steady,
-    scheduler::lease::{Lease, Tenure},
+    model::unit::{Revision, Steady},
+    platform::kv::Change,
+    scheduler::{
+        keys,
+        lease::{Lease, Tenure},
+        view::View,
+    },
 };
 
 const TTL: Duration = Duration::from_millis(LEASE_MS);
@@ -41,3 +46,24 @@
     let late = |(now, allows): &&(u64, bool)| *allows && LEASE_MS + OVERTIME_MS <= *now;
     assert_eq!(allowed.iter().find(late), None, "won 2 s after the start by another node");
 }
+
+/// What users would see: the jobs of a pool wait for ever. Another writer overwrote the count of its
+/// owners. Every node took the record for absent and reached for the pool under the condition that
+/// there is none, which the store refuses each time. The record of the owner itself is succeeded at
+/// its revision when it cannot be read. Evidence: this test.
+#[test]
+fn a_count_of_owners_that_cannot_be_read_stands_in_the_way_of_no_later_owner() {
+    let mut view = View::default();
+    let (owner, term) = (keys::owner("pool-a"), keys::term("pool-a"));
+    let put = |key: &String, revision, value: &str| {
+        let value = Some(value.as_bytes().to_vec().into());
+        Change { key: key.clone(), revision: Revision(revision), value }
+    };
+    for (key, revision) in [(&owner, 20), (&term, 21)] {
+        view.apply(put(key, revision, "garbage"));
+    }
+    let owner = view.owners.get("pool-a").map(|at| at.revision);
+    assert_eq!(owner, Some(Revision(20)), "a later owner writes over it");
+    let term = view.terms.get("pool-a").map(|at| at.revision);
+    assert_eq!(term, Some(Revision(21)), "a later owner writes over it");
+}
