Failing test: a write done before a renewal confirms the gap before it

Cause, not mended here: a gap ends when its renewal was sent, and a write that was sent later confirms it. On two connections that write can be done before the renewal, and says nothing of the time between. Like the gap itself this matters only where what is owned can go without its lease.

--- a/src/scheduler/tests/cold.rs
+++ b/src/scheduler/tests/cold.rs
@@ -67,3 +67,23 @@
     let term = view.terms.get("pool-a").map(|at| at.revision);
     assert_eq!(term, Some(Revision(21)), "a later owner writes over it");
 }
+
+/// What users would see: a task that must run once runs twice. A renewal was sent while the lease held
+/// and was long on its way. A write was sent after it and done before it, on another connection. Then
+/// the ownership was taken away, and the renewal was done and answered as if nothing had been. The
+/// write was taken for a confirmation of the time up to the renewal, since it was sent later, and
+/// from then on renewals in time kept the ownership without end. Evidence: this test.
+#[test]
+fn a_write_that_may_have_been_done_before_a_renewal_does_not_confirm_it() {
+    let (lease, tenure) = won_at_the_start();
+    let renewal = at(LEASE_MS - 100);
+    tenure.confirm(at(LEASE_MS - 50));
+    // Taken away and won by another node here; answered 100 ms after the lease's end.
+    lease.renewed(7, renewal, TTL);
+    let mut now = LEASE_MS + 100;
+    while now < 2 * (LEASE_MS + OVERTIME_MS) {
+        now += 500;
+        lease.renewed(7, at(now), TTL);
+    }
+    assert!(!tenure.allows_orders(at(now)), "no write was done since another node could have won");
+}
