Failing test: a job that is written anew counts as a new one

Cause, not mended here: whether a job came before an owner is told by the revision of its record, which changes with each write. A record that another writer overwrote and put back after an owner had won makes the job one whose tasks need not wait for workers that the owner has not reached. The test fails on this code: revision 40, not 10.

--- a/src/scheduler/tests/cold.rs
+++ b/src/scheduler/tests/cold.rs
@@ -7,10 +7,12 @@
     model::unit::{Revision, Steady},
     platform::kv::Change,
     scheduler::{
+        drive::json,
         keys,
         lease::{Lease, Tenure},
         view::View,
     },
+    tests::sample,
 };
 
 const TTL: Duration = Duration::from_millis(LEASE_MS);
@@ -87,3 +89,21 @@
     }
     assert!(!tenure.allows_orders(at(now)), "no write was done since another node could have won");
 }
+
+/// What users would see: a task that must run once runs twice. Another writer overwrote what was handed
+/// in of a job that runs, and put it back. A later owner took the job for one that came after it, of
+/// which no worker can run anything that it has not ordered itself, and started it without waiting
+/// for the worker that it does not reach. Evidence: this test, and that tasks of newer jobs need not
+/// wait (`tasks_of_new_jobs_need_not_wait_for_workers_that_are_silent`).
+#[test]
+fn a_job_that_is_written_anew_is_as_old_as_it_was() {
+    let mut view = View::default();
+    let key = keys::job(&"pool".parse().unwrap(), super::job());
+    let record = json(&sample::record(vec![]));
+    for (revision, value) in [(10, record.clone()), (35, b"garbage".to_vec()), (40, record)] {
+        let value = Some(value.into());
+        view.apply(Change { key: key.clone(), revision: Revision(revision), value });
+    }
+    let stored = view.jobs[&super::job()].stored(super::job()).unwrap();
+    assert_eq!(stored.revision, Revision(10), "an owner since revision 30 must wait with it");
+}
