Gaps of a lease add up, second ends wait, lost counts of owners do not block

Change: gaps are kept until their overtime has passed, and what was not confirmed by then is over for good; a gap ends when its renewal was answered; ends that say done or failed are acknowledged with the version that says so; a count that is lost is taken for a large one; a job keeps the revision at which its record was first heard of (a node that starts after it was written anew does not know that one: open).

Not mended: ends of a job whose progress cannot be read are acknowledged by an owner that is not told of it.

--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -66,12 +66,14 @@
         let Some(job) = self.jobs.get(&task.of.job) else {
             return 0;
         };
-        if job.version == before {
-            return 0;
-        }
         let version = job.version;
-        self.saves.add(job.id, job.state.is_final());
-        version
+        if version != before {
+            self.saves.add(job.id, job.state.is_final());
+            return version;
+        }
+        // What the end says may be known by another one that is not durable yet.
+        let counts = matches!(how, HowEnded::Done | HowEnded::Failed) && !step_lasts;
+        if counts { version } else { 0 }
     }
 
     fn task_done(
--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -133,7 +133,7 @@
                     self.next_lease
                 });
                 let sent = self.node.now().steady;
-                self.lease.renewed(id, sent, Duration::from_millis(LEASE_MS));
+                self.lease.renewed(id, sent, Duration::from_millis(LEASE_MS), sent);
             }
             Op::End => self.lease.ended(),
             Op::Reach { fleet } => {
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -39,13 +39,26 @@
     heard: Mutex<Heard>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
+/// A time in which the lease may have been over.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    /// Until when it had held for certain.
+    until: Steady,
+    /// When it was known to be renewed. A write that was sent before that may have been done before
+    /// the renewal, and confirms nothing of the gap.
+    renewed: Steady,
+}
+
+#[derive(Debug, Clone, Default)]
 struct Heard {
     /// The lease, unless the store has said that it is over, and when it may be.
     last: Option<(LeaseId, Steady)>,
-    /// The last renewal that came when the lease may have been over: until when it had held for
-    /// certain, and when that renewal was sent. What was owned may have been taken away meanwhile.
-    gap: Option<(Steady, Steady)>,
+    /// Renewals that came when the lease may have been over. What was owned may have been taken away
+    /// meanwhile.
+    gaps: Vec<Gap>,
+    /// What was not confirmed since then is over, whatever is renewed: the overtime of a gap that
+    /// ended there has passed.
+    barrier: Steady,
     /// Whether the last renewal failed.
     failing: bool,
 }
@@ -66,14 +79,21 @@
         self.held(now).is_some() && !self.heard().failing
     }
 
-    /// Takes note that the lease was granted or renewed by a call that was sent at a moment.
-    pub(crate) fn renewed(&self, id: LeaseId, sent: Steady, ttl: Duration) {
+    /// Takes note that the lease was granted or renewed by a call that was sent at a moment and
+    /// answered now.
+    pub(crate) fn renewed(&self, id: LeaseId, sent: Steady, ttl: Duration, now: Steady) {
         // Later owners rely on the time that was asked for.
         let left = (ttl.min(TTL).as_millis() as u64).saturating_sub(MARGIN_MS);
         let mut heard = self.heard();
         let before = heard.last.filter(|(held, _)| *held == id).map(|(_, until)| until);
-        if let Some(until) = before.filter(|until| *until <= sent) {
-            heard.gap = Some((until, sent));
+        if let Some(until) = before.filter(|until| *until <= now) {
+            // A write of the same millisecond may have been sent before.
+            heard.gaps.push(Gap { until, renewed: now.after(1) });
+        }
+        let passed = |gap: &mut Gap| gap.until.after(OVERTIME_MS) <= now;
+        let passed: Vec<Gap> = heard.gaps.extract_if(.., passed).collect();
+        for gap in passed {
+            heard.barrier = heard.barrier.max(gap.renewed);
         }
         heard.last = Some((id, sent.after(left)));
         heard.failing = false;
@@ -128,7 +148,8 @@
     /// Whether the lease was renewed when it may have been over, and the store has not confirmed
     /// since then that this lasts.
     pub(crate) fn is_doubtful(&self) -> bool {
-        self.lease.heard().gap.is_some_and(|(_, renewed)| self.confirmed() < renewed)
+        let confirmed = self.confirmed();
+        self.lease.heard().gaps.iter().any(|gap| confirmed < gap.renewed)
     }
 
     /// Whether it certainly lasts.
@@ -140,13 +161,13 @@
     /// store has not said that it is. A renewal after that while shows nothing of what was owned:
     /// only a write does that the store has done under the condition that it lasts.
     pub(crate) fn allows_orders(&self, now: Steady) -> bool {
-        let heard = *self.lease.heard();
+        let (heard, confirmed) = (self.lease.heard(), self.confirmed());
         let is_last =
             |(id, until): (LeaseId, Steady)| id == self.id && now < until.after(OVERTIME_MS);
-        let is_whole = |(until, renewed): (Steady, Steady)| {
-            renewed <= self.confirmed() || now < until.after(OVERTIME_MS)
-        };
-        heard.last.is_some_and(is_last) && heard.gap.is_none_or(is_whole)
+        let is_whole = |gap: &Gap| gap.renewed <= confirmed || now < gap.until.after(OVERTIME_MS);
+        heard.last.is_some_and(is_last)
+            && heard.barrier <= confirmed
+            && heard.gaps.iter().all(is_whole)
     }
 
     /// What is told of it in the log.
@@ -178,7 +199,7 @@
                 if held.is_none() {
                     log::info!("store: lease {id} for {} ms", ttl.as_millis());
                 }
-                lease.renewed(id, sent, ttl);
+                lease.renewed(id, sent, ttl, node.now().steady);
                 if !listed {
                     listed = list(&node, id).await;
                 }
--- a/src/scheduler/tests/lease.rs
+++ b/src/scheduler/tests/lease.rs
@@ -183,7 +183,9 @@
             Pending::Waiting => self.keep(asked, ttl),
         };
         match told {
-            Some((lease, ttl)) => self.lease.renewed(lease, sent, Duration::from_millis(ttl)),
+            Some((lease, ttl)) => {
+                self.lease.renewed(lease, sent, Duration::from_millis(ttl), self.at())
+            }
             None => self.lease.ended(),
         }
     }
--- a/src/scheduler/tests/links.rs
+++ b/src/scheduler/tests/links.rs
@@ -67,7 +67,7 @@
     let (ends, mut ended) = mpsc::unbounded_channel();
     let (mut links, now) = (Links::default(), Steady::default());
     let mut send = |token: u64, lease: &Arc<Lease>| {
-        lease.renewed(1, now, Duration::from_millis(LEASE_MS));
+        lease.renewed(1, now, Duration::from_millis(LEASE_MS), now);
         let tenure = Tenure::new(lease, 1, now);
         let to = Addressee { worker: "w1".parse().unwrap(), address: worker.to_string(), token };
         let of = StepId { job: JobId::from_number(token), time: 0, step: 0 };
--- a/src/scheduler/tests/terms.rs
+++ b/src/scheduler/tests/terms.rs
@@ -23,7 +23,7 @@
 /// A lease that was renewed last at 0, and what was won under it.
 fn won_at_the_start() -> (Arc<Lease>, Tenure) {
     let lease = Arc::<Lease>::default();
-    lease.renewed(7, at(0), TTL);
+    lease.renewed(7, at(0), TTL, at(0));
     let tenure = Tenure::new(&lease, 7, at(0));
     assert!(tenure.allows_orders(at(1_000)));
     (lease, tenure)
@@ -33,7 +33,7 @@
 fn a_renewal_after_the_overtime_brings_no_ownership_back() {
     let (lease, tenure) = won_at_the_start();
     let later = LEASE_MS + OVERTIME_MS + 4_000;
-    lease.renewed(7, at(later), TTL);
+    lease.renewed(7, at(later), TTL, at(later));
     assert!(!tenure.allows_orders(at(later + 10)), "another node may have won it long ago");
     let again = Tenure::new(&lease, 7, at(later + 10));
     assert!(again.allows_orders(at(later + 20)), "what is won from then on lasts");
@@ -42,7 +42,7 @@
 #[test]
 fn a_renewal_within_the_overtime_extends_no_order_beyond_it() {
     let (lease, tenure) = won_at_the_start();
-    lease.renewed(7, at(LEASE_MS + 1_000), TTL);
+    lease.renewed(7, at(LEASE_MS + 1_000), TTL, at(LEASE_MS + 1_005));
     assert!(tenure.allows_orders(at(LEASE_MS + 1_010)), "most often the store was away for all");
     assert!(!tenure.allows_orders(at(LEASE_MS + OVERTIME_MS)), "nobody has said that it lasts");
 }
@@ -51,7 +51,7 @@
 fn renewals_in_time_keep_an_ownership() {
     let (lease, tenure) = won_at_the_start();
     for step in 1..20 {
-        lease.renewed(7, at(step * 500), TTL);
+        lease.renewed(7, at(step * 500), TTL, at(step * 500 + 5));
         assert!(tenure.allows_orders(at(step * 500 + 499)));
     }
 }
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -51,6 +51,10 @@
     pub(crate) peers: Option<SocketAddr>,
 }
 
+/// The count of owners that is taken where the record cannot be read: more than there are changes of
+/// owners, and with as many again the numbers of runs still fit.
+const LOST_COUNT: u32 = 1_000_000;
+
 /// How many owners a piece of work has had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct TermRecord {
@@ -97,6 +101,9 @@
     pub(crate) cancelled: bool,
     /// Whether the newest progress cannot be read; `progress` is the one before then.
     is_garbled: bool,
+    /// The revision at which the record was first heard of: another writer may write it anew, which
+    /// makes the job no newer than its owner.
+    first: Option<Revision>,
 }
 
 impl KnownJob {
@@ -123,7 +130,7 @@
         Some(StoredJob {
             id,
             record: record.value.clone(),
-            revision: record.revision,
+            revision: self.first.unwrap_or(record.revision),
             progress: progress.map(|progress| progress.value.clone()),
             saved_at: progress.map(|progress| progress.revision).unwrap_or_default(),
             cancelled: self.cancelled,
@@ -294,6 +301,7 @@
             Key::Job(id) => {
                 let known = self.jobs.entry(id).or_default();
                 known.record = read(&text, value, revision, refused).map(share);
+                known.first = value.and(known.first.or(Some(revision)));
                 self.drop_empty(id);
                 Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
             }
@@ -321,7 +329,11 @@
                 Some(Delta::Owner(name))
             }
             Key::Term(name) => {
-                set(&mut self.terms, name, read(&text, value, revision, refused));
+                // As above. A count that is not known must not be less than it was: the numbers of
+                // runs begin above it, and the first owner of all waits for no worker.
+                let lost = At { value: TermRecord { count: LOST_COUNT }, revision };
+                let term = value.map(|_| read(&text, value, revision, refused).unwrap_or(lost));
+                set(&mut self.terms, name, term);
                 None
             }
             Key::Leave(host) => {
@@ -369,7 +381,7 @@
 
     fn drop_empty(&mut self, id: JobId) {
         let known = &self.jobs[&id];
-        let told = known.cancelled || known.is_garbled;
+        let told = known.cancelled || known.is_garbled || known.first.is_some();
         if known.record.is_none() && known.progress.is_none() && !told {
             self.jobs.remove(&id);
         }
