A caller is told that its connection ends where its body was not read

A node that has not read a body to its end ends the connection, and had not said so in its answer, so that the caller's next request could be on its way there. Not load: the order of the two is enough.

Change: a refusal of a request whose body was not read says that the connection ends; the scheduler's answer to a body that can't be read does too.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -96,12 +96,17 @@
         let team = wishes.as_ref().map_or("none".to_owned(), |w| w.team.to_string());
         let (service, path) = split(&request);
         let label = self.known(&service);
+        let has_body = http::has_body(&request);
+        let mut unread = false;
         let (told, class) = match self.admit(request, wishes, &service, path, began).await {
             Ok(job) => {
                 let class = job.class;
                 (self.run(job).await, class)
             }
-            Err(told) => (Err(told), Class::Normal),
+            Err(told) => {
+                unread = has_body;
+                (Err(told), Class::Normal)
+            }
         };
         let outcome = told.as_ref().map_or_else(|told| told.outcome, |_| Outcome::Ran);
         let took = Time::now().since(began);
@@ -110,6 +115,9 @@
             log::debug!("request {id}: service {service}: {outcome}: {}", told.text);
         }
         let mut response = told.map_or_else(told_response, whole_response);
+        if unread {
+            http::close_after(&mut response);
+        }
         let name = self.node.id().to_string();
         for (header, value) in [
             (headers::OUTCOME, outcome.as_str().to_owned()),
--- a/src/http.rs
+++ b/src/http.rs
@@ -186,6 +186,19 @@
     Garbled(#[from] serde_json::Error),
 }
 
+/// Whether a request bears a body.
+pub(crate) fn has_body(request: &Request) -> bool {
+    let length = request.header(header::CONTENT_LENGTH);
+    length.is_some_and(|length| length != "0")
+        || request.header(header::TRANSFER_ENCODING).is_some()
+}
+
+/// Tells the caller that its connection ends with this answer. It does if the request's body was not
+/// read to its end, and a caller that is not told may have sent its next request there.
+pub(crate) fn close_after(response: &mut Response) {
+    response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+}
+
 /// Reads a whole body of at most `most` bytes.
 pub(crate) async fn read_body(body: Body, most: usize) -> Result<Bytes, BodyError> {
     let mut stream = Box::pin(body.into_bytes_stream());
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -75,9 +75,7 @@
         self.node.metrics.answered(queue, method, response.status(), came.elapsed());
         if self.node.leaving.is_cancelled() {
             // The caller's next request goes to another node.
-            response
-                .headers_mut()
-                .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+            http::close_after(&mut response);
         }
         Ok(response)
     }
@@ -137,7 +135,11 @@
     ) -> Response {
         let body = match http::read_body(request.take_body(), MAX_BODY).await {
             Ok(body) => body,
-            Err(error) => return http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+            Err(error) => {
+                let mut told = http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
+                http::close_after(&mut told);
+                return told;
+            }
         };
         let in_touch = self.lease.is_in_touch(self.node.now().steady);
         let method = request.method().clone();
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -60,6 +60,22 @@
     }
 }
 
+/// What callers saw: now and then a request got no answer, right after another one whose body was too
+/// large. The node ends a connection on which it has not read the whole body, and had not said so:
+/// the caller's next request was on its way there. Evidence: a run of all tests in which the case
+/// after the one that is too large met a closed connection.
+#[tokio::test]
+async fn a_caller_is_told_that_its_connection_ends_where_its_body_was_not_read() {
+    let fleet = Fleet::start(1).await;
+    let large = fleet.request(0, "POST", "echo/x").body(vec![b'x'; 70_000]);
+    let answer = large.send().await.unwrap();
+    assert_eq!(answer.status(), 413);
+    assert_eq!(answer.headers().get("connection").unwrap(), "close");
+    let answer = fleet.request(0, "GET", "nothing/x").send().await.unwrap();
+    assert_eq!(answer.status(), 404);
+    assert!(answer.headers().get("connection").is_none(), "nothing was left unread");
+}
+
 #[tokio::test]
 async fn an_answer_that_breaks_off_is_never_passed_on() {
     let fleet = Fleet::start(1).await;
