--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -133,9 +133,9 @@
         self.confirmed = self.confirmed.max(confirmed);
     }
 
-    /// Whether something waits for a word of the store that there is no later owner: runs at silent
+    /// Whether something waits for the store to confirm that there is no later owner: runs at silent
     /// workers that have lapsed, or the end of the time in which an earlier owner's may run unseen.
-    pub(crate) fn awaits_word(&self, now: Steady) -> bool {
+    pub(crate) fn awaits_confirmation(&self, now: Steady) -> bool {
         let lapsed = |worker: &Worker| {
             let open = worker.misses != 0 && !worker.has_lapsed(self.confirmed);
             open && worker.has_lapsed(now) && !worker.copies.is_empty()
--- a/src/jobs/tests/gone.rs
+++ b/src/jobs/tests/gone.rs
@@ -133,10 +133,10 @@
         unconfirmed(&mut bench);
     }
     assert_eq!(restarts(&mut bench), vec![], "confirmed at {confirmed:?}");
-    assert!(bench.owner.awaits_word(bench.at().steady));
+    assert!(bench.owner.awaits_confirmation(bench.at().steady));
     let now = bench.at().steady;
     bench.owner.set_confirmed(now);
     unconfirmed(&mut bench);
     assert_eq!(restarts(&mut bench), vec![(Gone::Lapsed.word(), 1)]);
-    assert!(!bench.owner.awaits_word(bench.at().steady));
+    assert!(!bench.owner.awaits_confirmation(bench.at().steady));
 }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -178,7 +178,7 @@
     /// When that is next looked at.
     next_queued: Steady,
     /// When the store may next be asked to confirm that there is no later owner.
-    next_word: Steady,
+    next_confirmation: Steady,
 }
 
 /// The work of all pools together, owned by this node.
@@ -214,7 +214,7 @@
     pub(super) next_fleet: Steady,
     pub(super) next_fleet_summary: Steady,
     /// When the store may next be asked to confirm that the fleet's work has no later owner.
-    next_fleet_word: Steady,
+    next_fleet_confirmation: Steady,
     next_summary: Steady,
     pub(super) machines: Machines,
     /// Won, but not yet seen in the view, by name.
@@ -254,7 +254,7 @@
             fleet: None,
             next_fleet: Steady::default(),
             next_fleet_summary: Steady::default(),
-            next_fleet_word: Steady::default(),
+            next_fleet_confirmation: Steady::default(),
             next_summary: Steady::default(),
             machines,
             won: BTreeMap::new(),
@@ -483,9 +483,9 @@
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
             self.tell_queued(&name, now);
-            self.ask_word(&name, now);
+            self.ask_confirmation(&name, now);
         }
-        self.ask_fleet_word(now);
+        self.ask_fleet_confirmation(now);
         self.fleet_step(now);
         self.summarize(now);
     }
@@ -594,7 +594,7 @@
             next_usage: now.steady,
             told_queued: (BTreeMap::new(), Steady::default()),
             next_queued: now.steady,
-            next_word: now.steady,
+            next_confirmation: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
         self.carry_out(name, token, out);
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -8,7 +8,7 @@
         unit::{Now, Revision},
     },
     platform::{
-        kv::{Committed, TXN_ENTRIES, Txn},
+        kv::{Committed, Item, TXN_ENTRIES, Txn},
         store::StoreError,
     },
     scheduler::{Node, keys, lease::Tenure},
@@ -273,8 +273,8 @@
     SaveEnd::Rebase(moved.collect())
 }
 
-/// Does a write under the condition that the owner is still the owner. If it was done, there was no
-/// later one when it was sent.
+/// Does a write under the condition that the owner is still the owner, which is its first one. If it
+/// was done, there was no later one when it was sent; if that condition failed, there is one now.
 pub(super) async fn commit(
     node: &Node,
     tenure: &Tenure,
@@ -282,8 +282,18 @@
 ) -> Result<Committed, StoreError> {
     let sent = node.now().steady;
     let end = node.kv.commit(txn).await;
-    if matches!(end, Ok(Committed::Done(_))) {
-        tenure.confirm(sent);
+    match &end {
+        Ok(Committed::Done(_)) => tenure.confirm(sent),
+        Ok(Committed::Conflict(items)) if denies_owner(txn, items) => tenure.deny(),
+        Ok(Committed::Conflict(_) | Committed::LeaseOver) | Err(_) => {}
     }
     end
 }
+
+/// Whether a write was refused because its first condition, that the owner is the owner, failed.
+fn denies_owner(txn: &Txn, found: &[Item]) -> bool {
+    txn.expects.first().is_some_and(|(key, revision)| {
+        let item = found.iter().find(|item| item.key == *key);
+        item.is_none_or(|item| item.revision != *revision)
+    })
+}
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -24,7 +24,7 @@
 
 /// The least time between two writes for the sake of a confirmation, in milliseconds: one tick of
 /// the owner's loop.
-const WORD_PAUSE_MS: u64 = 100;
+const CONFIRM_PAUSE_MS: u64 = 100;
 
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
@@ -105,15 +105,15 @@
 
     /// Has the store confirm that a pool has no later owner, where something waits for that: any
     /// write under that condition does, and most often one has just been made.
-    pub(super) fn ask_word(&mut self, name: &str, now: Now) {
+    pub(super) fn ask_confirmation(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
-        let waits = owned.owner.awaits_word(now.steady) || owned.tenure.is_doubtful();
-        if !waits || now.steady < owned.next_word {
+        let waits = owned.owner.awaits_confirmation(now.steady) || owned.tenure.is_doubtful();
+        if !waits || now.steady < owned.next_confirmation {
             return;
         }
-        owned.next_word = now.steady.after(WORD_PAUSE_MS);
+        owned.next_confirmation = now.steady.after(CONFIRM_PAUSE_MS);
         let queued = owned.owner.queued();
         let (token, value) = (owned.owner.token, json(&queued));
         owned.told_queued = (queued, now.steady);
@@ -122,14 +122,14 @@
     }
 
     /// The same for the fleet's work, which has no queues of its own.
-    pub(super) fn ask_fleet_word(&mut self, now: Now) {
+    pub(super) fn ask_fleet_confirmation(&mut self, now: Now) {
         let Some(owned) = self.fleet.as_ref().filter(|owned| owned.tenure.is_doubtful()) else {
             return;
         };
-        if now.steady < self.next_fleet_word {
+        if now.steady < self.next_fleet_confirmation {
             return;
         }
-        self.next_fleet_word = now.steady.after(WORD_PAUSE_MS);
+        self.next_fleet_confirmation = now.steady.after(CONFIRM_PAUSE_MS);
         let (token, tenure) = (owned.fleet.token, owned.tenure.clone());
         let none = BTreeMap::<String, usize>::new();
         self.write_hint(keys::FLEET, token, tenure, keys::queued(keys::FLEET), json(&none));
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -125,13 +125,16 @@
     /// When the last write was sent that the store did under the condition that it lasts, in
     /// milliseconds of the steady clock.
     confirmed: Arc<AtomicU64>,
+    /// Whether the store has said that it is over.
+    denied: Arc<AtomicBool>,
 }
 
 impl Tenure {
     /// What is won at a moment under a lease of the node.
     pub(crate) fn new(lease: &Arc<Lease>, id: LeaseId, since: Steady) -> Tenure {
         let confirmed = Arc::new(AtomicU64::new(since.since(Steady::default())));
-        Tenure { lease: lease.clone(), id, since, confirmed }
+        let denied = Arc::default();
+        Tenure { lease: lease.clone(), id, since, confirmed, denied }
     }
 
     /// Takes note that the store has done a write, sent at a moment, under the condition that it
@@ -140,6 +143,11 @@
         self.confirmed.fetch_max(sent.since(Steady::default()), Ordering::AcqRel);
     }
 
+    /// Takes note that the store has said that it is over.
+    pub(crate) fn deny(&self) {
+        self.denied.store(true, Ordering::Release);
+    }
+
     /// Up to when it has lasted for certain.
     pub(crate) fn confirmed(&self) -> Steady {
         Steady::from_millis(self.confirmed.load(Ordering::Acquire))
@@ -154,7 +162,7 @@
 
     /// Whether it certainly lasts.
     pub(crate) fn holds(&self, now: Steady) -> bool {
-        self.lease.held(now) == Some(self.id)
+        self.lease.held(now) == Some(self.id) && !self.denied.load(Ordering::Acquire)
     }
 
     /// Whether orders may be given: also for a while after the lease may be over, as long as the
@@ -165,7 +173,8 @@
         let is_last =
             |(id, until): (LeaseId, Steady)| id == self.id && now < until.after(OVERTIME_MS);
         let is_whole = |gap: &Gap| gap.renewed <= confirmed || now < gap.until.after(OVERTIME_MS);
-        heard.last.is_some_and(is_last)
+        !self.denied.load(Ordering::Acquire)
+            && heard.last.is_some_and(is_last)
             && heard.barrier <= confirmed
             && heard.gaps.iter().all(is_whole)
     }
--- a/src/scheduler/tests/terms.rs
+++ b/src/scheduler/tests/terms.rs
@@ -55,3 +55,14 @@
         assert!(tenure.allows_orders(at(step * 500 + 499)));
     }
 }
+
+/// A write for a confirmation that meets a later owner's key is an answer too.
+#[test]
+fn an_ownership_that_the_store_denies_is_over_whatever_is_renewed() {
+    let (lease, tenure) = won_at_the_start();
+    tenure.deny();
+    assert!(!tenure.allows_orders(at(1_000)));
+    assert!(!tenure.holds(at(1_000)));
+    lease.renewed(7, at(1_500), TTL, at(1_505));
+    assert!(!tenure.allows_orders(at(1_600)));
+}
