--- a/src/jobs/tests/cold.rs
+++ b/src/jobs/tests/cold.rs
@@ -36,8 +36,8 @@
     bench.look("w1", vec![], ended.clone());
     bench.keep_roster();
     for _ in 0..3 {
-        let last_seen = acknowledged(&mut bench);
-        ended.retain(|end| last_seen < end.number);
+        let highest = acknowledged(&mut bench);
+        ended.retain(|end| highest < end.number);
         bench.look("w1", vec![], ended.clone());
     }
     let forgotten = ended.is_empty();
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -158,6 +158,7 @@
             return;
         }
         if moved {
+            // A look that was decided on in this millisecond may have gone to the place before.
             self.placed = now.after(1);
             self.looking = None;
             self.next_look = self.placed;
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -121,7 +121,8 @@
         self.write_hint(name, token, tenure, keys::queued(name), value);
     }
 
-    /// The same for the fleet's work, which has no queues of its own.
+    /// The same for the fleet's work. It has no queues: what is written is empty, and adds nothing to
+    /// what callers are told.
     pub(super) fn ask_fleet_confirmation(&mut self, now: Now) {
         let Some(owned) = self.fleet.as_ref().filter(|owned| owned.tenure.is_doubtful()) else {
             return;
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -116,6 +116,14 @@
 
 /// The lease under which something was won. What was won lasts as long as that lease: one that the
 /// node takes after it says nothing of whether another node has won the same meanwhile.
+///
+/// Three questions, from the strictest to the mildest:
+/// - [`Tenure::confirmed`]: up to when had nobody else won it, for certain? Conclusions from time
+///   count up to there.
+/// - [`Tenure::holds`]: is the lease held now, by the node's clock? Calls that change hosts are made
+///   then, each after a write of its own.
+/// - [`Tenure::allows_orders`]: may orders go to workers, which are fenced? Later owners rely on how
+///   long that lasts.
 #[derive(Clone)]
 pub(crate) struct Tenure {
     lease: Arc<Lease>,
--- a/src/scheduler/tests/ownership.rs
+++ b/src/scheduler/tests/ownership.rs
@@ -235,10 +235,10 @@
         };
         let answer = sent.body(body.clone()).send().await.unwrap();
         let (status, told) = (answer.status(), answer.bytes().await.unwrap());
-        if status == StatusCode::OK || path == "/-/kv-txn" {
+        if status == StatusCode::OK || path.ends_with("-txn") {
             self.note(&path, &body, &told);
         }
-        if path == "/-/kv-watch" {
+        if path.ends_with("-watch") {
             self.holds.subscribe().wait_for(|holds| !holds).await.unwrap();
         }
         Ok(Response::builder().status(status).body(told))
