A task that crashes its workers is given up, whoever owns its pool

Cause: a run that dies with its worker lists no end, and only listed ends count as attempts. Class: an attempt counts only if somebody tells of it.

Change: losses are counted by worker in what is kept of the job. A task whose run had only begun (under 400 ms) when its worker was lost is a suspect: its next run is on trial, nothing else begins beside it until a look has found it settled; if that worker is lost too it was the task's doing, and the job is shown as failed. From the third start on, the trial is durable before it is ordered. Without such proof a task is given up once four workers were lost with its runs. Marks go where the worker is heard again, and once a run has gone on for 10 s. Workers that were told to leave or are being emptied do not count.

Ruled out: blaming all runs of a lost worker (a fuzzing's sound job was shown as failed), durable marks before the second start as well (each restart after a loss waits for the store; seven tests of prompt restarts failed), marks from silence alone (a worker that is cut off lives).

--- a/src/jobs/gone.rs
+++ b/src/jobs/gone.rs
@@ -93,4 +93,8 @@
     pub(crate) restarts: BTreeMap<&'static str, u64>,
     /// Runs that were found and not wanted, by what was wrong with them.
     pub(crate) strays: BTreeMap<&'static str, u64>,
+    /// Workers that were lost under a task, counted once for each task.
+    pub(crate) crashes: u64,
+    /// Tasks that were given up, since workers crash under them.
+    pub(crate) given_up: u64,
 }
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -50,6 +50,9 @@
     /// When the percent last grew.
     pub(crate) moved: Steady,
     pub(crate) gauge: u64,
+    /// Whether its task is suspected of crashing its workers, and this run is to show it: nothing
+    /// else begins beside it meanwhile.
+    pub(crate) trial: bool,
     /// The share of its pace that it was last told, in percent.
     pub(crate) pace: u32,
 }
@@ -63,6 +66,17 @@
     pub(crate) failed: Vec<u32>,
     /// Where it failed.
     pub(crate) failed_at: BTreeSet<WorkerId>,
+    /// The workers that crashed under a run of it. They outlive the owner: a run that dies with its
+    /// worker lists no end, and is an attempt all the same.
+    pub(crate) crashed: BTreeSet<WorkerId>,
+    /// The workers that may have: they were lost with a run that may not have begun, or may live.
+    pub(crate) doubted: BTreeSet<WorkerId>,
+    /// The job's version that holds both.
+    pub(crate) crash_version: u64,
+    /// Whether its next run is to show if it crashes its workers.
+    pub(crate) suspect: bool,
+    /// Where that run is to be, or is: the worker counts as doubted until the run has shown it.
+    pub(crate) trial_at: Option<WorkerId>,
     pub(crate) saved: String,
     /// At most one, but for steps whose copies may run at the same time.
     pub(crate) copies: Vec<Copy>,
@@ -80,6 +94,23 @@
     pub(crate) fn is_waiting(&self) -> bool {
         !self.done && self.copies.is_empty()
     }
+
+    /// Whether its next start must be durable before it is ordered. The first run after a single loss
+    /// is not held up: most such losses are none of the task's doing.
+    pub(crate) fn needs_announcement(&self) -> bool {
+        self.suspect && 2 <= self.lost_workers()
+    }
+
+    /// Whether a run that is to show if it crashes its worker is, or is to be, at one.
+    pub(crate) fn is_on_trial_at(&self, id: &WorkerId) -> bool {
+        let begun = self.copies.iter().any(|copy| copy.trial && copy.worker == *id);
+        begun || self.trial_at.as_ref() == Some(id)
+    }
+
+    /// How many workers were lost with a run of it, whether or not they crashed.
+    pub(crate) fn lost_workers(&self) -> usize {
+        self.crashed.len() + self.doubted.len()
+    }
 }
 
 /// The tasks of one step at one time, and the tickets for it.
@@ -177,6 +208,9 @@
                     task.run = task.run.max(note.run);
                     task.failed = note.failed.clone();
                     task.saved = note.saved.clone();
+                    task.crashed = note.crashed.clone();
+                    task.doubted = note.doubted.clone();
+                    task.suspect = task.lost_workers() != 0;
                 }
             }
             for index in &note.done {
@@ -247,6 +281,17 @@
         Some(JobEnd { queue: self.record.queue.clone(), state, took })
     }
 
+    /// Whether workers were lost under any of its tasks.
+    pub(crate) fn has_crashes(&self) -> bool {
+        self.steps.values().flat_map(|step| &step.tasks).any(|task| task.lost_workers() != 0)
+    }
+
+    /// Whether it is durable which workers were lost with runs of a task: what permits its next start
+    /// must be known to whoever owns the pool then.
+    pub(crate) fn has_kept_losses(&self, task: &Task) -> bool {
+        task.lost_workers() < 2 || task.crash_version <= self.durable
+    }
+
     /// Whether there is something to write.
     pub(crate) fn is_dirty(&self) -> bool {
         self.durable < self.version
@@ -282,9 +327,19 @@
     for (index, task) in tasks.tasks.iter().enumerate() {
         if task.done {
             note.done.push(index as u32);
-        } else if !step.lasting && (!task.failed.is_empty() || !task.saved.is_empty()) {
-            let (failed, saved) = (task.failed.clone(), task.saved.clone());
-            note.tasks.insert(index as u32, TaskNote { run: task.run, failed, saved });
+            continue;
+        }
+        // Of a task that lasts, neither failures nor checkpoints count.
+        let ended = !step.lasting && (!task.failed.is_empty() || !task.saved.is_empty());
+        if ended || task.lost_workers() != 0 {
+            let kept = TaskNote {
+                run: task.run,
+                failed: task.failed.clone(),
+                saved: task.saved.clone(),
+                crashed: task.crashed.clone(),
+                doubted: task.doubted.clone(),
+            };
+            note.tasks.insert(index as u32, kept);
         }
     }
     note
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -1,6 +1,7 @@
 //! The owner of one pool's jobs.
 
 mod advise;
+mod crashes;
 mod ends;
 mod looks;
 mod pace;
@@ -19,7 +20,7 @@
         roster::{Holding, Roster},
         saves::SaveQueue,
         urgency::Durations,
-        worker::{HOLD_MS, LATE_MS, SLOWEST_PERCENT, Worker},
+        worker::{HOLD_MS, LATE_MS, Lost, SLOWEST_PERCENT, Worker},
     },
     model::{
         id::{HostId, WorkerId},
@@ -89,6 +90,13 @@
     counts: Counts,
     /// Whether it was told that tasks of earlier jobs may start.
     told_clear: bool,
+    /// Workers that are silent and not listed, by host, with what was lost there. Each may live until
+    /// another one is heard on its host.
+    vanished: BTreeMap<HostId, (WorkerId, Vec<Lost>)>,
+    /// Tasks that have crashed too many workers, to be given up.
+    crashing: Vec<TaskId>,
+    /// Whether a worker was ever lost under some task: in most pools there is nothing to look for.
+    has_crashes: bool,
 }
 
 impl Owner {
@@ -116,6 +124,9 @@
             deposed: false,
             counts: Counts::default(),
             told_clear: earlier == 0,
+            vanished: BTreeMap::new(),
+            crashing: Vec::new(),
+            has_crashes: false,
         }
     }
 
@@ -191,6 +202,7 @@
     /// Does what time and earlier events ask for: looks, stops and starts.
     pub(crate) fn work(&mut self, now: Now, out: &mut Vec<Effect>) {
         self.drop_lapsed(now.steady);
+        self.give_up_crashing(now, out);
         self.look(now.steady, out);
         self.empty(now.steady, out);
         self.plan(now, out);
@@ -317,6 +329,7 @@
             tasks.for_each(|task| task.accounted = true);
         }
         self.has_filling |= job.record.steps.iter().any(|step| step.fills);
+        self.has_crashes |= job.has_crashes();
         self.jobs.insert(id, job);
     }
 
@@ -384,6 +397,10 @@
         let entry = job.task_mut(task.of, task.index)?;
         let place = entry.copies.iter().position(|copy| copy.worker == *at)?;
         let copy = entry.copies.remove(place);
+        if !matches!(why, Gone::Lapsed | Gone::WorkerOver) && entry.trial_at.is_some() {
+            self.withdraw_trial(task);
+        }
+        let entry = self.task_mut(task)?;
         let previous = Previous { worker: at.clone(), run: copy.run, why, at: now };
         entry.previous = Some(Box::new(previous));
         if let Some(worker) = self.workers.get_mut(at) {
@@ -422,6 +439,7 @@
         let Some(report) = self.workers.get(by).map(|worker| &worker.report) else {
             return;
         };
+        let host = report.host.clone();
         let is_over = |worker: &&Worker| {
             let other = &worker.report;
             worker.heard && other.id != report.id && other.address == report.address
@@ -431,6 +449,7 @@
         for id in others {
             self.bury(&id, "another life answers in its place", now);
         }
+        self.heard_on(&host, by, now);
     }
 
     /// Forgets a worker that is certain to be over, and with it all that ran there.
@@ -438,12 +457,11 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        let runs: Vec<TaskId> = worker.copies.keys().copied().collect();
-        log::info!("worker {id}: over: {why}; {} runs with it", runs.len());
-        for task in runs {
+        log::info!("worker {id}: over: {why}; {} runs with it", worker.copies.len());
+        for Lost { task, .. } in self.lose(id, now) {
             self.drop_copy(task, id, Gone::WorkerOver, now);
         }
-        self.workers.remove(id);
+        self.remove_crashed(id, now);
         self.over.insert(id.clone());
     }
 
--- /dev/null
+++ b/src/jobs/owner/crashes.rs
@@ -0,0 +1,346 @@
+//! Tasks that crash the workers that start them.
+//!
+//! A run that dies with its worker lists no end, so it is counted here: by worker, in what is kept
+//! of the job, whoever owns the pool. A worker takes all its runs with it, and most are not to
+//! blame. So a task whose run had only begun is a suspect. Its next run is on trial: nothing else
+//! begins beside it until it has settled, and if that worker is lost as well, it was the task's
+//! doing.
+
+use super::Owner;
+use crate::{
+    jobs::{
+        event::Effect,
+        job::{Copy, Task},
+        roster::Holding,
+        worker::{Lost, SETTLED_MS, Worker},
+    },
+    model::{
+        id::{HostId, WorkerId},
+        job::{JobState, TaskId},
+        unit::{Now, Steady},
+    },
+};
+
+/// A task is given up once so many workers have crashed under it, the last of them by its doing.
+const CRASHES_BY_IT: usize = 2;
+
+/// A task is given up once so many workers were lost with its runs, though some may live, whatever
+/// else began there. Five starts are allowed where three workers have crashed; this leaves one for a
+/// crash that no owner has seen.
+const MOST_LOST: usize = 4;
+
+/// A run that was seen to go on for so long, in milliseconds, has shown that its task does not crash
+/// what starts it.
+const CLEARED_MS: u64 = 10_000;
+
+/// How long a task waits that was lost with a worker a second time, in milliseconds: by then it is
+/// known of most silent workers whether they have crashed. Their entries go after 4.5 s of silence,
+/// about a second after their runs have lapsed.
+const LOST_AGAIN_PAUSE_MS: u64 = 2_000;
+
+impl Owner {
+    /// Takes note that a worker falls away with all that runs there, for certain or for all that is
+    /// known; the runs.
+    pub(super) fn lose(&mut self, id: &WorkerId, now: Steady) -> Vec<Lost> {
+        let Some(worker) = self.workers.get(id) else {
+            return Vec::new();
+        };
+        let runs = worker.copies.keys();
+        let mut lost: Vec<Lost> = runs.map(|task| self.lost_with(worker, *task)).collect();
+        let new = lost.iter().filter(|lost| lost.lived < SETTLED_MS).count();
+        lost.iter_mut().for_each(|lost| lost.alone &= new == 1);
+        if !self.ends_as_planned(worker) {
+            for lost in lost.iter().filter(|lost| lost.lived < SETTLED_MS) {
+                self.note_lost(id, lost, false, now);
+            }
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.lost.extend(&lost);
+            }
+        }
+        lost
+    }
+
+    /// A run that is lost with its worker.
+    fn lost_with(&self, worker: &Worker, task: TaskId) -> Lost {
+        let entry = self.jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
+        let mut copies = entry.into_iter().flat_map(|entry| &entry.copies);
+        let copy = copies.find(|copy| copy.worker == worker.report.id);
+        let began = copy.is_some_and(|copy| copy.began.is_some());
+        Lost {
+            task,
+            run: copy.map_or(0, |copy| copy.run),
+            lived: copy.map_or(0, |copy| lived(copy, worker)),
+            began,
+            alone: began && copy.is_some_and(|copy| copy.trial),
+        }
+    }
+
+    /// Whether a worker was told to leave, or is being emptied: no run there is to blame for its end.
+    fn ends_as_planned(&self, worker: &Worker) -> bool {
+        worker.report.leaves_ms.is_some() || self.emptying.contains_key(&worker.report.host)
+    }
+
+    /// Forgets a worker that is not listed and silent, and may yet live. Once another life is heard on
+    /// its host, what was lost with it has ended with it.
+    pub(super) fn remove_silent(&mut self, id: &WorkerId, now: Steady) {
+        let Some((host, lost)) = self.remove_lost(id) else {
+            return;
+        };
+        for lost in &lost {
+            self.note_lost(id, lost, false, now);
+            self.judge(lost);
+        }
+        self.vanished.insert(host, (id.clone(), lost));
+    }
+
+    /// Forgets a worker that is certain to be over: what was lost with it has ended with it.
+    pub(super) fn remove_crashed(&mut self, id: &WorkerId, now: Steady) {
+        if let Some((_, lost)) = self.remove_lost(id) {
+            self.crashed(id, &lost, now);
+        }
+    }
+
+    /// Takes note of who is heard on a host: one that vanished there is over, if it was another.
+    pub(super) fn heard_on(&mut self, host: &HostId, id: &WorkerId, now: Steady) {
+        if let Some((vanished, lost)) = self.vanished.remove(host)
+            && vanished != *id
+        {
+            self.crashed(&vanished, &lost, now);
+        }
+    }
+
+    /// Removes a worker; its host, and what was lost with it and not by plan.
+    fn remove_lost(&mut self, id: &WorkerId) -> Option<(HostId, Vec<Lost>)> {
+        let kept = self.roster.holding(id).cloned();
+        let worker = self.workers.remove(id)?;
+        if self.ends_as_planned(&worker) {
+            return None;
+        }
+        let mut lost = worker.lost;
+        // What an earlier owner has kept of a worker that this one has not heard.
+        if let (false, Some(Holding::Only(tasks))) = (worker.told_all, kept) {
+            lost.extend(tasks.into_iter().map(Lost::unseen));
+        }
+        Some((worker.report.host, lost))
+    }
+
+    fn crashed(&mut self, id: &WorkerId, lost: &[Lost], now: Steady) {
+        for lost in lost {
+            self.note_lost(id, lost, lost.began, now);
+            self.judge(lost);
+        }
+    }
+
+    /// Counts a worker that was lost with a run, once; as crashed under it if that is certain.
+    fn note_lost(&mut self, id: &WorkerId, lost: &Lost, certain: bool, now: Steady) {
+        let Lost { task, run, lived, .. } = *lost;
+        let Some(job) = self.jobs.get_mut(&task.of.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let version = job.version + 1;
+        let Some(entry) = job.task_mut(task.of, task.index) else {
+            return;
+        };
+        if entry.done || CLEARED_MS <= lived || entry.crashed.contains(id) {
+            return;
+        }
+        let on_trial = entry.trial_at.take_if(|at| at == id).is_some();
+        if certain {
+            entry.doubted.remove(id);
+            entry.crashed.insert(id.clone());
+        } else if !entry.doubted.insert(id.clone()) && !on_trial {
+            return;
+        }
+        entry.suspect |= lived < SETTLED_MS;
+        entry.crash_version = version;
+        let (crashed, doubted) = (entry.crashed.len(), entry.doubted.len());
+        if CRASHES_BY_IT <= entry.lost_workers() {
+            entry.not_before = entry.not_before.max(now.after(LOST_AGAIN_PAUSE_MS));
+        }
+        job.change();
+        self.saves.add(task.of.job, false);
+        self.has_crashes = true;
+        self.counts.crashes += u64::from(certain);
+        let how = if certain { "crashed" } else { "lost" };
+        log::info!(
+            "job {}: task {task} run {run} at {id}: worker {how} under it after {lived} ms: \
+             {crashed} crashed, {doubted} may have",
+            task.of.job
+        );
+    }
+
+    /// Decides whether a task is given up, now that one more worker was lost with a run of it.
+    fn judge(&mut self, lost: &Lost) {
+        let Some(job) = self.jobs.get(&lost.task.of.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let entry = job.task(lost.task.of, lost.task.index).filter(|entry| !entry.done);
+        let Some(entry) = entry else {
+            return;
+        };
+        let shown = lost.alone && CRASHES_BY_IT <= entry.crashed.len();
+        if shown || MOST_LOST <= entry.lost_workers() {
+            self.crashing.push(lost.task);
+        }
+    }
+
+    /// Ends the jobs of tasks that crash their workers: they can never be done, and each further
+    /// start costs all that runs beside it.
+    pub(super) fn give_up_crashing(&mut self, now: Now, out: &mut Vec<Effect>) {
+        for task in std::mem::take(&mut self.crashing) {
+            let Some(job) = self.jobs.get_mut(&task.of.job).filter(|job| job.is_open()) else {
+                continue;
+            };
+            let entry = job.task(task.of, task.index);
+            let workers = entry.into_iter().flat_map(|e| e.crashed.iter().chain(&e.doubted));
+            let workers: Vec<&str> = workers.map(WorkerId::as_str).collect();
+            log::warn!(
+                "job {}: failed: task {task} crashes the workers that start it: {}",
+                task.of.job,
+                workers.join(", ")
+            );
+            job.end(JobState::Failed, now);
+            self.saves.add(task.of.job, true);
+            self.counts.given_up += 1;
+            self.stop_all(task.of.job, now.steady, out);
+        }
+    }
+
+    /// The worker at which a trial of a task was announced, if that is durable and holds.
+    pub(super) fn announced_trial(&mut self, task: TaskId, now: Steady) -> Option<WorkerId> {
+        let job = self.jobs.get(&task.of.job)?;
+        let at = job.task(task.of, task.index)?.trial_at.clone()?;
+        let (step, tasks) = (job.step(task.of.step), job.steps.get(&(task.of.time, task.of.step))?);
+        let ticketed = job.record.advice.is_some();
+        let scene = self.scene(now);
+        let takes = |worker: &Worker| {
+            worker.trial == Some(task) && scene.may_take(worker, step, tasks, ticketed)
+        };
+        if self.workers.get(&at).is_some_and(takes) {
+            return Some(at);
+        }
+        self.withdraw_trial(task);
+        None
+    }
+
+    /// Has it kept that a suspect is about to start at a worker, so that a later owner reckons with
+    /// that worker's loss, and keeps other starts away; whether that was news. The start follows once
+    /// it is durable.
+    pub(super) fn announce_trial(&mut self, task: TaskId, at: &WorkerId) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.of.job) else {
+            return false;
+        };
+        let version = job.version + 1;
+        let entry = job.task_mut(task.of, task.index);
+        let news = |entry: &&mut Task| entry.needs_announcement() && entry.trial_at.is_none();
+        let Some(entry) = entry.filter(news) else {
+            return false;
+        };
+        entry.trial_at = Some(at.clone());
+        entry.doubted.insert(at.clone());
+        entry.crash_version = version;
+        job.change();
+        self.saves.add(task.of.job, false);
+        if let Some(worker) = self.workers.get_mut(at) {
+            worker.trial = Some(task);
+        }
+        true
+    }
+
+    /// Lets work begin again at workers whose trial is over, whatever became of it: its run or its job
+    /// may have ended, or the task may have been done elsewhere.
+    pub(super) fn end_trials(&mut self) {
+        for (id, worker) in &mut self.workers {
+            let jobs = &self.jobs;
+            let is_over = |task: &mut TaskId| {
+                let job = jobs.get(&task.of.job).filter(|job| job.is_open());
+                let entry = job.and_then(|job| job.task(task.of, task.index));
+                !entry.is_some_and(|entry| entry.is_on_trial_at(id))
+            };
+            worker.trial.take_if(is_over);
+        }
+    }
+
+    /// Takes note that a worker was not lost with the run on trial there, or that there is none.
+    pub(super) fn withdraw_trial(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.of.job) else {
+            return;
+        };
+        let version = job.version + 1;
+        let Some(entry) = job.task_mut(task.of, task.index) else {
+            return;
+        };
+        let Some(at) = entry.trial_at.take() else {
+            return;
+        };
+        entry.doubted.remove(&at);
+        entry.crash_version = version;
+        job.change();
+        self.saves.add(task.of.job, false);
+        if let Some(worker) = self.workers.get_mut(&at) {
+            worker.trial.take_if(|trial| *trial == task);
+        }
+    }
+
+    /// Takes note that a run goes on, so long after it began.
+    pub(super) fn has_lived(&mut self, id: &WorkerId, task: TaskId, lived: u64) {
+        if !self.has_crashes || lived < SETTLED_MS {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.of.job) else {
+            return;
+        };
+        let version = job.version + 1;
+        let Some(entry) = job.task_mut(task.of, task.index) else {
+            return;
+        };
+        entry.suspect = false;
+        let copy = entry.copies.iter_mut().find(|copy| copy.worker == *id);
+        let was_on_trial = copy.is_some_and(|copy| std::mem::take(&mut copy.trial));
+        let cleared = CLEARED_MS <= lived && entry.lost_workers() != 0;
+        if cleared {
+            entry.crashed.clear();
+            entry.doubted.clear();
+            entry.crash_version = version;
+            job.change();
+            self.saves.add(task.of.job, false);
+        }
+        if was_on_trial {
+            log::info!("job {}: task {task} at {id}: no longer on trial", task.of.job);
+            self.withdraw_trial(task);
+        }
+    }
+
+    /// Takes note that a worker lives that may have been held to have crashed.
+    pub(super) fn clear_crashes_at(&mut self, id: &WorkerId, was_lost: bool) {
+        if !was_lost || !self.has_crashes {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lost.clear();
+        }
+        for job in self.jobs.values_mut() {
+            let version = job.version + 1;
+            let mut changed = false;
+            for entry in job.steps.values_mut().flat_map(|step| &mut step.tasks) {
+                if entry.doubted.remove(id) {
+                    entry.crash_version = version;
+                    entry.suspect &= entry.lost_workers() != 0;
+                    changed = true;
+                }
+            }
+            if changed {
+                job.change();
+                self.saves.add(job.id, false);
+            }
+        }
+    }
+}
+
+/// For how long a run was seen to go on at a worker that was lost, in milliseconds.
+fn lived(copy: &Copy, worker: &Worker) -> u64 {
+    match (copy.began, worker.answered) {
+        (Some(began), Some(answered)) => answered.since(began),
+        _ => 0,
+    }
+}
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -8,7 +8,7 @@
         event::Effect,
         gone::{Gone, Stray},
         job::{Copy, Phase},
-        worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Worker},
+        worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Lost, Worker},
     },
     model::{
         id::WorkerId,
@@ -118,6 +118,7 @@
             return;
         };
         worker.read_clock(look.clock_ms, now.steady);
+        let was_lost = !worker.touched || !worker.lost.is_empty();
         if !worker.touched {
             worker.touched = true;
             worker.assume_held();
@@ -130,6 +131,7 @@
         worker.answered = Some(now.steady);
         let whole = look.is_whole();
         worker.told_all |= whole;
+        self.clear_crashes_at(id, was_lost);
         self.supersede(id, now.steady);
         let mut ended = look.ended;
         ended.sort_by_key(|end| end.number);
@@ -166,7 +168,7 @@
             copy.percent = percent;
             copy.gauge = gauge;
             let stopping = matches!(copy.phase, Phase::Stopping | Phase::Stopped(_));
-            copy.began.get_or_insert(now);
+            let lived = now.since(*copy.began.get_or_insert(now));
             match copy.phase {
                 Phase::Starting | Phase::Unknown => {
                     copy.phase = Phase::Running;
@@ -183,6 +185,7 @@
             {
                 entry.saved = saved;
             }
+            self.has_lived(id, task, lived);
             if let Some(stray) = stray {
                 if !stopping {
                     self.note_stray(id, task, run, stray);
@@ -262,6 +265,7 @@
             percent,
             moved: now,
             gauge: 0,
+            trial: false,
             pace: 100,
         });
         if let Some(worker) = self.workers.get_mut(id) {
@@ -329,8 +333,7 @@
         let lapsed: Vec<WorkerId> =
             self.workers.values().filter(lapsed).map(|w| w.report.id.clone()).collect();
         for id in lapsed {
-            let runs: Vec<TaskId> = self.workers[&id].copies.keys().copied().collect();
-            for task in runs {
+            for Lost { task, .. } in self.lose(&id, now) {
                 log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
                 self.drop_copy(task, &id, Gone::Lapsed, now);
             }
@@ -338,7 +341,7 @@
             let untouched = !worker.touched && confirmed < self.quiet_until;
             if !worker.listed && !untouched {
                 log::info!("worker {id}: over: not listed, and silent");
-                self.workers.remove(&id);
+                self.remove_silent(&id, now);
             }
         }
     }
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -9,6 +9,7 @@
         job::{Copy, Phase, StepTasks},
         place::Scene,
         urgency,
+        worker::SETTLED_MS,
     },
     model::{
         id::WorkerId,
@@ -33,6 +34,10 @@
 /// milliseconds: workers take up to 900 to stop a run, and list it as at work meanwhile.
 const STOP_SETTLES_MS: u64 = 1_200;
 
+/// When a worker is asked whether a run on trial has left it alive, in milliseconds after its start:
+/// what it answers then tells that the run has settled.
+const TRIAL_LOOK_MS: u64 = SETTLED_MS + 40;
+
 /// The percent at which a lasting task is at work.
 const AT_WORK_PERCENT: u32 = 100;
 
@@ -48,6 +53,7 @@
         order.sort();
         self.reserved.clear();
         self.full.clear();
+        self.end_trials();
         let doubt = self.doubt(now.steady);
         self.tell_clear(&doubt, now.steady);
         for (_, id) in order {
@@ -163,14 +169,17 @@
 
     /// The tasks of a step that wait to be started.
     fn waiting(&self, of: StepId, doubt: &Doubt, now: Steady) -> Vec<u32> {
-        let Some(tasks) = self.jobs.get(&of.job).and_then(|job| job.steps.get(&(of.time, of.step)))
-        else {
+        let Some(job) = self.jobs.get(&of.job) else {
+            return Vec::new();
+        };
+        let Some(tasks) = job.steps.get(&(of.time, of.step)) else {
             return Vec::new();
         };
         let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
             let index = index as u32;
             let certain = task.accounted || !doubt.covers(&TaskId { of, index });
-            (task.is_waiting() && task.not_before <= now && certain).then_some(index)
+            let may = task.not_before <= now && certain && job.has_kept_losses(task);
+            (task.is_waiting() && may).then_some(index)
         };
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
     }
@@ -184,10 +193,15 @@
         out: &mut Vec<Effect>,
     ) -> bool {
         for index in waiting {
-            let Some(worker) = self.worker_for(of, *index, None, now.steady) else {
+            let announced = self.announced_trial(TaskId { of, index: *index }, now.steady);
+            let Some(worker) = announced.or_else(|| self.worker_for(of, *index, None, now.steady))
+            else {
                 self.note_full(of);
                 return false;
             };
+            if self.announce_trial(TaskId { of, index: *index }, &worker) {
+                continue;
+            }
             self.start(of, *index, &worker, None, now, out);
         }
         true
@@ -328,10 +342,22 @@
             percent: 0,
             moved: now.steady,
             gauge: 0,
+            trial: entry.suspect,
             pace: 100,
         });
         let task = TaskId { of, index };
         worker.occupy(task, run, &charge);
+        worker.started = Some(now.steady);
+        if entry.suspect {
+            worker.trial = Some(task);
+            worker.next_look = now.steady.after(TRIAL_LOOK_MS);
+            worker.hurried = true;
+            log::info!(
+                "job {}: task {task} run {run} at {id}: on trial: {} workers were lost under it",
+                of.job,
+                entry.lost_workers()
+            );
+        }
         match &previous {
             Some(before) => {
                 *self.counts.restarts.entry(before.why.word()).or_default() += 1;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -72,14 +72,10 @@
         ticketed: bool,
         rack: Option<&str>,
     ) -> Option<&Worker> {
-        let charge = step.charge();
         let fits = |worker: &&Worker| {
-            (self.is_eligible(worker, step) || self.may_return(worker, step, tasks))
-                && (step.lasting || !self.reserved.contains(&worker.report.id))
-                && worker.report.room.fits(&worker.used, &charge)
+            worker.trial.is_none()
+                && self.may_take(worker, step, tasks, ticketed)
                 && rack.is_none_or(|rack| worker.rack() == rack)
-                && self.is_spread(worker, step, tasks)
-                && (!ticketed || self.has_ticket(worker, tasks))
         };
         self.workers.values().filter(fits).min_by_key(|worker| {
             let far = !step.near.is_empty() && worker.rack() != step.near;
@@ -87,11 +83,28 @@
             // A task that has failed before needs a worker that is known to do its work.
             let suspect = worker.is_suspect();
             let left = worker.report.room.cpu.0 - worker.used.cpu.0;
+            // A worker that is lost beside other new runs would not tell which of them did it.
+            let new = task.suspect && worker.began_lately(self.now);
             let load = if step.fills { worker.copies.len() as u32 } else { left };
-            (failed, suspect, far, load)
+            (failed, suspect, new, far, load)
         })
     }
 
+    /// Whether a worker has room for a task of a step and may run it, a trial there aside.
+    pub(crate) fn may_take(
+        &self,
+        worker: &Worker,
+        step: &Step,
+        tasks: &StepTasks,
+        ticketed: bool,
+    ) -> bool {
+        (self.is_eligible(worker, step) || self.may_return(worker, step, tasks))
+            && (step.lasting || !self.reserved.contains(&worker.report.id))
+            && worker.report.room.fits(&worker.used, &step.charge())
+            && self.is_spread(worker, step, tasks)
+            && (!ticketed || self.has_ticket(worker, tasks))
+    }
+
     /// The worker on which a task that lasts finds room first, if no other work begins there: the
     /// one with the most room left.
     pub(crate) fn to_reserve(&self, step: &Step, tasks: &StepTasks) -> Option<&Worker> {
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -31,6 +31,11 @@
 /// half a core carries.
 pub(crate) const HASTY_LOOK_WAIT_MS: u64 = 300;
 
+/// After how long a run has shown that it does not crash its worker by starting, in milliseconds.
+/// Tasks that do have been seen to do so within 10; as long as a look's answer and a node that
+/// stands still take on top, and short, since nothing else begins beside a run on trial.
+pub(crate) const SETTLED_MS: u64 = 400;
+
 /// How much later than its wait a look may be before the worker gets no new work, in milliseconds.
 const OVERDUE_MS: u64 = 250;
 
@@ -59,6 +64,27 @@
     pub(crate) version: u64,
 }
 
+/// A run that ended with its worker, or may have.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Lost {
+    pub(crate) task: TaskId,
+    pub(crate) run: u32,
+    /// For how long it was seen to run, in milliseconds.
+    pub(crate) lived: u64,
+    /// Whether it is known to have begun.
+    pub(crate) began: bool,
+    /// Whether the worker was lost by the run's doing, for all that is known: it was on trial, had
+    /// begun, and nothing else had begun as lately.
+    pub(crate) alone: bool,
+}
+
+impl Lost {
+    /// What may have run at a worker by what an earlier owner has kept of it.
+    pub(crate) fn unseen(task: TaskId) -> Lost {
+        Lost { task, run: 0, lived: 0, began: false, alone: false }
+    }
+}
+
 /// A worker.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -105,6 +131,12 @@
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     /// Jobs that failed here since a task was last done.
     failed_jobs: BTreeSet<JobId>,
+    /// A run that is to show whether its task crashes its workers: nothing else begins meanwhile.
+    pub(crate) trial: Option<TaskId>,
+    /// When a run was last started here.
+    pub(crate) started: Option<Steady>,
+    /// Runs that have lapsed unseen since it fell silent. They died with it if it is over.
+    pub(crate) lost: Vec<Lost>,
     pub(crate) last_done: Option<Steady>,
     suspended_until: Steady,
     suspensions: u32,
@@ -136,6 +168,9 @@
             told: 0,
             unacknowledged: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
+            trial: None,
+            started: None,
+            lost: Vec::new(),
             last_done: None,
             suspended_until: now,
             suspensions: 0,
@@ -243,6 +278,11 @@
         self.misses == 0 && self.looking.is_none_or(|sent| now.since(sent) < overdue)
     }
 
+    /// Whether a run began here so lately that it may yet crash the worker.
+    pub(crate) fn began_lately(&self, now: Steady) -> bool {
+        self.started.is_some_and(|at| now.since(at) < SETTLED_MS)
+    }
+
     /// Whether nothing runs or can begin here, and no end is left to be counted durably.
     pub(crate) fn is_empty(&self) -> bool {
         self.told_all && self.copies.is_empty() && self.unacknowledged.is_empty()
@@ -290,5 +330,6 @@
         if self.copies.remove(&task).is_some() {
             self.used.take(charge);
         }
+        self.trial.take_if(|trial| *trial == task);
     }
 }
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -1,11 +1,16 @@
 //! Jobs as callers hand them in, their tasks, and the two records that are kept of each job.
 
-use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    str::FromStr,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
-    id::PoolId,
+    id::{PoolId, WorkerId},
     unit::{Megabytes, Millicores, Time},
 };
 
@@ -349,6 +354,12 @@
     /// The newest checkpoint; empty for none.
     #[serde(rename = "s", default, skip_serializing_if = "is_default")]
     pub saved: String,
+    /// The workers that crashed under a run of it.
+    #[serde(rename = "c", default, skip_serializing_if = "is_default")]
+    pub crashed: BTreeSet<WorkerId>,
+    /// The workers that may have crashed under a run of it.
+    #[serde(rename = "d", default, skip_serializing_if = "is_default")]
+    pub doubted: BTreeSet<WorkerId>,
 }
 
 /// What is kept of a step.
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -76,6 +76,8 @@
     ended: Family<Ended, Counter>,
     restarts: Family<Because, Counter>,
     strays: Family<Because, Counter>,
+    crashes: Counter,
+    given_up: Counter,
     job_seconds: Family<OfQueue, Histogram, Latencies>,
     owned: Gauge,
     config: Gauge,
@@ -98,6 +100,8 @@
             ended: Family::default(),
             restarts: Family::default(),
             strays: Family::default(),
+            crashes: Counter::default(),
+            given_up: Counter::default(),
             job_seconds: Family::new_with_constructor(latencies as Latencies),
             owned: Gauge::default(),
             config: Gauge::default(),
@@ -137,6 +141,16 @@
             "Runs that workers listed and that should not be there, by what is wrong with them",
             self.strays.clone(),
         );
+        registry.register(
+            "task_crashes",
+            "Workers lost under a task, counted once for each task that had lately begun there",
+            self.crashes.clone(),
+        );
+        registry.register(
+            "tasks_given_up",
+            "Tasks given up because workers crash under them; their jobs are shown as failed",
+            self.given_up.clone(),
+        );
         registry.register("owned", "Pieces of work that the node owns", self.owned.clone());
         registry.register("config_version", "The configuration in force", self.config.clone());
         registry.register(
@@ -195,6 +209,8 @@
         for (why, count) in &counts.restarts {
             self.restarts.get_or_create(&Because { why }).inc_by(*count);
         }
+        self.crashes.inc_by(counts.crashes);
+        self.given_up.inc_by(counts.given_up);
         for (why, count) in &counts.strays {
             self.strays.get_or_create(&Because { why }).inc_by(*count);
         }
