Failing test: an owner that stood still goes on before it asks the store; a clock of its own

Cause of the finding (soak): an owner stands still for 3.3 s, its lease runs out, another one takes the pool up and shows the job as succeeded. On going on, the first one still counts as the owner, in the overtime of its lease, and sends what it had decided before.

The overtime is meant for a store that is away for all; a process that did not run knows nothing of that.

The node's clock moves to its own file and reads CLOCK_BOOTTIME, which counts the time for which the machine was suspended, as leases do for all others. Before that, such time was not counted at all. No other change of logic.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod accept;
 pub(crate) mod api;
+pub(crate) mod clock;
 pub(crate) mod demand;
 pub(crate) mod dispatch;
 pub(crate) mod drive;
@@ -19,18 +20,15 @@
 #[cfg(test)]
 mod tests;
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    model::unit::{Now, Steady, Time},
+    model::unit::Now,
     platform::kv::Kv,
-    scheduler::{accept::Acceptance, metrics::Metrics, view::View},
+    scheduler::{accept::Acceptance, clock::Clock, metrics::Metrics, view::View},
     settings::scheduler::SchedulerSettings,
 };
 
@@ -39,7 +37,7 @@
     pub(crate) settings: SchedulerSettings,
     pub(crate) kv: Kv,
     pub(crate) metrics: Arc<Metrics>,
-    began: Instant,
+    pub(crate) clock: Clock,
     view: Mutex<View>,
     /// Jobs that wait to be written.
     pub(crate) accepting: mpsc::Sender<Acceptance>,
@@ -52,8 +50,7 @@
 impl Node {
     /// The present, by both clocks.
     pub(crate) fn now(&self) -> Now {
-        let steady = Steady::from_millis(self.began.elapsed().as_millis() as u64);
-        Now { steady, wall: Time::now() }
+        self.clock.now()
     }
 
     /// Takes note of whether the node owns work.
@@ -89,7 +86,7 @@
         settings,
         kv,
         metrics,
-        began: Instant::now(),
+        clock: Clock::new(),
         view: Mutex::default(),
         accepting,
         leaving: CancellationToken::new(),
--- a/src/scheduler/drive/orders.rs
+++ b/src/scheduler/drive/orders.rs
@@ -63,7 +63,7 @@
 
     /// Tells whether an order under an ownership may still be sent: between the decision and that
     /// moment the process may have been paused.
-    fn permit(&self, name: &str) -> impl Fn() -> bool + Send + 'static {
+    pub(super) fn permit(&self, name: &str) -> impl Fn() -> bool + Send + 'static {
         let tenure = self.owned.get(name).map(|owned| owned.tenure.clone());
         let node = self.node.clone();
         move || tenure.as_ref().is_some_and(|tenure| tenure.allows_orders(node.now().steady))
--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -167,3 +167,31 @@
     });
     assert!(1_000 < kept.get(), "{} kept: too few to tell", kept.get());
 }
+
+/// What a rig of real processes showed: a task started again after its job was shown as succeeded.
+/// Its owner had taken a run for lapsed, rightly for all that it knew, and the next run had failed.
+/// It stood still for 3.3 s, in which its lease ran out and another node won the pool, heard of the
+/// end of the first run and told the caller. Two milliseconds after it went on, the first owner
+/// ordered a third run, within the overtime of its lease and before it had asked the store anything.
+/// Evidence: the owner's log, with the restart 3 ms after its last line of 3.3 s before, under the
+/// older token; 30 ms later a worker told it of the later one.
+#[test]
+fn no_order_goes_out_after_a_pause_before_the_store_confirms_the_owner() {
+    for pause_ms in [1_100, 2_500, 3_300] {
+        let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let _entered = runtime.enter();
+        let mut world = World::new();
+        for op in [Op::Renew, Op::Reach { fleet: false }, Op::Reached, Op::Show, Op::Step] {
+            world.apply(op);
+        }
+        let permit = world.drive.permit("pool-work");
+        assert!(permit());
+        world.node.clock.stand_still(pause_ms);
+        assert!(!permit(), "after {pause_ms} ms, an order that was decided on before");
+        world.apply(Op::Renew);
+        assert!(!permit(), "a renewal says nothing of who owns the pool");
+        let tenure = world.drive.owned["pool-work"].tenure.clone();
+        tenure.confirm(world.node.now().steady);
+        assert!(permit());
+    }
+}
