An owner that stood still sends nothing before the store has confirmed it

Orders under an ownership that the store has not confirmed since are told as not sent, and the owner asks for that confirmation at once. Ownerships are kept meanwhile.

--- a/src/scheduler/drive/orders.rs
+++ b/src/scheduler/drive/orders.rs
@@ -9,10 +9,13 @@
         helpers,
     },
     model::{id::WorkerId, order::Advised, unit::Steady, worker::OrderEnd},
-    scheduler::dispatch::{
-        call::{self, call},
-        link::Outgoing,
-        wire::Answer,
+    scheduler::{
+        dispatch::{
+            call::{self, call},
+            link::Outgoing,
+            wire::Answer,
+        },
+        lease::Tenure,
     },
 };
 
@@ -62,11 +65,18 @@
     }
 
     /// Tells whether an order under an ownership may still be sent: between the decision and that
-    /// moment the process may have been paused.
+    /// moment the process may have stood still. Whatever was decided before that waits until the
+    /// store has confirmed the owner since: while it stood still, another one may have come.
     pub(super) fn permit(&self, name: &str) -> impl Fn() -> bool + Send + 'static {
         let tenure = self.owned.get(name).map(|owned| owned.tenure.clone());
         let node = self.node.clone();
-        move || tenure.as_ref().is_some_and(|tenure| tenure.allows_orders(node.now().steady))
+        move || {
+            let now = node.now().steady;
+            let may = |tenure: &Tenure| {
+                tenure.allows_orders(now) && !tenure.is_older_than(node.clock.woke())
+            };
+            tenure.as_ref().is_some_and(may)
+        }
     }
 
     /// Makes the call itself.
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -109,7 +109,10 @@
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
-        let waits = owned.owner.awaits_confirmation(now.steady) || owned.tenure.is_doubtful();
+        let stood_still = owned.tenure.is_older_than(self.node.clock.woke());
+        let waits = owned.owner.awaits_confirmation(now.steady)
+            || owned.tenure.is_doubtful()
+            || stood_still;
         if !waits || now.steady < owned.next_confirmation {
             return;
         }
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -168,6 +168,12 @@
         self.lease.heard().gaps.iter().any(|gap| confirmed < gap.renewed)
     }
 
+    /// Whether the store has not confirmed it since a moment, at which the node may have missed its
+    /// end.
+    pub(crate) fn is_older_than(&self, moment: Steady) -> bool {
+        self.confirmed() < moment
+    }
+
     /// Whether it certainly lasts.
     pub(crate) fn holds(&self, now: Steady) -> bool {
         self.lease.held(now) == Some(self.id) && !self.denied.load(Ordering::Acquire)
