A suspect's start is marked as it is given, and losses at emptied hosts count where a run is new

One crash came at a host that was being emptied and did not count; two starts were given by owners that were followed within a second, before anything of them was kept.

Change: the first start after a single loss is given at once, as before, and its mark is written with it instead of after the worker's loss (a worker was kept as silent 0.75 s after at the earliest). A run that had only begun at a worker that leaves or is emptied counts as possibly lost under it.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -95,12 +95,6 @@
         !self.done && self.copies.is_empty()
     }
 
-    /// Whether its next start must be durable before it is ordered. The first run after a single loss
-    /// is not held up: most such losses are none of the task's doing.
-    pub(crate) fn needs_announcement(&self) -> bool {
-        self.suspect && 2 <= self.lost_workers()
-    }
-
     /// Whether a run that is to show if it crashes its worker is, or is to be, at one.
     pub(crate) fn is_on_trial_at(&self, id: &WorkerId) -> bool {
         let begun = self.copies.iter().any(|copy| copy.trial && copy.worker == *id);
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -49,13 +49,11 @@
         let mut lost: Vec<Lost> = runs.map(|task| self.lost_with(worker, *task)).collect();
         let new = lost.iter().filter(|lost| lost.lived < SETTLED_MS).count();
         lost.iter_mut().for_each(|lost| lost.alone &= new == 1);
-        if !self.ends_as_planned(worker) {
-            for lost in lost.iter().filter(|lost| lost.lived < SETTLED_MS) {
-                self.note_lost(id, lost, false, now);
-            }
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.lost.extend(&lost);
-            }
+        for lost in lost.iter().filter(|lost| lost.lived < SETTLED_MS) {
+            self.note_lost(id, lost, false, now);
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lost.extend(&lost);
         }
         lost
     }
@@ -75,7 +73,8 @@
         }
     }
 
-    /// Whether a worker was told to leave, or is being emptied: no run there is to blame for its end.
+    /// Whether a worker was told to leave, or is being emptied: its end proves nothing against what
+    /// runs there.
     fn ends_as_planned(&self, worker: &Worker) -> bool {
         worker.report.leaves_ms.is_some() || self.emptying.contains_key(&worker.report.host)
     }
@@ -109,14 +108,15 @@
         }
     }
 
-    /// Removes a worker; its host, and what was lost with it and not by plan.
+    /// Removes a worker; its host, and what was lost with it, unless it ended as planned.
     fn remove_lost(&mut self, id: &WorkerId) -> Option<(HostId, Vec<Lost>)> {
         let kept = self.roster.holding(id).cloned();
         let worker = self.workers.remove(id)?;
-        if self.ends_as_planned(&worker) {
-            return None;
-        }
+        let planned = self.ends_as_planned(&worker);
         let mut lost = worker.lost;
+        if planned {
+            lost.clear();
+        }
         // What an earlier owner has kept of a worker that this one has not heard.
         if let (false, Some(Holding::Only(tasks))) = (worker.told_all, kept) {
             lost.extend(tasks.into_iter().map(Lost::unseen));
@@ -224,18 +224,20 @@
     }
 
     /// Has it kept that a suspect is about to start at a worker, so that a later owner reckons with
-    /// that worker's loss, and keeps other starts away; whether that was news. The start follows once
-    /// it is durable.
+    /// that worker's loss, and keeps other starts away; whether the start must wait until that is
+    /// durable. The first start after a single loss does not: most such losses are none of the task's
+    /// doing.
     pub(super) fn announce_trial(&mut self, task: TaskId, at: &WorkerId) -> bool {
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
             return false;
         };
         let version = job.version + 1;
         let entry = job.task_mut(task.of, task.index);
-        let news = |entry: &&mut Task| entry.needs_announcement() && entry.trial_at.is_none();
+        let news = |entry: &&mut Task| entry.suspect && entry.trial_at.is_none();
         let Some(entry) = entry.filter(news) else {
             return false;
         };
+        let waits = CRASHES_BY_IT <= entry.lost_workers();
         entry.trial_at = Some(at.clone());
         entry.doubted.insert(at.clone());
         entry.crash_version = version;
@@ -244,7 +246,7 @@
         if let Some(worker) = self.workers.get_mut(at) {
             worker.trial = Some(task);
         }
-        true
+        waits
     }
 
     /// Lets work begin again at workers whose trial is over, whatever became of it: its run or its job
