--- a/src/jobs/event.rs
+++ b/src/jobs/event.rs
@@ -31,6 +31,8 @@
     Job(StoredJob),
     /// The job's record is removed: its time to be asked for is over.
     Removed(JobId),
+    /// The job has ended, or was never accepted: nothing need be kept of ends of its tasks.
+    Over(JobId),
     Cancelled(JobId),
     Worker(WorkerReport),
     /// A worker of another pool, which may have the place of one of this pool.
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -10,7 +10,7 @@
     jobs::{event::StoredJob, gone::Previous},
     model::{
         id::WorkerId,
-        job::{JobId, JobRecord, JobState, Progress, Step, StepId, StepNote, TaskNote},
+        job::{JobId, JobRecord, JobState, Progress, Step, StepId, StepNote, TaskId, TaskNote},
         unit::{Now, Revision, Steady, Time},
     },
 };
@@ -19,6 +19,10 @@
 /// owner need not know which runs its predecessors gave.
 pub(crate) const RUNS_PER_OWNER: u32 = 1_000;
 
+/// The most workers that may be lost with runs of one task. Five starts are allowed where three have
+/// crashed; this leaves one for a crash that no owner has seen.
+const MOST_LOST: usize = 4;
+
 /// What is known of an order to start a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -95,6 +99,12 @@
         !self.done && self.copies.is_empty()
     }
 
+    /// Whether so many workers were lost with its runs that it is not started again, whatever else
+    /// began there: it waits until it is known whether those live, or is given up.
+    pub(crate) fn is_lost_too_often(&self) -> bool {
+        MOST_LOST <= self.lost_workers()
+    }
+
     /// Whether a run that is to show if it crashes its worker is, or is to be, at one.
     pub(crate) fn is_on_trial_at(&self, id: &WorkerId) -> bool {
         let begun = self.copies.iter().any(|copy| copy.trial && copy.worker == *id);
@@ -275,15 +285,22 @@
         Some(JobEnd { queue: self.record.queue.clone(), state, took })
     }
 
-    /// Whether workers were lost under any of its tasks.
-    pub(crate) fn has_crashes(&self) -> bool {
-        self.steps.values().flat_map(|step| &step.tasks).any(|task| task.lost_workers() != 0)
+    /// Its tasks with whose runs workers were lost.
+    pub(crate) fn marked_tasks(&self) -> Vec<TaskId> {
+        let steps = self.steps.iter().flat_map(|((time, step), tasks)| {
+            let of = StepId { job: self.id, time: *time, step: *step };
+            let numbered = tasks.tasks.iter().enumerate();
+            let marked = numbered.filter(|(_, task)| task.lost_workers() != 0);
+            marked.map(move |(index, _)| TaskId { of, index: index as u32 })
+        });
+        steps.collect()
     }
 
-    /// Whether it is durable which workers were lost with runs of a task: what permits its next start
-    /// must be known to whoever owns the pool then.
-    pub(crate) fn has_kept_losses(&self, task: &Task) -> bool {
-        task.lost_workers() < 2 || task.crash_version <= self.durable
+    /// Whether a task may be started again, as far as workers were lost with its runs: which ones must
+    /// be durable, so that whoever owns the pool next knows.
+    pub(crate) fn may_start(&self, task: &Task) -> bool {
+        let kept = task.lost_workers() < 2 || task.crash_version <= self.durable;
+        kept && (!task.is_lost_too_often() || task.trial_at.is_some())
     }
 
     /// Whether there is something to write.
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -66,8 +66,12 @@
     /// let its runs go on.
     confirmed: Steady,
     jobs: BTreeMap<JobId, Job>,
-    /// Jobs that ended under this owner. What the store tells of them may be older than that.
+    /// Jobs that have ended, under this owner or before. What the store tells of them may be older
+    /// than that.
     ended: HashSet<JobId>,
+    /// Jobs that are not known, with an end that waits to be counted, since when: their records may not
+    /// be readable now, and an end that is acknowledged is not told again.
+    unknown: BTreeMap<JobId, Steady>,
     workers: BTreeMap<WorkerId, Worker>,
     /// What a later owner would find of the workers.
     roster: Roster,
@@ -95,8 +99,8 @@
     vanished: BTreeMap<HostId, (WorkerId, Vec<Lost>)>,
     /// Tasks that have crashed too many workers, to be given up.
     crashing: Vec<TaskId>,
-    /// Whether a worker was ever lost under some task: in most pools there is nothing to look for.
-    has_crashes: bool,
+    /// Tasks with whose runs workers were lost.
+    marked: BTreeSet<TaskId>,
 }
 
 impl Owner {
@@ -110,6 +114,7 @@
             confirmed: now,
             jobs: BTreeMap::new(),
             ended: HashSet::new(),
+            unknown: BTreeMap::new(),
             workers: BTreeMap::new(),
             roster: Roster::default(),
             over: HashSet::new(),
@@ -126,7 +131,7 @@
             told_clear: earlier == 0,
             vanished: BTreeMap::new(),
             crashing: Vec::new(),
-            has_crashes: false,
+            marked: BTreeSet::new(),
         }
     }
 
@@ -163,7 +168,9 @@
             Event::Job(stored) => self.add(stored),
             Event::Removed(id) => {
                 self.ended.remove(&id);
+                self.forget_ends(id);
             }
+            Event::Over(id) => self.forget_ends(id),
             Event::Cancelled(id) => self.cancel(id, now.steady, out),
             Event::Worker(report) => self.list(report, now.steady),
             Event::Elsewhere(report) => {
@@ -317,6 +324,10 @@
         }
         // Runs of jobs that are not known here are stopped where they are seen.
         let known = self.jobs.contains_key(&stored.id) || self.ended.contains(&stored.id);
+        if ended || stored.cancelled {
+            self.ended.insert(stored.id);
+            self.forget_ends(stored.id);
+        }
         if ended || stored.cancelled || known {
             return;
         }
@@ -329,7 +340,7 @@
             tasks.for_each(|task| task.accounted = true);
         }
         self.has_filling |= job.record.steps.iter().any(|step| step.fills);
-        self.has_crashes |= job.has_crashes();
+        self.marked.extend(job.marked_tasks());
         self.jobs.insert(id, job);
     }
 
@@ -604,8 +615,8 @@
 /// Lets the ends be acknowledged that are counted durably.
 fn acknowledge(worker: &mut Worker, jobs: &BTreeMap<JobId, Job>) {
     while let Some(end) = worker.unacknowledged.front() {
-        let durable = jobs.get(&end.job).is_none_or(|job| end.version <= job.durable);
-        if !durable {
+        let durable = |version| jobs.get(&end.job).is_none_or(|job| version <= job.durable);
+        if !end.version.is_some_and(durable) {
             return;
         }
         worker.acknowledged = end.number;
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -6,6 +6,8 @@
 //! begins beside it until it has settled, and if that worker is lost as well, it was the task's
 //! doing.
 
+use std::collections::BTreeSet;
+
 use super::Owner;
 use crate::{
     jobs::{
@@ -24,11 +26,6 @@
 /// A task is given up once so many workers have crashed under it, the last of them by its doing.
 const CRASHES_BY_IT: usize = 2;
 
-/// A task is given up once so many workers were lost with its runs, though some may live, whatever
-/// else began there. Five starts are allowed where three workers have crashed; this leaves one for a
-/// crash that no owner has seen.
-const MOST_LOST: usize = 4;
-
 /// A run that was seen to go on for so long, in milliseconds, has shown that its task does not crash
 /// what starts it.
 const CLEARED_MS: u64 = 10_000;
@@ -159,7 +156,7 @@
         }
         job.change();
         self.saves.add(task.of.job, false);
-        self.has_crashes = true;
+        self.marked.insert(task);
         self.counts.crashes += u64::from(certain);
         let how = if certain { "crashed" } else { "lost" };
         log::info!(
@@ -169,17 +166,11 @@
         );
     }
 
-    /// Decides whether a task is given up, now that one more worker was lost with a run of it.
+    /// Gives up a task that has crashed the worker of its trial, where that was not the first.
     fn judge(&mut self, lost: &Lost) {
-        let Some(job) = self.jobs.get(&lost.task.of.job).filter(|job| job.is_open()) else {
-            return;
-        };
-        let entry = job.task(lost.task.of, lost.task.index).filter(|entry| !entry.done);
-        let Some(entry) = entry else {
-            return;
-        };
-        let shown = lost.alone && CRASHES_BY_IT <= entry.crashed.len();
-        if shown || MOST_LOST <= entry.lost_workers() {
+        let job = self.jobs.get(&lost.task.of.job);
+        let entry = job.and_then(|job| job.task(lost.task.of, lost.task.index));
+        if lost.alone && entry.is_some_and(|entry| CRASHES_BY_IT <= entry.crashed.len()) {
             self.crashing.push(lost.task);
         }
     }
@@ -187,25 +178,45 @@
     /// Ends the jobs of tasks that crash their workers: they can never be done, and each further
     /// start costs all that runs beside it.
     pub(super) fn give_up_crashing(&mut self, now: Now, out: &mut Vec<Effect>) {
+        let jobs = &self.jobs;
+        let entry = |task: &TaskId| {
+            let job = jobs.get(&task.of.job).filter(|job| job.is_open())?;
+            job.task(task.of, task.index).filter(|entry| !entry.done)
+        };
+        self.marked.retain(|task| entry(task).is_some_and(|entry| entry.lost_workers() != 0));
+        // A worker that is still reckoned with may be heard again, and its mark goes then.
+        let is_open = |task: &Task| task.doubted.iter().any(|id| self.workers.contains_key(id));
+        let is_over = |task: &&TaskId| {
+            entry(task).is_some_and(|entry| entry.is_lost_too_often() && !is_open(entry))
+        };
+        self.crashing.extend(self.marked.iter().filter(is_over));
         for task in std::mem::take(&mut self.crashing) {
-            let Some(job) = self.jobs.get_mut(&task.of.job).filter(|job| job.is_open()) else {
-                continue;
-            };
-            let entry = job.task(task.of, task.index);
-            let workers = entry.into_iter().flat_map(|e| e.crashed.iter().chain(&e.doubted));
-            let workers: Vec<&str> = workers.map(WorkerId::as_str).collect();
-            log::warn!(
-                "job {}: failed: task {task} crashes the workers that start it: {}",
-                task.of.job,
-                workers.join(", ")
-            );
-            job.end(JobState::Failed, now);
-            self.saves.add(task.of.job, true);
-            self.counts.given_up += 1;
-            self.stop_all(task.of.job, now.steady, out);
+            self.give_up_task(task, now, out);
         }
     }
 
+    fn give_up_task(&mut self, task: TaskId, now: Now, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&task.of.job).filter(|job| job.is_open()) else {
+            return;
+        };
+        let Some(entry) = job.task(task.of, task.index).filter(|entry| !entry.done) else {
+            return;
+        };
+        let names = |workers: &BTreeSet<WorkerId>| {
+            workers.iter().map(WorkerId::as_str).collect::<Vec<&str>>().join(", ")
+        };
+        log::warn!(
+            "job {}: failed: task {task} crashes the workers that start it: [{}], maybe [{}]",
+            task.of.job,
+            names(&entry.crashed),
+            names(&entry.doubted)
+        );
+        job.end(JobState::Failed, now);
+        self.saves.add(task.of.job, true);
+        self.counts.given_up += 1;
+        self.stop_all(task.of.job, now.steady, out);
+    }
+
     /// The worker at which a trial of a task was announced, if that is durable and holds.
     pub(super) fn announced_trial(&mut self, task: TaskId, now: Steady) -> Option<WorkerId> {
         let job = self.jobs.get(&task.of.job)?;
@@ -243,6 +254,7 @@
         entry.crash_version = version;
         job.change();
         self.saves.add(task.of.job, false);
+        self.marked.insert(task);
         if let Some(worker) = self.workers.get_mut(at) {
             worker.trial = Some(task);
         }
@@ -286,7 +298,7 @@
 
     /// Takes note that a run goes on, so long after it began.
     pub(super) fn has_lived(&mut self, id: &WorkerId, task: TaskId, lived: u64) {
-        if !self.has_crashes || lived < SETTLED_MS {
+        if self.marked.is_empty() || lived < SETTLED_MS {
             return;
         }
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
@@ -315,26 +327,26 @@
 
     /// Takes note that a worker lives that may have been held to have crashed.
     pub(super) fn clear_crashes_at(&mut self, id: &WorkerId, was_lost: bool) {
-        if !was_lost || !self.has_crashes {
+        if !was_lost {
             return;
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.lost.clear();
         }
-        for job in self.jobs.values_mut() {
+        for task in &self.marked {
+            let Some(job) = self.jobs.get_mut(&task.of.job) else {
+                continue;
+            };
             let version = job.version + 1;
-            let mut changed = false;
-            for entry in job.steps.values_mut().flat_map(|step| &mut step.tasks) {
-                if entry.doubted.remove(id) {
-                    entry.crash_version = version;
-                    entry.suspect &= entry.lost_workers() != 0;
-                    changed = true;
-                }
-            }
-            if changed {
-                job.change();
-                self.saves.add(job.id, false);
-            }
+            let entry = job.task_mut(task.of, task.index);
+            let Some(entry) = entry.filter(|entry| entry.doubted.contains(id)) else {
+                continue;
+            };
+            entry.doubted.remove(id);
+            entry.crash_version = version;
+            entry.suspect &= entry.lost_workers() != 0;
+            job.change();
+            self.saves.add(task.of.job, false);
         }
     }
 }
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -1,11 +1,11 @@
 //! Ends of runs: what they mean for the task, the job and the worker.
 
-use super::Owner;
+use super::{Owner, acknowledge};
 use crate::{
-    jobs::{event::Effect, gone::Gone, job::Copy, worker::Unacknowledged},
+    jobs::{event::Effect, gone::Gone, job::Copy},
     model::{
         id::WorkerId,
-        job::{JobState, TaskId},
+        job::{JobId, JobState, TaskId},
         unit::{Now, Steady},
         worker::{Ended, HowEnded},
     },
@@ -18,17 +18,44 @@
 impl Owner {
     /// Counts an end that a worker lists, once.
     pub(super) fn ended(&mut self, id: &WorkerId, end: Ended, now: Now, out: &mut Vec<Effect>) {
-        let Some(worker) = self.workers.get_mut(id) else {
+        if !self.workers.get(id).is_some_and(|worker| worker.is_uncounted(end.number)) {
             return;
+        }
+        let (number, job) = (end.number, end.task.of.job);
+        let version = match self.jobs.contains_key(&job) || self.ended.contains(&job) {
+            true => Some(self.count(id, end, now, out)),
+            false => None,
         };
-        if end.number <= worker.counted {
-            return;
+        match version {
+            Some(_) => _ = self.unknown.remove(&job),
+            None => {
+                self.unknown.entry(job).or_insert_with(|| {
+                    log::info!(
+                        "job {job}: not known, and has an end at {id}: not acknowledged yet"
+                    );
+                    now.steady
+                });
+            }
         }
-        worker.counted = end.number;
-        let (number, task) = (end.number, end.task);
-        let version = self.count(id, end, now, out);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.unacknowledged.push_back(Unacknowledged { number, job: task.of.job, version });
+            worker.note_end(number, job, version);
+        }
+    }
+
+    /// Jobs that are not known and whose ends wait to be counted, since when.
+    pub(crate) fn unknown_jobs(&self) -> Vec<(JobId, Steady)> {
+        self.unknown.iter().map(|(job, since)| (*job, *since)).collect()
+    }
+
+    /// Takes note that nothing need be kept of the ends of a job.
+    pub(super) fn forget_ends(&mut self, id: JobId) {
+        if self.unknown.remove(&id).is_none() {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            let waiting = worker.unacknowledged.iter_mut().filter(|end| end.job == id);
+            waiting.for_each(|end| _ = end.version.get_or_insert(0));
+            acknowledge(worker, &self.jobs);
         }
     }
 
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -178,7 +178,7 @@
         let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
             let index = index as u32;
             let certain = task.accounted || !doubt.covers(&TaskId { of, index });
-            let may = task.not_before <= now && certain && job.has_kept_losses(task);
+            let may = task.not_before <= now && certain && job.may_start(task);
             (task.is_waiting() && may).then_some(index)
         };
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -60,8 +60,9 @@
 pub(crate) struct Unacknowledged {
     pub(crate) number: u64,
     pub(crate) job: JobId,
-    /// The job's version that counts it; 0 if nothing need be kept.
-    pub(crate) version: u64,
+    /// The job's version that counts it; 0 if nothing need be kept, and none while the job is not
+    /// known: the end is counted once it is.
+    pub(crate) version: Option<u64>,
 }
 
 /// A run that ended with its worker, or may have.
@@ -244,6 +245,21 @@
         }
     }
 
+    /// Whether an end that is listed is still to be counted.
+    pub(crate) fn is_uncounted(&self, number: u64) -> bool {
+        let waits = |end: &Unacknowledged| end.number == number && end.version.is_none();
+        self.counted < number || self.unacknowledged.iter().any(waits)
+    }
+
+    /// Takes note of an end, and of the version of its job that counts it.
+    pub(crate) fn note_end(&mut self, number: u64, job: JobId, version: Option<u64>) {
+        self.counted = self.counted.max(number);
+        match self.unacknowledged.iter_mut().find(|end| end.number == number) {
+            Some(end) => end.version = version,
+            None => self.unacknowledged.push_back(Unacknowledged { number, job, version }),
+        }
+    }
+
     /// Gives the worker no new work until a moment.
     pub(crate) fn pause(&mut self, until: Steady) {
         self.suspended_until = self.suspended_until.max(until);
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -484,6 +484,7 @@
             self.tell_usage(&name, now);
             self.tell_queued(&name, now);
             self.ask_confirmation(&name, now);
+            self.tell_of_unknown(&name, now);
         }
         self.ask_fleet_confirmation(now);
         self.fleet_step(now);
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -5,7 +5,7 @@
 
 use super::{Drive, json, keep::commit};
 use crate::{
-    jobs::owner::Emptied,
+    jobs::{event::Event, owner::Emptied},
     model::unit::{Now, Revision, Steady},
     platform::kv::Txn,
     scheduler::{keys, lease::Tenure, view::EmptyRecord},
@@ -26,6 +26,10 @@
 /// the owner's loop.
 const CONFIRM_PAUSE_MS: u64 = 100;
 
+/// How long a job is waited for that workers list ends of and that the view does not show, in
+/// milliseconds: what was accepted is shown on every node within that time.
+const ABSENT_MS: u64 = 3_000;
+
 /// How long after an empty host was told of it is told again if the view does not show it, in
 /// milliseconds.
 const EMPTY_AGAIN_MS: u64 = 700;
@@ -103,6 +107,23 @@
         self.write_hint(name, token, tenure, keys::queued(name), value);
     }
 
+    /// Tells an owner which of the jobs that it does not know, and of which workers list ends, are over.
+    /// One whose records cannot be read is not: it may yet be told.
+    pub(super) fn tell_of_unknown(&mut self, name: &str, now: Now) {
+        let Some(owned) = self.owned.get(name) else {
+            return;
+        };
+        for (id, since) in owned.owner.unknown_jobs() {
+            let is_over = match self.node.view().jobs.get(&id) {
+                Some(known) => known.state().is_final(),
+                None => ABSENT_MS <= now.steady.since(since),
+            };
+            if is_over {
+                self.tell(name, Event::Over(id), now);
+            }
+        }
+    }
+
     /// Has the store confirm that a pool has no later owner, where something waits for that: any
     /// write under that condition does, and most often one has just been made.
     pub(super) fn ask_confirmation(&mut self, name: &str, now: Now) {
--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -10,8 +10,12 @@
 
 use super::{Drive, Input, Won, json as bytes};
 use crate::{
-    jobs::owner::LEASE_MS,
-    model::unit::Revision,
+    jobs::{event::Event, owner::LEASE_MS},
+    model::{
+        job::{JobId, JobState, Progress, StepId, TaskId},
+        unit::{Now, Revision},
+        worker::{Ended, HowEnded, Look, OrderEnd, WorkerReport},
+    },
     platform::{
         kv::{Change, Kv},
         runner::Runners,
@@ -25,7 +29,7 @@
         view::OwnerRecord,
     },
     settings::scheduler::parse,
-    tests::fuzz,
+    tests::{fuzz, sample},
 };
 
 /// What nobody listens at: calls of the store are begun, and the test ends before they go out.
@@ -102,6 +106,12 @@
         self.check();
     }
 
+    /// The view hears of a write of ours.
+    fn write(&mut self, key: String, value: Vec<u8>) {
+        let revision = Revision(self.tokens.len() as u64 + 100);
+        self.node.view().apply(Change { key, revision, value: Some(value.into()) });
+    }
+
     fn show(&mut self) {
         let Some((name, token)) = self.last.take() else {
             return;
@@ -195,3 +205,50 @@
         assert!(permit());
     }
 }
+
+/// Ends of a job that its owner does not know are acknowledged once the job is known to be over, and
+/// not while its progress cannot be read.
+#[test]
+fn an_owner_is_told_which_of_the_jobs_that_it_does_not_know_are_over() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _entered = runtime.enter();
+    let mut world = World::new();
+    for op in [Op::Renew, Op::Reach { fleet: false }, Op::Reached, Op::Show, Op::Step] {
+        world.apply(op);
+    }
+    let [absent, garbled, ended] = [1, 2, 3].map(JobId::from_number);
+    let record = bytes(&sample::record(Vec::new()));
+    let over = Progress { state: JobState::Succeeded, ..Progress::default() };
+    world.write(keys::job(&"work".parse().unwrap(), garbled), record);
+    world.write(keys::progress(garbled), b"{".to_vec());
+    world.write(keys::progress(ended), bytes(&over));
+    let now = world.node.now();
+    let ends = [absent, garbled, ended].map(|job| {
+        let task = TaskId { of: StepId { job, time: 0, step: 0 }, index: 0 };
+        Ended {
+            number: task.of.job.number(),
+            task,
+            run: 1,
+            how: HowEnded::Done,
+            saved: String::new(),
+        }
+    });
+    let owned = world.drive.owned.get_mut("pool-work").unwrap();
+    let mut out = Vec::new();
+    let worker = WorkerReport::without_place(&"w1".parse().unwrap(), "work").unwrap();
+    owned.owner.handle(Event::Worker(worker), now, &mut out);
+    let look = Look { clock_ms: 1, present: Vec::new(), ended: ends.to_vec() };
+    let end = OrderEnd::Done(look);
+    let looked = Event::Looked { worker: "w1".parse().unwrap(), sent: now.steady, end };
+    owned.owner.handle(looked, now, &mut out);
+    let unknown = |world: &World| {
+        let jobs = world.drive.owned["pool-work"].owner.unknown_jobs();
+        jobs.into_iter().map(|(job, _)| job).collect::<Vec<JobId>>()
+    };
+    assert_eq!(unknown(&world), [absent, garbled, ended]);
+    world.drive.tell_of_unknown("pool-work", now);
+    assert_eq!(unknown(&world), [absent, garbled]);
+    let later = Now { steady: now.steady.after(10_000), ..now };
+    world.drive.tell_of_unknown("pool-work", later);
+    assert_eq!(unknown(&world), [garbled], "its progress may be read yet");
+}
