Tests of rooms that shrink and grow while workers run; two fail

Shown to hold: no start goes over a room that has shrunk, what is being stopped fills it until its end is listed, room that has grown again is used, and a change of the room alone is told to the owner, older news of it not.

Shown to fail: what is left of a room that shrank below what runs there overflows, so that the fullest worker is the one whose room is kept for tasks that last (a panic where overflows are checked); and the first host of the list tells how large all hosts are, so that one with a tenth of its room makes a pool ask for ten times the hosts.

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -12,6 +12,7 @@
 mod looks;
 mod places;
 mod refusals;
+mod rooms;
 mod roster;
 
 use std::{collections::BTreeMap, sync::Arc};
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -375,3 +375,18 @@
     // All tests of this file together take 10 ms; this plan took 518 ms before.
     assert!(took.as_millis() < 150, "{took:?}");
 }
+
+/// The first host of the list told how large all of them are: as one whose room had shrunk to a tenth,
+/// it made a pool ask for ten times the hosts.
+#[test]
+fn a_host_whose_room_has_shrunk_does_not_make_its_pool_grow() {
+    let mut known = Known::new();
+    let mut hosts: Vec<ListedHost> = (0..4).map(|n| listed(n, "busy")).collect();
+    hosts.extend((4..40).map(|n| listed(n, "off")));
+    hosts[0].room.cpu = Millicores(3_200);
+    let mut fleet = fleet(hosts);
+    known.demands.insert(pool("busy"), asked(100_000, 0));
+    fleet.plan(&known.scene(), at(100));
+    let called = moves(&fleet.plan(&known.scene(), at(200)));
+    assert_eq!(called, 0, "four hosts of 32 cores carry 100");
+}
--- a/src/scheduler/tests/foreign.rs
+++ b/src/scheduler/tests/foreign.rs
@@ -159,3 +159,22 @@
     assert!(!view.is_of_another("pool-pool", &worker("w1")));
     assert!(view.rostered_by_others("pool-pool").is_empty());
 }
+
+/// A worker whose room changes while it runs says so in its entry, and in nothing else.
+#[test]
+fn a_change_of_a_workers_room_alone_is_told() {
+    let mut view = View::default();
+    let mut tell = |revision: u64, value: Vec<u8>| {
+        let (key, revision) = ("servers/w1".to_owned(), Revision(revision));
+        let deltas = view.apply(Change { key, revision, value: Some(value.into()) });
+        let rooms = deltas.into_iter().filter_map(|delta| match delta {
+            Delta::Worker(report) => Some(report.room.cpu.0),
+            _ => None,
+        });
+        rooms.collect::<Vec<u32>>()
+    };
+    assert_eq!(tell(1, bytes(&server("h1"))), [1_000]);
+    assert_eq!(tell(3, with("capacity", json!({ "cpu": 400, "mem_mb": 100 }))), [400]);
+    assert_eq!(tell(2, bytes(&server("h1"))), [] as [u32; 0], "older news tells nothing");
+    assert_eq!(tell(4, bytes(&server("h1"))), [1_000]);
+}
