Rooms that shrink: what is left is never below nothing, and half of the hosts tell how large hosts are

Cause: two differences and one sample that held only while no room changed. Change: what is left of a room ends at nothing; the size of a host is the median of the list.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -194,6 +194,8 @@
     /// Pools that have had work that ends: the others are left as the operator made them.
     worked: BTreeSet<PoolId>,
     hosts: BTreeMap<HostId, ListedHost>,
+    /// The processor time of a host, in millicores.
+    host_cpu: u64,
     /// When the newest list was asked for.
     listed: Option<Steady>,
     listing: bool,
@@ -222,6 +224,7 @@
             marking: BTreeMap::new(),
             worked: BTreeSet::new(),
             hosts: BTreeMap::new(),
+            host_cpu: 0,
             listed: None,
             listing: false,
             next_list: now,
@@ -239,6 +242,7 @@
         if let Some(hosts) = hosts {
             self.hosts = hosts.into_iter().map(|host| (host.host.clone(), host)).collect();
             self.listed = Some(sent);
+            self.note_rooms();
         }
     }
 
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -116,6 +116,14 @@
 }
 
 impl Fleet {
+    /// Takes note of how large hosts are: half of them have as much, or more. A single one may have
+    /// shrunk, or be of another kind.
+    pub(super) fn note_rooms(&mut self) {
+        let mut rooms: Vec<u32> = self.hosts.values().map(|host| host.room.cpu.0).collect();
+        rooms.sort_unstable();
+        self.host_cpu = rooms.get(rooms.len() / 2).copied().map_or(0, u64::from);
+    }
+
     pub(super) fn note_demand(&mut self, scene: &Scene<'_>, now: Steady) {
         for (pool, demand) in scene.demands {
             if demand.ends && self.worked.insert(pool.clone()) {
@@ -169,8 +177,7 @@
     /// Hosts that carry some processor time: as full as the settings have it, or where that is fewer,
     /// with room for chance, which grows as the square root of what they carry.
     fn hosts_for(&self, cpu: u64) -> usize {
-        let room = self.hosts.values().next().map(|host| host.room);
-        let host_cpu = room.map_or(0, |room| u64::from(room.cpu.0)).max(1);
+        let host_cpu = self.host_cpu.max(1);
         let by_share = (cpu * 100).div_ceil(host_cpu * self.sizing.full_percent);
         let filled = cpu.div_ceil(host_cpu);
         let by_chance = filled + (CHANCE_HOSTS * (filled as f64).sqrt()).ceil() as u64;
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -82,7 +82,7 @@
             let failed = task.failed_at.contains(&worker.report.id);
             // A task that has failed before needs a worker that is known to do its work.
             let suspect = worker.is_suspect();
-            let left = worker.report.room.cpu.0 - worker.used.cpu.0;
+            let left = worker.cpu_left();
             // A worker that is lost beside other new runs would not tell which of them did it.
             let new = task.suspect && worker.began_lately(self.now);
             let load = if step.fills { worker.copies.len() as u32 } else { left };
@@ -114,8 +114,7 @@
                 && worker.report.room.fits(&Room::default(), &charge)
                 && self.is_spread(worker, step, tasks)
         };
-        let left = |worker: &&Worker| worker.report.room.cpu.0 - worker.used.cpu.0;
-        self.workers.values().filter(could).max_by_key(left)
+        self.workers.values().filter(could).max_by_key(|worker| worker.cpu_left())
     }
 
     /// Why the tasks of a step find no worker, for the log: how many workers each reason rules out.
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -334,6 +334,12 @@
         true
     }
 
+    /// What is left of the worker's processor time, in millicores: nothing where its room has shrunk
+    /// below what runs there.
+    pub(crate) fn cpu_left(&self) -> u32 {
+        self.report.room.cpu.0.saturating_sub(self.used.cpu.0)
+    }
+
     /// Takes room for a run.
     pub(crate) fn occupy(&mut self, task: TaskId, run: u32, charge: &Room) {
         if self.copies.insert(task, run).is_none() {
