Failing tests: connections that go silent for good, while new ones work

After a call without an answer the next one took another open connection, which was as silent: with six open ones, six limits of time in turn.

--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of what is spoken to the platform, over real sockets, and of what is read of its answers.
 
 mod peer;
+mod silence;
 mod sockets;
 
 use serde_json::json;
