The call after one without an answer goes out over a new connection

Cause: a connection that is silent is found out only by a limit of time, and the pool then gave the next call another one that was open as long. Change: Connections: after a call without an answer in time the client is replaced, so that later calls open connections anew; those under way keep theirs. For workers this is kept by address. Used for calls and watches of the store, orders to workers, the list of hosts, advice, and requests that are handed to other nodes. Links between nodes had their own limit of silence.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod advice;
 pub(crate) mod caller;
+pub(crate) mod connections;
 pub(crate) mod hosts;
 pub(crate) mod kv;
 mod lines;
--- a/src/platform/advice.rs
+++ b/src/platform/advice.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use reqwest::StatusCode;
+use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     model::{id::WorkerId, job::StepId, order::Advised},
-    platform::store::chain,
+    platform::{connections::Connections, store::chain},
 };
 
 /// How long a call may take beside the time that the service itself needs.
@@ -27,35 +27,36 @@
 /// A client of the service.
 #[derive(Clone)]
 pub(crate) struct Adviser {
-    client: reqwest::Client,
+    connections: Connections,
     address: String,
 }
 
 impl Adviser {
     /// A client of the service at an address.
     pub(crate) fn new(address: &str) -> Adviser {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .tcp_nodelay(true)
-            .connect_timeout(Duration::from_millis(500))
-            .build()
-            .expect("a client without TLS needs nothing of the system");
-        Adviser { client, address: address.to_owned() }
+        let connections = Connections::new(|| {
+            Client::builder()
+                .no_proxy()
+                .tcp_nodelay(true)
+                .connect_timeout(Duration::from_millis(500))
+        });
+        Adviser { connections, address: address.to_owned() }
     }
 
     /// Asks which of the workers may run a step. `needs` is how long the service itself takes.
     pub(crate) async fn ask(&self, step: StepId, workers: &[WorkerId], needs: Duration) -> Advised {
         let body = WireAsk { step: step.to_string(), workers };
         let url = format!("http://{}/-/advise", self.address);
-        let request = self.client.post(url).json(&body).timeout(needs + CALL_SLACK);
-        let answer = match request.send().await {
+        let limit = needs + CALL_SLACK;
+        let request = |client: &Client| client.post(url).json(&body).timeout(limit);
+        let answer = match self.connections.call(request).await {
             Ok(answer) => answer,
             Err(error) => {
                 log::warn!("advice: step {step}: {}", chain(&error));
                 return Advised::Failed;
             }
         };
-        match answer.status() {
+        match answer.status {
             StatusCode::OK => {}
             StatusCode::TOO_MANY_REQUESTS => return Advised::Busy,
             status => {
@@ -63,10 +64,10 @@
                 return Advised::Failed;
             }
         }
-        match answer.json::<WireAdvice>().await {
+        match serde_json::from_slice::<WireAdvice>(&answer.body) {
             Ok(advice) => Advised::Good(good(advice)),
             Err(error) => {
-                log::warn!("advice: step {step}: {}", chain(&error));
+                log::warn!("advice: step {step}: not understood: {error}");
                 Advised::Failed
             }
         }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -10,12 +10,15 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
-use reqwest::StatusCode;
+use reqwest::{Client, RequestBuilder, StatusCode};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
     model::unit::Revision,
-    platform::store::{LeaseId, StoreError, chain},
+    platform::{
+        connections::{Connections, Whole},
+        store::{LeaseId, StoreError, chain},
+    },
 };
 
 /// Most entries (conditions, puts and removals together) of one transaction.
@@ -117,9 +120,9 @@
 /// A client of the store.
 #[derive(Clone)]
 pub(crate) struct Kv {
-    client: reqwest::Client,
+    client: Connections,
     /// For answers that may be large or late: it waits as long as something comes.
-    bulk: reqwest::Client,
+    bulk: Connections,
     peer: Arc<str>,
     /// How long a call may take.
     limit: Duration,
@@ -208,17 +211,14 @@
         limit: Duration,
         note: impl Fn(&'static str, &'static str, Duration) + Send + Sync + 'static,
     ) -> Kv {
-        let builder = || {
+        let builder = move || {
             reqwest::Client::builder()
                 .no_proxy()
                 .tcp_nodelay(true)
                 .connect_timeout(CONNECT_LIMIT.min(limit))
         };
-        let bulk = builder().read_timeout(BULK_SILENCE);
-        let build = |builder: reqwest::ClientBuilder| {
-            builder.build().expect("a client without TLS needs nothing of the system")
-        };
-        let (client, bulk) = (build(builder()), build(bulk));
+        let client = Connections::new(builder);
+        let bulk = Connections::new(move || builder().read_timeout(BULK_SILENCE));
         Kv { client, bulk, peer: address.into(), limit, note: Arc::new(note) }
     }
 
@@ -233,8 +233,9 @@
                 // On this call the name means the key after which the page starts.
                 query.push(("since_revision", last.key.clone()));
             }
-            let request = self.bulk.get(self.url("kv-range")).query(&query);
-            let answer = self.send("range", request, BULK_LIMIT).await?;
+            let url = self.url("kv-range");
+            let request = |client: &Client| client.get(url).query(&query).timeout(BULK_LIMIT);
+            let answer = self.send("range", &self.bulk, request).await?;
             if answer.status != StatusCode::OK {
                 return Err(self.refused(&answer));
             }
@@ -267,8 +268,9 @@
             ("since_revision", since.0.to_string()),
             ("wait_ms", wait.as_millis().to_string()),
         ];
-        let request = self.bulk.get(self.url("kv-watch")).query(&query);
-        let answer = self.send("watch", request, wait + BULK_LIMIT).await?;
+        let (url, limit) = (self.url("kv-watch"), wait + BULK_LIMIT);
+        let request = |client: &Client| client.get(url).query(&query).timeout(limit);
+        let answer = self.send("watch", &self.bulk, request).await?;
         match answer.status {
             StatusCode::OK => {
                 let heard: WireEvents = self.parse(&answer)?;
@@ -302,8 +304,9 @@
                 .collect(),
             remove: &txn.removes,
         };
-        let request = self.client.post(self.url("kv-txn")).json(&wire);
-        let answer = self.send("commit", request, self.limit).await?;
+        let url = self.url("kv-txn");
+        let request = |client: &Client| client.post(url).json(&wire).timeout(self.limit);
+        let answer = self.send("commit", &self.client, request).await?;
         match answer.status {
             StatusCode::OK => {
                 Ok(Committed::Done(Revision(self.parse::<WireRevision>(&answer)?.revision)))
@@ -323,8 +326,9 @@
     /// Takes a lease: its name and the time that it has.
     pub(crate) async fn grant(&self, ttl: Duration) -> Result<(LeaseId, Duration), StoreError> {
         let body = WireTtl { ttl_ms: ttl.as_millis() as u64 };
-        let request = self.client.post(self.url("kv-lease")).json(&body);
-        let answer = self.send("grant", request, self.limit).await?;
+        let url = self.url("kv-lease");
+        let request = |client: &Client| client.post(url).json(&body).timeout(self.limit);
+        let answer = self.send("grant", &self.client, request).await?;
         if answer.status != StatusCode::OK {
             return Err(self.refused(&answer));
         }
@@ -334,8 +338,9 @@
 
     /// Renews a lease; nothing if it is over.
     pub(crate) async fn keep(&self, lease: LeaseId) -> Result<Option<Duration>, StoreError> {
-        let request = self.client.post(self.url(&format!("kv-keep/{lease}")));
-        let answer = self.send("keep", request, self.limit).await?;
+        let url = self.url(&format!("kv-keep/{lease}"));
+        let request = |client: &Client| client.post(url).timeout(self.limit);
+        let answer = self.send("keep", &self.client, request).await?;
         match answer.status {
             StatusCode::OK => {
                 Ok(Some(Duration::from_millis(self.parse::<WireTtl>(&answer)?.ttl_ms)))
@@ -352,11 +357,12 @@
     async fn send(
         &self,
         step: &'static str,
-        request: reqwest::RequestBuilder,
-        limit: Duration,
+        over: &Connections,
+        request: impl FnOnce(&Client) -> RequestBuilder,
     ) -> Result<Answer, StoreError> {
         let began = Instant::now();
-        let answer = self.send_once(step, request.timeout(limit)).await;
+        let answer = over.call(request).await.map_err(|error| self.failed(step, &error));
+        let answer = answer.map(|Whole { status, body, .. }| Answer { step, status, body });
         let outcome = match &answer {
             Ok(answer) if answer.status.is_success() => "done",
             Ok(_) => "refused",
@@ -367,18 +373,6 @@
         answer
     }
 
-    async fn send_once(
-        &self,
-        step: &'static str,
-        request: reqwest::RequestBuilder,
-    ) -> Result<Answer, StoreError> {
-        let answer = request.send().await;
-        let answer = answer.map_err(|error| self.failed(step, &error))?;
-        let status = answer.status();
-        let body = answer.bytes().await.map_err(|error| self.failed(step, &error))?;
-        Ok(Answer { step, status, body })
-    }
-
     fn failed(&self, step: &'static str, error: &reqwest::Error) -> StoreError {
         let (peer, cause) = (self.peer.to_string(), chain(error));
         if error.is_connect() {
--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reqwest::StatusCode;
+use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -11,6 +11,7 @@
         worker::{HostPhase, ListedHost},
     },
     platform::{
+        connections::Connections,
         records::{RecordError, WireRoom},
         store::chain,
     },
@@ -78,7 +79,7 @@
 /// A client of the service, in the name of one node.
 #[derive(Clone)]
 pub(crate) struct Machines {
-    client: reqwest::Client,
+    connections: Connections,
     address: String,
     holder: NodeId,
 }
@@ -86,13 +87,13 @@
 impl Machines {
     /// A client of the service at an address.
     pub(crate) fn new(address: &str, holder: NodeId) -> Machines {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .tcp_nodelay(true)
-            .connect_timeout(Duration::from_millis(500))
-            .build()
-            .expect("a client without TLS needs nothing of the system");
-        Machines { client, address: address.to_owned(), holder }
+        let connections = Connections::new(|| {
+            Client::builder()
+                .no_proxy()
+                .tcp_nodelay(true)
+                .connect_timeout(Duration::from_millis(500))
+        });
+        Machines { connections, address: address.to_owned(), holder }
     }
 
     /// Reads all hosts; nothing if the service gave no whole answer.
@@ -113,14 +114,14 @@
 
     async fn page(&self, token: Option<&str>) -> Option<WirePage> {
         let url = format!("http://{}/-/machines", self.address);
-        let mut request = self.client.get(url).timeout(CALL_LIMIT);
-        if let Some(token) = token {
-            request = request.query(&[("page_token", token)]);
-        }
-        let answer = match request.send().await {
-            Ok(answer) if answer.status() == StatusCode::OK => answer,
+        let request = |client: &Client| {
+            let query: Vec<_> = token.iter().map(|token| ("page_token", *token)).collect();
+            client.get(url).query(&query).timeout(CALL_LIMIT)
+        };
+        let answer = match self.connections.call(request).await {
+            Ok(answer) if answer.status == StatusCode::OK => answer,
             Ok(answer) => {
-                log::warn!("hosts: list: status {}", answer.status());
+                log::warn!("hosts: list: status {}", answer.status);
                 return None;
             }
             Err(error) => {
@@ -128,8 +129,8 @@
                 return None;
             }
         };
-        let page = answer.json().await;
-        page.inspect_err(|error| log::warn!("hosts: list: {}", chain(error))).ok()
+        let page = serde_json::from_slice(&answer.body);
+        page.inspect_err(|error| log::warn!("hosts: list: not understood: {error}")).ok()
     }
 
     /// Moves a host to another pool. Everything that runs there dies.
@@ -143,25 +144,27 @@
     }
 
     async fn change(&self, call: &str, body: &impl Serialize, token: u64) -> HostCall {
-        let request = self
-            .client
-            .post(format!("http://{}/-/{call}", self.address))
-            .header("Lease-Holder", self.holder.as_str())
-            .header("Fencing-Token", token.to_string())
-            .json(body)
-            .timeout(CALL_LIMIT);
-        let answer = match request.send().await {
+        let request = |client: &Client| {
+            let request = client.post(format!("http://{}/-/{call}", self.address));
+            request
+                .header("Lease-Holder", self.holder.as_str())
+                .header("Fencing-Token", token.to_string())
+                .json(body)
+                .timeout(CALL_LIMIT)
+        };
+        let answer = match self.connections.call(request).await {
             Ok(answer) => answer,
             Err(error) => {
                 log::warn!("hosts: {call}: {}", chain(&error));
                 return HostCall::Unknown;
             }
         };
-        match answer.status() {
+        match answer.status {
             StatusCode::OK => HostCall::Done,
             StatusCode::CONFLICT => {
                 // A refusal whose reason is lost is still a refusal.
-                let reason = answer.json::<WireReason>().await.unwrap_or_default().reason;
+                let reason = serde_json::from_slice::<WireReason>(&answer.body);
+                let reason = reason.map(|wire| wire.reason).unwrap_or_default();
                 if reason == "busy" { HostCall::Busy } else { HostCall::Refused }
             }
             StatusCode::BAD_REQUEST => HostCall::Invalid,
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use reqwest::StatusCode;
+use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
@@ -13,6 +13,7 @@
         worker::{Ended, HowEnded, Look, OrderEnd, Present, Refusal},
     },
     platform::{
+        connections::{ManyConnections, Whole},
         lines::{Lines, MOST_CALLS},
         store::chain,
     },
@@ -96,21 +97,21 @@
 /// A client of all workers.
 #[derive(Clone)]
 pub(crate) struct Runners {
-    client: reqwest::Client,
+    connections: ManyConnections,
     lines: Lines,
 }
 
 impl Runners {
     /// A client with connections of its own.
     pub(crate) fn new() -> Runners {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .tcp_nodelay(true)
-            .connect_timeout(CONNECT_LIMIT)
-            .pool_max_idle_per_host(MOST_CALLS)
-            .build()
-            .expect("a client without TLS needs nothing of the system");
-        Runners { client, lines: Lines::default() }
+        let connections = ManyConnections::new(|| {
+            Client::builder()
+                .no_proxy()
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_LIMIT)
+                .pool_max_idle_per_host(MOST_CALLS)
+        });
+        Runners { connections, lines: Lines::default() }
     }
 
     /// Starts a run. Done also if the run exists already.
@@ -182,23 +183,17 @@
             return OrderEnd::Unsent;
         };
         let url = format!("http://{}/-/{call}", to.address);
-        let request = self.client.post(url).header(LIFE_HEADER, to.worker.as_str());
-        let answer = match request.json(body).timeout(limit).send().await {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::debug!("worker {}: {call}: {}", to.worker, chain(&error));
-                return OrderEnd::Unknown;
-            }
+        let request = |client: &Client| {
+            let request = client.post(url).header(LIFE_HEADER, to.worker.as_str());
+            request.json(body).timeout(limit)
         };
-        let status = answer.status();
-        let body = match answer.bytes().await {
-            Ok(body) => body,
+        match self.connections.call(&to.address, request).await {
+            Ok(Whole { status, body, .. }) => read_answer(to, call, status, &body),
             Err(error) => {
                 log::debug!("worker {}: {call}: {}", to.worker, chain(&error));
-                return OrderEnd::Unknown;
+                OrderEnd::Unknown
             }
-        };
-        read_answer(to, call, status, &body)
+        }
     }
 }
 
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -15,10 +15,12 @@
     Response,
     http::{HeaderName, Method, StatusCode, header},
 };
+use reqwest::Client;
 use tokio::time::Instant;
 
 use crate::{
     model::{job::JobId, unit::Steady},
+    platform::connections::{ManyConnections, Whole},
     scheduler::{Node, api::DEADLINE_HEADER},
 };
 
@@ -67,21 +69,21 @@
 
 /// Hands requests to other nodes.
 pub(crate) struct Relay {
-    client: reqwest::Client,
+    connections: ManyConnections,
     /// No node is asked before, in milliseconds of the steady clock.
     not_before: AtomicU64,
 }
 
 impl Relay {
     pub(crate) fn new() -> Relay {
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .tcp_nodelay(true)
-            .connect_timeout(CONNECT_LIMIT)
-            .timeout(ANSWER_LIMIT)
-            .build()
-            .expect("a client without TLS needs nothing of the system");
-        Relay { client, not_before: AtomicU64::new(0) }
+        let connections = ManyConnections::new(|| {
+            Client::builder()
+                .no_proxy()
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_LIMIT)
+                .timeout(ANSWER_LIMIT)
+        });
+        Relay { connections, not_before: AtomicU64::new(0) }
     }
 
     /// Has another node answer.
@@ -110,34 +112,28 @@
     async fn ask_one(&self, peer: SocketAddr, call: &Call) -> Relayed {
         let left = call.deadline.saturating_duration_since(Instant::now());
         let url = format!("http://{peer}{}", call.path);
-        let request = self
-            .client
-            .request(call.method.clone(), url)
-            .header(header::HOST, &call.host)
-            .header(DEADLINE_HEADER, left.as_millis() as u64)
-            .header(RELAYED_HEADER, call.config)
-            .body(call.body.clone());
-        let answer = match request.send().await {
-            Ok(answer) => answer,
+        let request = |client: &Client| {
+            let request = client.request(call.method.clone(), url);
+            request
+                .header(header::HOST, &call.host)
+                .header(DEADLINE_HEADER, left.as_millis() as u64)
+                .header(RELAYED_HEADER, call.config)
+                .body(call.body.clone())
+        };
+        let whole = match self.connections.call(&peer.to_string(), request).await {
+            Ok(whole) => whole,
             Err(error) if error.is_connect() => return Relayed::NotTaken,
             Err(error) => {
-                log::info!("job {}: no answer by {peer}: {error}", call.id);
+                log::info!("job {}: no whole answer by {peer}: {error}", call.id);
                 return Relayed::Unknown;
             }
         };
-        let (status, headers) = (answer.status(), answer.headers().clone());
+        let Whole { status, headers, body } = whole;
         match status {
             StatusCode::SERVICE_UNAVAILABLE => return Relayed::NotTaken,
             StatusCode::GATEWAY_TIMEOUT => return Relayed::Unknown,
             _ => {}
         }
-        let body = match answer.bytes().await {
-            Ok(body) => body,
-            Err(error) => {
-                log::info!("job {}: half an answer by {peer}: {error}", call.id);
-                return Relayed::Unknown;
-            }
-        };
         let mut response = Response::builder().status(status).body(body);
         for name in KEPT_HEADERS {
             if let Some(value) = headers.get(&name) {
