--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -14,6 +14,7 @@
 mod refusals;
 mod rooms;
 mod roster;
+mod unlisted;
 
 use std::{collections::BTreeMap, sync::Arc};
 
