Rig of real processes: tasks that crash their workers, in a case and in long draws

The stand-in's workers crash 10 ms after a run whose payload says so, and are back after 2.5 s. The check asks that a task which has crashed three is started fewer than three times more. A case kills the owner while the second worker is down; in long runs every sixtieth job is such a one.

--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -30,6 +30,14 @@
 /// A payload that begins so fails.
 const FAILS: &str = "fail";
 
+/// A payload that begins so crashes the worker that starts it.
+const CRASHES: &str = "crash";
+
+/// How long after its start such a run crashes its worker, and for how long that is away, in
+/// milliseconds.
+const CRASHES_AFTER_MS: u64 = 10;
+const CRASHED_MS: u64 = 2_500;
+
 /// A run of a task.
 #[derive(Debug, Clone)]
 pub(super) struct Run {
@@ -40,6 +48,7 @@
     /// When it ends by itself, and how.
     ends: u64,
     fails: bool,
+    crashes: bool,
     stopping: Option<u64>,
 }
 
@@ -159,6 +168,11 @@
 
     /// Ends what is over by now; whether there was anything.
     pub(super) fn run(&mut self, now: u64, counted: &mut Counted, log: &mut Log) -> bool {
+        let crashes = |run: &Run| run.crashes && run.began + CRASHES_AFTER_MS <= now;
+        if self.runs.values().any(crashes) {
+            self.end_life("down", now, CRASHED_MS, log);
+            return true;
+        }
         let lapsed = self.until <= self.clock.at(now);
         let how = |run: &Run| match () {
             () if lapsed => Some(Kind::Lapsed),
@@ -213,6 +227,7 @@
             began: now,
             ends: now + work,
             fails: order.spec.starts_with(FAILS) || self.trouble.fails,
+            crashes: order.spec.starts_with(CRASHES),
             stopping: None,
         };
         log.note(now, (&self.id, order.fencing_token), Kind::Started, (&order.task, order.run));
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -124,7 +124,7 @@
     let first = number("CAPERHOLLOW_SOAK_SEED", 1);
     let millis = number("CAPERHOLLOW_SOAK_SECONDS", 30) * 1_000;
     let often = std::env::var("CAPERHOLLOW_SOAK_OFTEN").ok().and_then(|kind| kind.parse().ok());
-    let size = Size { nodes: 6, workers: 15, pools: 3, millis, often };
+    let size = Size { nodes: 6, workers: 15, pools: 3, millis, often, crashes: true };
     let mut failed = Vec::new();
     for seed in first..first + number("CAPERHOLLOW_SOAK_RUNS", 20) {
         if !play("long", seed, size).await.is_empty() {
@@ -140,7 +140,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_promise_is_broken_in_a_short_run() {
-    let size = Size { nodes: 4, workers: 8, pools: 2, millis: 5_000, often: None };
+    let size = Size { nodes: 4, workers: 8, pools: 2, millis: 5_000, often: None, crashes: false };
     for seed in SHORT {
         let broken = play("short", seed, size).await;
         assert!(broken.is_empty(), "broken under the seed {seed}: {broken:?}");
--- a/tests/soak/cases.rs
+++ b/tests/soak/cases.rs
@@ -8,7 +8,7 @@
 
 use super::{
     check::{Kind, Story, check},
-    plan::{Harm, Size},
+    plan::{Harm, Injection, Signal, Size, What},
     report,
     rig::{HOST, Rig},
 };
@@ -30,6 +30,34 @@
     }
 }
 
+/// Users saw a task that crashes each worker that starts it started on and on, under one owner after
+/// another. Here its owner is killed while the second worker is down.
+#[tokio::test]
+async fn a_task_that_crashes_its_workers_is_given_up_though_its_owner_is_killed() {
+    let size = Size { nodes: 2, workers: 6, pools: 1, millis: 0, often: None, crashes: true };
+    let rig = Rig::start("crashes", 1, size).await;
+    let job = "00000000000000c1";
+    let step = json!({ "count": 1, "cpu": 1_000, "estimated_ms": 300 });
+    hand_in(&rig, job, &json!({ "spec": "crash 300", "steps": [step] })).await;
+    let crashes = async |count: usize| {
+        until("a crash", async || {
+            let log = rig.log(0).await;
+            let crashed = log.iter().filter(|entry| entry.kind == Kind::Crashed);
+            (count <= crashed.count()).then_some(())
+        })
+        .await;
+    };
+    crashes(2).await;
+    let owner = until("the owner", async || rig.owner(0).await).await;
+    let kill = What::Node(owner, Signal::Kill);
+    rig.play(vec![Injection { at: 0, lasts: 0, what: kill }]).await;
+    until_state(&rig, 1 - owner, job, "failed").await;
+    let log = rig.log(0).await;
+    let story = Story { steps: vec![1], accepted: Some(0), crashes: true, ..Story::default() };
+    let broken = check(&log, &BTreeMap::from([(job.to_owned(), story)]), false);
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
 async fn hand_in(rig: &Rig, id: &str, job: &Value) {
     until("a job that is taken", async || {
         let url = format!("http://{}/q0/{id}", rig.nodes[0].callers);
@@ -60,7 +88,7 @@
 /// `started` of the owner before, after `taken over` of the later one; tokens 53 and 1376.
 #[tokio::test]
 async fn an_owner_without_a_lease_takes_no_run_for_lapsed() {
-    let size = Size { nodes: 2, workers: 2, pools: 1, millis: 0, often: None };
+    let size = Size { nodes: 2, workers: 2, pools: 1, millis: 0, often: None, crashes: false };
     let rig = Rig::start("lapsed", 1, size).await;
     // One task fills a worker: both have heard of the owner.
     let (first, second) = ("00000000000000a1", "00000000000000a2");
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -7,6 +7,11 @@
 /// How long after a job was shown as done its last start may come, in milliseconds.
 const SLACK_MS: u64 = 1_000;
 
+/// So many workers may crash under a task that crashes them before its starts are counted, and it is
+/// started fewer times than this after that.
+const CRASHES: usize = 3;
+const STARTS_AFTER: usize = 3;
+
 /// One event at a worker.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Entry {
@@ -41,6 +46,8 @@
     pub work: u64,
     pub fails: bool,
     pub lasts: bool,
+    /// Its tasks crash the workers that start them.
+    pub crashes: bool,
     pub cancel_after: Option<u64>,
     pub accepted: Option<u64>,
     /// Some try to hand it in got no answer.
@@ -70,6 +77,7 @@
     let mut running: HashMap<&str, Vec<&str>> = HashMap::new();
     let mut over: HashMap<&str, usize> = HashMap::new();
     let mut done: HashMap<&str, u64> = HashMap::new();
+    let mut crashed: HashMap<&str, (usize, usize)> = HashMap::new();
     for (number, entry) in log.iter().enumerate() {
         let (task, at) = (entry.task.as_str(), entry.at);
         let job = task.split('.').next().unwrap_or_default();
@@ -93,6 +101,11 @@
                 if story.shown_as("succeeded").is_some_and(|shown| shown + SLACK_MS < at) {
                     is_broken("starts after its job was shown as succeeded");
                 }
+                let (crashes, after) = crashed.entry(task).or_default();
+                *after += usize::from(CRASHES <= *crashes);
+                if story.crashes && *after == STARTS_AFTER {
+                    is_broken("starts on and on, and crashes its workers");
+                }
                 if !story.earlier_tasks(task).iter().all(|task| done.contains_key(task.as_str())) {
                     is_broken("starts before the steps before it are done");
                 }
@@ -100,6 +113,7 @@
             Kind::Acknowledged | Kind::Expired => {}
             how => {
                 running.entry(task).or_default().retain(|worker| *worker != entry.worker);
+                crashed.entry(task).or_default().0 += usize::from(how == Kind::Crashed);
                 if how == Kind::Done {
                     done.entry(task).or_insert(at);
                     if noted.contains(&number) {
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -33,6 +33,9 @@
 /// Time between two draws of whether a job comes.
 const DRAW_MS: u64 = 10;
 
+/// Where some do, every so many jobs crash the workers that start their tasks.
+const CRASHING_EVERY: u32 = 60;
+
 /// What a caller was told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Told {
@@ -73,7 +76,8 @@
                 if rng.random_range(0..20_000 / DRAW_MS) < rate {
                     number += 1;
                     let id = format!("{:08x}{number:08x}", seed as u32);
-                    let story = draw(&mut rng, pool);
+                    let mut story = draw(&mut rng, pool);
+                    story.crashes = size.crashes && number % CRASHING_EVERY == 0;
                     let rng = Pcg64Mcg::seed_from_u64(rng.random());
                     callers.spawn(self.clone().call(id, story, rng));
                 }
@@ -226,7 +230,12 @@
 impl Story {
     fn body(&self) -> Value {
         let work = if self.lasts { 600_000 } else { self.work };
-        let spec = format!("{}{work}", if self.fails { "fail " } else { "" });
+        let how = match self {
+            Story { crashes: true, .. } => "crash ",
+            Story { fails: true, .. } => "fail ",
+            _ => "",
+        };
+        let spec = format!("{how}{work}");
         let step = |(number, count): (usize, &u32)| {
             let mut step = json!({ "count": count, "cpu": self.cpu, "mem_mb": 100 });
             step["estimated_ms"] = json!(self.work);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -62,6 +62,8 @@
     pub millis: u64,
     /// The kind of fault that comes often; drawn if it is not given.
     pub often: Option<u32>,
+    /// Whether some jobs crash the workers that start their tasks.
+    pub crashes: bool,
 }
 
 /// Draws the injections of a seed.
--- a/tests/soak/tests.rs
+++ b/tests/soak/tests.rs
@@ -71,7 +71,8 @@
 
 #[test]
 fn a_seed_draws_the_same_each_time() {
-    let size = Size { nodes: 6, workers: 15, pools: 3, millis: 30_000, often: None };
+    let size =
+        Size { nodes: 6, workers: 15, pools: 3, millis: 30_000, often: None, crashes: false };
     assert_eq!(plan::draw(7, size), plan::draw(7, size));
     assert_ne!(plan::draw(7, size), plan::draw(8, size));
 }
