A node whose watches hang does not say that it is ready

Cause: readiness asked for the lease and for a view that was once read. Change: the operator's watch, or a read of all of it, must have been answered within 3.5 s: two silent watches in a row are given up by then. After: scheduler tests pass.

--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -91,9 +91,12 @@
     type Output = Response;
 
     async fn call(&self, _: Request) -> poem::Result<Response> {
-        let ready = self.node.view().is_ready()
-            && !self.node.leaving.is_cancelled()
-            && self.lease.held(self.node.now().steady).is_some();
+        let now = self.node.now().steady;
+        let view = self.node.view();
+        let knows = view.is_ready() && view.hears_operator(now);
+        drop(view);
+        let in_touch = self.lease.held(now).is_some();
+        let ready = knows && in_touch && !self.node.leaving.is_cancelled();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         Ok(http::text(status, ""))
     }
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -292,10 +292,11 @@
     at: Revision,
     to: &mpsc::UnboundedSender<Input>,
 ) {
+    let now = node.now().steady;
     let mut view = node.view();
     let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
     view.heard.passed(source, at);
-    let first = view.ready.insert(prefix);
+    let first = view.note_answer(prefix, now);
     if prefix == ROOT {
         view.known = view.known.max(at);
     }
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -9,6 +9,7 @@
 mod news;
 mod orders;
 mod ownership;
+mod readiness;
 mod takeovers;
 mod terms;
 mod unsent;
--- /dev/null
+++ b/src/scheduler/tests/readiness.rs
@@ -0,0 +1,56 @@
+//! Tests of whether a node says that it is ready.
+
+use std::{sync::Arc, time::Duration};
+
+use poem::{Endpoint, Request, http::StatusCode};
+use serde_json::json;
+
+use crate::{
+    jobs::owner::LEASE_MS,
+    model::queue::QueueConfig,
+    platform::{kv::Kv, records::OPERATOR_PREFIX},
+    scheduler::{Node, accept, api::Readiness, keys, lease::Lease, metrics::Metrics, node},
+    settings::scheduler::parse,
+};
+
+const TTL: Duration = Duration::from_millis(LEASE_MS);
+
+/// What nobody listens at.
+const NOWHERE: &str = "127.0.0.1:1";
+
+async fn is_ready(node: &Arc<Node>, lease: &Arc<Lease>) -> bool {
+    let probe = Readiness { node: node.clone(), lease: lease.clone() };
+    probe.call(Request::default()).await.unwrap().status() == StatusCode::OK
+}
+
+/// What users would see: callers are refused by queues that there are, and told old states. Open
+/// connections of a node had fallen silent; its calls for leases went out over new ones and were
+/// answered, and it said that it was ready, however long its watches had told it nothing.
+#[tokio::test]
+async fn a_node_whose_watches_hang_does_not_say_that_it_is_ready() {
+    let settings = json!({
+        "node": "one", "zone": "hall-a",
+        "listen": { "callers": NOWHERE, "readiness": NOWHERE, "metrics": NOWHERE },
+        "platform": { "store": NOWHERE, "hosts": NOWHERE },
+    });
+    let settings = parse("settings", &settings.to_string()).unwrap();
+    let kv = Kv::new(NOWHERE, TTL, |_, _, _| {});
+    let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+    let lease = Arc::new(Lease::default());
+    let renew = || {
+        let now = node.now().steady;
+        lease.renewed(1, now, TTL, now);
+    };
+    let now = node.now().steady;
+    node.view().note_answer(OPERATOR_PREFIX, now);
+    node.view().note_answer(keys::ALL, now);
+    node.view().config = Some(Arc::new(QueueConfig::default()));
+    renew();
+    assert!(is_ready(&node, &lease).await);
+    node.clock.stand_still(3_600);
+    renew();
+    assert!(!is_ready(&node, &lease).await, "it has heard nothing of the operator for 3.6 s");
+    let now = node.now().steady;
+    node.view().note_answer(OPERATOR_PREFIX, now);
+    assert!(is_ready(&node, &lease).await);
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -20,7 +20,7 @@
         id::{HostId, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
-        unit::{Millicores, Revision, Time},
+        unit::{Millicores, Revision, Steady, Time},
         worker::{Upkeep, WorkerReport},
     },
     platform::{
@@ -55,6 +55,11 @@
 /// owners, and with as many again the numbers of runs still fit.
 const LOST_COUNT: u32 = 1_000_000;
 
+/// How old may be what a node knows of the operator before it no longer says that it is ready, in
+/// milliseconds. A watch is answered once a second; two that fall silent, one after the other, are
+/// given up after 1.5 s each.
+const UNHEARD_MS: u64 = 3_500;
+
 /// How many owners a piece of work has had.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct TermRecord {
@@ -195,6 +200,8 @@
     pub(crate) known: Revision,
     /// Which of the prefixes have been read once.
     pub(crate) ready: BTreeSet<&'static str>,
+    /// When a watch of each prefix, or a read of all of it, was last answered.
+    answered: BTreeMap<&'static str, Steady>,
     /// What was last heard of each key.
     pub(crate) heard: Heard,
     /// How many records could not be read, or were not their worker's own.
@@ -209,6 +216,18 @@
             && self.config.is_some()
     }
 
+    /// Takes note that a prefix was read, or that its watch was answered; whether for the first time.
+    pub(crate) fn note_answer(&mut self, prefix: &'static str, now: Steady) -> bool {
+        self.answered.insert(prefix, now);
+        self.ready.insert(prefix)
+    }
+
+    /// Whether the operator is still heard: calls of the store may pass while watches hang.
+    pub(crate) fn hears_operator(&self, now: Steady) -> bool {
+        let answered = self.answered.get(OPERATOR_PREFIX);
+        answered.is_some_and(|at| now.since(*at) < UNHEARD_MS)
+    }
+
     /// Whether everything has been read once, so that work can be owned.
     pub(crate) fn is_whole(&self) -> bool {
         self.is_ready() && self.ready.contains(keys::ROOT) && self.ready.contains(WORKER_PREFIX)
