--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -128,37 +128,58 @@
         }
     }
 
-    /// Counts a worker that was lost with a run, once; as crashed under it if that is certain.
-    fn note_lost(&mut self, id: &WorkerId, lost: &Lost, certain: bool, now: Steady) {
-        let Lost { task, run, lived, .. } = *lost;
-        let Some(job) = self.jobs.get_mut(&task.of.job).filter(|job| job.is_open()) else {
-            return;
+    /// Changes which workers count as lost with the runs of a task, and has that kept if it was news;
+    /// whether it was.
+    fn change_losses(&mut self, task: TaskId, change: impl FnOnce(&mut Task) -> bool) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.of.job) else {
+            return false;
         };
         let version = job.version + 1;
         let Some(entry) = job.task_mut(task.of, task.index) else {
-            return;
+            return false;
         };
-        if entry.done || CLEARED_MS <= lived || entry.crashed.contains(id) {
-            return;
-        }
-        let on_trial = entry.trial_at.take_if(|at| at == id).is_some();
-        if certain {
-            entry.doubted.remove(id);
-            entry.crashed.insert(id.clone());
-        } else if !entry.doubted.insert(id.clone()) && !on_trial {
-            return;
+        if !change(entry) {
+            return false;
         }
-        entry.suspect |= lived < SETTLED_MS;
         entry.crash_version = version;
-        let (crashed, doubted) = (entry.crashed.len(), entry.doubted.len());
-        if CRASHES_BY_IT <= entry.lost_workers() {
-            entry.not_before = entry.not_before.max(now.after(LOST_AGAIN_PAUSE_MS));
-        }
         job.change();
         self.saves.add(task.of.job, false);
         self.marked.insert(task);
+        true
+    }
+
+    /// Counts a worker that was lost with a run, once; as crashed under it if that is certain.
+    fn note_lost(&mut self, id: &WorkerId, lost: &Lost, certain: bool, now: Steady) {
+        let Lost { task, run, lived, .. } = *lost;
+        if !self.jobs.get(&task.of.job).is_some_and(|job| job.is_open()) || CLEARED_MS <= lived {
+            return;
+        }
+        let mut so_far = (0, 0);
+        let is_news = self.change_losses(task, |entry| {
+            if entry.done || entry.crashed.contains(id) {
+                return false;
+            }
+            // On trial there, the worker counts as doubted already.
+            let on_trial = entry.trial_at.take_if(|at| at == id).is_some();
+            if certain {
+                entry.doubted.remove(id);
+                entry.crashed.insert(id.clone());
+            } else if !entry.doubted.insert(id.clone()) && !on_trial {
+                return false;
+            }
+            entry.suspect |= lived < SETTLED_MS;
+            if CRASHES_BY_IT <= entry.lost_workers() {
+                entry.not_before = entry.not_before.max(now.after(LOST_AGAIN_PAUSE_MS));
+            }
+            so_far = (entry.crashed.len(), entry.doubted.len());
+            true
+        });
+        if !is_news {
+            return;
+        }
         self.counts.crashes += u64::from(certain);
         let how = if certain { "crashed" } else { "lost" };
+        let (crashed, doubted) = so_far;
         log::info!(
             "job {}: task {task} run {run} at {id}: worker {how} under it after {lived} ms: \
              {crashed} crashed, {doubted} may have",
@@ -239,23 +260,17 @@
     /// durable. The first start after a single loss does not: most such losses are none of the task's
     /// doing.
     pub(super) fn announce_trial(&mut self, task: TaskId, at: &WorkerId) -> bool {
-        let Some(job) = self.jobs.get_mut(&task.of.job) else {
-            return false;
-        };
-        let version = job.version + 1;
-        let entry = job.task_mut(task.of, task.index);
-        let news = |entry: &&mut Task| entry.suspect && entry.trial_at.is_none();
-        let Some(entry) = entry.filter(news) else {
-            return false;
-        };
-        let waits = CRASHES_BY_IT <= entry.lost_workers();
-        entry.trial_at = Some(at.clone());
-        entry.doubted.insert(at.clone());
-        entry.crash_version = version;
-        job.change();
-        self.saves.add(task.of.job, false);
-        self.marked.insert(task);
-        if let Some(worker) = self.workers.get_mut(at) {
+        let mut waits = false;
+        let is_news = self.change_losses(task, |entry| {
+            if !entry.suspect || entry.trial_at.is_some() {
+                return false;
+            }
+            waits = CRASHES_BY_IT <= entry.lost_workers();
+            entry.trial_at = Some(at.clone());
+            entry.doubted.insert(at.clone());
+            true
+        });
+        if is_news && let Some(worker) = self.workers.get_mut(at) {
             worker.trial = Some(task);
         }
         waits
@@ -277,21 +292,12 @@
 
     /// Takes note that a worker was not lost with the run on trial there, or that there is none.
     pub(super) fn withdraw_trial(&mut self, task: TaskId) {
-        let Some(job) = self.jobs.get_mut(&task.of.job) else {
-            return;
-        };
-        let version = job.version + 1;
-        let Some(entry) = job.task_mut(task.of, task.index) else {
-            return;
-        };
-        let Some(at) = entry.trial_at.take() else {
-            return;
-        };
-        entry.doubted.remove(&at);
-        entry.crash_version = version;
-        job.change();
-        self.saves.add(task.of.job, false);
-        if let Some(worker) = self.workers.get_mut(&at) {
+        let mut trial_at = None;
+        self.change_losses(task, |entry| {
+            trial_at = entry.trial_at.take();
+            trial_at.as_ref().is_some_and(|at| entry.doubted.remove(at))
+        });
+        if let Some(worker) = trial_at.and_then(|at| self.workers.get_mut(&at)) {
             worker.trial.take_if(|trial| *trial == task);
         }
     }
@@ -301,28 +307,23 @@
         if self.marked.is_empty() || lived < SETTLED_MS {
             return;
         }
-        let Some(job) = self.jobs.get_mut(&task.of.job) else {
-            return;
-        };
-        let version = job.version + 1;
-        let Some(entry) = job.task_mut(task.of, task.index) else {
+        let Some(entry) = self.task_mut(task) else {
             return;
         };
         entry.suspect = false;
         let copy = entry.copies.iter_mut().find(|copy| copy.worker == *id);
-        let was_on_trial = copy.is_some_and(|copy| std::mem::take(&mut copy.trial));
-        let cleared = CLEARED_MS <= lived && entry.lost_workers() != 0;
-        if cleared {
-            entry.crashed.clear();
-            entry.doubted.clear();
-            entry.crash_version = version;
-            job.change();
-            self.saves.add(task.of.job, false);
-        }
-        if was_on_trial {
+        if copy.is_some_and(|copy| std::mem::take(&mut copy.trial)) {
             log::info!("job {}: task {task} at {id}: no longer on trial", task.of.job);
             self.withdraw_trial(task);
         }
+        if CLEARED_MS <= lived {
+            self.change_losses(task, |entry| {
+                let is_news = entry.lost_workers() != 0;
+                entry.crashed.clear();
+                entry.doubted.clear();
+                is_news
+            });
+        }
     }
 
     /// Takes note that a worker lives that may have been held to have crashed.
@@ -333,20 +334,12 @@
         if let Some(worker) = self.workers.get_mut(id) {
             worker.lost.clear();
         }
-        for task in &self.marked {
-            let Some(job) = self.jobs.get_mut(&task.of.job) else {
-                continue;
-            };
-            let version = job.version + 1;
-            let entry = job.task_mut(task.of, task.index);
-            let Some(entry) = entry.filter(|entry| entry.doubted.contains(id)) else {
-                continue;
-            };
-            entry.doubted.remove(id);
-            entry.crash_version = version;
-            entry.suspect &= entry.lost_workers() != 0;
-            job.change();
-            self.saves.add(task.of.job, false);
+        for task in self.marked.clone() {
+            self.change_losses(task, |entry| {
+                let is_news = entry.doubted.remove(id);
+                entry.suspect &= entry.lost_workers() != 0;
+                is_news
+            });
         }
     }
 }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -1,6 +1,7 @@
 //! Feeds the owners of pools with what happens, and carries out what they want done.
 
 mod keep;
+mod news;
 mod orders;
 mod reach;
 mod tell;
@@ -42,7 +43,7 @@
         keys,
         lease::{Lease, Tenure},
         mirror,
-        view::{Delta, View},
+        view::Delta,
     },
 };
 
@@ -335,89 +336,6 @@
         }
     }
 
-    fn heard(&mut self, delta: Delta, now: Now) {
-        match delta {
-            Delta::Job(id) => {
-                let stored = self.node.view().jobs.get(&id).and_then(|known| known.stored(id));
-                if let Some(stored) = stored {
-                    let name = keys::pool(&stored.record.pool);
-                    self.tell(&name, Event::Job(stored), now);
-                }
-            }
-            Delta::Removed(id) => {
-                let names: Vec<String> = self.owned.keys().cloned().collect();
-                for name in names {
-                    self.tell(&name, Event::Removed(id), now);
-                }
-            }
-            Delta::Cancelled(id) => {
-                let known = self.node.view().jobs.get(&id).cloned();
-                let record = known.as_ref().filter(|known| known.cancelled);
-                let record = record.and_then(|known| known.record.as_ref());
-                if let Some(record) = record {
-                    let name = keys::pool(&record.value.pool);
-                    self.tell(&name, Event::Cancelled(id), now);
-                }
-            }
-            Delta::Worker(report) => {
-                let own = keys::pool(&report.pool);
-                let others: Vec<String> =
-                    self.owned.keys().filter(|name| **name != own).cloned().collect();
-                for name in others {
-                    self.tell(&name, Event::Elsewhere(report.clone()), now);
-                }
-                let owns = self.owned.contains_key(&own);
-                if owns && self.node.view().is_of_another(&own, &report.id) {
-                    log::error!("worker {}: not used: another pool's, not {own}'s", report.id);
-                    return self.tell(&own, Event::Barred(report.id), now);
-                }
-                self.tell(&own, Event::Worker(report), now);
-            }
-            Delta::Unlisted(id) => {
-                let names: Vec<String> = self.owned.keys().cloned().collect();
-                for name in names {
-                    self.tell(&name, Event::Unlisted(id.clone()), now);
-                }
-            }
-            Delta::Barred(id) => {
-                let names: Vec<String> = self.owned.keys().cloned().collect();
-                for name in names {
-                    self.tell(&name, Event::Barred(id.clone()), now);
-                }
-            }
-            Delta::Owner(name) => self.check_owner(&name),
-            Delta::Leave => self.set_emptying(),
-            Delta::Config => {}
-        }
-    }
-
-    fn tell(&mut self, name: &str, event: Event, now: Now) {
-        let Some(owned) = self.owned.get_mut(name) else {
-            return;
-        };
-        let (mut out, token) = (Vec::new(), owned.owner.token);
-        owned.owner.handle(event, now, &mut out);
-        self.carry_out(name, token, out);
-    }
-
-    /// Gives up what the store says is owned by another, or by nobody.
-    fn check_owner(&mut self, name: &str) {
-        if name == keys::FLEET
-            && let Some(OwnedFleet { fleet, .. }) = &self.fleet
-            && !self.node.view().owns(name, fleet.token)
-        {
-            log::warn!("owner {name}: token {} is over", fleet.token);
-            self.fleet = None;
-        }
-        let Some(owned) = self.owned.get(name) else {
-            return;
-        };
-        if !self.node.view().owns(name, owned.owner.token) {
-            log::warn!("owner {name}: token {} is over", owned.owner.token);
-            self.owned.remove(name);
-        }
-    }
-
     /// Gives up what was won under a lease that is over, before anything else is done: another node
     /// may have won it, and relies on how long this one goes on.
     fn give_up(&mut self, now: Steady) {
@@ -433,15 +351,6 @@
         self.fleet.take_if(|owned| !lasts(keys::FLEET, owned.fleet.token, &owned.tenure));
     }
 
-    fn set_emptying(&mut self) {
-        let view = self.node.view();
-        for owned in self.owned.values_mut() {
-            let hosts = marks(&view, &owned.pool);
-            owned.owner.set_emptying(hosts.clone());
-            owned.told_empty.retain(|host, _| hosts.contains_key(host));
-        }
-    }
-
     /// Does what is due now.
     fn step(&mut self) {
         let now = self.node.now();
@@ -572,7 +481,7 @@
                 owner.handle(Event::Job(stored), now, &mut out);
             }
         }
-        owner.set_emptying(marks(&view, &pool));
+        owner.set_emptying(news::marks(&view, &pool));
         drop(view);
         log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
         let over = CancellationToken::new();
@@ -602,13 +511,6 @@
     }
 }
 
-/// The hosts that a pool's owner is to empty, by the revisions of their marks. A host that was
-/// marked to come to this pool has come.
-fn marks(view: &View, pool: &PoolId) -> BTreeMap<HostId, Revision> {
-    let leaves = view.leaves.iter().filter(|(_, at)| at.value != Leave::Move(pool.clone()));
-    leaves.map(|(host, at)| (host.clone(), at.revision)).collect()
-}
-
 pub(super) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Records of ours hold nothing that JSON cannot.
     serde_json::to_vec(value).unwrap_or_default()
