--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -45,7 +45,7 @@
         let runs = worker.copies.keys();
         let mut lost: Vec<Lost> = runs.map(|task| self.lost_with(worker, *task)).collect();
         let new = lost.iter().filter(|lost| lost.lived < SETTLED_MS).count();
-        lost.iter_mut().for_each(|lost| lost.alone &= new == 1);
+        lost.iter_mut().for_each(|lost| lost.on_trial &= new == 1);
         for lost in lost.iter().filter(|lost| lost.lived < SETTLED_MS) {
             self.note_lost(id, lost, false, now);
         }
@@ -66,7 +66,7 @@
             run: copy.map_or(0, |copy| copy.run),
             lived: copy.map_or(0, |copy| lived(copy, worker)),
             began,
-            alone: began && copy.is_some_and(|copy| copy.trial),
+            on_trial: began && copy.is_some_and(|copy| copy.trial),
         }
     }
 
@@ -121,6 +121,7 @@
         Some((worker.report.host, lost))
     }
 
+    /// Takes note that a worker is over for certain, with what was lost there.
     fn crashed(&mut self, id: &WorkerId, lost: &[Lost], now: Steady) {
         for lost in lost {
             self.note_lost(id, lost, lost.began, now);
@@ -191,7 +192,7 @@
     fn judge(&mut self, lost: &Lost) {
         let job = self.jobs.get(&lost.task.of.job);
         let entry = job.and_then(|job| job.task(lost.task.of, lost.task.index));
-        if lost.alone && entry.is_some_and(|entry| CRASHES_BY_IT <= entry.crashed.len()) {
+        if lost.on_trial && entry.is_some_and(|entry| CRASHES_BY_IT <= entry.crashed.len()) {
             self.crashing.push(lost.task);
         }
     }
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -32,8 +32,8 @@
 pub(crate) const HASTY_LOOK_WAIT_MS: u64 = 300;
 
 /// After how long a run has shown that it does not crash its worker by starting, in milliseconds.
-/// Tasks that do have been seen to do so within 10; as long as a look's answer and a node that
-/// stands still take on top, and short, since nothing else begins beside a run on trial.
+/// Tasks that do have been seen to do so within 10. The rest is for answers that are late: no longer
+/// than that, since nothing else begins beside a run on trial.
 pub(crate) const SETTLED_MS: u64 = 400;
 
 /// How long a worker that lives may be missing from the store's list, in milliseconds: by the
@@ -78,15 +78,15 @@
     pub(crate) lived: u64,
     /// Whether it is known to have begun.
     pub(crate) began: bool,
-    /// Whether the worker was lost by the run's doing, for all that is known: it was on trial, had
-    /// begun, and nothing else had begun as lately.
-    pub(crate) alone: bool,
+    /// Whether it was on trial, had begun, and nothing else there had begun as lately: if the worker
+    /// has crashed, it was its doing.
+    pub(crate) on_trial: bool,
 }
 
 impl Lost {
     /// What may have run at a worker by what an earlier owner has kept of it.
     pub(crate) fn unseen(task: TaskId) -> Lost {
-        Lost { task, run: 0, lived: 0, began: false, alone: false }
+        Lost { task, run: 0, lived: 0, began: false, on_trial: false }
     }
 }
 
@@ -140,7 +140,7 @@
     pub(crate) trial: Option<TaskId>,
     /// When a run was last started here.
     pub(crate) started: Option<Steady>,
-    /// Runs that have lapsed unseen since it fell silent. They died with it if it is over.
+    /// Runs that were given up since it fell silent. They have died with it if it is over.
     pub(crate) lost: Vec<Lost>,
     pub(crate) last_done: Option<Steady>,
     suspended_until: Steady,
