--- a/src/cli.rs
+++ b/src/cli.rs
@@ -373,6 +373,11 @@
             Command::new("owner")
                 .about("Measure what an owner spends for each task at a peak, as its pool grows."),
         ))
+        .subcommand(exports(
+            Command::new("fleet").about(
+                "Measure what a decision on hosts and waves costs, as the fleet grows.",
+            ),
+        ))
         .subcommand(exports(
             Command::new("node")
                 .about("Measure what control costs a node as the fleet grows."),
--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -210,6 +210,9 @@
     keeping: BTreeMap<u64, (BTreeSet<HostId>, Steady)>,
     /// Records of hosts and waves that were just written, and when: the view lags.
     written: BTreeMap<String, Steady>,
+    /// How often a host or a mark was looked at.
+    #[cfg(test)]
+    looks: std::cell::Cell<usize>,
 }
 
 impl Fleet {
@@ -233,9 +236,24 @@
             begun: BTreeSet::new(),
             keeping: BTreeMap::new(),
             written: BTreeMap::new(),
+            #[cfg(test)]
+            looks: std::cell::Cell::default(),
         }
     }
 
+    /// Counts, in tests, that a plan looks at a host or a mark: what it costs must grow with the
+    /// hosts, not with the hosts times the marks.
+    fn count_look(&self) {
+        #[cfg(test)]
+        self.looks.set(self.looks.get() + 1);
+    }
+
+    /// How often a host or a mark was looked at since this was last asked.
+    #[cfg(test)]
+    pub(crate) fn take_looks(&self) -> usize {
+        self.looks.take()
+    }
+
     /// Takes note of a list that was asked for at a moment; nothing if it was not read.
     pub(crate) fn heard_list(&mut self, sent: Steady, hosts: Option<Vec<ListedHost>>) {
         self.listing = false;
@@ -306,7 +324,8 @@
         scene: &'a Scene<'_>,
     ) -> impl Iterator<Item = (&'a HostId, &'a Leave)> + 'a {
         let unseen = self.marking.iter().filter(|(host, _)| !scene.leaves.contains_key(*host));
-        scene.leaves.iter().chain(unseen.map(|(host, (leave, _))| (host, leave)))
+        let marks = scene.leaves.iter().chain(unseen.map(|(host, (leave, _))| (host, leave)));
+        marks.inspect(|_| self.count_look())
     }
 
     /// Whether something is decided for a host already, shown by the view or not.
@@ -472,7 +491,8 @@
 
     /// Hosts of a pool that are up and not marked to leave.
     fn free_hosts(&self, scene: &Scene<'_>, pool: &PoolId) -> Vec<HostId> {
-        let free = self.hosts.values().filter(|known| {
+        let hosts = self.hosts.values().inspect(|_| self.count_look());
+        let free = hosts.filter(|known| {
             known.pool == *pool
                 && known.phase == HostPhase::Up
                 && !self.is_taken(scene, &known.host)
--- a/src/jobs/fleet/wave.rs
+++ b/src/jobs/fleet/wave.rs
@@ -61,7 +61,8 @@
             if room <= chosen.len() {
                 break;
             }
-            let pool = self.hosts.values().filter(|host| host.pool == known.pool).count();
+            let hosts = self.hosts.values().inspect(|_| self.count_look());
+            let pool = hosts.filter(|host| host.pool == known.pool).count();
             let most = (pool * LEAVING_PERCENT / 100).max(1);
             let leaving = taken.entry(known.pool.clone()).or_default();
             if !is_off(known) && most <= self.leaving(scene, &known.pool) + *leaving {
@@ -91,7 +92,7 @@
             let listed = self.hosts.get(*host).map(|known| known.phase);
             **leave == Leave::Upkeep(wave) && (called || listed == Some(HostPhase::Upkeep))
         };
-        scene.leaves.iter().filter(away).count()
+        scene.leaves.iter().inspect(|_| self.count_look()).filter(away).count()
     }
 
     /// Has it kept that hosts had their upkeep: all that are back in one write, and the next only
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -11,6 +11,7 @@
 mod late;
 mod looks;
 mod places;
+mod plan_cost;
 mod refusals;
 mod rooms;
 mod roster;
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -2,6 +2,7 @@
 
 mod bound;
 mod export;
+mod fleet;
 mod node;
 mod owner;
 mod path;
@@ -34,6 +35,8 @@
     Node,
     /// What an owner's decisions cost.
     Owner,
+    /// What a decision of the fleet's owner costs.
+    Fleet,
     /// The choice of endpoints against baselines.
     Route,
 }
@@ -54,6 +57,7 @@
         Experiment::Path { callers, requests } => path::measure(callers, requests)?,
         Experiment::Node => node::measure()?,
         Experiment::Owner => owner::measure(),
+        Experiment::Fleet => fleet::measure(),
         Experiment::Route => route::measure(),
     };
     println!("{}", figures.text());
--- a/src/options.rs
+++ b/src/options.rs
@@ -109,6 +109,7 @@
             requests: *given::<u32>(inner, "requests"),
         },
         "owner" => measure::Experiment::Owner,
+        "fleet" => measure::Experiment::Fleet,
         "route" => measure::Experiment::Route,
         _ => measure::Experiment::Node,
     };
