Failing tests: answers and conclusions from a view that is old

These tests show it with nothing but the age of the view differing from a node that is right: a gate before the stand-in's store holds the answers of one watch, the lease and the operator's watch go on, and time passes by the node's clock alone. Seen on this code: 0 said to wait where 3 have waited for 6 s (a node that hears of everything); 1 where 4 have (a word that nobody renews); 0 where 2 wait (no word of the pool yet); `running` 6 s after the end was written; a job taken for over, and its ends acknowledged, by a view that does not reach to the time at which a worker listed them. The last is the same cause elsewhere: `tell_of_unknown` concluded from 3 s of absence in a view without an age, where views were seen 6 to 9 s behind; it would run a task twice.

--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -252,3 +252,30 @@
     world.drive.tell_of_unknown("pool-work", later);
     assert_eq!(unknown(&world), [garbled], "its progress may be read yet");
 }
+
+/// What users would see: a task that must run once runs twice. An owner's own watch has fallen silent,
+/// and the mirror is behind: a job that another owner has begun is not in the view yet when a worker
+/// lists an end of it. After three seconds the job was taken for over, its end was acknowledged, and
+/// the task was started once the job was heard of. Evidence: this test.
+#[test]
+fn a_job_to_which_the_view_has_not_come_is_not_taken_for_over() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _entered = runtime.enter();
+    let mut world = World::new();
+    for op in [Op::Renew, Op::Reach { fleet: false }, Op::Reached, Op::Show, Op::Step] {
+        world.apply(op);
+    }
+    let (now, job) = (world.node.now(), JobId::from_number(1));
+    let task = TaskId { of: StepId { job, time: 0, step: 0 }, index: 0 };
+    let ended = vec![Ended { number: 1, task, run: 1, how: HowEnded::Done, saved: String::new() }];
+    let owned = world.drive.owned.get_mut("pool-work").unwrap();
+    let mut out = Vec::new();
+    let worker = WorkerReport::without_place(&"w1".parse().unwrap(), "work").unwrap();
+    owned.owner.handle(Event::Worker(worker), now, &mut out);
+    let end = OrderEnd::Done(Look { clock_ms: 1, present: Vec::new(), ended });
+    let looked = Event::Looked { worker: "w1".parse().unwrap(), sent: now.steady, end };
+    owned.owner.handle(looked, now, &mut out);
+    let later = Now { steady: now.steady.after(10_000), ..now };
+    world.drive.tell_of_unknown("pool-work", later);
+    assert_eq!(world.drive.owned["pool-work"].owner.unknown_jobs().len(), 1);
+}
--- /dev/null
+++ b/src/scheduler/tests/age.rs
@@ -0,0 +1,310 @@
+//! Tests of what callers are told by a node whose view is old, over real sockets: a node's mirror, the
+//! stand-in's store, and a gate before it that holds the answers of some watches. Time passes by the
+//! node's clock alone.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use poem::{
+    Endpoint, Request, Response,
+    http::{Method, StatusCode, header},
+};
+use reqwest::Client;
+use serde_json::{Value, json};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, sleep},
+};
+
+use crate::{
+    http,
+    jobs::owner::LEASE_MS,
+    model::{
+        id::PoolId,
+        job::{JobId, JobState, Progress},
+        unit::Time,
+    },
+    platform::kv::{Kv, Txn},
+    scheduler::{
+        Node, accept, api::Api, drive::json, keys, lease::Lease, metrics::Metrics, mirror, node,
+        relay::Relay,
+    },
+    settings::scheduler::parse,
+    standin::site,
+    tests::sample,
+};
+
+/// How long anything may take before a test gives up. No test passes or fails by time otherwise.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// How long a call of the store may take.
+const STORE_LIMIT: Duration = Duration::from_millis(700);
+const TTL: Duration = Duration::from_millis(LEASE_MS);
+/// Longer ago than an answer may show, in milliseconds.
+const LONG: u64 = 6_000;
+const HOST: &str = "quotes.example";
+const QUEUE: &str = "quotes";
+
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "{what}: not seen in time");
+        sleep(LOOK_EVERY).await;
+    }
+}
+
+fn pool() -> PoolId {
+    "work".parse().unwrap()
+}
+
+/// A way to the store that can hold the answers of the watches of one prefix.
+#[derive(Clone)]
+struct Gate {
+    client: Client,
+    behind: String,
+    held: watch::Sender<Option<&'static str>>,
+}
+
+impl Gate {
+    async fn before(address: &str) -> (Gate, String) {
+        let (listener, own) = http::listen("127.0.0.1:0").await.unwrap();
+        let client = Client::builder().no_proxy().build().unwrap();
+        let gate = Gate { client, behind: address.to_owned(), held: watch::Sender::new(None) };
+        tokio::spawn(http::serve(listener, 256, gate.clone(), http::Stop::default()));
+        (gate, own.to_string())
+    }
+}
+
+impl Endpoint for Gate {
+    type Output = Response;
+
+    async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        let uri = request.uri().clone();
+        let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
+        let url = format!("http://{}{}", self.behind, uri.path_and_query().unwrap());
+        let body = request.take_body().into_bytes().await.unwrap();
+        let sent = match *request.method() {
+            Method::POST => self.client.post(url).header("Content-Type", "application/json"),
+            _ => self.client.get(url),
+        };
+        let answer = sent.body(body).send().await.unwrap();
+        let (status, told) = (answer.status(), answer.bytes().await.unwrap());
+        if uri.path().ends_with("-watch") {
+            let prefix = query.get("path_prefix").map(String::as_str);
+            let passes = |held: &Option<&'static str>| held.is_none() || *held != prefix;
+            self.held.subscribe().wait_for(passes).await.unwrap();
+        }
+        Ok(Response::builder().status(status).body(told))
+    }
+}
+
+/// A store, and a node that reaches it through a gate.
+struct Scene {
+    kv: Kv,
+    gate: Gate,
+    address: String,
+    node: Arc<Node>,
+    lease: Arc<Lease>,
+    api: Api,
+}
+
+impl Scene {
+    /// A node that hears of everything.
+    async fn whole() -> Scene {
+        let scene = Scene::start(&json!(12)).await;
+        let record = json!({ "cpu": 500 });
+        scene.put(keys::node("one"), json(&record)).await;
+        until("the node to hear of all", async || scene.node.view().is_whole().then_some(())).await;
+        scene
+    }
+
+    /// A node that adds up the words of owners, since another one comes before it.
+    async fn small() -> Scene {
+        let scene = Scene::start(&json!(1)).await;
+        scene.put(keys::node("large"), json(&json!({ "cpu": 9_000 }))).await;
+        until("the node to know the other", async || {
+            let view = scene.node.view();
+            (view.is_ready() && view.nodes.contains_key("large")).then_some(())
+        })
+        .await;
+        scene
+    }
+
+    async fn start(replicas: &Value) -> Scene {
+        let listen = "127.0.0.1:0".to_owned();
+        let work = Duration::from_millis(50);
+        let site = site::start(site::Options { listen, workers: 0, work, pools: 1 }).await.unwrap();
+        let kv = Kv::new(&site.address, STORE_LIMIT, |_, _, _| {});
+        let config = json!({
+            "version": 1,
+            "routes": [{
+                "name": QUEUE, "host": HOST, "path_prefix": "/quotes/", "kind": "unsafe",
+                "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "service": "work",
+                "max_attempts": 3, "stretch": 1.6,
+            }],
+            "services": [{ "name": "work", "admission_check": true, "headroom": false }],
+        });
+        let client = Client::builder().no_proxy().build().unwrap();
+        let url = format!("http://{}/put?op/config", site.address);
+        client.post(url).json(&config).send().await.unwrap();
+        let (gate, address) = Gate::before(&site.address).await;
+        let (node, lease, api) = join("one", &address, replicas);
+        Scene { kv, gate, address, node, lease, api }
+    }
+
+    async fn put(&self, key: String, value: Vec<u8>) {
+        self.kv.commit(&Txn::default().put(key, value)).await.unwrap();
+    }
+
+    /// Has a job accepted by another node.
+    async fn hand_in(&self, number: u64) {
+        let mut record = sample::record(Vec::new());
+        (record.pool, record.queue, record.accepted) = (pool(), QUEUE.to_owned(), Time::now());
+        let id = JobId::from_number(number);
+        let txn = Txn::default()
+            .put(keys::id(id), pool().to_string())
+            .put(keys::job(&pool(), id), json(&record));
+        self.kv.commit(&txn).await.unwrap();
+    }
+
+    async fn progress(&self, number: u64, state: JobState) {
+        let progress = Progress { state, ..Progress::default() };
+        self.put(keys::progress(JobId::from_number(number)), json(&progress)).await;
+    }
+
+    /// The word of the pool's owner.
+    async fn tell(&self, queued: &Value) {
+        self.put(keys::queued(&keys::pool(&pool())), json(queued)).await;
+    }
+
+    /// Lets time pass at the node, whose lease is renewed all the while.
+    fn pass(&self, millis: u64) {
+        self.node.clock.stand_still(millis);
+        let now = self.node.now().steady;
+        self.lease.renewed(1, now, TTL, now);
+    }
+
+    /// What a caller is told.
+    async fn ask(&self, path: &str) -> Result<Value, Refusal> {
+        ask(&self.api, path).await
+    }
+
+    /// How many jobs of the queue wait.
+    async fn pending(&self) -> Result<u64, Refusal> {
+        Ok(self.ask("/quotes/").await?["pending"].as_u64().unwrap())
+    }
+
+    async fn state(&self, number: u64) -> Result<String, Refusal> {
+        let answer = self.ask(&format!("/quotes/{}", JobId::from_number(number))).await?;
+        Ok(answer["state"].as_str().unwrap().to_owned())
+    }
+}
+
+/// A status, and whether the caller is told when to come back.
+type Refusal = (StatusCode, bool);
+
+const NOT_KNOWN: Refusal = (StatusCode::SERVICE_UNAVAILABLE, true);
+
+async fn ask(api: &Api, path: &str) -> Result<Value, Refusal> {
+    let request = Request::builder().uri(path.parse().unwrap()).header(header::HOST, HOST);
+    let answer = api.call(request.finish()).await.unwrap();
+    if answer.status() != StatusCode::OK {
+        return Err((answer.status(), answer.headers().contains_key(header::RETRY_AFTER)));
+    }
+    let body = answer.into_body().into_bytes().await.unwrap();
+    Ok(serde_json::from_slice(&body).unwrap())
+}
+
+fn join(name: &str, store: &str, replicas: &Value) -> (Arc<Node>, Arc<Lease>, Api) {
+    let unused = "127.0.0.1:1";
+    let settings = json!({
+        "node": name, "zone": "hall-a", "replicas": replicas,
+        "listen": { "callers": unused, "readiness": unused, "metrics": unused },
+        "platform": { "store": store, "hosts": unused },
+    });
+    let settings = parse("settings", &settings.to_string()).unwrap();
+    let kv = Kv::new(store, STORE_LIMIT, |_, _, _| {});
+    let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+    let lease = Arc::new(Lease::default());
+    let now = node.now().steady;
+    lease.renewed(1, now, TTL, now);
+    let (to, _) = mpsc::unbounded_channel();
+    mirror::start(&node, &to);
+    let api = Api { node: node.clone(), lease: lease.clone(), relay: Relay::new(), orders: None };
+    (node, lease, api)
+}
+
+/// What users saw: "0 jobs are said to wait; 36 have waited", told by a node that hears of everything.
+/// The jobs were accepted by other nodes while its watch of the records had fallen silent, or lagged
+/// behind what a peak wrote. Its lease was renewed, and the operator's watch was answered, so that it
+/// said that it was ready; and what it had heard once counted as known for ever.
+///
+/// Evidence: the logs of a day like theirs, in which the plans of this node showed jobs as they had been
+/// six to nine seconds before, while owners of pools told of the present; and this test, in which
+/// nothing but the age of the view differs from a node that tells the truth.
+#[tokio::test]
+async fn a_node_whose_records_are_old_does_not_say_how_many_jobs_wait() {
+    let scene = Scene::whole().await;
+    scene.gate.held.send_replace(Some(keys::ROOT));
+    for number in 1..=3 {
+        scene.hand_in(number).await;
+    }
+    scene.pass(LONG);
+    assert_eq!(scene.pending().await, Err(NOT_KNOWN), "3 jobs have waited for 6 s");
+    scene.gate.held.send_replace(None);
+    until("the jobs to be counted", async || (scene.pending().await == Ok(3)).then_some(())).await;
+}
+
+/// The same at a node that adds up what owners have written: its owner is gone or stands still, and
+/// its last word stays in the store for ever.
+#[tokio::test]
+async fn a_word_that_nobody_renews_does_not_say_how_many_jobs_wait() {
+    let scene = Scene::small().await;
+    until("the word to be heard", async || {
+        scene.tell(&json!({ QUEUE: 1 })).await;
+        (scene.pending().await == Ok(1)).then_some(())
+    })
+    .await;
+    for number in 1..=4 {
+        scene.hand_in(number).await;
+    }
+    scene.pass(LONG);
+    assert_eq!(scene.pending().await, Err(NOT_KNOWN), "4 jobs have waited for 6 s");
+    until("the next word to be heard", async || {
+        scene.tell(&json!({ QUEUE: 4 })).await;
+        (scene.pending().await == Ok(4)).then_some(())
+    })
+    .await;
+}
+
+/// The same before the first word of all: a pool that has had no owner yet.
+#[tokio::test]
+async fn a_pool_without_a_word_does_not_say_that_no_job_waits() {
+    let scene = Scene::small().await;
+    for number in 1..=2 {
+        scene.hand_in(number).await;
+    }
+    assert_eq!(scene.pending().await, Err(NOT_KNOWN), "2 jobs wait");
+}
+
+/// The same cause with states: a caller that asks for a job which has ended is told that it runs, for
+/// as long as the node is behind. Nodes without a mirror read the store, and tell the end.
+#[tokio::test]
+async fn a_node_whose_records_are_old_reads_how_a_job_stands() {
+    let scene = Scene::whole().await;
+    scene.hand_in(1).await;
+    scene.progress(1, JobState::Running).await;
+    until("the job to be heard of", async || {
+        let view = scene.node.view();
+        let known = view.jobs.get(&JobId::from_number(1)).filter(|known| known.is_accepted());
+        known.is_some_and(|known| known.state() == JobState::Running).then_some(())
+    })
+    .await;
+    scene.gate.held.send_replace(Some(keys::ROOT));
+    scene.progress(1, JobState::Succeeded).await;
+    scene.pass(LONG);
+    assert_eq!(scene.state(1).await.as_deref(), Ok("succeeded"));
+}
