A node knows how old its view is, and neither answers nor plans from one that is too old

What a node has heard once counted as known for ever: `pending` counted from a view of any age, words of owners had none, a not-final state was told from behind, absence for 3 s was taken for an end, and the fleet was planned from jobs as they had been. Ruled out: asking the store for its revision before each answer (a call for each question, and it says nothing of words); the time at which an answer came (a watch that is late counts as new); the time of sending alone (an answer that is cut to a number of changes would count as whole). Change: `view/age.rs` keeps for each prefix as of when it is known: the sending of a watch that was answered whole, sending and wait of one that heard of nothing, and the last moment at which the store was told to stand where the prefix is. It counts once the changes were taken in. `pending` answers from records or words at most 2 s old, else another node answers (those that hear of all first, once), else 503 with Retry-After. A state that is not final is read from the store once the records are 1 s old; while nobody knows better the last one is told, as before. No word is written by an owner whose own watch is late; no plan is made for the fleet; `tell_of_unknown` wants a view that reaches to the listing of the end. A node that stays 4 s behind while its lease holds gives its work back, once, and reaches for work 2 s after the others. Watches of the records and of what all nodes hear wait 500 ms, so that a view that is kept up stays well under the bounds. Sight: `view_age_seconds` by prefix, `queue_counts` by what was counted, a line when a prefix becomes too old and when it is back, at most one each 2 s, the age beside `taken up`. The test of jobs that are over now also asks that nothing is concluded before the view has come so far; it is stricter than it was. Conclusion: the cause is mended in this place; that the users' own case was this one is not shown.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -10,6 +10,7 @@
 pub(crate) mod drive;
 pub(crate) mod fleet;
 pub(crate) mod keys;
+pub(crate) mod lateness;
 pub(crate) mod lease;
 pub(crate) mod metrics;
 pub(crate) mod mirror;
--- a/src/scheduler/accept.rs
+++ b/src/scheduler/accept.rs
@@ -116,8 +116,12 @@
                 .put(id, pool)
                 .put(keys::job(&acceptance.pool, acceptance.id), acceptance.value.clone());
         }
+        let sent = node.now().steady;
         match node.kv.commit(&txn).await {
-            Ok(Committed::Done(_)) => return tell_all(batch, |_| Accepted::Kept),
+            Ok(Committed::Done(revision)) => {
+                node.view().ages.told(sent, revision);
+                return tell_all(batch, |_| Accepted::Kept);
+            }
             Ok(Committed::Conflict(items)) => {
                 let there = |id: JobId| items.iter().any(|item| item.key == keys::id(id));
                 let (old, new): (Vec<_>, Vec<_>) =
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -27,8 +27,8 @@
         accept::{self, Accepted},
         dispatch, keys,
         lease::Lease,
-        relay::{Call, RELAYED_HEADER, Relay, Relayed},
-        view,
+        relay::{Call, RELAYED_HEADER, Relay, Relayed, Subject},
+        view::{self, KnownJob, age::STATE_MS, waiting::Counted},
     },
 };
 
@@ -120,7 +120,7 @@
         let deadline = came + wait_of(&request).saturating_sub(ANSWER_MARGIN);
         let rest = &path[queue.prefix.len()..];
         let response = match (rest.is_empty(), rest.parse::<JobId>()) {
-            (true, _) => self.pending(queue, request.method()),
+            (true, _) => self.pending(queue, config.version, &request, deadline).await,
             (false, Ok(id)) => self.answer_job(id, queue, config.version, request, deadline).await,
             (false, Err(error)) => http::text(StatusCode::NOT_FOUND, format!("{error}\n")),
         };
@@ -152,23 +152,19 @@
                 false => away("the store is not reached"),
             };
         }
-        let call = Call {
-            id,
-            method: method.clone(),
-            host: request.header(header::HOST).unwrap_or_default().to_owned(),
-            path: request.uri().path().to_owned(),
-            config,
-            body: body.clone(),
-            deadline,
-        };
+        let subject = Subject::Job(id);
+        let call = call_of(&request, subject, config, body.clone(), deadline);
         if !in_touch {
             match self.relay.ask(&self.node, &call).await {
                 Relayed::Answered(response) => return response,
                 Relayed::Unknown if method != Method::GET => return unanswered(),
-                // What this node last heard of a job is better than nothing.
                 Relayed::Unknown | Relayed::NotTaken => {}
             }
-            return self.answer_here(id, queue, &method, body, deadline).await;
+            let last = self.last_told(id, &method);
+            return match last {
+                Some(response) => response,
+                None => self.answer_here(id, queue, &method, body, deadline).await,
+            };
         }
         // One try, if others can make the next.
         let tries_end = if self.has_peers() { Instant::now() } else { deadline };
@@ -178,11 +174,20 @@
         }
         match self.relay.ask(&self.node, &call).await {
             Relayed::Answered(response) => response,
-            Relayed::NotTaken => response,
-            Relayed::Unknown => unanswered(),
+            Relayed::NotTaken => self.last_told(id, &method).unwrap_or(response),
+            Relayed::Unknown => self.last_told(id, &method).unwrap_or_else(unanswered),
         }
     }
 
+    /// How a job stood when it was last heard of, for a caller that asks while neither the store nor
+    /// another node answers: that is better than nothing, and an end is one for ever.
+    fn last_told(&self, id: JobId, method: &Method) -> Option<Response> {
+        let state = self.last_heard(id).filter(|_| *method == Method::GET)?;
+        let age = self.node.view().ages.of(keys::ROOT, self.node.now().steady);
+        log::info!("job {id}: told as last heard: the records are {} ms old", age.unwrap_or(0));
+        Some(http::json(StatusCode::OK, &caller::state(state)))
+    }
+
     fn has_peers(&self) -> bool {
         let view = self.node.view();
         let me = self.node.settings.node.as_str();
@@ -205,12 +210,37 @@
         }
     }
 
-    fn pending(&self, queue: &Queue, method: &Method) -> Response {
-        if *method != Method::GET {
+    /// How many jobs wait, by this node if it knows, or else by another one. A node that does not
+    /// know says so: a count from an old view may be far too low, and nobody sees it.
+    async fn pending(
+        &self,
+        queue: &Queue,
+        config: u64,
+        request: &Request,
+        deadline: Instant,
+    ) -> Response {
+        if *request.method() != Method::GET {
             return http::text(StatusCode::METHOD_NOT_ALLOWED, "GET\n");
         }
-        let pending = self.node.view().pending(&queue.name);
-        http::json(StatusCode::OK, &PendingAnswer { pending })
+        let counted = self.node.view().pending(queue, self.node.now().steady);
+        let why = match counted {
+            Ok(Counted { jobs, by }) => {
+                self.node.metrics.counted_by(by);
+                return http::json(StatusCode::OK, &PendingAnswer { pending: jobs });
+            }
+            Err(why) => why,
+        };
+        if request.header(RELAYED_HEADER).is_none() {
+            let subject = Subject::Queue(queue.name.clone());
+            let call = call_of(request, subject, config, Bytes::new(), deadline);
+            if let Relayed::Answered(response) = self.relay.ask(&self.node, &call).await {
+                self.node.metrics.counted_by("another node");
+                return response;
+            }
+        }
+        self.node.metrics.counted_by("nobody");
+        log::info!("queue {}: not known how many jobs wait: {why}", queue.name);
+        away("it is not known how many wait")
     }
 
     async fn hand_in(&self, id: JobId, queue: &Queue, body: Bytes, deadline: Instant) -> Response {
@@ -262,19 +292,36 @@
         }
     }
 
-    /// How a job stands; nothing if it was never accepted. By what the node hears, or what it has
-    /// not heard of by what the store has.
+    /// How a job stood when it was last heard of; nothing if it was not.
+    fn last_heard(&self, id: JobId) -> Option<JobState> {
+        let view = self.node.view();
+        view.jobs.get(&id).filter(|known| known.is_accepted()).map(KnownJob::state)
+    }
+
+    /// How a job stands; nothing if it was never accepted. An end is one for ever; of others, and of
+    /// jobs that the node has not heard of, the store tells once the records here are old.
     async fn standing(&self, id: JobId) -> Result<Option<JobState>, StoreError> {
-        let known = self.node.view().jobs.get(&id).filter(|known| known.is_accepted()).cloned();
-        if let Some(known) = known {
-            return Ok(Some(known.state()));
+        let now = self.node.now().steady;
+        let is_new = self.node.view().ages.is_within(keys::ROOT, STATE_MS, now);
+        match self.last_heard(id).filter(|state| state.is_final() || is_new) {
+            Some(state) => Ok(Some(state)),
+            None => self.read_standing(id).await,
         }
+    }
+
+    async fn read_standing(&self, id: JobId) -> Result<Option<JobState>, StoreError> {
         let (items, _) = self.node.kv.range(&keys::standing(id)).await?;
         Ok(view::standing(id, &items))
     }
 
     async fn cancel(&self, id: JobId, deadline: Instant) -> Response {
-        match self.standing(id).await {
+        // Of a job that was accepted, however long ago, a cancel can be written: one that has ended
+        // stays as it ended.
+        let standing = match self.last_heard(id) {
+            Some(state) => Ok(Some(state)),
+            None => self.read_standing(id).await,
+        };
+        match standing {
             Ok(Some(state)) if state.is_final() => return http::text(StatusCode::OK, ""),
             Ok(Some(_)) => {}
             Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
@@ -305,6 +352,25 @@
     }
 }
 
+/// A caller's request, to be handed to another node.
+fn call_of(
+    request: &Request,
+    subject: Subject,
+    config: u64,
+    body: Bytes,
+    deadline: Instant,
+) -> Call {
+    Call {
+        subject,
+        method: request.method().clone(),
+        host: request.header(header::HOST).unwrap_or_default().to_owned(),
+        path: request.uri().path().to_owned(),
+        config,
+        body,
+        deadline,
+    }
+}
+
 fn cancel_failed(id: JobId, unknown: bool, error: &StoreError) -> Response {
     log::info!("job {id}: cancel not taken: {error}");
     match unknown {
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -1,5 +1,6 @@
 //! Feeds the owners of pools with what happens, and carries out what they want done.
 
+mod behind;
 mod keep;
 mod news;
 mod orders;
@@ -22,6 +23,8 @@
 
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use behind::Behind;
+
 use crate::{
     jobs::{
         event::{Event, Save},
@@ -223,6 +226,7 @@
     vacant: BTreeMap<String, Vacancy>,
     /// Work may be given away from then on.
     next_give: Steady,
+    behind: Behind,
     pub(super) to: mpsc::UnboundedSender<Input>,
     leaving: bool,
 }
@@ -261,6 +265,7 @@
             won: BTreeMap::new(),
             vacant: BTreeMap::new(),
             next_give: Steady::default(),
+            behind: Behind::default(),
             to,
             leaving: false,
         }
@@ -365,6 +370,7 @@
         self.take_up(now);
         self.reach(now);
         self.give(now);
+        self.give_if_behind(now);
         self.choose_helpers(now.steady);
         let names: Vec<String> = self.owned.keys().cloned().collect();
         for name in names {
@@ -391,7 +397,9 @@
             self.remove_finished(&name, now);
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
-            self.tell_queued(&name, now);
+            if self.hears_jobs(&name, now) {
+                self.tell_queued(&name, now);
+            }
             self.ask_confirmation(&name, now);
             self.tell_of_unknown(&name, now);
         }
@@ -437,7 +445,7 @@
                 continue;
             }
             if name == keys::FLEET {
-                log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
+                self.log_taken_up(&name, token, earlier, now);
                 let fleet = Fleet::new(token, self.node.settings.sizing, now.steady);
                 self.fleet = Some(OwnedFleet { fleet, tenure });
             } else if let Some(pool) = name.strip_prefix("pool-").and_then(|pool| pool.parse().ok())
@@ -447,6 +455,13 @@
         }
     }
 
+    fn log_taken_up(&self, name: &str, token: u64, earlier: u32, now: Now) {
+        let age = self.node.view().ages.of(keys::ROOT, now.steady).unwrap_or_default();
+        log::info!(
+            "owner {name}: taken up: token {token}, {earlier} owners before, records {age} ms old"
+        );
+    }
+
     fn take_up_pool(&mut self, name: &str, pool: PoolId, won: Won, now: Now) {
         let Won { token, earlier, tenure } = won;
         let mut owner = Owner::new(token, earlier, now.steady);
@@ -483,7 +498,7 @@
         }
         owner.set_emptying(news::marks(&view, &pool));
         drop(view);
-        log::info!("owner {name}: taken up: token {token}, {earlier} owners before");
+        self.log_taken_up(name, token, earlier, now);
         let over = CancellationToken::new();
         mirror::follow(&self.node, name, token, over.clone(), &self.to);
         let owned = Owned {
--- a/src/scheduler/drive/keep.rs
+++ b/src/scheduler/drive/keep.rs
@@ -283,7 +283,10 @@
     let sent = node.now().steady;
     let end = node.kv.commit(txn).await;
     match &end {
-        Ok(Committed::Done(_)) => tenure.confirm(sent),
+        Ok(Committed::Done(revision)) => {
+            tenure.confirm(sent);
+            node.view().ages.told(sent, *revision);
+        }
         Ok(Committed::Conflict(items)) if denies_owner(txn, items) => tenure.deny(),
         Ok(Committed::Conflict(_) | Committed::LeaseOver) | Err(_) => {}
     }
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Drive, Input, Vacancy, Won, json};
+use super::{Drive, Input, Vacancy, Won, behind::REACH_LATE_MS, json};
 use crate::{
     jobs::balance::{self, Capacity},
     model::unit::{Millicores, Now, Revision},
@@ -64,6 +64,7 @@
             return;
         }
         let nodes = self.nodes();
+        let late = if self.is_behind(now) { REACH_LATE_MS } else { 0 };
         for name in names {
             let vacancy = self.vacant.entry(name.clone()).or_insert(Vacancy {
                 since: now.steady,
@@ -72,7 +73,8 @@
             });
             let cost = costs(&self.node.view(), &name);
             let rank = balance::rank(&nodes, self.node.settings.node.as_str(), cost);
-            let turn = vacancy.since.after(rank.min(REACH_MOST_STEPS) as u64 * REACH_STEP_MS);
+            let steps = rank.min(REACH_MOST_STEPS) as u64 * REACH_STEP_MS;
+            let turn = vacancy.since.after(steps + late);
             if vacancy.reaching || now.steady < turn || now.steady < vacancy.not_before {
                 continue;
             }
@@ -127,13 +129,22 @@
         let Some(name) = name else {
             return;
         };
-        if let Some(owned) = self.owned.remove(&name) {
-            log::info!("owner {name}: to be given to a node with more processor time");
+        log::info!("owner {name}: to be given to a node with more processor time");
+        self.hand_over(name, now);
+    }
+
+    /// Gives up a piece of work, so that another node takes it up.
+    pub(super) fn hand_over(&mut self, name: String, now: Now) {
+        let token = match self.owned.remove(&name) {
+            Some(owned) => Some(owned.owner.token),
+            None => self.fleet.take_if(|_| name == keys::FLEET).map(|owned| owned.fleet.token),
+        };
+        if let Some(token) = token {
             // Others come first, also if this one is told of it first.
             let not_before = now.steady.after(REACH_AGAIN_MS);
             let since = now.steady;
             self.vacant.insert(name.clone(), Vacancy { since, reaching: false, not_before });
-            self.give_back(name, owned.owner.token);
+            self.give_back(name, token);
         }
     }
 
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -108,16 +108,20 @@
     }
 
     /// Tells an owner which of the jobs that it does not know, and of which workers list ends, are over.
-    /// One whose records cannot be read is not: it may yet be told.
+    /// One whose records cannot be read is not: it may yet be told. Nor is one that is absent from a
+    /// view that does not reach to when the end was listed: it was accepted before that.
     pub(super) fn tell_of_unknown(&mut self, name: &str, now: Now) {
         let Some(owned) = self.owned.get(name) else {
             return;
         };
         for (id, since) in owned.owner.unknown_jobs() {
-            let is_over = match self.node.view().jobs.get(&id) {
+            let view = self.node.view();
+            let reaches = view.ages.as_of(keys::ROOT).is_some_and(|as_of| since <= as_of);
+            let is_over = match view.jobs.get(&id) {
                 Some(known) => known.state().is_final(),
-                None => ABSENT_MS <= now.steady.since(since),
+                None => reaches && ABSENT_MS <= now.steady.since(since),
             };
+            drop(view);
             if is_over {
                 self.tell(name, Event::Over(id), now);
             }
--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -2,6 +2,8 @@
 //! late, and the view lags. Nothing is kept for a decision that was won under a lease which the
 //! store has called over, whatever lease the node holds by then.
 
+mod behind;
+
 use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
 
 use bolero::TypeGenerator;
@@ -13,11 +15,12 @@
     jobs::{event::Event, owner::LEASE_MS},
     model::{
         job::{JobId, JobState, Progress, StepId, TaskId},
-        unit::{Now, Revision},
+        unit::{Now, Revision, Steady},
         worker::{Ended, HowEnded, Look, OrderEnd, WorkerReport},
     },
     platform::{
         kv::{Change, Kv},
+        records::OPERATOR_PREFIX,
         runner::Runners,
         store::LeaseId,
     },
@@ -26,7 +29,7 @@
         lease::{Lease, Tenure},
         metrics::Metrics,
         node,
-        view::OwnerRecord,
+        view::{OwnerRecord, age::Extent},
     },
     settings::scheduler::parse,
     tests::{fuzz, sample},
@@ -106,6 +109,16 @@
         self.check();
     }
 
+    /// The watches of the records and of the operator are answered: nothing has changed until a
+    /// moment.
+    fn hear(&self, until: Steady) {
+        let mut view = self.node.view();
+        let asked = view.ages.ask(until);
+        for prefix in [keys::ROOT, OPERATOR_PREFIX] {
+            view.ages.heard(prefix, asked, Extent::Quiet(Revision(0), until));
+        }
+    }
+
     /// The view hears of a write of ours.
     fn write(&mut self, key: String, value: Vec<u8>) {
         let revision = Revision(self.tokens.len() as u64 + 100);
@@ -250,6 +263,9 @@
     assert_eq!(unknown(&world), [absent, garbled]);
     let later = Now { steady: now.steady.after(10_000), ..now };
     world.drive.tell_of_unknown("pool-work", later);
+    assert_eq!(unknown(&world), [absent, garbled], "the view may not have come to it");
+    world.hear(later.steady);
+    world.drive.tell_of_unknown("pool-work", later);
     assert_eq!(unknown(&world), [garbled], "its progress may be read yet");
 }
 
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -57,13 +57,16 @@
         if now.steady < self.next_fleet {
             return;
         }
-        let Some(OwnedFleet { fleet, tenure }) = self.fleet.as_mut() else {
-            return;
-        };
-        if !tenure.holds(now.steady) {
+        if !self.fleet.as_ref().is_some_and(|owned| owned.tenure.holds(now.steady)) {
             return;
         }
         self.next_fleet = now.steady.after(PLAN_MS);
+        if !self.may_plan(now) {
+            return;
+        }
+        let Some(OwnedFleet { fleet, .. }) = self.fleet.as_mut() else {
+            return;
+        };
         let handover = self.node.settings.platform.handover + CLOCKS_DIFFER;
         let Some(mut known) = known(&self.node.view(), now.wall) else {
             return;
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -55,6 +55,16 @@
     state: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct By {
+    by: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Of {
+    prefix: &'static str,
+}
+
 type Latencies = fn() -> Histogram;
 
 fn latencies() -> Histogram {
@@ -82,6 +92,8 @@
     owned: Gauge,
     config: Gauge,
     refused: Gauge,
+    view_seconds: Family<Of, Gauge<f64, AtomicU64>>,
+    queue_counts: Family<By, Counter>,
     lines_left_out: Gauge,
 }
 
@@ -106,6 +118,8 @@
             owned: Gauge::default(),
             config: Gauge::default(),
             refused: Gauge::default(),
+            view_seconds: Family::default(),
+            queue_counts: Family::default(),
             lines_left_out: Gauge::default(),
         };
         metrics.register();
@@ -158,6 +172,16 @@
             "Records of the store that could not be read, or were not their worker's own",
             self.refused.clone(),
         );
+        registry.register(
+            "view_age_seconds",
+            "How old what the node knows of each prefix of the store is",
+            self.view_seconds.clone(),
+        );
+        registry.register(
+            "queue_counts",
+            "Answers to how many jobs of a queue wait, by what they were counted by",
+            self.queue_counts.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Log lines that were left out because there were too many",
@@ -222,6 +246,16 @@
         self.config.set(config as i64);
     }
 
+    /// Notes how old what is known of a prefix is.
+    pub(crate) fn view_age(&self, prefix: &'static str, age: Duration) {
+        self.view_seconds.get_or_create(&Of { prefix }).set(age.as_secs_f64());
+    }
+
+    /// Notes by what jobs that wait were counted.
+    pub(crate) fn counted_by(&self, by: &'static str) {
+        self.queue_counts.get_or_create(&By { by }).inc();
+    }
+
     /// Notes how many records of the store named nothing to use.
     pub(crate) fn refused(&self, records: u64) {
         self.refused.set(records as i64);
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -1,4 +1,5 @@
-//! Keeps the view like the store: one read of each prefix, then a watch from there.
+//! Keeps the view like the store: one read of each prefix, then a watch from there. What is taken in
+//! counts as known as of when it was asked for, not as of when it came.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -16,7 +17,11 @@
         Node,
         drive::Input,
         keys::{self, ROOT},
-        view::heard::SourceId,
+        view::{
+            Delta,
+            age::{Asked, Extent},
+            heard::SourceId,
+        },
     },
 };
 
@@ -30,6 +35,8 @@
     /// The same at a node that owns work: of each host that changes pools its owners hear four
     /// times, one after the other, and work that can be in time waits for it meanwhile.
     owner_pause: Duration,
+    /// How long a watch waits for a change: while nothing changes, so old it gets and a pause more.
+    wait: Duration,
     /// Whether it is read anew when its watch was lost. What was written meanwhile may be many
     /// versions of one large configuration, too much for a slow link within the time of a watch,
     /// and only the newest counts.
@@ -41,6 +48,7 @@
     path: OPERATOR_PREFIX,
     pause: Duration::ZERO,
     owner_pause: Duration::ZERO,
+    wait: WATCH_WAIT,
     reads_anew: true,
 };
 
@@ -49,6 +57,7 @@
     path: keys::ALL,
     pause: Duration::from_millis(500),
     owner_pause: Duration::from_millis(500),
+    wait: COUNTED_WAIT,
     reads_anew: false,
 };
 
@@ -57,6 +66,7 @@
     path: ROOT,
     pause: Duration::from_millis(120),
     owner_pause: Duration::from_millis(40),
+    wait: COUNTED_WAIT,
     reads_anew: false,
 };
 
@@ -65,6 +75,7 @@
     path: WORKER_PREFIX,
     pause: Duration::from_millis(250),
     owner_pause: Duration::from_millis(60),
+    wait: WATCH_WAIT,
     reads_anew: false,
 };
 
@@ -79,6 +90,11 @@
 /// noticed soon after, within what a change of the configuration may take.
 const WATCH_WAIT: Duration = Duration::from_millis(800);
 
+/// The same for what callers are answered from: a watch that is answered tells of what was written
+/// before it was sent, and two of them with their pauses stay well within what an answer may show. On
+/// a site with work it is answered long before.
+const COUNTED_WAIT: Duration = Duration::from_millis(500);
+
 /// The least time between two answers of an owner's own watch.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(8);
 
@@ -130,10 +146,11 @@
     let mut view = node.view();
     let since = view.known.max(Revision(token));
     let source = view.heard.open(&prefix, since);
+    view.ages.begin(&prefix, ROOT);
     drop(view);
-    let follower = Follower { node: node.clone(), source };
+    let follower = Follower { node: node.clone(), prefix, source };
     tokio::spawn(async move {
-        let following = follower.run(&prefix, since, &to);
+        let following = follower.run(since, &to);
         over.run_until_cancelled(following).await;
     });
 }
@@ -141,16 +158,25 @@
 /// An owner's own watch: a source of changes until it is dropped.
 struct Follower {
     node: Arc<Node>,
+    prefix: String,
     source: SourceId,
 }
 
 impl Follower {
-    async fn run(&self, prefix: &str, mut since: Revision, to: &mpsc::UnboundedSender<Input>) {
+    async fn run(&self, mut since: Revision, to: &mpsc::UnboundedSender<Input>) {
+        let prefix = self.prefix.as_str();
         loop {
+            let asked = ask(&self.node);
             match self.node.kv.watch(prefix, since, WATCH_WAIT).await {
                 Ok(heard) => {
+                    let answered = self.node.now().steady;
+                    let extent = Extent::of_watch(asked, WATCH_WAIT, &heard, answered);
                     since = heard.at.max(since);
-                    tell(&self.node, self.source, heard.changes, since, to);
+                    let deltas = self.hear(asked, heard.changes, extent);
+                    if !deltas.is_empty() {
+                        // The receiver ends with the process only.
+                        let _ = to.send(Input::Deltas(deltas));
+                    }
                     sleep(FOLLOW_PAUSE).await;
                 }
                 Err(error) => {
@@ -164,28 +190,24 @@
     }
 }
 
+impl Follower {
+    fn hear(&self, asked: Asked, changes: Vec<Change>, extent: Extent) -> Vec<Delta> {
+        self.node.view().hear((&self.prefix, self.source), asked, changes, extent)
+    }
+}
+
 impl Drop for Follower {
     fn drop(&mut self) {
-        self.node.view().heard.close(self.source);
+        let mut view = self.node.view();
+        view.heard.close(self.source);
+        view.ages.end(&self.prefix);
     }
 }
 
-/// Takes in changes of a source up to a revision, and tells the loop what they mean.
-fn tell(
-    node: &Arc<Node>,
-    source: SourceId,
-    changes: Vec<Change>,
-    at: Revision,
-    to: &mpsc::UnboundedSender<Input>,
-) {
-    let mut view = node.view();
-    let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
-    view.heard.passed(source, at);
-    drop(view);
-    if !deltas.is_empty() {
-        // The receiver ends with the process only.
-        let _ = to.send(Input::Deltas(deltas));
-    }
+/// A call that is sent now.
+fn ask(node: &Node) -> Asked {
+    let now = node.now().steady;
+    node.view().ages.ask(now)
 }
 
 async fn mirror(node: &Arc<Node>, prefix: Prefix, to: &mpsc::UnboundedSender<Input>) {
@@ -196,7 +218,7 @@
     loop {
         let outcome = match since {
             None => read_all(node, (prefix.path, source), &mut keys, to).await.map(Some),
-            Some(from) => watch(node, (prefix.path, source), from, &mut keys, to).await,
+            Some(from) => watch(node, (prefix, source), from, &mut keys, to).await,
         };
         match outcome {
             Ok(at) => {
@@ -241,7 +263,9 @@
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
 ) -> Result<Revision, StoreError> {
+    let asked = ask(node);
     let (mut items, at) = node.kv.range(prefix).await?;
+    node.view().ages.told(asked.sent, at);
     let there: BTreeSet<String> = items.iter().map(|item| item.key.clone()).collect();
     let gone = keys.iter().filter(|key| !there.contains(*key));
     let gone = gone.map(|key| Change { key: key.clone(), revision: at, value: None });
@@ -255,50 +279,58 @@
     });
     let changes = gone.into_iter().chain(written).collect();
     *keys = there;
-    take_in(node, (prefix, source), changes, at, to);
+    take_in(node, (prefix, source), asked, changes, Extent::Changes(at), to);
     Ok(at)
 }
 
 /// Waits for changes. With the history gone, all is read again.
 async fn watch(
     node: &Arc<Node>,
-    (prefix, source): (&'static str, SourceId),
+    (prefix, source): (Prefix, SourceId),
     since: Revision,
     keys: &mut BTreeSet<String>,
     to: &mpsc::UnboundedSender<Input>,
 ) -> Result<Option<Revision>, StoreError> {
-    let heard = match node.kv.watch(prefix, since, WATCH_WAIT).await {
+    let Prefix { path, wait, .. } = prefix;
+    let asked = ask(node);
+    let heard = match node.kv.watch(path, since, wait).await {
         Ok(heard) => heard,
         Err(StoreError::Compacted { .. }) => {
-            log::info!("store: the history of {prefix} after {since} is gone: it is read anew");
+            log::info!("store: the history of {path} after {since} is gone: it is read anew");
             return Ok(None);
         }
         Err(error) => return Err(error),
     };
+    let (at, extent) = (heard.at, Extent::of_watch(asked, wait, &heard, node.now().steady));
+    if let Extent::Quiet(at, until) = extent
+        && since < at
+    {
+        node.view().ages.told(until, at);
+    }
     for change in &heard.changes {
         match change.value {
             Some(_) => keys.insert(change.key.clone()),
             None => keys.remove(&change.key),
         };
     }
-    take_in(node, (prefix, source), heard.changes, heard.at, to);
-    Ok(Some(heard.at.max(since)))
+    take_in(node, (path, source), asked, heard.changes, extent, to);
+    Ok(Some(at.max(since)))
 }
 
 fn take_in(
     node: &Arc<Node>,
     (prefix, source): (&'static str, SourceId),
+    asked: Asked,
     changes: Vec<Change>,
-    at: Revision,
+    extent: Extent,
     to: &mpsc::UnboundedSender<Input>,
 ) {
     let now = node.now().steady;
     let mut view = node.view();
-    let deltas: Vec<_> = changes.into_iter().filter_map(|change| view.apply(change)).collect();
-    view.heard.passed(source, at);
+    let deltas = view.hear((prefix, source), asked, changes, extent);
     let first = view.note_answer(prefix, now);
     if prefix == ROOT {
-        view.known = view.known.max(at);
+        view.known = view.known.max(extent.at());
     }
     drop(view);
     if !deltas.is_empty() || first || prefix == ROOT {
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -1,9 +1,10 @@
-//! Requests of callers that come to a node which the store turns away: another node that reaches
-//! the store answers them. All of these requests may be made twice and mean the same, so that one
+//! Requests of callers that come to a node which the store turns away, or whose view is too old for
+//! the answer: another node that knows better answers them. All of these requests may be made twice and mean the same, so that one
 //! whose answer was lost is asked of the next node.
 
 use std::{
     collections::hash_map::DefaultHasher,
+    fmt,
     hash::{Hash, Hasher},
     net::SocketAddr,
     sync::atomic::{AtomicU64, Ordering},
@@ -39,15 +40,33 @@
 const MOST_NODES: usize = 2;
 
 /// How long no node is asked after none could help, in milliseconds: most often the store is away
-/// for all, and each of them would ask the others.
+/// for all, and each of them would ask the others. Questions about queues pause by themselves: nodes
+/// may know too little of these and reach the store.
 const PAUSE_MS: u64 = 500;
 
 /// Headers of an answer that are handed on.
 const KEPT_HEADERS: [HeaderName; 2] = [header::CONTENT_TYPE, header::RETRY_AFTER];
 
+/// What a request is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Subject {
+    Job(JobId),
+    /// A queue, by its name.
+    Queue(String),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Subject::Job(id) => write!(f, "job {id}"),
+            Subject::Queue(name) => write!(f, "queue {name}"),
+        }
+    }
+}
+
 /// A caller's request, as it is handed to another node.
 pub(crate) struct Call {
-    pub(crate) id: JobId,
+    pub(crate) subject: Subject,
     pub(crate) method: Method,
     pub(crate) host: String,
     pub(crate) path: String,
@@ -70,8 +89,10 @@
 /// Hands requests to other nodes.
 pub(crate) struct Relay {
     connections: ManyConnections,
-    /// No node is asked before, in milliseconds of the steady clock.
-    not_before: AtomicU64,
+    /// No node is asked about jobs before, in milliseconds of the steady clock.
+    jobs_not_before: AtomicU64,
+    /// The same about queues.
+    queues_not_before: AtomicU64,
 }
 
 impl Relay {
@@ -83,20 +104,28 @@
                 .connect_timeout(CONNECT_LIMIT)
                 .timeout(ANSWER_LIMIT)
         });
-        Relay { connections, not_before: AtomicU64::new(0) }
+        Relay {
+            connections,
+            jobs_not_before: AtomicU64::new(0),
+            queues_not_before: AtomicU64::new(0),
+        }
     }
 
     /// Has another node answer.
     pub(crate) async fn ask(&self, node: &Node, call: &Call) -> Relayed {
-        let now = node.now().steady;
-        if now < Steady::from_millis(self.not_before.load(Ordering::Acquire)) {
+        let (now, subject) = (node.now().steady, &call.subject);
+        let not_before = match subject {
+            Subject::Job(_) => &self.jobs_not_before,
+            Subject::Queue(_) => &self.queues_not_before,
+        };
+        if now < Steady::from_millis(not_before.load(Ordering::Acquire)) {
             return Relayed::NotTaken;
         }
         let mut unknown = false;
-        for peer in peers(node, call.id).into_iter().take(MOST_NODES) {
+        for peer in peers(node, subject).into_iter().take(MOST_NODES) {
             match self.ask_one(peer, call).await {
                 Relayed::Answered(response) => {
-                    log::info!("job {}: {} answered by {peer}", call.id, call.method);
+                    log::info!("{subject}: {} answered by {peer}", call.method);
                     return Relayed::Answered(response);
                 }
                 Relayed::NotTaken => {}
@@ -104,8 +133,8 @@
             }
         }
         let pause = node.now().steady.after(PAUSE_MS).since(Steady::default());
-        self.not_before.store(pause, Ordering::Release);
-        log::info!("job {}: {} answered by no other node", call.id, call.method);
+        not_before.store(pause, Ordering::Release);
+        log::info!("{subject}: {} answered by no other node", call.method);
         if unknown { Relayed::Unknown } else { Relayed::NotTaken }
     }
 
@@ -124,7 +153,7 @@
             Ok(whole) => whole,
             Err(error) if error.is_connect() => return Relayed::NotTaken,
             Err(error) => {
-                log::info!("job {}: no whole answer by {peer}: {error}", call.id);
+                log::info!("{}: no whole answer by {peer}: {error}", call.subject);
                 return Relayed::Unknown;
             }
         };
@@ -144,16 +173,21 @@
     }
 }
 
-/// The other nodes, as last known, in an order that differs by job so that they share the load.
-fn peers(node: &Node, id: JobId) -> Vec<SocketAddr> {
+/// The other nodes, as last known, in an order that differs by subject so that they share the load. Of
+/// queues those are asked first that hear of everything.
+fn peers(node: &Node, subject: &Subject) -> Vec<SocketAddr> {
     let view = node.view();
+    let replicas = view.replicas(node.settings.replicas);
     let others = view.nodes.iter().filter(|(name, _)| **name != *node.settings.node.as_str());
-    let mut peers: Vec<SocketAddr> = others.filter_map(|(_, at)| at.value.peers).collect();
+    let mut peers: Vec<(bool, SocketAddr)> = others
+        .filter_map(|(name, at)| Some((replicas.contains(name.as_str()), at.value.peers?)))
+        .collect();
     drop(view);
-    peers.sort_by_key(|peer| {
+    peers.sort_by_key(|(is_replica, peer)| {
         let mut hasher = DefaultHasher::new();
-        (peer, id).hash(&mut hasher);
-        hasher.finish()
+        (peer, subject).hash(&mut hasher);
+        let comes_later = matches!(subject, Subject::Queue(_)) && !is_replica;
+        (comes_later, hasher.finish())
     });
-    peers
+    peers.into_iter().map(|(_, peer)| peer).collect()
 }
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -20,6 +20,7 @@
         Node, accept,
         api::{Api, Readiness},
         drive::{Drive, Input},
+        lateness,
         lease::{self, Lease},
         metrics::{Metrics, Page},
         mirror, node,
@@ -83,6 +84,7 @@
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
     tokio::spawn(http::serve(figures, 16, Page(metrics), http::Stop::default()));
     tokio::spawn(summarize(node.clone()));
+    tokio::spawn(lateness::watch(node.clone()));
     tokio::spawn(reload(node.clone(), path));
     told.await?;
     log::info!("node {}: told to end", node.settings.node);
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -7,6 +7,7 @@
 mod foreign;
 mod lease;
 mod links;
+mod moments;
 mod news;
 mod orders;
 mod ownership;
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -25,8 +25,14 @@
     },
     platform::kv::{Kv, Txn},
     scheduler::{
-        Node, accept, api::Api, drive::json, keys, lease::Lease, metrics::Metrics, mirror, node,
-        relay::Relay,
+        Node, accept,
+        api::Api,
+        drive::json,
+        keys,
+        lease::Lease,
+        metrics::Metrics,
+        mirror, node,
+        relay::{RELAYED_HEADER, Relay},
     },
     settings::scheduler::parse,
     standin::site,
@@ -66,13 +72,20 @@
     client: Client,
     behind: String,
     held: watch::Sender<Option<&'static str>>,
+    /// Whether the store is away.
+    closed: watch::Sender<bool>,
 }
 
 impl Gate {
     async fn before(address: &str) -> (Gate, String) {
         let (listener, own) = http::listen("127.0.0.1:0").await.unwrap();
         let client = Client::builder().no_proxy().build().unwrap();
-        let gate = Gate { client, behind: address.to_owned(), held: watch::Sender::new(None) };
+        let gate = Gate {
+            client,
+            behind: address.to_owned(),
+            held: watch::Sender::new(None),
+            closed: watch::Sender::new(false),
+        };
         tokio::spawn(http::serve(listener, 256, gate.clone(), http::Stop::default()));
         (gate, own.to_string())
     }
@@ -82,6 +95,9 @@
     type Output = Response;
 
     async fn call(&self, mut request: Request) -> poem::Result<Response> {
+        if *self.closed.borrow() {
+            return Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "down"));
+        }
         let uri = request.uri().clone();
         let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
         let url = format!("http://{}{}", self.behind, uri.path_and_query().unwrap());
@@ -105,7 +121,8 @@
 struct Scene {
     kv: Kv,
     gate: Gate,
-    address: String,
+    /// The store itself.
+    store: String,
     node: Arc<Node>,
     lease: Arc<Lease>,
     api: Api,
@@ -152,13 +169,26 @@
         client.post(url).json(&config).send().await.unwrap();
         let (gate, address) = Gate::before(&site.address).await;
         let (node, lease, api) = join("one", &address, replicas);
-        Scene { kv, gate, address, node, lease, api }
+        Scene { kv, gate, store: site.address, node, lease, api }
     }
 
     async fn put(&self, key: String, value: Vec<u8>) {
         self.kv.commit(&Txn::default().put(key, value)).await.unwrap();
     }
 
+    /// Another node that hears of everything, past the gate, and answers what others hand on.
+    async fn add_peer(&self) {
+        let (listener, peers) = http::listen("127.0.0.1:0").await.unwrap();
+        let (node, _, api) = join("two", &self.store, &json!(12));
+        tokio::spawn(http::serve(listener, 16, api, http::Stop::default()));
+        self.put(keys::node("two"), json(&json!({ "cpu": 500, "peers": peers }))).await;
+        until("the other node to hear of all", async || node.view().is_whole().then_some(())).await;
+        until("the other node to be known", async || {
+            self.node.view().nodes.contains_key("two").then_some(())
+        })
+        .await;
+    }
+
     /// Has a job accepted by another node.
     async fn hand_in(&self, number: u64) {
         let mut record = sample::record(Vec::new());
@@ -203,6 +233,11 @@
     }
 }
 
+/// Puts a node's view of a prefix out of use, or lets it go on.
+fn hold(scene: &Scene, prefix: Option<&'static str>) {
+    scene.gate.held.send_replace(prefix);
+}
+
 /// A status, and whether the caller is told when to come back.
 type Refusal = (StatusCode, bool);
 
@@ -210,7 +245,11 @@
 
 async fn ask(api: &Api, path: &str) -> Result<Value, Refusal> {
     let request = Request::builder().uri(path.parse().unwrap()).header(header::HOST, HOST);
-    let answer = api.call(request.finish()).await.unwrap();
+    answer(api, request.finish()).await
+}
+
+async fn answer(api: &Api, request: Request) -> Result<Value, Refusal> {
+    let answer = api.call(request).await.unwrap();
     if answer.status() != StatusCode::OK {
         return Err((answer.status(), answer.headers().contains_key(header::RETRY_AFTER)));
     }
@@ -248,13 +287,13 @@
 #[tokio::test]
 async fn a_node_whose_records_are_old_does_not_say_how_many_jobs_wait() {
     let scene = Scene::whole().await;
-    scene.gate.held.send_replace(Some(keys::ROOT));
+    hold(&scene, Some(keys::ROOT));
     for number in 1..=3 {
         scene.hand_in(number).await;
     }
     scene.pass(LONG);
     assert_eq!(scene.pending().await, Err(NOT_KNOWN), "3 jobs have waited for 6 s");
-    scene.gate.held.send_replace(None);
+    hold(&scene, None);
     until("the jobs to be counted", async || (scene.pending().await == Ok(3)).then_some(())).await;
 }
 
@@ -303,8 +342,51 @@
         known.is_some_and(|known| known.state() == JobState::Running).then_some(())
     })
     .await;
-    scene.gate.held.send_replace(Some(keys::ROOT));
+    hold(&scene, Some(keys::ROOT));
     scene.progress(1, JobState::Succeeded).await;
     scene.pass(LONG);
     assert_eq!(scene.state(1).await.as_deref(), Ok("succeeded"));
 }
+
+/// A caller need not come back if another node knows.
+#[tokio::test]
+async fn a_node_whose_records_are_old_has_another_one_count_the_jobs_that_wait() {
+    let scene = Scene::whole().await;
+    scene.add_peer().await;
+    hold(&scene, Some(keys::ROOT));
+    for number in 1..=3 {
+        scene.hand_in(number).await;
+    }
+    scene.pass(LONG);
+    until("the jobs to be counted", async || (scene.pending().await == Ok(3)).then_some(())).await;
+}
+
+/// A question that comes from another node is answered here or not at all: two nodes that are behind
+/// would ask each other.
+#[tokio::test]
+async fn a_question_that_was_handed_on_is_not_handed_on_again() {
+    let scene = Scene::whole().await;
+    scene.add_peer().await;
+    hold(&scene, Some(keys::ROOT));
+    scene.hand_in(1).await;
+    scene.pass(LONG);
+    let request = Request::builder().uri("/quotes/".parse().unwrap()).header(header::HOST, HOST);
+    let request = request.header(RELAYED_HEADER, "1").finish();
+    assert_eq!(answer(&scene.api, request).await, Err(NOT_KNOWN));
+}
+
+/// While the store is away for all, a caller is told how its job stood when it was last heard of.
+#[tokio::test]
+async fn what_was_last_heard_of_a_job_is_told_while_nobody_knows_better() {
+    let scene = Scene::whole().await;
+    scene.hand_in(1).await;
+    until("the job to be heard of", async || {
+        scene.node.view().jobs.contains_key(&JobId::from_number(1)).then_some(())
+    })
+    .await;
+    scene.gate.closed.send_replace(true);
+    scene.pass(LONG);
+    assert_eq!(scene.state(1).await.as_deref(), Ok("queued"));
+    scene.lease.failed();
+    assert_eq!(scene.state(1).await.as_deref(), Ok("queued"));
+}
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -3,7 +3,9 @@
 //! Another writer may have been at any of them. What cannot be read is logged and counted, names
 //! nothing to use, and is never taken for a sign that nothing runs.
 
+pub(crate) mod age;
 pub(crate) mod heard;
+pub(crate) mod waiting;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -29,7 +31,11 @@
     },
     scheduler::{
         keys::{self, Key},
-        view::heard::Heard,
+        view::{
+            age::{Ages, Asked, Extent},
+            heard::{Heard, SourceId},
+            waiting::Word,
+        },
     },
 };
 
@@ -195,7 +201,11 @@
     pub(crate) config: Option<Arc<QueueConfig>>,
     pub(crate) upkeeps: BTreeMap<u64, At<Upkeep>>,
     /// By pool, how many jobs of each queue have not begun.
-    pub(crate) queued: BTreeMap<String, At<BTreeMap<String, usize>>>,
+    pub(crate) queued: BTreeMap<String, Word>,
+    /// When the call was sent whose answer is taken in.
+    hearing: Steady,
+    /// How old this view of each prefix is.
+    pub(crate) ages: Ages,
     /// The revision up to which our own records are known.
     pub(crate) known: Revision,
     /// Which of the prefixes have been read once.
@@ -244,19 +254,6 @@
         first.chain(owners).collect()
     }
 
-    /// Jobs of a queue none of whose tasks has begun.
-    pub(crate) fn pending(&self, queue: &str) -> usize {
-        if !self.is_whole() {
-            let counts = self.queued.values().filter_map(|at| at.value.get(queue));
-            return counts.sum();
-        }
-        let waits = |known: &&KnownJob| {
-            let here = known.record.as_ref().is_some_and(|record| record.value.queue == queue);
-            here && known.state() == JobState::Queued
-        };
-        self.jobs.values().filter(waits).count()
-    }
-
     /// The pool of the owner's piece of work.
     pub(crate) fn owns(&self, name: &str, token: u64) -> bool {
         self.owners.get(name).is_some_and(|owner| owner.revision.0 == token)
@@ -280,6 +277,22 @@
         self.rosters.keys().filter(|(pool, _)| pool != name).map(|(_, id)| id).collect()
     }
 
+    /// Takes in the changes that a source tells of, and how far it reaches by that; what they mean for
+    /// others.
+    pub(crate) fn hear(
+        &mut self,
+        (prefix, source): (&str, SourceId),
+        asked: Asked,
+        changes: Vec<Change>,
+        extent: Extent,
+    ) -> Vec<Delta> {
+        self.hearing = asked.sent;
+        let deltas = changes.into_iter().filter_map(|change| self.apply(change)).collect();
+        self.heard.passed(source, extent.at());
+        self.ages.heard(prefix, asked, extent);
+        deltas
+    }
+
     /// Takes in a change; what that means for others.
     pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
         let own = Key::parse(&change.key).filter(|key| !matches!(key, Key::Id(_)));
@@ -380,7 +393,13 @@
                 None
             }
             Key::Queued(name) => {
-                set(&mut self.queued, name, read(&text, value, revision, refused));
+                let heard = self.hearing;
+                match read(&text, value, revision, refused) {
+                    Some(At { value: counts, .. }) => {
+                        self.queued.insert(name, Word { counts, heard })
+                    }
+                    None => self.queued.remove(&name),
+                };
                 None
             }
             Key::Roster(name, worker) => {
