Sight: an owner tells what it holds back, and which orders are on their way

Cause: after a change of owners a pool with room and with work that waits looked the same in the log whatever kept it: workers without an answer, workers that are not in the roster yet, or tasks held back for workers that were not asked. Orders that other nodes carry out were counted nowhere: neither by the owner, nor by them. Ruled out as a source of this: `touched of workers` alone. Change: the line of each second tells how many workers take work, how many were not asked yet, how many tasks wait for these; orders on their way, own calls among them, given again, refused and unanswered since the last line. Metrics: orders_under_way by caller, orders_again; orders made by other nodes count in `orders`. Conclusion: sight only, no decision changes.

--- a/src/jobs/gone.rs
+++ b/src/jobs/gone.rs
@@ -97,4 +97,6 @@
     pub(crate) crashes: u64,
     /// Tasks that were given up, since workers crash under them.
     pub(crate) given_up: u64,
+    /// Looks and stops that were sent again, since the one before had no answer.
+    pub(crate) again: u64,
 }
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod crashes;
 mod ends;
+mod held;
 mod looks;
 mod pace;
 mod plan;
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -34,6 +34,7 @@
         let token = self.token;
         let mixed: BTreeSet<WorkerId> = self.mixed_workers();
         let hasty = self.losses.are_many(self.workers.len(), now);
+        let mut again = 0;
         for worker in self.workers.values_mut() {
             // A run in doubt does not wait for the look on its way, which may wait for an end.
             let waits = worker.looking.is_some() && !worker.hurried;
@@ -59,6 +60,7 @@
             worker.look_wait = wait;
             worker.hurried = false;
             worker.told = worker.acknowledged;
+            again += u64::from(worker.misses != 0);
             out.push(Effect::Look {
                 to: worker.addressee(token),
                 acknowledged: worker.acknowledged,
@@ -66,6 +68,7 @@
                 wait: Duration::from_millis(wait),
             });
         }
+        self.counts.again += again;
     }
 
     /// Takes note of what a look found.
@@ -176,6 +179,7 @@
                 }
                 Phase::Stopping if STOP_AGAIN_MS < now.since(copy.since) => {
                     copy.since = now;
+                    self.counts.again += 1;
                     self.send_stop(id, task, run, out);
                 }
                 _ => {}
@@ -307,6 +311,7 @@
                 Phase::Stopping if STOP_AGAIN_MS < now.since(copy.since) => {
                     copy.since = now;
                     let run = copy.run;
+                    self.counts.again += 1;
                     self.send_stop(id, task, run, out);
                 }
                 _ => {}
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -4,6 +4,7 @@
 mod news;
 mod orders;
 mod reach;
+mod tally;
 mod tell;
 #[cfg(test)]
 mod tests;
@@ -152,6 +153,8 @@
     tenure: Tenure,
     /// Who makes the calls to its workers.
     helpers: Helpers,
+    /// Its orders to workers.
+    tally: Arc<tally::Tally>,
     /// Ends the owner's own watch with it.
     _following: DropGuard,
     /// Writes of progress on their way.
@@ -385,6 +388,7 @@
             }
             let counts = owned.owner.take_counts();
             self.node.metrics.counted(&counts);
+            owned.tally.again(counts.again);
             self.carry_out(&name, token, out);
             self.save(&name, now);
             self.write_roster(&name, now);
@@ -409,12 +413,23 @@
         for (name, owned) in &self.owned {
             let s = owned.owner.summary();
             let (used, room) = (s.used / 1000, s.room / 1000);
+            let (held, told) = (owned.owner.held(now), owned.tally.tell());
             log::info!(
-                "owner {name}: {} jobs, {} tasks wait, {used} of {room} cores, {} of {} workers",
+                "owner {name}: {} jobs, {} tasks wait, {used} of {room} cores, {} of {} workers; \
+                 {} take work, {} not asked yet, {} tasks held back; \
+                 {} orders on their way, {} of them own calls, {} again, {} refused, {} unanswered",
                 s.jobs,
                 s.waiting,
                 s.touched,
-                s.workers
+                s.workers,
+                held.takers,
+                held.unasked,
+                held.tasks,
+                told.under_way,
+                told.own,
+                told.again,
+                told.refused,
+                told.unanswered
             );
         }
     }
@@ -491,6 +506,7 @@
             owner,
             tenure,
             helpers: Helpers::default(),
+            tally: Arc::default(),
             _following: over.drop_guard(),
             saving: 0,
             next_save: now.steady,
--- a/src/scheduler/drive/orders.rs
+++ b/src/scheduler/drive/orders.rs
@@ -2,7 +2,10 @@
 
 use std::{net::SocketAddr, time::Instant};
 
-use super::{Drive, Input};
+use super::{
+    Drive, Input,
+    tally::{Caller, UnderWay},
+};
 use crate::{
     jobs::{
         event::{Effect, Event},
@@ -79,11 +82,18 @@
         }
     }
 
+    /// Counts an order until it has ended.
+    fn under_way(&self, name: &str, caller: Caller) -> Option<UnderWay> {
+        let tally = &self.owned.get(name)?.tally;
+        Some(UnderWay::new(tally, &self.node.metrics, caller))
+    }
+
     /// Makes the call itself.
     fn call(&self, name: &str, token: u64, effect: Effect) {
         let (tell, may_go) = (self.teller(name, token), self.permit(name));
         let runners = self.runners.clone();
         let metrics = self.node.metrics.clone();
+        let under_way = self.under_way(name, Caller::Own);
         let (sent, began) = (self.node.now().steady, Instant::now());
         tokio::spawn(async move {
             let answer = match may_go() {
@@ -91,6 +101,9 @@
                 false => Answer::End(OrderEnd::Unsent),
             };
             metrics.ordered(kind(&effect), outcome(&answer), began.elapsed());
+            if let Some(under_way) = under_way {
+                under_way.ended(outcome(&answer));
+            }
             if let Some(event) = call::event(effect, sent, answer) {
                 tell(event);
             }
@@ -102,7 +115,13 @@
         let tell = self.teller(name, token);
         let to = self.to.clone();
         let worker = addressee(&effect).cloned();
-        let tell = move |event, unanswered: bool| {
+        let (metrics, kind) = (self.node.metrics.clone(), kind(&effect));
+        let (under_way, began) = (self.under_way(name, Caller::Other), Instant::now());
+        let tell = move |event: Event, unanswered: bool| {
+            metrics.ordered(kind, end_of(&event), began.elapsed());
+            if let Some(under_way) = under_way {
+                under_way.ended(end_of(&event));
+            }
             if let Some(worker) = worker.filter(|_| unanswered) {
                 // The receiver ends with the process only.
                 let _ = to.send(Input::Detour(worker));
@@ -198,9 +217,27 @@
 
 fn outcome(answer: &Answer) -> &'static str {
     match answer {
-        Answer::End(OrderEnd::Done(_)) | Answer::Look(OrderEnd::Done(_)) => "done",
-        Answer::End(OrderEnd::Refused { .. }) | Answer::Look(OrderEnd::Refused { .. }) => "refused",
-        Answer::End(OrderEnd::Unknown) | Answer::Look(OrderEnd::Unknown) => "unanswered",
-        Answer::End(OrderEnd::Unsent) | Answer::Look(OrderEnd::Unsent) => "unsent",
+        Answer::End(end) => word(end),
+        Answer::Look(end) => word(end),
+    }
+}
+
+/// The outcome of an order, by what its owner is told.
+fn end_of(event: &Event) -> &'static str {
+    match event {
+        Event::Started { end, .. } | Event::Stopped { end, .. } | Event::Paced { end, .. } => {
+            word(end)
+        }
+        Event::Looked { end, .. } => word(end),
+        _ => "done",
+    }
+}
+
+fn word<T>(end: &OrderEnd<T>) -> &'static str {
+    match end {
+        OrderEnd::Done(_) => "done",
+        OrderEnd::Refused { .. } => "refused",
+        OrderEnd::Unknown => "unanswered",
+        OrderEnd::Unsent => "unsent",
     }
 }
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -44,6 +44,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct By {
+    caller: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Because {
     why: &'static str,
@@ -73,6 +78,8 @@
     answer_seconds: Family<OfQueue, Histogram, Latencies>,
     orders: Family<Ordered, Counter>,
     order_seconds: Family<Ordered, Histogram, Latencies>,
+    orders_under_way: Family<By, Gauge>,
+    orders_again: Counter,
     ended: Family<Ended, Counter>,
     restarts: Family<Because, Counter>,
     strays: Family<Because, Counter>,
@@ -97,6 +104,8 @@
             answer_seconds: Family::new_with_constructor(latencies as Latencies),
             orders: Family::default(),
             order_seconds: Family::new_with_constructor(latencies as Latencies),
+            orders_under_way: Family::default(),
+            orders_again: Counter::default(),
             ended: Family::default(),
             restarts: Family::default(),
             strays: Family::default(),
@@ -125,6 +134,16 @@
         registry.register("answer_seconds", "Time to a final answer", self.answer_seconds.clone());
         registry.register("orders", "Orders to workers", self.orders.clone());
         registry.register("order_seconds", "Time of workers' answers", self.order_seconds.clone());
+        registry.register(
+            "orders_under_way",
+            "Orders to workers without an answer so far, by whether this node or another calls",
+            self.orders_under_way.clone(),
+        );
+        registry.register(
+            "orders_again",
+            "Looks and stops that were sent again because the one before had no answer",
+            self.orders_again.clone(),
+        );
         registry.register("jobs_ended", "Jobs that this node saw end", self.ended.clone());
         registry.register(
             "job_seconds",
@@ -196,6 +215,11 @@
         self.order_seconds.get_or_create(&label).observe(took.as_secs_f64());
     }
 
+    /// Notes that more or fewer orders are on their way.
+    pub(crate) fn orders_under_way(&self, caller: &'static str, more: i64) {
+        self.orders_under_way.get_or_create(&By { caller }).inc_by(more);
+    }
+
     /// Notes the end of a job that this node owns.
     pub(crate) fn job_ended(&self, queue: &str, state: &'static str, took: Duration) {
         let label = Ended { queue: queue.to_owned(), state };
@@ -211,6 +235,7 @@
         }
         self.crashes.inc_by(counts.crashes);
         self.given_up.inc_by(counts.given_up);
+        self.orders_again.inc_by(counts.again);
         for (why, count) in &counts.strays {
             self.strays.get_or_create(&Because { why }).inc_by(*count);
         }
