An owner that gives its pool back leaves word of what may run

Cause: all tasks of earlier jobs wait until every worker of the roster was asked, or 8.7 s, since each may run anything. Where hosts move away by the hundred some are always gone, so that a planned end of the owner's node cost the pool those 8.7 s; and the first look at each worker was a call of the new owner's own node. Ruled out: one call at a time, the pause between looks, 500 ends a list (they bind one worker, not the pool); roster writes (what is inherited needs none: workers of the roster get work with their first answer). Change: the transaction that gives a pool back holds the tasks that may run or have ended with what is not durable; it counts for the very next owner only. Workers that hold nothing and are not listed are not asked. Who makes whose calls is decided in the step that takes a pool up.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -13,6 +13,7 @@
 pub(crate) mod event;
 pub(crate) mod fleet;
 pub(crate) mod gone;
+pub(crate) mod handover;
 pub(crate) mod helpers;
 pub(crate) mod job;
 pub(crate) mod losses;
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -59,6 +59,8 @@
 pub(crate) struct Owner {
     /// The revision of the ownership.
     pub(crate) token: u64,
+    /// How many owners came before this one.
+    earlier: u32,
     /// Runs of jobs from before this owner are numbered above this.
     first_run: u32,
     /// Until then, a worker that has not seen the token may run tasks of earlier jobs.
@@ -77,6 +79,10 @@
     workers: BTreeMap<WorkerId, Worker>,
     /// What a later owner would find of the workers.
     roster: Roster,
+    /// What may run at workers that were not asked, if the owner before has left word of it.
+    handed: Option<BTreeSet<TaskId>>,
+    /// When a run of a job that is not known was last seen.
+    strange: Option<Steady>,
     /// Workers that are certain to be over. Their reports may be listed a while longer.
     over: HashSet<WorkerId>,
     /// Hosts that are being emptied, by the revision of the mark that says so.
@@ -110,6 +116,7 @@
     pub(crate) fn new(token: u64, earlier: u32, now: Steady) -> Owner {
         Owner {
             token,
+            earlier,
             first_run: earlier * RUNS_PER_OWNER,
             quiet_until: now.after(if earlier == 0 { 0 } else { QUIET_MS }),
             // The pool was won by a write, somewhat earlier than now: nothing has lapsed since then.
@@ -119,6 +126,8 @@
             unknown: BTreeMap::new(),
             workers: BTreeMap::new(),
             roster: Roster::default(),
+            handed: None,
+            strange: None,
             over: HashSet::new(),
             emptying: BTreeMap::new(),
             reserved: BTreeSet::new(),
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -164,6 +164,10 @@
     ) {
         let Present { task, run, saved, percent, gauge } = found;
         let stray = self.stray(id, task);
+        let job = task.of.job;
+        if !self.jobs.contains_key(&job) && !self.ended.contains(&job) {
+            self.strange = Some(now);
+        }
         if let Some(copy) = self.copy_mut(task, id).filter(|copy| copy.run == run) {
             if copy.percent < percent || copy.began.is_none() {
                 copy.moved = now;
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -6,12 +6,14 @@
 use crate::{
     jobs::{
         event::{Effect, Event},
+        handover::Handover,
+        job::{Job, Task},
         roster::{Away, Holding, Roster, RosterNote},
         worker::Worker,
     },
     model::{
         id::WorkerId,
-        job::TaskId,
+        job::{StepId, TaskId},
         unit::{Now, Steady},
         worker::WorkerReport,
     },
@@ -21,6 +23,10 @@
 /// a connection that was reset, and the write would cost two calls of the store.
 const SILENT_MISSES: u32 = 2;
 
+/// How long after a run of a job that is not known was last seen nothing is left to the next owner, in
+/// milliseconds: it is told to stop with each look, and lapses with its worker's time at the latest.
+const STRANGE_MS: u64 = 5_000;
+
 /// Tasks of earlier jobs that may run where they cannot be seen.
 pub(super) enum Doubt {
     /// Any that no worker has told of.
@@ -48,9 +54,14 @@
         out: &mut Vec<Effect>,
     ) {
         self.roster = Roster::inherited(&workers, away);
+        let left = away.handover.as_ref().and_then(|left| left.for_owner(self.earlier));
+        self.handed = left.cloned();
         for report in workers {
             let id = report.id.clone();
-            if self.roster.holding(&id).is_some() {
+            // One that holds nothing matters once it is listed: hosts that have moved away would each
+            // be asked for seconds.
+            let holds = self.roster.holding(&id).is_some_and(|holding| !holding.is_nothing());
+            if holds {
                 // Whoever gave it work has heard it at that address.
                 let heard = !report.address.is_empty();
                 self.handle(Event::Worker(report), now, out);
@@ -62,10 +73,54 @@
         }
     }
 
-    /// What is to be left to the next owner by one that orders nothing any more; nothing if that
-    /// tells no more than what is kept.
-    pub(crate) fn parting(&self, _now: Now) -> Option<Away> {
-        None
+    /// What is to be left to the next owner by one that orders nothing any more; nothing if it does
+    /// not know all that may run. It holds whether or not writes on their way are done before it: none
+    /// is after it, since their condition is this ownership.
+    pub(crate) fn parting(&self, now: Now) -> Option<Away> {
+        let lately = |at| now.steady.since(at) < STRANGE_MS;
+        if !self.unknown.is_empty() || self.strange.is_some_and(lately) {
+            return None;
+        }
+        let Doubt::Only(mut tasks) = self.doubt(now.steady) else {
+            return None;
+        };
+        for job in self.jobs.values() {
+            for ((time, step), entries) in &job.steps {
+                let of = StepId { job: job.id, time: *time, step: *step };
+                let numbered = (0u32..).zip(&entries.tasks);
+                let held = numbered.filter(|(_, task)| self.may_run_or_count(job, task));
+                tasks.extend(held.map(|(index, _)| TaskId { of, index }));
+            }
+        }
+        let handover = Some(Handover::new(self.earlier, tasks)?);
+        let silent = self.roster.listed().filter_map(|id| Some((id.clone(), self.left_at(id)?)));
+        Some(Away { silent: silent.collect(), handover })
+    }
+
+    /// Whether a run of a task may be somewhere, or has ended with what is not durable yet: the next
+    /// owner knows of that only once its worker has listed the end again.
+    fn may_run_or_count(&self, job: &Job, task: &Task) -> bool {
+        let begun = task.run != 0 && task.run != self.first_run;
+        let uncounted = job.is_dirty() && (task.done || begun || job.state.is_final());
+        !task.copies.is_empty() || uncounted
+    }
+
+    /// What may run at a listed worker that does not answer or is to be no longer used; nothing if it
+    /// answers, or is not known that well.
+    fn left_at(&self, id: &WorkerId) -> Option<BTreeSet<TaskId>> {
+        let Some(worker) = self.workers.get(id) else {
+            // It is over, or all that it may run has lapsed.
+            return Some(BTreeSet::new());
+        };
+        if !worker.told_all {
+            return match self.roster.holding(id) {
+                Some(Holding::Only(tasks)) => Some(tasks.clone()),
+                Some(Holding::Any) | None => None,
+            };
+        }
+        let emptied = self.emptying.contains_key(&worker.report.host) && worker.is_empty();
+        let silent = worker.misses != 0 && worker.unacknowledged.is_empty();
+        (emptied || silent).then(|| worker.copies.keys().copied().collect())
     }
 
     /// What is to be kept for a later owner, if that is news, in one write that changes the records
@@ -135,7 +190,10 @@
         };
         for worker in self.workers.values().filter(hides) {
             match self.roster.holding(&worker.report.id) {
-                Some(Holding::Any) => return Doubt::All,
+                Some(Holding::Any) => match &self.handed {
+                    Some(handed) => tasks.extend(handed),
+                    None => return Doubt::All,
+                },
                 Some(Holding::Only(held)) => tasks.extend(held),
                 None => {}
             }
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -9,7 +9,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{id::WorkerId, job::TaskId, worker::WorkerReport};
+use crate::{
+    jobs::handover::Handover,
+    model::{id::WorkerId, job::TaskId, worker::WorkerReport},
+};
 
 /// What may run on a worker, as far as a later owner must reckon with it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,11 +23,21 @@
     Only(BTreeSet<TaskId>),
 }
 
+impl Holding {
+    /// Whether nothing can run there.
+    pub(crate) fn is_nothing(&self) -> bool {
+        matches!(self, Holding::Only(tasks) if tasks.is_empty())
+    }
+}
+
 /// The listed workers that are silent, with all that may run there.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct Away {
     #[serde(rename = "s", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) silent: BTreeMap<WorkerId, BTreeSet<TaskId>>,
+    /// What may run at all others, if the owner before gave the pool back.
+    #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) handover: Option<Handover>,
 }
 
 /// What is to be kept for a later owner, all in one write.
@@ -81,6 +94,11 @@
         self.holdings.get(id)
     }
 
+    /// All workers that are or may be listed.
+    pub(crate) fn listed(&self) -> impl Iterator<Item = &WorkerId> {
+        self.holdings.keys().chain(&self.doubtful)
+    }
+
     /// What is to be written so that a later owner finds what each worker may hold now, of at most
     /// so many workers' records; nothing if that is kept already.
     pub(crate) fn note<'a>(
@@ -106,7 +124,7 @@
             Holding::Any => None,
             Holding::Only(tasks) => Some((id.clone(), tasks.clone())),
         });
-        let away = Away { silent: silent.collect() };
+        let away = Away { silent: silent.collect(), handover: None };
         self.unsettled = true;
         self.doubtful.extend(added.iter().map(|report| report.id.clone()));
         self.doubtful.extend(dropped.iter().cloned());
--- a/src/jobs/tests/handover.rs
+++ b/src/jobs/tests/handover.rs
@@ -2,9 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Bench, done, id, report, step, stored, worker_id};
+use super::{Bench, done, id, present, report, step, stored, worker_id};
 use crate::{
-    jobs::event::Event,
+    jobs::{
+        event::{Effect, Event},
+        roster::Away,
+    },
     model::{
         id::WorkerId,
         job::{JobId, TaskId},
@@ -98,3 +101,74 @@
     let started: Vec<JobId> = bench.starts().iter().map(|(task, ..)| task.of.job).collect();
     assert_eq!(started, vec![id(2); 3]);
 }
+
+/// Whoever comes after an owner that has given orders knows nothing by the word of the one before it.
+#[test]
+fn what_was_left_counts_for_the_very_next_owner() {
+    let (earlier, runs) = busy(2);
+    let left = earlier.owner.parting(earlier.at()).expect("all is known");
+    for owners in [1, 2, 3] {
+        let mut bench = Bench::new(owners);
+        let now = bench.at();
+        let workers = vec![report("w0", "h0"), report("w1", "h1")];
+        bench.owner.inherit(workers, &left, now, &mut bench.effects);
+        bench.tell(Event::Job(stored(2, vec![step(3)], 50)));
+        bench.work();
+        bench.look("w0", vec![], ends(&runs[&worker_id("w0")]));
+        bench.work();
+        let started = bench.starts().len();
+        assert_eq!(started, if owners == 1 { 3 } else { 0 }, "{owners} owners before");
+    }
+}
+
+/// The record is read as it was written, and one of before is read too.
+#[test]
+fn what_is_left_is_read_as_it_was_written() {
+    let (earlier, _) = busy(3);
+    let left = earlier.owner.parting(earlier.at()).expect("all is known");
+    let text = serde_json::to_string(&left).unwrap();
+    assert_eq!(text.matches("0000000000000001.0.0").count(), 1, "each step is named once: {text}");
+    assert_eq!(serde_json::from_str::<Away>(&text).unwrap(), left);
+    assert_eq!(serde_json::from_str::<Away>("{}").unwrap(), Away::default());
+    assert!(serde_json::from_str::<Away>(r#"{"h":{"o":1,"t":{"no step":[1]}}}"#).is_err());
+}
+
+/// An owner that waits for workers itself has no word to leave.
+#[test]
+fn an_owner_that_does_not_know_what_may_run_leaves_no_word_of_it() {
+    let mut bench = Bench::inheriting(&[("w0", "h0"), ("w1", "h1")], Away::default());
+    bench.touch("w0", vec![]);
+    assert_eq!(bench.owner.parting(bench.at()), None);
+    bench.touch("w1", vec![]);
+    assert!(bench.owner.parting(bench.at()).is_some());
+}
+
+/// A run or an end of a job that the owner does not know may be known to the next one.
+#[test]
+fn runs_and_ends_of_unknown_jobs_leave_no_word() {
+    let task: TaskId = format!("{}.0.0.0", id(7)).parse().unwrap();
+    let (mut run, _) = busy(2);
+    run.look("w1", vec![present(task, 1, 30)], vec![]);
+    assert_eq!(run.owner.parting(run.at()), None);
+    let (mut end, _) = busy(2);
+    end.look("w1", vec![], vec![done(1, task, 1)]);
+    assert_eq!(end.owner.parting(end.at()), None);
+}
+
+/// Hosts that have moved away are not asked for seconds by an owner that knows that nothing runs there.
+#[test]
+fn workers_that_hold_nothing_and_are_not_listed_are_not_asked() {
+    let (mut earlier, runs) = busy(3);
+    earlier.look("w2", vec![], ends(&runs[&worker_id("w2")]));
+    earlier.save();
+    earlier.miss("w2");
+    let mut bench = next(&earlier, 3, std::iter::empty());
+    bench.work();
+    let asked: BTreeSet<WorkerId> = (bench.effects.iter())
+        .filter_map(|effect| match effect {
+            Effect::Look { to, .. } => Some(to.worker.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(asked, [worker_id("w0"), worker_id("w1")].into());
+}
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -523,6 +523,9 @@
             next_confirmation: now.steady,
         };
         self.owned.insert(name.to_owned(), owned);
+        // The first look at each worker goes out with this step: a node that owns a large pool has the
+        // time for a fifth of these calls, and late ones show living workers as silent.
+        self.next_helpers = now.steady;
         self.carry_out(name, token, out);
     }
 }
--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -4,7 +4,10 @@
 
 use super::{Drive, Input, Vacancy, Won, json};
 use crate::{
-    jobs::balance::{self, Capacity},
+    jobs::{
+        balance::{self, Capacity},
+        owner::Owner,
+    },
     model::unit::{Millicores, Now, Revision},
     platform::{
         kv::{Committed, Txn},
@@ -133,7 +136,7 @@
             let not_before = now.steady.after(REACH_AGAIN_MS);
             let since = now.steady;
             self.vacant.insert(name.clone(), Vacancy { since, reaching: false, not_before });
-            self.give_back(name, owned.owner.token);
+            self.give_back(name, &owned.owner, now);
         }
     }
 
@@ -192,10 +195,11 @@
 
     /// Gives back all that the node owns, so that others need not wait for its lease to end.
     pub(super) fn leave(&mut self) {
+        let now = self.node.now();
         self.leaving = true;
         self.won.clear();
         for (name, owned) in std::mem::take(&mut self.owned) {
-            self.give_back(name, owned.owner.token);
+            self.give_back(name, &owned.owner, now);
         }
         let node = self.node.clone();
         let key = keys::node(node.settings.node.as_str());
@@ -207,11 +211,21 @@
         });
     }
 
-    /// Gives up an ownership in the store.
-    fn give_back(&self, name: String, token: u64) {
-        log::info!("owner {name}: given back: token {token}");
+    /// Gives up an ownership in the store, with word of what may run: all that waits need not wait
+    /// for workers that the next owner does not reach.
+    fn give_back(&self, name: String, owner: &Owner, now: Now) {
+        let token = owner.token;
         let key = keys::owner(&name);
-        let txn = Txn::default().expect(key.clone(), Revision(token)).remove(key);
+        let mut txn = Txn::default().expect(key.clone(), Revision(token)).remove(key);
+        let left = owner.parting(now);
+        let may_run = match left.as_ref().and_then(|away| away.handover.as_ref()) {
+            Some(handover) => format!("{} tasks may run", handover.len()),
+            None => "not known what may run".to_owned(),
+        };
+        log::info!("owner {name}: given back: token {token}, {may_run}");
+        if let Some(away) = left {
+            txn = txn.put(keys::away(&name), json(&away));
+        }
         let node = self.node.clone();
         tokio::spawn(async move {
             if let Err(error) = node.kv.commit(&txn).await {
--- a/src/scheduler/tests/takeovers.rs
+++ b/src/scheduler/tests/takeovers.rs
@@ -5,7 +5,10 @@
 //! that was done is started again, no end is acknowledged that is not counted durably, and an owner
 //! that was told of its end gives no order.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use bolero::TypeGenerator;
 use serde_json::json;
@@ -104,6 +107,11 @@
     WinAgain {
         node: bool,
     },
+    /// A node gives its ownership back with word of what may run, and another wins it.
+    GiveBack {
+        node: bool,
+        to: bool,
+    },
     /// The starts that were on their way arrive.
     Arrive,
     /// What the store lists under a worker's id.
@@ -188,6 +196,8 @@
     done: BTreeSet<TaskId>,
     late: Vec<(Addressee, Start)>,
     accepted: usize,
+    /// How often an owner left word of what may run.
+    handed: usize,
 }
 
 fn pool() -> PoolId {
@@ -264,6 +274,7 @@
             done: BTreeSet::new(),
             late: Vec::new(),
             accepted: 0,
+            handed: 0,
         };
         for number in 0..WORKERS {
             world.write(format!("servers/w{number}"), Some(entry(number, number, "ready")));
@@ -318,6 +329,20 @@
         }
     }
 
+    /// The holder gives the pool back, with what it leaves.
+    fn give_back(&mut self, number: usize) {
+        let now = self.at();
+        let Some(owner) = &self.nodes[number].owner else {
+            return;
+        };
+        if let Some(away) = owner.parting(now) {
+            self.handed += 1;
+            self.away_at = self.write(keys::away(&pool_name()), Some(bytes(&away)));
+        }
+        self.nodes[number].release();
+        self.lapse();
+    }
+
     fn win(&mut self, node: usize) {
         if self.holder.is_some() || MOST_OWNERS <= self.owners || self.nodes[node].paused {
             return;
@@ -711,6 +736,12 @@
                     self.win(node as usize);
                 }
             }
+            Rare::GiveBack { node, to } => {
+                if self.holds(node as usize) {
+                    self.give_back(node as usize);
+                    self.win(to as usize);
+                }
+            }
             Rare::Arrive => self.arrive(),
             Rare::Entry { worker, entry } => self.set_entry(worker as usize % WORKERS, entry),
             Rare::Garble { job } => {
@@ -822,6 +853,7 @@
 
 #[test]
 fn nothing_runs_twice_however_owners_come_and_go() {
+    let handed = Cell::new(0);
     fuzz(600, 120, |ops: &[Op]| {
         let mut world = World::new();
         world.hand_in();
@@ -832,5 +864,7 @@
         }
         world.settle();
         assert!(0 < world.accepted, "the plays start tasks");
+        handed.set(handed.get() + world.handed);
     });
+    assert!(0 < handed.get(), "some owner leaves word of what may run");
 }
