--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -4,7 +4,10 @@
 
 use super::{Drive, Input, Vacancy, Won, behind::REACH_LATE_MS, json};
 use crate::{
-    jobs::balance::{self, Capacity},
+    jobs::{
+        balance::{self, Capacity},
+        owner::Owner,
+    },
     model::unit::{Millicores, Now, Revision},
     platform::{
         kv::{Committed, Txn},
@@ -135,16 +138,17 @@
 
     /// Gives up a piece of work, so that another node takes it up.
     pub(super) fn hand_over(&mut self, name: String, now: Now) {
-        let token = match self.owned.remove(&name) {
-            Some(owned) => Some(owned.owner.token),
-            None => self.fleet.take_if(|_| name == keys::FLEET).map(|owned| owned.fleet.token),
-        };
-        if let Some(token) = token {
-            // Others come first, also if this one is told of it first.
-            let not_before = now.steady.after(REACH_AGAIN_MS);
-            let since = now.steady;
-            self.vacant.insert(name.clone(), Vacancy { since, reaching: false, not_before });
-            self.give_back(name, token);
+        // Others come first, also if this one is told of it first.
+        let not_before = now.steady.after(REACH_AGAIN_MS);
+        let vacancy = Vacancy { since: now.steady, reaching: false, not_before };
+        if let Some(owned) = self.owned.remove(&name) {
+            self.vacant.insert(name.clone(), vacancy);
+            self.give_back_pool(name, &owned.owner, now);
+        } else if let Some(owned) = self.fleet.take_if(|_| name == keys::FLEET) {
+            let token = owned.fleet.token;
+            log::info!("owner {name}: given back: token {token}");
+            self.vacant.insert(name.clone(), vacancy);
+            self.give_back(name, token, Txn::default());
         }
     }
 
@@ -203,10 +207,11 @@
 
     /// Gives back all that the node owns, so that others need not wait for its lease to end.
     pub(super) fn leave(&mut self) {
+        let now = self.node.now();
         self.leaving = true;
         self.won.clear();
         for (name, owned) in std::mem::take(&mut self.owned) {
-            self.give_back(name, owned.owner.token);
+            self.give_back_pool(name, &owned.owner, now);
         }
         let node = self.node.clone();
         let key = keys::node(node.settings.node.as_str());
@@ -218,11 +223,27 @@
         });
     }
 
-    /// Gives up an ownership in the store.
-    fn give_back(&self, name: String, token: u64) {
-        log::info!("owner {name}: given back: token {token}");
+    /// Gives a pool back, with word of what may run: all that waits need not wait for workers that
+    /// the next owner does not reach.
+    fn give_back_pool(&self, name: String, owner: &Owner, now: Now) {
+        let token = owner.token;
+        let left = owner.parting(now);
+        let may_run = match left.as_ref().and_then(|away| away.handover.as_ref()) {
+            Some(handover) => format!("{} tasks may run", handover.len()),
+            None => "not known what may run".to_owned(),
+        };
+        log::info!("owner {name}: given back: token {token}, {may_run}");
+        let txn = match left {
+            Some(away) => Txn::default().put(keys::away(&name), json(&away)),
+            None => Txn::default(),
+        };
+        self.give_back(name, token, txn);
+    }
+
+    /// Gives up an ownership in the store, with what is to be written beside.
+    fn give_back(&self, name: String, token: u64, beside: Txn) {
         let key = keys::owner(&name);
-        let txn = Txn::default().expect(key.clone(), Revision(token)).remove(key);
+        let txn = beside.expect(key.clone(), Revision(token)).remove(key);
         let node = self.node.clone();
         tokio::spawn(async move {
             if let Err(error) = node.kv.commit(&txn).await {
