Measure what it costs a node to take in what watches tell of

Ruled out: timing whole nodes, which mixes all stages with sockets and with the machine's other load. The answer of a watch is read by a function of its own; two methods of the loop are open to the crate.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -369,6 +369,10 @@
             Command::new("route")
                 .about("Compare the choice of endpoints with simple ones, while some are slow, refuse or are dead."),
         ))
+        .subcommand(exports(
+            Command::new("mirror")
+                .about("Measure what a node spends to take in what watches of the store tell of."),
+        ))
         .subcommand(exports(
             Command::new("owner")
                 .about("Measure what an owner spends for each task at a peak, as its pool grows."),
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -2,6 +2,7 @@
 
 mod bound;
 mod export;
+mod mirror;
 mod node;
 mod owner;
 mod path;
@@ -32,6 +33,8 @@
     Path { callers: u32, requests: u32 },
     /// What control costs a node.
     Node,
+    /// What it costs to take in what watches tell of.
+    Mirror,
     /// What an owner's decisions cost.
     Owner,
     /// The choice of endpoints against baselines.
@@ -53,6 +56,7 @@
         }
         Experiment::Path { callers, requests } => path::measure(callers, requests)?,
         Experiment::Node => node::measure()?,
+        Experiment::Mirror => mirror::measure()?,
         Experiment::Owner => owner::measure(),
         Experiment::Route => route::measure(),
     };
--- a/src/options.rs
+++ b/src/options.rs
@@ -108,6 +108,7 @@
             callers: *given::<u32>(inner, "callers"),
             requests: *given::<u32>(inner, "requests"),
         },
+        "mirror" => measure::Experiment::Mirror,
         "owner" => measure::Experiment::Owner,
         "route" => measure::Experiment::Route,
         _ => measure::Experiment::Node,
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -273,10 +273,7 @@
         let answer = self.send("watch", &self.bulk, request).await?;
         match answer.status {
             StatusCode::OK => {
-                let heard: WireEvents = self.parse(&answer)?;
-                let changes = heard.events.into_iter().map(|event| self.change(event));
-                let changes = changes.collect::<Result<Vec<Change>, StoreError>>()?;
-                Ok(Heard { changes, at: Revision(heard.at) })
+                read_changes(&answer.body).map_err(|cause| self.garbled(answer.step, cause))
             }
             StatusCode::GONE => {
                 Err(StoreError::Compacted { peer: self.peer.to_string(), through: since })
@@ -396,16 +393,25 @@
     }
 
     fn item(&self, step: &'static str, wire: WireItem) -> Result<Item, StoreError> {
-        let value = BASE64_STANDARD.decode(&wire.value);
-        let value = value.map_err(|error| self.garbled(step, error))?;
-        let (key, revision) = (wire.private_key, Revision(wire.revision));
-        Ok(Item { key, revision, value: value.into() })
+        item(wire).map_err(|error| self.garbled(step, error))
     }
+}
+
+fn item(wire: WireItem) -> Result<Item, base64::DecodeError> {
+    let value = BASE64_STANDARD.decode(&wire.value)?;
+    let (key, revision) = (wire.private_key, Revision(wire.revision));
+    Ok(Item { key, revision, value: value.into() })
+}
 
-    fn change(&self, wire: WireItem) -> Result<Change, StoreError> {
+/// Reads the answer of a watch; the cause if it is not understood.
+pub(crate) fn read_changes(body: &[u8]) -> Result<Heard, String> {
+    let heard: WireEvents = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let change = |wire: WireItem| {
         let gone = wire.gone;
-        let item = self.item("watch", wire)?;
-        let value = (!gone).then_some(item.value);
-        Ok(Change { key: item.key, revision: item.revision, value })
-    }
+        let Item { key, revision, value } = item(wire)?;
+        Ok(Change { key, revision, value: (!gone).then_some(value) })
+    };
+    let changes = heard.events.into_iter().map(change).collect::<Result<_, _>>();
+    let changes = changes.map_err(|error: base64::DecodeError| error.to_string())?;
+    Ok(Heard { changes, at: Revision(heard.at) })
 }
--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -127,6 +127,13 @@
     tenure: Tenure,
 }
 
+impl Won {
+    /// A piece of work that was won by the write of this token, after so many owners.
+    pub(crate) fn new(token: u64, earlier: u32, tenure: Tenure) -> Won {
+        Won { token, earlier, tenure }
+    }
+}
+
 /// How a write of progress ended.
 pub(crate) enum SaveEnd {
     Done(Revision),
@@ -294,7 +301,8 @@
         }
     }
 
-    fn take(&mut self, input: Input) {
+    /// Takes in what has happened.
+    pub(crate) fn take(&mut self, input: Input) {
         let now = self.node.now();
         self.give_up(now.steady);
         match input {
@@ -352,7 +360,7 @@
     }
 
     /// Does what is due now.
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         let now = self.node.now();
         self.give_up(now.steady);
         let view = self.node.view();
@@ -511,7 +519,7 @@
     }
 }
 
-pub(super) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+pub(crate) fn json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Records of ours hold nothing that JSON cannot.
     serde_json::to_vec(value).unwrap_or_default()
 }
