--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -192,14 +192,12 @@
         let off = off.0;
         let pools: Vec<&PoolId> = scene.demands.keys().filter(|pool| *pool != off).collect();
         let works = Works::new(scene);
-        let (mut staying, expected) = (self.staying(scene), self.expected(scene, now));
+        let (mut staying, expected) = (self.staying(scene), self.expected(now));
         let mut have = BTreeMap::new();
         let mut free = BTreeMap::new();
         for pool in &pools {
-            let here = staying.remove(pool).unwrap_or_default();
-            let here = lendable(here, &works);
-            let come = count_of(&expected, pool);
-            have.insert((*pool).clone(), here.len() + come);
+            let here = lendable(staying.remove(pool).unwrap_or_default(), &works);
+            have.insert((*pool).clone(), here.len() + count_of(&expected, pool));
             free.insert((*pool).clone(), here);
         }
         let mut spare: VecDeque<HostId> = staying.remove(off).unwrap_or_default().into();
@@ -298,17 +296,11 @@
 
     /// How many hosts are to come to each pool, and may be expected to: one that takes too long may
     /// be down, or held by a worker that is silent.
-    pub(super) fn expected<'a>(
-        &'a self,
-        scene: &'a Scene<'_>,
-        now: Steady,
-    ) -> BTreeMap<&'a PoolId, usize> {
+    pub(super) fn expected(&self, now: Steady) -> BTreeMap<&PoolId, usize> {
         let soon = |since: Steady| now.since(since) < COMING_COUNTS_MS;
         let coming = self.coming.values().filter(|c| soon(c.since)).map(|c| &c.pool);
-        let marked = self.marks(scene).filter_map(|(host, leave)| match leave {
-            Leave::Move(pool) => {
-                self.marked.get(host).is_none_or(|since| soon(*since)).then_some(pool)
-            }
+        let marked = self.marks.iter().filter_map(|(host, mark)| match &mark.leave {
+            Leave::Move(pool) => self.marks.since(host).is_none_or(soon).then_some(pool),
             Leave::Upkeep(_) => None,
         });
         let mut expected = BTreeMap::new();
@@ -321,7 +313,7 @@
     /// What each pool has, asks for and should have, for the log.
     pub(crate) fn summary(&self, scene: &Scene<'_>, now: Steady) -> Vec<PoolSummary> {
         let (sizes, staying) = (self.pool_sizes(), self.staying(scene));
-        let expected = self.expected(scene, now);
+        let expected = self.expected(now);
         let of = |(pool, demand): (&PoolId, &Demand)| PoolSummary {
             pool: pool.clone(),
             listed: count_of(&sizes, pool),
--- a/src/jobs/fleet/wave.rs
+++ b/src/jobs/fleet/wave.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Fleet, FleetEffect, Leave, Scene, WRITE_SHOWS_MS};
+use super::{Fleet, FleetEffect, Leave, Scene, WRITE_AGAIN_MS, WriteEnd};
 use crate::model::{
     id::{HostId, PoolId},
     unit::Steady,
@@ -15,6 +15,22 @@
 /// The share of a pool's hosts that may be leaving for upkeep at one time, in percent.
 const LEAVING_PERCENT: usize = 50;
 
+/// Hosts whose upkeep is kept by one write, which takes away two records of each.
+pub(crate) const KEEP_BATCH: usize = 14;
+
+/// What was written of a wave, by the answers: each write builds on the record that the one before
+/// it left, so that there is one at a time.
+#[derive(Debug, Default)]
+pub(super) struct WaveWrites {
+    on_its_way: bool,
+    /// Nothing more is written before then, since a write failed.
+    again: Steady,
+    /// Hosts whose upkeep was kept.
+    kept: BTreeSet<HostId>,
+    begun: bool,
+    reported: bool,
+}
+
 impl Fleet {
     /// Marks the next hosts of a wave, and reports how far it is.
     pub(super) fn wave(
@@ -24,38 +40,36 @@
         now: Steady,
         out: &mut Vec<FleetEffect>,
     ) {
-        if scene.reported.contains(&upkeep.wave) {
+        let written = self.waves.entry(upkeep.wave).or_default();
+        if written.reported || scene.reported.contains(&upkeep.wave) {
             return;
         }
-        let none = BTreeSet::new();
-        let kept = scene.maintained.get(&upkeep.wave).unwrap_or(&none);
+        let begun = written.begun;
         let left: Vec<&ListedHost> = upkeep
             .hosts
             .iter()
-            .filter(|host| !kept.contains(*host))
+            .filter(|host| !self.is_kept(scene, upkeep.wave, host))
             .filter_map(|host| self.hosts.get(host))
             .collect();
         if left.is_empty() {
-            out.push(FleetEffect::Report(upkeep.wave, true));
+            self.report(upkeep.wave, true, now, out);
             return;
         }
-        if self.begun.insert(upkeep.wave) {
-            out.push(FleetEffect::Report(upkeep.wave, false));
-        }
-        let marked = self.marks(scene).filter(|(_, leave)| **leave == Leave::Upkeep(upkeep.wave));
+        let purpose = Leave::Upkeep(upkeep.wave);
+        let marked = self.marks.iter().filter(|(_, mark)| mark.leave == purpose);
         let room = (upkeep.at_once as usize + AHEAD).saturating_sub(marked.count());
-        if room == 0 {
+        if room == 0 && begun {
             return;
         }
         // Counted once: for each host of a wave anew, a plan for 1,100 hosts took 60 ms of a core.
-        let leaving = self.leaving(scene);
+        let leaving = self.leaving();
         let sizes = self.pool_sizes();
         let is_off =
             |known: &ListedHost| scene.config.pools.get(&known.pool).is_some_and(|rules| rules.off);
         let mut next: Vec<&ListedHost> = left
             .into_iter()
             .filter(|known| known.phase == HostPhase::Up)
-            .filter(|known| !self.is_taken(scene, &known.host))
+            .filter(|known| !self.is_taken(&known.host))
             .collect();
         next.sort_by_cached_key(|known| {
             let busy = !scene.idle.contains(&known.host);
@@ -75,16 +89,18 @@
             *more += 1;
             chosen.push(known.host.clone());
         }
+        if !begun {
+            self.report(upkeep.wave, false, now, out);
+        }
         for host in chosen {
             self.mark(host, Leave::Upkeep(upkeep.wave), now, out);
         }
     }
 
     /// How many hosts of each pool are marked to leave for upkeep.
-    fn leaving<'a>(&'a self, scene: &'a Scene<'_>) -> BTreeMap<&'a PoolId, usize> {
-        let marks = self.marks(scene).filter(|(_, leave)| matches!(leave, Leave::Upkeep(_)));
-        let hosts = marks.filter_map(|(host, _)| self.hosts.get(host));
-        count_by_pool(hosts)
+    fn leaving(&self) -> BTreeMap<&PoolId, usize> {
+        let marks = self.marks.iter().filter(|(_, mark)| matches!(mark.leave, Leave::Upkeep(_)));
+        count_by_pool(marks.filter_map(|(host, _)| self.hosts.get(host)))
     }
 
     /// How many hosts each pool has, whatever their phase.
@@ -93,44 +109,93 @@
     }
 
     /// How many hosts are or may be away for each wave.
-    pub(super) fn away(&self, scene: &Scene<'_>) -> BTreeMap<u64, usize> {
+    pub(super) fn away(&self) -> BTreeMap<u64, usize> {
         let mut away = BTreeMap::new();
-        for (host, leave) in scene.leaves.iter().inspect(|_| self.count_look()) {
-            let Leave::Upkeep(wave) = leave else {
+        for (host, mark) in self.marks.iter() {
+            let Leave::Upkeep(wave) = mark.leave else {
                 continue;
             };
-            let called = self.calls.contains_key(host);
             let listed = self.hosts.get(host).map(|known| known.phase);
-            if called || listed == Some(HostPhase::Upkeep) {
-                *away.entry(*wave).or_default() += 1;
+            if self.may_be_away(host) || listed == Some(HostPhase::Upkeep) {
+                *away.entry(wave).or_default() += 1;
             }
         }
         away
     }
 
-    /// Has it kept that hosts had their upkeep: all that are back in one write, and the next only
-    /// once that one shows, since each builds on the record before it.
+    /// Whether it was kept that a host had its upkeep.
+    pub(super) fn is_kept(&self, scene: &Scene<'_>, wave: u64, host: &HostId) -> bool {
+        let shown = scene.maintained.get(&wave).is_some_and(|hosts| hosts.contains(host));
+        shown || self.waves.get(&wave).is_some_and(|written| written.kept.contains(host))
+    }
+
+    /// Has it kept that hosts had their upkeep, and their marks taken away.
     pub(super) fn keep(
         &mut self,
-        scene: &Scene<'_>,
         wave: u64,
         hosts: BTreeSet<HostId>,
         now: Steady,
         out: &mut Vec<FleetEffect>,
     ) {
-        let shown = |written: &BTreeSet<HostId>| {
-            scene.maintained.get(&wave).is_some_and(|kept| written.is_subset(kept))
-        };
-        let waits = self
-            .keeping
-            .get(&wave)
-            .is_some_and(|(written, at)| now.since(*at) < WRITE_SHOWS_MS && !shown(written));
-        if waits {
+        if !self.may_write(wave, now) {
             return;
         }
-        self.keeping.insert(wave, (hosts.clone(), now));
+        let hosts: BTreeSet<HostId> = hosts.into_iter().take(KEEP_BATCH).collect();
+        for host in &hosts {
+            self.marks.take_away(host);
+        }
         out.push(FleetEffect::Maintained(hosts, wave));
     }
+
+    fn report(&mut self, wave: u64, done: bool, now: Steady, out: &mut Vec<FleetEffect>) {
+        if self.may_write(wave, now) {
+            out.push(FleetEffect::Report(wave, done));
+        }
+    }
+
+    /// Whether something may be written of a wave now; it is on its way from then on.
+    fn may_write(&mut self, wave: u64, now: Steady) -> bool {
+        let written = self.waves.entry(wave).or_default();
+        let may = !written.on_its_way && written.again <= now;
+        written.on_its_way |= may;
+        may
+    }
+
+    /// Takes note of how a write of upkeep ended.
+    pub(super) fn kept(
+        &mut self,
+        hosts: &BTreeSet<HostId>,
+        wave: u64,
+        end: &WriteEnd,
+        now: Steady,
+    ) {
+        for host in hosts {
+            self.marks.taken_away(host, end, now);
+        }
+        if self.wave_written(wave, end, now) {
+            self.waves.entry(wave).or_default().kept.extend(hosts.iter().cloned());
+        }
+    }
+
+    /// Takes note of how a report ended.
+    pub(super) fn reported(&mut self, wave: u64, done: bool, end: &WriteEnd, now: Steady) {
+        if self.wave_written(wave, end, now) {
+            let written = self.waves.entry(wave).or_default();
+            written.begun = true;
+            written.reported |= done;
+        }
+    }
+
+    /// Takes note of how a write of a wave ended: whether it was done.
+    fn wave_written(&mut self, wave: u64, end: &WriteEnd, now: Steady) -> bool {
+        let written = self.waves.entry(wave).or_default();
+        written.on_its_way = false;
+        let done = matches!(end, WriteEnd::Done(_));
+        if !done {
+            written.again = now.after(WRITE_AGAIN_MS);
+        }
+        done
+    }
 }
 
 fn count_by_pool<'a>(hosts: impl Iterator<Item = &'a ListedHost>) -> BTreeMap<&'a PoolId, usize> {
--- a/src/measure.rs
+++ b/src/measure.rs
@@ -2,7 +2,7 @@
 
 mod bound;
 mod export;
-mod fleet;
+pub(crate) mod fleet;
 mod mirror;
 mod node;
 mod owner;
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -7,13 +7,13 @@
 };
 
 use crate::{
-    jobs::fleet::{Demand, Fleet, Leave, Scene, Sizing},
+    jobs::fleet::{Demand, Fleet, Leave, Mark, Scene, Sizing},
     measure::Figures,
     model::{
         id::{HostId, PoolId, WorkerId},
         job::Room,
         queue::{PoolRules, QueueConfig},
-        unit::{Megabytes, Millicores, Steady},
+        unit::{Megabytes, Millicores, Revision, Steady},
         worker::{HostPhase, ListedHost, Upkeep},
     },
 };
@@ -33,6 +33,9 @@
 /// Milliseconds between two plans.
 const PLAN_MS: u64 = 100;
 
+/// The revision at which all marks stand.
+const KNOWN: Revision = Revision(1);
+
 /// The wave that is under way: half of all hosts.
 const WAVE: u64 = 1;
 
@@ -40,7 +43,12 @@
 pub(crate) fn measure() -> Figures {
     let cases = HOSTS.iter().flat_map(|hosts| MARKED.iter().map(|marked| (*hosts, *marked)));
     let rows = cases.map(|(hosts, percent)| {
-        let spent = play(hosts, hosts * percent / 100);
+        let mut spent: Vec<Duration> = Vec::new();
+        play(hosts, hosts * percent / 100, |fleet, scene, now| {
+            let began = Instant::now();
+            fleet.plan(scene, now);
+            spent.push(began.elapsed());
+        });
         let millis = |spent: Duration| format!("{:.2}", spent.as_secs_f64() * 1e3);
         let worst = spent.iter().max().copied().unwrap_or_default();
         let mean = spent.iter().sum::<Duration>() / PLANS as u32;
@@ -58,8 +66,13 @@
     }
 }
 
-/// The time that each plan took.
-fn play(hosts: usize, marked: usize) -> Vec<Duration> {
+/// Plays plans of a fleet while a wave goes on over half of its hosts; so many are marked, with nothing
+/// left to run there.
+pub(crate) fn play(
+    hosts: usize,
+    marked: usize,
+    mut each: impl FnMut(&mut Fleet, &Scene<'_>, Steady),
+) {
     let ids: Vec<HostId> = (0..hosts).filter_map(|n| format!("h{n}").parse().ok()).collect();
     let pools: Vec<PoolId> = (0..=POOLS).filter_map(|n| format!("pool{n}").parse().ok()).collect();
     let rules = |off| PoolRules { off, guards: true };
@@ -74,8 +87,9 @@
         period_ms: 26_000,
         at_once: (hosts / 5) as u32,
     };
+    let mark = Mark { leave: Leave::Upkeep(WAVE), revision: KNOWN };
     let leaves = ids.iter().step_by(2).take(marked).cloned();
-    let leaves: BTreeMap<HostId, Leave> = leaves.map(|id| (id, Leave::Upkeep(WAVE))).collect();
+    let leaves: BTreeMap<HostId, Mark> = leaves.map(|id| (id, mark.clone())).collect();
     let asked = |cpu| Demand { cpu, ends: true, arriving: cpu, arrivals: 60, ..Demand::default() };
     let demands: BTreeMap<PoolId, Demand> = pools
         .iter()
@@ -92,6 +106,7 @@
     let scene = Scene {
         config: &config,
         demands: &demands,
+        known: KNOWN,
         leaves: &leaves,
         empties: &empties,
         upkeeps: &[upkeep],
@@ -104,12 +119,9 @@
     };
     let mut fleet = Fleet::new(1, Sizing::default(), Steady::default());
     fleet.heard_list(Steady::from_millis(1), Some(listed));
-    let plan = |number: u64| {
-        let began = Instant::now();
-        fleet.plan(&scene, Steady::from_millis(number * PLAN_MS));
-        began.elapsed()
-    };
-    (1..=PLANS).map(plan).collect()
+    for number in 1..=PLANS {
+        each(&mut fleet, &scene, Steady::from_millis(number * PLAN_MS));
+    }
 }
 
 fn worker(of: &HostId) -> Option<WorkerId> {
