A job has begun once a run of it is known to have begun

Cause: a job became Running when its first start was decided on. One whose start was refused, unsent, lost, or lost with its worker went back among those that wait, counted by nobody and kept as begun for later owners. The other way round, a run that was taken over left a job that was kept as queued counted for ever.

Ruled out: taking the state back when a start fails. Each way in which a start can fail would have to do it, also those of an owner that is gone. What else rested on Running at order was looked for: view.rs (count), caller.rs (state shown), shown.rs (count), urgency.rs. Only urgency relied on it: a job whose start is on its way needs no time to spare; it now asks whether a run has begun or may have.

Change: Job::begin is told by a start that was answered as done, by a run that a look lists, and by an end that a worker lists, whoever gave the run. It is never taken back, and what is kept as Running stays so. The fuzzing's oracle knows which jobs have begun at any worker: the present owner counts all others that are not cancelled, and none of them is kept as Running. Files: job.rs, owner.rs, owner/{answers,ends,looks,plan}.rs, urgency.rs, tests. The test of progress that changes while it is written now has its first change from an answered start, since an ordered one is no change any more.

One write says that a job has begun, as before (that_a_job_has_begun_is_written_once).

Conclusion: what is counted as begun is known to have begun. A job whose start is on its way is counted some milliseconds longer.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -325,6 +325,22 @@
         true
     }
 
+    /// Takes note that a run of one of its tasks has begun; whether that was news.
+    pub(crate) fn begin(&mut self) -> bool {
+        let is_news = self.state == JobState::Queued && self.is_open();
+        if is_news {
+            self.state = JobState::Running;
+            self.change();
+        }
+        is_news
+    }
+
+    /// Whether a run of one of its tasks has begun, or may have.
+    pub(crate) fn may_have_begun(&self) -> bool {
+        let mut tasks = self.steps.values().flat_map(|step| &step.tasks);
+        self.state == JobState::Running || tasks.any(|task| !task.copies.is_empty())
+    }
+
     /// Ends the job.
     pub(crate) fn end(&mut self, state: JobState, now: Now) {
         self.state = state;
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -390,6 +390,14 @@
         out.push(Effect::Stop { to, task, run: copy.run });
     }
 
+    /// Takes note that a run of a job is known to have begun. That a start was ordered proves nothing:
+    /// it may be refused, or lost with its worker, and the job waits on.
+    fn note_begun(&mut self, id: JobId) {
+        if self.jobs.get_mut(&id).is_some_and(Job::begin) {
+            self.saves.add(id, false);
+        }
+    }
+
     fn copy_mut(&mut self, task: TaskId, at: &WorkerId) -> Option<&mut crate::jobs::job::Copy> {
         let job = self.jobs.get_mut(&task.of.job)?;
         let task = job.task_mut(task.of, task.index)?;
--- a/src/jobs/owner/answers.rs
+++ b/src/jobs/owner/answers.rs
@@ -32,6 +32,10 @@
         {
             worker.read_clock(clock_ms, now);
         }
+        // Also where the run is no longer reckoned with: it did begin.
+        if matches!(end, OrderEnd::Done(_)) {
+            self.note_begun(task.of.job);
+        }
         let Some(copy) = self.copy_mut(task, at).filter(|copy| copy.run == run) else {
             return;
         };
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -76,6 +76,8 @@
             log::info!("job {}: task {task} run {run} at {id}: {}", job.id, how.word());
         }
         let before = job.version;
+        // Only what has begun is listed as ended.
+        job.begin();
         if let Some(entry) = job.task_mut(task.of, task.index) {
             entry.run = entry.run.max(run);
             let newer = !saved.is_empty() && entry.saved != saved;
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -160,6 +160,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Present { task, run, saved, percent, gauge } = found;
+        self.note_begun(task.of.job);
         let stray = self.stray(id, task);
         if let Some(copy) = self.copy_mut(task, id).filter(|copy| copy.run == run) {
             if copy.percent < percent || copy.began.is_none() {
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -13,7 +13,7 @@
     },
     model::{
         id::WorkerId,
-        job::{JobId, JobState, Step, StepId, TaskId},
+        job::{JobId, Step, StepId, TaskId},
         order::Start,
         unit::{Now, Steady},
     },
@@ -372,11 +372,6 @@
             }
             None => {}
         }
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-            job.change();
-            self.saves.add(of.job, false);
-        }
         let to = worker.addressee(token);
         let start = Start { task, run, payload, until_ms, checkpoint, ticket };
         out.push(Effect::Start { to, start });
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -626,6 +626,7 @@
     bench.tell(Event::Job(stored(1, vec![step(2)], 110)));
     bench.work();
     let starts = bench.starts();
+    bench.started(starts[0].0, starts[0].1, &starts[0].2);
     let first = bench.owner.saves(9);
     assert_eq!(first.len(), 1);
     bench.look("w1", vec![], vec![done(1, starts[0].0, 1), done(2, starts[1].0, 1)]);
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -174,6 +174,8 @@
     late: Vec<Effect>,
     late_saves: Vec<(u64, Vec<Save>)>,
     late_rosters: Vec<(u64, u64, RosterNote)>,
+    /// Jobs of which some run has begun at a worker.
+    begun: BTreeSet<JobId>,
     /// Tasks that have really ended as done.
     done: BTreeSet<TaskId>,
     /// Ends that were acknowledged: done, and the failed runs.
@@ -204,6 +206,7 @@
             late: Vec::new(),
             late_saves: Vec::new(),
             late_rosters: Vec::new(),
+            begun: BTreeSet::new(),
             done: BTreeSet::new(),
             noted_done: BTreeSet::new(),
             noted_failed: BTreeMap::new(),
@@ -603,6 +606,7 @@
             return refused(Refusal::Room);
         }
         self.check_start(place, task);
+        self.begun.insert(task.of.job);
         self.workers[place].runs.insert(task, Run { run, left: WORK_MS, stopping: None });
         if self.crashes(task) {
             self.note_crashing_start(task);
@@ -788,10 +792,19 @@
                 }
             }
             JobState::Failed => assert!(self.may_fail(job), "{job} failed without cause"),
-            _ => {}
+            JobState::Running => assert!(self.begun.contains(&job), "{job} is kept as begun"),
+            JobState::Queued | JobState::Cancelled => {}
         }
     }
 
+    /// The present owner knows all jobs, and counts none as begun of which no run has begun.
+    fn check_waiting(&self) {
+        let counted: usize = self.owners[self.current()].owner.queued().values().sum();
+        let waits = |job: &&JobId| !self.begun.contains(job) && !self.cancelled.contains_key(job);
+        let waiting = self.jobs.keys().filter(waits).count();
+        assert!(waiting <= counted, "{counted} jobs are said to wait, and {waiting} do");
+    }
+
     fn crash(&mut self, host: usize) {
         let host = host % HOSTS;
         if self.workers[host].alive {
@@ -976,6 +989,7 @@
         world.run(4);
         for op in ops {
             world.apply_op(*op);
+            world.check_waiting();
         }
         world.settle();
     });
--- a/src/jobs/tests/fuzz/wire.rs
+++ b/src/jobs/tests/fuzz/wire.rs
@@ -174,8 +174,10 @@
         world.run(4);
         for step in steps {
             world.apply_op(step.op);
+            world.check_waiting();
             world.on_the_wire(step.first);
             world.on_the_wire(step.second);
+            world.check_waiting();
         }
         world.settle();
     });
--- a/src/jobs/urgency.rs
+++ b/src/jobs/urgency.rs
@@ -2,10 +2,7 @@
 
 use std::collections::HashMap;
 
-use crate::{
-    jobs::job::Job,
-    model::{job::JobState, unit::Now},
-};
+use crate::{jobs::job::Job, model::unit::Now};
 
 /// The share of the newest duration in the mean of a queue, in percent.
 const NEWEST_PERCENT: u64 = 10;
@@ -71,8 +68,7 @@
     let slack = objective as i64 - age as i64 - left as i64;
     let latest = (objective * LATE_FACTOR) as i64 - age as i64 - left as i64;
     // A job that begins with no time to spare ends late as soon as one of its tasks waits.
-    let begun = job.state == JobState::Running;
-    let spare = if begun { 0 } else { left as i64 * SPARE_PERCENT / 100 };
+    let spare = if job.may_have_begun() { 0 } else { left as i64 * SPARE_PERCENT / 100 };
     let hope = match () {
         () if spare <= slack => 0,
         () if 0 <= latest => 1,
