--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -163,6 +163,7 @@
         out: &mut Vec<Effect>,
     ) {
         let Present { task, run, saved, percent, gauge } = found;
+        self.note_begun(task.of.job);
         let stray = self.stray(id, task);
         let job = task.of.job;
         if !self.jobs.contains_key(&job) && !self.ended.contains(&job) {
