Log: a budget by kind, so that warnings and summaries come through a flood

Cause: first come, first written: one kind took all 400 lines of a second. Ruled out: levels alone (the flood and the summaries are both info), and a budget by module (the fleet's hosts and its summary share one). Change: a kind is a place in the code. Its first 10 lines a second, 50 of a warning, are written whatever else comes; beyond that at most 200 of one kind, in a room of 400 for all. What is left out is told once a second by kind, with an example, and in sum. It is decided before the text is made and without waiting, so that a line that is left out costs the node neither its text nor JSON. Not measured: the processor time that it saves. Conclusion: what on-call needs is bounded by kinds, no longer by who comes first.

--- a/src/logging/budget.rs
+++ b/src/logging/budget.rs
@@ -14,6 +14,16 @@
 /// Lines a second that are written, beside those that each kind may write in any case: 100 KB/s.
 const MOST: u32 = 400;
 
+/// Lines of one kind a second at the most: half of all, so that one kind leaves room for others.
+const MOST_OF_KIND: u32 = 200;
+
+/// Lines of one kind a second that are written however many others there are: what is told once a
+/// second of each pool, and one example of what is rare. The code has some 200 kinds.
+const SURE: u32 = 10;
+
+/// The same for warnings and errors.
+const SURE_WARNINGS: u32 = 50;
+
 /// Where a line comes from: the module and the line of code.
 pub(super) type Kind = (Option<&'static str>, Option<u32>);
 
@@ -55,10 +65,13 @@
     }
 
     /// Decides on a line. The sums of a span that is over are to be taken before.
-    pub(super) fn take(&mut self, kind: Kind, _level: Level) -> Fate {
+    pub(super) fn take(&mut self, kind: Kind, level: Level) -> Fate {
+        let sure = if level <= Level::Warn { SURE_WARNINGS } else { SURE };
         let used = self.kinds.entry(kind).or_insert(Use { written: 0, left_out: None });
-        if self.written < MOST {
-            self.written += 1;
+        let has_room = self.written < MOST && used.written < MOST_OF_KIND;
+        if used.written < sure || has_room {
+            // What is sure takes nothing from the others' room.
+            self.written += u32::from(sure <= used.written);
             used.written += 1;
             return Fate::Written;
         }
