Failing test: a worker that is gone is asked up to seven times a second

Cause looked for: what keeps the owner's node busy while a turn changes. Hosts leave by the hundred; each worker that is gone and not listed is asked every 150 ms until what it may run has lapsed, and after a look by way of another node that got no answer the owner's node calls it itself for 2 s. Ruled out: workers that answer (one look a second each while nothing ends). Measured: 23 looks in 3.4 s at one gone worker that refuses connections; 400 gone ones are 2,700 calls a second by that count, on a node with time for 100 workers.

--- a/src/jobs/tests/looks.rs
+++ b/src/jobs/tests/looks.rs
@@ -110,3 +110,27 @@
     let waits = looks(&mut bench);
     assert!(waits.contains(&(worker_id("w4"), LOOK_WAIT_MS)), "{waits:?}");
 }
+
+/// When a turn changes, hundreds of hosts leave a pool within seconds, and each of their workers was
+/// asked up to seven times a second until what it may run had lapsed: 400 that are gone cost more calls
+/// than the 120 that work, most of them by the owner's own node, since others had no answer either.
+/// Evidence: workers that are gone and not listed are three quarters of a pool at such times (439 of
+/// 570 answer, then 168 of 638), and every look at them is lost. Wanted: two looks a second at most,
+/// after half a second in which a worker may only have missed one.
+#[test]
+fn a_worker_that_is_gone_is_asked_ever_less_often() {
+    let mut bench = one_worker();
+    bench.tell(Event::Unlisted(worker_id("w1")));
+    bench.effects.clear();
+    let mut asked = 0;
+    for _ in 0..340 {
+        bench.now += 10;
+        bench.work();
+        for _ in looks(&mut bench) {
+            asked += 1;
+            bench.miss("w1");
+        }
+    }
+    assert!(4 <= asked, "{asked} looks: it may be back at any moment");
+    assert!(asked <= 4 + 2 * 3, "{asked} looks in 3.4 s");
+}
