--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -397,9 +397,7 @@
             self.remove_finished(&name, now);
             self.tell_empty(&name, now);
             self.tell_usage(&name, now);
-            if self.hears_jobs(&name, now) {
-                self.tell_queued(&name, now);
-            }
+            self.tell_waiting(&name, now);
             self.ask_confirmation(&name, now);
             self.tell_of_unknown(&name, now);
         }
--- a/src/scheduler/drive/behind.rs
+++ b/src/scheduler/drive/behind.rs
@@ -45,24 +45,26 @@
 
     /// Whether the view is new enough to plan by. What is under way goes on; nothing is begun.
     pub(in crate::scheduler) fn may_plan(&mut self, now: Now) -> bool {
-        let ages = |prefix| self.node.view().ages.of(prefix, now.steady);
-        for prefix in [ROOT, OPERATOR_PREFIX] {
-            let age = ages(prefix);
-            if age.is_some_and(|age| age <= RECORDS_MS) {
-                continue;
-            }
-            if self.behind.next_line <= now.steady {
-                self.behind.next_line = now.steady.after(SUMMARY_MS);
-                log::warn!("fleet: no plan: the view of {prefix} is {age:?} ms old");
-            }
-            return false;
+        let view = self.node.view();
+        let check = |prefix| view.ages.check(prefix, RECORDS_MS, now.steady);
+        let Err(why) = check(ROOT).and_then(|()| check(OPERATOR_PREFIX)) else {
+            return true;
+        };
+        drop(view);
+        if self.behind.next_line <= now.steady {
+            self.behind.next_line = now.steady.after(SUMMARY_MS);
+            log::warn!("fleet: no plan: {why}");
         }
-        true
+        false
     }
 
-    /// Whether a pool's owner has lately heard which jobs came.
-    pub(super) fn hears_jobs(&self, name: &str, now: Now) -> bool {
-        self.node.view().ages.is_within(&keys::work(name), RECORDS_MS, now.steady)
+    /// Tells how many jobs wait, if the pool's owner has lately heard which came: a word that was
+    /// written counts as new.
+    pub(super) fn tell_waiting(&mut self, name: &str, now: Now) {
+        let heard = self.node.view().ages.is_within(&keys::work(name), RECORDS_MS, now.steady);
+        if heard {
+            self.tell_queued(name, now);
+        }
     }
 
     /// Gives back a piece of work, once the view has long been behind while the lease holds: the store
--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -1,142 +1,206 @@
-//! Tests of what a node does while its view is behind.
+//! Tests of what a node does while its view is behind, with all times given.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde_json::json;
-use tokio::runtime;
+use tokio::runtime::{Builder, Runtime};
 
 use super::{Op, World};
 use crate::{
-    model::queue::{PoolRules, QueueConfig},
+    jobs::owner::LEASE_MS,
+    model::{
+        queue::{PoolRules, QueueConfig},
+        unit::Now,
+    },
     platform::records::{OPERATOR_PREFIX, WORKER_PREFIX},
     scheduler::{drive::json as bytes, keys, view::age::RECORDS_MS},
 };
 
-/// Less than what counts as standing still, in milliseconds.
-const STEP_MS: u64 = 400;
+const POOL: &str = "pool-work";
 
-/// Time passes, and the lease is renewed and the ownership confirmed all the while.
-fn pass(world: &mut World, millis: u64) {
-    for _ in 0..millis / STEP_MS {
-        world.node.clock.stand_still(STEP_MS);
-        world.apply(Op::Renew);
-        world.apply(Op::Step);
-    }
+/// A node whose lease is renewed all the while, and the time.
+struct Play {
+    world: World,
+    now: Now,
 }
 
-fn list(world: &mut World, node: &str) {
-    world.write(keys::node(node), bytes(&json!({ "cpu": 500 })));
+fn runtime() -> Runtime {
+    Builder::new_current_thread().enable_all().build().unwrap()
 }
 
-/// A node that is known as ready for work in one pool, and owns some.
-fn owning(fleet: bool) -> World {
-    let mut world = World::new();
-    world.node.view().config = Some(Arc::new(QueueConfig::default()));
-    list(&mut world, "one");
-    for op in [Op::Renew, Op::Reach { fleet }, Op::Reached, Op::Show, Op::Step] {
-        world.apply(op);
+impl Play {
+    /// A node that owns nothing.
+    fn start() -> Play {
+        let mut world = World::new();
+        world.apply(Op::Renew);
+        let now = world.node.now();
+        let mut play = Play { world, now };
+        play.list("one");
+        play
+    }
+
+    /// Lists a node that may own work.
+    fn list(&mut self, node: &str) {
+        self.world.write(keys::node(node), bytes(&json!({ "cpu": 500 })));
+    }
+
+    fn configure(&self, config: QueueConfig) {
+        self.world.node.view().config = Some(Arc::new(config));
+    }
+
+    /// The node wins the fleet's work, or a pool.
+    fn win(&mut self, fleet: bool) {
+        for op in [Op::Reach { fleet }, Op::Reached, Op::Show, Op::Step] {
+            self.world.apply(op);
+        }
+        assert!(self.owns(fleet));
+    }
+
+    fn owns(&self, fleet: bool) -> bool {
+        let drive = &self.world.drive;
+        if fleet { drive.fleet.is_some() } else { drive.owned.contains_key(POOL) }
+    }
+
+    /// The watches are answered: nothing has changed until now.
+    fn hear(&self) {
+        self.world.hear(self.now.steady);
     }
-    world
-}
 
-fn owns(world: &World, fleet: bool) -> bool {
-    if fleet { world.drive.fleet.is_some() } else { !world.drive.owned.is_empty() }
+    fn pass(&mut self, millis: u64) {
+        let now = self.now.steady.after(millis);
+        self.now.steady = now;
+        let lease = self.world.lease.last().unwrap();
+        self.world.lease.renewed(lease, now, Duration::from_millis(LEASE_MS), now);
+    }
 }
 
 /// What users saw: hosts were moved by what had been asked for nine seconds before, while queues that
 /// waited got none. Evidence: the owner's plans beside the pools' own summaries of the same moments.
 #[test]
 fn no_plan_is_made_for_the_fleet_from_a_view_that_is_old() {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     let _entered = runtime.enter();
-    let mut world = owning(true);
-    let first = world.drive.next_fleet_summary;
-    pass(&mut world, 800);
-    assert_eq!(world.drive.next_fleet_summary, first, "nothing was heard of yet");
-    world.hear(world.node.now().steady);
-    pass(&mut world, STEP_MS);
-    let planned = world.drive.next_fleet_summary;
-    assert_ne!(planned, first, "a plan was made");
-    pass(&mut world, RECORDS_MS + 800);
-    let last = world.drive.next_fleet_summary;
-    pass(&mut world, RECORDS_MS);
-    assert_eq!(world.drive.next_fleet_summary, last, "no more");
-    world.hear(world.node.now().steady);
-    pass(&mut world, STEP_MS);
-    assert_ne!(world.drive.next_fleet_summary, last);
+    let mut play = Play::start();
+    play.configure(QueueConfig::default());
+    play.win(true);
+    // Each plan is told of in the log, at most once a second.
+    let mut plans = |millis: u64, heard: bool| {
+        play.pass(millis);
+        if heard {
+            play.hear();
+        }
+        let before = play.world.drive.next_fleet_summary;
+        play.world.drive.fleet_step(play.now);
+        play.world.drive.next_fleet_summary != before
+    };
+    assert!(!plans(1_500, false), "nothing was heard of yet");
+    assert!(plans(1_500, true));
+    assert!(plans(RECORDS_MS, false));
+    assert!(!plans(1_500, false));
+    assert!(plans(1_500, true));
 }
 
 #[test]
 fn work_is_given_back_by_a_node_that_stays_behind_while_its_lease_holds() {
     for fleet in [true, false] {
-        let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        let runtime = runtime();
         let _entered = runtime.enter();
-        let mut world = owning(fleet);
-        world.hear(world.node.now().steady);
-        world.apply(Op::Step);
-        pass(&mut world, 8_000);
-        assert!(owns(&world, fleet), "there is no other node");
-        list(&mut world, "two");
-        pass(&mut world, STEP_MS);
-        assert!(!owns(&world, fleet));
+        let mut play = Play::start();
+        play.win(fleet);
+        play.hear();
+        play.world.drive.give_if_behind(play.now);
+        let mut owns_after = |millis, successor| {
+            play.pass(millis);
+            if successor {
+                play.list("two");
+            }
+            play.world.drive.give_if_behind(play.now);
+            play.owns(fleet)
+        };
+        assert!(owns_after(4_000, true), "it may catch up yet");
+        assert!(!owns_after(1, true));
     }
 }
 
 #[test]
-fn work_is_kept_by_a_node_that_is_behind_for_a_short_while() {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+fn work_is_kept_by_a_node_that_is_behind_if_there_is_no_other() {
+    let runtime = runtime();
     let _entered = runtime.enter();
-    let mut world = owning(true);
-    list(&mut world, "two");
+    let mut play = Play::start();
+    play.win(true);
+    play.hear();
+    play.world.drive.give_if_behind(play.now);
     for _ in 0..5 {
-        world.hear(world.node.now().steady);
-        pass(&mut world, 3_200);
+        play.pass(1_500);
+        play.world.drive.give_if_behind(play.now);
     }
-    assert!(owns(&world, true));
+    assert!(play.owns(true));
 }
 
 /// When all nodes are behind, work must not go round between them.
 #[test]
 fn work_that_a_node_has_won_while_it_was_behind_is_kept() {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     let _entered = runtime.enter();
-    let mut world = World::new();
-    world.hear(world.node.now().steady);
-    pass(&mut world, 4_800);
-    list(&mut world, "one");
-    list(&mut world, "two");
-    for op in [Op::Reach { fleet: true }, Op::Reached, Op::Show, Op::Step] {
-        world.apply(op);
+    let mut play = Play::start();
+    play.list("two");
+    play.win(true);
+    for _ in 0..5 {
+        play.pass(1_500);
+        play.world.drive.give_if_behind(play.now);
     }
-    pass(&mut world, 8_000);
-    assert!(owns(&world, true));
+    assert!(play.owns(true), "it was never kept up");
+    play.hear();
+    play.world.drive.give_if_behind(play.now);
+    for _ in 0..5 {
+        play.pass(1_500);
+        play.world.drive.give_if_behind(play.now);
+    }
+    assert!(!play.owns(true));
 }
 
 #[test]
 fn a_node_that_is_behind_reaches_for_work_after_the_others() {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     let _entered = runtime.enter();
-    let mut world = World::new();
+    let mut play = Play::start();
     let mut config = QueueConfig::default();
     config.pools.insert("work".parse().unwrap(), PoolRules { off: false, guards: true });
-    world.node.view().config = Some(Arc::new(config));
-    let now = world.node.now().steady;
+    play.configure(config);
     for prefix in [OPERATOR_PREFIX, keys::ALL, keys::ROOT, WORKER_PREFIX] {
-        world.node.view().note_answer(prefix, now);
+        play.world.node.view().note_answer(prefix, play.now.steady);
     }
-    list(&mut world, "one");
-    world.hear(now);
-    pass(&mut world, RECORDS_MS + 2 * STEP_MS);
-    let name = "pool-work";
-    world.drive.vacant.clear();
-    let reaches = |world: &World| world.drive.vacant.get(name).is_some_and(|v| v.reaching);
-    world.apply(Op::Step);
-    pass(&mut world, 1_200);
-    assert!(!reaches(&world), "others come first");
-    pass(&mut world, 1_200);
-    assert!(reaches(&world), "nobody came");
-    world.drive.vacant.clear();
-    world.hear(world.node.now().steady);
-    pass(&mut world, 2 * STEP_MS);
-    assert!(reaches(&world), "it is not behind any more");
+    let reaches = |play: &mut Play| {
+        play.world.drive.reach(play.now);
+        play.world.drive.vacant.values().any(|vacancy| vacancy.reaching)
+    };
+    assert!(!reaches(&mut play));
+    play.pass(1_500);
+    assert!(!reaches(&mut play), "others come first");
+    play.pass(1_500);
+    assert!(reaches(&mut play), "nobody came");
+    play.world.drive.vacant.clear();
+    play.hear();
+    reaches(&mut play);
+    play.pass(600);
+    assert!(reaches(&mut play), "it is not behind any more");
+}
+
+/// An owner whose own watch has fallen silent does not know which jobs have come, and the age of its
+/// word is that of its writing.
+#[test]
+fn no_word_is_written_by_an_owner_that_does_not_hear_of_jobs() {
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.hear();
+    play.win(false);
+    let mut tells = |millis| {
+        play.pass(millis);
+        let before = play.world.drive.owned[POOL].told_queued.1;
+        play.world.drive.tell_waiting(POOL, play.now);
+        play.world.drive.owned[POOL].told_queued.1 != before
+    };
+    assert!(tells(RECORDS_MS));
+    assert!(!tells(RECORDS_MS));
 }
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -33,6 +33,7 @@
         metrics::Metrics,
         mirror, node,
         relay::{RELAYED_HEADER, Relay},
+        view::age::RECORDS_MS,
     },
     settings::scheduler::parse,
     standin::site,
@@ -302,15 +303,27 @@
 #[tokio::test]
 async fn a_word_that_nobody_renews_does_not_say_how_many_jobs_wait() {
     let scene = Scene::small().await;
-    until("the word to be heard", async || {
+    until("the word to be told", async || {
         scene.tell(&json!({ QUEUE: 1 })).await;
         (scene.pending().await == Ok(1)).then_some(())
     })
     .await;
+    scene.tell(&json!({ QUEUE: 2 })).await;
+    until("the last word to be heard", async || {
+        let view = scene.node.view();
+        let word = view.queued.get(&keys::pool(&pool()))?;
+        (word.counts.get(QUEUE) == Some(&2)).then_some(())
+    })
+    .await;
     for number in 1..=4 {
         scene.hand_in(number).await;
     }
     scene.pass(LONG);
+    until("the watch to be answered", async || {
+        let now = scene.node.now().steady;
+        scene.node.view().ages.is_within(keys::ALL, RECORDS_MS, now).then_some(())
+    })
+    .await;
     assert_eq!(scene.pending().await, Err(NOT_KNOWN), "4 jobs have waited for 6 s");
     until("the next word to be heard", async || {
         scene.tell(&json!({ QUEUE: 4 })).await;
--- a/src/scheduler/view/age.rs
+++ b/src/scheduler/view/age.rs
@@ -12,6 +12,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    fmt,
     time::Duration,
 };
 
@@ -40,6 +41,24 @@
 /// each second, and it is heard of within another half.
 pub(crate) const WORD_MS: u64 = 2_000;
 
+/// What a node knows, and that is too old for what it is to be used for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct TooOld {
+    pub(crate) what: String,
+    /// How old it is; nothing if it was never heard.
+    pub(crate) age_ms: Option<u64>,
+}
+
+impl fmt::Display for TooOld {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TooOld { what, age_ms } = self;
+        match age_ms {
+            Some(age) => write!(f, "{what} is {age} ms old"),
+            None => write!(f, "{what} was not heard of yet"),
+        }
+    }
+}
+
 /// What a call began with.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asked {
@@ -156,9 +175,17 @@
         Some(now.since(self.as_of(prefix)?))
     }
 
+    /// Checks that a prefix is known as of so many milliseconds ago, or less.
+    pub(crate) fn check(&self, prefix: &str, most_ms: u64, now: Steady) -> Result<(), TooOld> {
+        match self.of(prefix, now) {
+            Some(age) if age <= most_ms => Ok(()),
+            age_ms => Err(TooOld { what: prefix.to_owned(), age_ms }),
+        }
+    }
+
     /// Whether a prefix is known as of so many milliseconds ago, or less.
     pub(crate) fn is_within(&self, prefix: &str, most_ms: u64, now: Steady) -> bool {
-        self.of(prefix, now).is_some_and(|age| age <= most_ms)
+        self.check(prefix, most_ms, now).is_ok()
     }
 
     fn last_moment(&self, at: Revision) -> Option<Steady> {
--- a/src/scheduler/view/waiting.rs
+++ b/src/scheduler/view/waiting.rs
@@ -1,7 +1,7 @@
 //! How many jobs of a queue wait, as far as a node may say so: from records that are old enough to
 //! leave out what has come since, it does not.
 
-use std::{collections::BTreeMap, fmt};
+use std::collections::BTreeMap;
 
 use crate::{
     model::{job::JobState, queue::Queue, unit::Steady},
@@ -9,7 +9,7 @@
         keys::{self, ALL, ROOT},
         view::{
             KnownJob, View,
-            age::{RECORDS_MS, WORD_MS},
+            age::{RECORDS_MS, TooOld, WORD_MS},
         },
     },
 };
@@ -30,22 +30,6 @@
     pub(crate) by: &'static str,
 }
 
-/// What a node would have to answer from, and that is too old for it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct TooOld {
-    what: String,
-    age_ms: Option<u64>,
-}
-
-impl fmt::Display for TooOld {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.age_ms {
-            Some(age) => write!(f, "{} {age} ms old", self.what),
-            None => write!(f, "{} not heard of yet", self.what),
-        }
-    }
-}
-
 impl View {
     /// Jobs of a queue none of whose tasks has begun: by their records, or else by what the owners of
     /// pools have written.
@@ -66,13 +50,10 @@
 
     /// Adds up the words of owners: of the queue's pool, and of those that it led to before.
     fn add_up(&self, queue: &Queue, now: Steady) -> Result<Counted, TooOld> {
-        let watch = self.ages.of(ALL, now);
-        if watch.is_none_or(|age| RECORDS_MS < age) {
-            return Err(TooOld { what: format!("{ALL} is"), age_ms: watch });
-        }
+        self.ages.check(ALL, RECORDS_MS, now)?;
         let own = keys::pool(&queue.pool);
         if !self.queued.contains_key(&own) {
-            return Err(TooOld { what: format!("the word of {own} is"), age_ms: None });
+            return Err(TooOld { what: format!("the word of {own}"), age_ms: None });
         }
         let mut jobs = 0;
         for (name, word) in &self.queued {
@@ -82,7 +63,7 @@
             }
             let age = now.since(word.heard);
             if WORD_MS < age {
-                return Err(TooOld { what: format!("the word of {name} is"), age_ms: Some(age) });
+                return Err(TooOld { what: format!("the word of {name}"), age_ms: Some(age) });
             }
             jobs += counted.copied().unwrap_or_default();
         }
