--- a/src/scheduler/drive/tests.rs
+++ b/src/scheduler/drive/tests.rs
@@ -4,6 +4,7 @@
 
 mod behind;
 mod load;
+mod words;
 
 use std::{cell::Cell, collections::BTreeMap, sync::Arc, time::Duration};
 
--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -185,22 +185,3 @@
     play.pass(600);
     assert!(reaches(&mut play), "it is not behind any more");
 }
-
-/// An owner whose own watch has fallen silent does not know which jobs have come, and the age of its
-/// word is that of its writing.
-#[test]
-fn no_word_is_written_by_an_owner_that_does_not_hear_of_jobs() {
-    let runtime = runtime();
-    let _entered = runtime.enter();
-    let mut play = Play::start();
-    play.hear();
-    play.win(false);
-    let mut tells = |millis| {
-        play.pass(millis);
-        let before = play.world.drive.owned[POOL].told_queued.1;
-        play.world.drive.tell_waiting(POOL, play.now);
-        play.world.drive.owned[POOL].told_queued.1 != before
-    };
-    assert!(tells(RECORDS_MS));
-    assert!(!tells(RECORDS_MS));
-}
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -152,7 +152,7 @@
     let source = view.heard.open(&prefix, since);
     view.ages.begin(&prefix, ROOT);
     drop(view);
-    let follower = Follower { node: node.clone(), prefix, source };
+    let follower = Follower { node: node.clone(), prefix, source, name: name.to_owned(), token };
     tokio::spawn(async move {
         let following = follower.run(since, &to);
         over.run_until_cancelled(following).await;
@@ -164,6 +164,8 @@
     node: Arc<Node>,
     prefix: String,
     source: SourceId,
+    name: String,
+    token: u64,
 }
 
 impl Follower {
@@ -178,11 +180,13 @@
                     since = heard.at.max(since);
                     let cut = heard.may_be_cut();
                     let deltas = self.hear(asked, heard.changes, extent);
+                    // The receiver ends with the process only.
                     if !deltas.is_empty() {
-                        // The receiver ends with the process only.
                         let _ = to.send(Input::Deltas(deltas));
                     }
                     if !cut {
+                        let (name, token) = (self.name.clone(), self.token);
+                        let _ = to.send(Input::Followed { name, token, asked: asked.sent });
                         sleep(FOLLOW_PAUSE).await;
                     }
                 }
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -402,7 +402,7 @@
                 let heard = self.hearing;
                 match read(&text, value, revision, refused) {
                     Some(At { value: counts, .. }) => {
-                        self.queued.insert(name, Word { counts, heard })
+                        self.queued.insert(name, Word { counts, revision, heard })
                     }
                     None => self.queued.remove(&name),
                 };
--- a/src/scheduler/view/waiting.rs
+++ b/src/scheduler/view/waiting.rs
@@ -4,7 +4,11 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    model::{job::JobState, queue::Queue, unit::Steady},
+    model::{
+        job::JobState,
+        queue::Queue,
+        unit::{Revision, Steady},
+    },
     scheduler::{
         keys::{self, ALL, ROOT},
         view::{
@@ -18,6 +22,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Word {
     pub(crate) counts: BTreeMap<String, usize>,
+    /// The revision of the record.
+    pub(crate) revision: Revision,
     /// When the call was sent whose answer told of it. It may have been written one pause of that
     /// watch before.
     pub(crate) heard: Steady,
