--- a/src/measure/mirror.rs
+++ b/src/measure/mirror.rs
@@ -87,7 +87,8 @@
         ),
         "Parse: the answer's JSON and base64. Apply: into the view, under its lock. React: what an \
          owner's loop makes of it. Carried: jobs a second with which one answer follows the other, \
-         and nothing else is done. Hold: the longest time that one answer holds the view."
+         and nothing else is done. Hold: the longest time that one answer holds the view. Take up: \
+         from a pool that was won to its first orders, which holds the view as well."
             .to_owned(),
     ];
     notes.extend(kinds);
@@ -105,6 +106,7 @@
             "carried jobs/s, 0.5 and 0.12 of a core",
             "hold ms",
             "demand ms",
+            "take up ms",
         ],
         rows,
         notes,
@@ -127,6 +129,8 @@
     lease: Arc<Lease>,
     drive: Drive,
     mix: Mix,
+    /// How long it took to take up a pool, in milliseconds.
+    taken_up: Option<f64>,
 }
 
 impl Trial {
@@ -143,7 +147,7 @@
         let (to, _) = mpsc::unbounded_channel();
         let drive = Drive::new(node.clone(), lease.clone(), Runners::new(), to);
         let mix = Mix::new(open, JOBS / ANSWERS as f64);
-        let mut trial = Trial { role, open, node, lease, drive, mix };
+        let mut trial = Trial { role, open, node, lease, drive, mix, taken_up: None };
         trial.renew();
         for (_, changes) in trial.mix.begin() {
             for change in changes {
@@ -173,7 +177,9 @@
         let tenure = Tenure::new(&self.lease, LEASE, self.node.now().steady);
         let won = Some(Won::new(token, 0, tenure));
         self.drive.take(Input::Reached { name: name.to_owned(), won });
+        let began = Instant::now();
         self.drive.step();
+        self.taken_up = Some(began.elapsed().as_secs_f64() * 1e3);
     }
 
     fn play(mut self) -> (Vec<String>, Vec<String>) {
@@ -221,6 +227,7 @@
             carried.join(", "),
             format!("{:.2}", hold.as_secs_f64() * 1e3),
             format!("{:.2}", self.demand()),
+            self.taken_up.map_or("-".to_owned(), |took| format!("{took:.1}")),
         ];
         let notes = KINDS.into_iter().map(|kind| told(kind, &costs[kind as usize], seconds));
         (row, notes.collect())
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -84,7 +84,7 @@
 
 /// Changes that are taken in at one time, at the least: as many as the store tells in one answer. All
 /// of a large deployment are 10,000 and more, which held the view for 25 ms on a whole core.
-const SLICE: usize = 512;
+pub(super) const SLICE: usize = 512;
 
 /// How long to wait after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
@@ -347,6 +347,6 @@
 }
 
 /// Where the first of several slices ends: no transaction is torn apart.
-fn end_of_slice(changes: &[Change]) -> Option<usize> {
+pub(super) fn end_of_slice(changes: &[Change]) -> Option<usize> {
     (SLICE..changes.len()).find(|at| changes[*at].revision != changes[*at - 1].revision)
 }
--- a/src/scheduler/tests/behind.rs
+++ b/src/scheduler/tests/behind.rs
@@ -5,7 +5,7 @@
 use crate::{
     model::unit::Revision,
     platform::kv::{Change, Committed, Heard, Kv, Txn},
-    scheduler::mirror::{Prefix, RECORDS, WORKERS, pause_after},
+    scheduler::mirror::{Prefix, RECORDS, SLICE, WORKERS, end_of_slice, pause_after},
     standin::site,
 };
 
@@ -91,3 +91,24 @@
     }
     assert_eq!(told, written);
 }
+
+/// A read of everything is taken in by slices: what one transaction wrote is seen together, and no
+/// slice holds the view for much longer than one answer of a watch does.
+#[test]
+fn slices_end_where_transactions_do() {
+    let mut changes = answer(10_000).changes;
+    for (place, change) in changes.iter_mut().enumerate() {
+        change.revision = Revision(place as u64 / 26);
+    }
+    let mut slices = 0;
+    while let Some(end) = end_of_slice(&changes) {
+        assert!((SLICE..SLICE + 26).contains(&end), "a slice of {end}");
+        let rest = changes.split_off(end);
+        assert!(changes.last().unwrap().revision < rest[0].revision);
+        changes = rest;
+        slices += 1;
+    }
+    // Each slice is of the transactions that it takes to fill it.
+    assert_eq!(slices, 10_000 / (26 * SLICE.div_ceil(26)));
+    assert!(changes.len() < SLICE + 26);
+}
