Rig of real processes: a job that waits goes on when its owner is told to end

Cause guarded against: the 8.7 s for which all that waited stood still after a planned end of the owner's node, because one worker could not be asked. Ruled out: that the stand-in's timing decides. The test compares the order of two lines of one log, not times. Test: two workers; the one that runs a task hears the first owner only, the other one the second only; a job waits. The first owner is told to end.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -514,6 +514,41 @@
     assert!(more <= 1, "{more} orders under token {token} after its owner stood still");
 }
 
+/// An owner that is told to end leaves word of what may run. A job that waits begins under the next
+/// one at a worker that answers, though another one that may run a task of an earlier job does not.
+/// Without that word nothing that waits begins before the new owner tells that all else has lapsed.
+#[tokio::test]
+async fn a_job_that_waits_goes_on_when_its_owner_is_told_to_end() {
+    let site = Site::start("given", 2).await;
+    let last = u64::MAX;
+    site.unheard(json!([{ "worker": 1, "from": 0, "to": last }])).await;
+    let (one, two) = (site.node("one").await, site.node("two").await);
+    let (long, waits) = ("00000000000000a1", "00000000000000a2");
+    let whole = |spec: &str| json!({ "spec": spec, "steps": [{ "count": 1, "cpu": 8_000 }] });
+    assert_eq!(site.hand_in(&one, long, &whole("600000")).await, StatusCode::OK);
+    site.until_state(&one, long, "running").await;
+    assert_eq!(site.hand_in(&one, waits, &whole("50")).await, StatusCode::OK);
+    let token = site.token().await.unwrap();
+    let unheard = json!([
+        { "worker": 0, "from": token + 1, "to": last }, { "worker": 1, "from": 0, "to": token },
+    ]);
+    site.unheard(unheard).await;
+    let log = |name: &str| fs::read_to_string(site.folder.join(format!("{name}.log"))).unwrap();
+    let names = ["one", "two"];
+    let owns = |name: &&str| log(name).contains(&format!("taken up: token {token}"));
+    let place = names.iter().position(|name| owns(&name)).unwrap();
+    let (giver, next) = if place == 0 { (&one, &two) } else { (&two, &one) };
+    kill(Pid::from_raw(giver.process.0.id() as i32), Signal::SIGTERM).unwrap();
+    site.until_state(next, waits, "succeeded").await;
+    assert!(log(names[place]).contains(&format!("given back: token {token}, 1 tasks may run")));
+    let told = log(names[1 - place]);
+    let ended = told.find(&format!("job {waits}: succeeded")).unwrap();
+    let clear = told.find("starts tasks of earlier jobs").unwrap_or(usize::MAX);
+    assert!(ended < clear, "it has waited until all else had lapsed");
+    let counted = site.counted().await;
+    assert_eq!((&counted["twice"], &counted["starts"]), (&json!(0), &json!(2)));
+}
+
 /// With the store away for all, nobody hands requests on in a circle.
 #[tokio::test]
 async fn nodes_that_all_miss_the_store_refuse_at_once() {
