Rig test of a given pool: clippy

Cause: clippy refused a borrow that the compiler undoes, in the test of a pool that is given back. Ruled out: any change of what is tested; the closure is passed as it is. Conclusion: nothing but form.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -536,7 +536,7 @@
     let log = |name: &str| fs::read_to_string(site.folder.join(format!("{name}.log"))).unwrap();
     let names = ["one", "two"];
     let owns = |name: &&str| log(name).contains(&format!("taken up: token {token}"));
-    let place = names.iter().position(|name| owns(&name)).unwrap();
+    let place = names.iter().position(owns).unwrap();
     let (giver, next) = if place == 0 { (&one, &two) } else { (&two, &one) };
     kill(Pid::from_raw(giver.process.0.id() as i32), Signal::SIGTERM).unwrap();
     site.until_state(next, waits, "succeeded").await;
