Fuzzing of owners: a worker that hears nothing after a pool was given back

Ruled out: a longer darkness; past 3.4 s what runs there lapses, and nothing is at stake. Change: with a pool that is given back one worker hears nothing for 2.5 s. The test of 550 workers has the state of the first job durable, so that only its runs hold it.

--- a/src/jobs/tests/handover.rs
+++ b/src/jobs/tests/handover.rs
@@ -66,7 +66,9 @@
 fn tasks_that_wait_begin_at_the_first_worker_that_answers_a_new_owner() {
     const WORKERS: usize = 550;
     const LIVING: usize = 250;
-    let (earlier, runs) = busy(WORKERS);
+    let (mut earlier, runs) = busy(WORKERS);
+    // That the first job has begun is durable: what holds its tasks is that they run.
+    earlier.save();
     let mut bench =
         next(&earlier, WORKERS, [(1, 2_200)].into_iter().chain((2..386).map(|n| (n, 9))));
     bench.work();
--- a/src/scheduler/tests/takeovers.rs
+++ b/src/scheduler/tests/takeovers.rs
@@ -42,6 +42,10 @@
 
 const WORKERS: usize = 3;
 
+/// How long a worker hears nothing after a pool was given back, in milliseconds: less than what runs
+/// there may run on.
+const DARK_MS: u64 = 2_500;
+
 /// A decision that is carried out at once.
 const PROMPT: Work = Work { slow: 0, unsaved: false };
 
@@ -107,10 +111,12 @@
     WinAgain {
         node: bool,
     },
-    /// A node gives its ownership back with word of what may run, and another wins it.
+    /// A node gives its ownership back with word of what may run, and another wins it, which does
+    /// not reach one of the workers at first.
     GiveBack {
         node: bool,
         to: bool,
+        dark: u8,
     },
     /// The starts that were on their way arrive.
     Arrive,
@@ -196,6 +202,8 @@
     done: BTreeSet<TaskId>,
     late: Vec<(Addressee, Start)>,
     accepted: usize,
+    /// A worker that hears nothing, and until when.
+    dark: Option<(usize, u64)>,
     /// How often an owner left word of what may run.
     handed: usize,
 }
@@ -274,6 +282,7 @@
             done: BTreeSet::new(),
             late: Vec::new(),
             accepted: 0,
+            dark: None,
             handed: 0,
         };
         for number in 0..WORKERS {
@@ -494,7 +503,33 @@
         Ok(runner)
     }
 
+    /// What is told of an order that reaches nobody.
+    fn unheard(&self, effect: &Effect) -> Option<Event> {
+        let (number, until) = self.dark?;
+        let id = worker_id(number);
+        if until <= self.now {
+            return None;
+        }
+        let sent = Steady::from_millis(self.now);
+        match effect {
+            Effect::Start { to, start } if to.worker == id => {
+                let (task, run) = (start.task, start.run);
+                Some(Event::Started { worker: id, task, run, end: OrderEnd::Unknown })
+            }
+            Effect::Stop { to, task, run } if to.worker == id => {
+                Some(Event::Stopped { worker: id, task: *task, run: *run, end: OrderEnd::Unknown })
+            }
+            Effect::Look { to, .. } if to.worker == id => {
+                Some(Event::Looked { worker: id, sent, end: OrderEnd::Unknown })
+            }
+            _ => None,
+        }
+    }
+
     fn apply(&mut self, effect: Effect, slow: bool) -> Option<Event> {
+        if let Some(event) = self.unheard(&effect) {
+            return Some(event);
+        }
         match effect {
             Effect::Start { to, start } => {
                 let (worker, task, run) = (to.worker.clone(), start.task, start.run);
@@ -736,8 +771,9 @@
                     self.win(node as usize);
                 }
             }
-            Rare::GiveBack { node, to } => {
+            Rare::GiveBack { node, to, dark } => {
                 if self.holds(node as usize) {
+                    self.dark = Some((dark as usize % WORKERS, self.now + DARK_MS));
                     self.give_back(node as usize);
                     self.win(to as usize);
                 }
@@ -758,6 +794,7 @@
         for number in 0..WORKERS {
             self.set_entry(number, 0);
         }
+        self.dark = None;
         for number in 0..2 {
             self.nodes[number].paused = false;
             self.read_rest(number);
