--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -1,6 +1,9 @@
 //! How large pools are: what their demand asks for, and which hosts change pools for it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, VecDeque},
+};
 
 use super::{Coming, Demand, Fleet, FleetEffect, Leave, PoolSummary, Scene, wave::count_of};
 use crate::model::{
@@ -321,15 +324,23 @@
     }
 }
 
-/// Deals so many hosts out by wishes; `look` is called for each wish that is looked at for a host.
+/// Deals so many hosts out by wishes, one by one to the first of those that have the lowest order;
+/// `look` is called for each wish that is looked at. The orders are kept in a heap: with each host
+/// compared to all pools, 6,800 hosts in 390 pools are 2.7 million looks.
 pub(super) fn deal(wishes: &[Wish], total: usize, look: impl Fn()) -> Vec<usize> {
     let mut shares = vec![0; wishes.len()];
-    let all = wishes.iter().map(|wish| wish.most).sum();
-    for _ in 0..total.min(all) {
-        let open = (0..wishes.len()).inspect(|_| look()).filter(|n| shares[*n] < wishes[*n].most);
-        if let Some(n) = open.min_by_key(|n| wishes[*n].order(shares[*n])) {
-            shares[n] += 1;
-        }
+    let next = |n: usize, has: usize| {
+        look();
+        let wish = &wishes[n];
+        (has < wish.most).then(|| Reverse((wish.order(has), n)))
+    };
+    let mut open: BinaryHeap<_> = (0..wishes.len()).filter_map(|n| next(n, 0)).collect();
+    for _ in 0..total {
+        let Some(Reverse((_, n))) = open.pop() else {
+            break;
+        };
+        shares[n] += 1;
+        open.extend(next(n, shares[n]));
     }
     shares
 }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -29,6 +29,11 @@
 /// How often the fleet's owner decides, in milliseconds.
 const PLAN_MS: u64 = 100;
 
+/// For how many times as long as a plan took none is made after it. Plans take a quarter of the
+/// node's time at the most: with 100 ms for each, ten a second, a node took in nothing else and
+/// decided on a state of 6 to 9 s before.
+const PLAN_REST: u64 = 3;
+
 /// How far the nodes' clocks may differ.
 const CLOCKS_DIFFER: std::time::Duration = std::time::Duration::from_millis(500);
 
@@ -348,8 +353,9 @@
 }
 
 /// When the next plan may be made after one that began at a moment and took so long.
-pub(crate) fn next_plan(began: Steady, _took: Duration) -> Steady {
-    began.after(PLAN_MS)
+pub(crate) fn next_plan(began: Steady, took: Duration) -> Steady {
+    let took = took.as_micros().div_ceil(1_000) as u64;
+    began.after(PLAN_MS.max(took.saturating_mul(1 + PLAN_REST)))
 }
 
 fn known(view: &View, demands: &mut Demands, wall: Time) -> Option<Known> {
