--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -144,6 +144,11 @@
     let _entered = runtime.enter();
     let mut play = Play::start();
     play.list("two");
+    let early = play.now.steady;
+    play.world.node.clock.stand_still(RECORDS_MS + 1);
+    play.world.apply(Op::Renew);
+    play.now = play.world.node.now();
+    play.world.hear(early);
     play.win(true);
     for _ in 0..5 {
         play.pass(1_500);
--- a/src/scheduler/tests/moments.rs
+++ b/src/scheduler/tests/moments.rs
@@ -167,6 +167,11 @@
     assert!(!own(&view, 1_001 + RECORDS_MS));
     word(&mut view, 4_000, None);
     assert!(!own(&view, 4_100), "the watch is back, and nobody has renewed the word");
+    view.ages.told(at(4_200), Revision(9_000));
+    word(&mut view, 8_000, Some(("pool-a", 4)));
+    assert!(!own(&view, 8_100), "later words, also of other pools, were left out of the answer");
+    word(&mut view, 9_000, Some(("pool-a", 4)));
+    assert!(own(&view, 9_100));
 }
 
 #[test]
