Fuzzing of owners: one that stands still past its overtime gives up

Traced: the new owner decides once while the worker is dark, then two waits of 5 s pass in which it decides nothing; its next decision takes the worker's time for over (8.7 s) before it asks again, though it has heard for 7.7 s. Change: with a worker that was dark an owner that has not decided for lease and overtime gives up, as the node's loop does. The oracle stays as it is. Conclusion: a fault of the play, shown by its trace, not of the owner.

--- a/src/scheduler/tests/takeovers.rs
+++ b/src/scheduler/tests/takeovers.rs
@@ -16,7 +16,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event},
-        owner::Owner,
+        owner::{LEASE_MS, OVERTIME_MS, Owner},
     },
     model::{
         id::{PoolId, WorkerId},
@@ -46,6 +46,10 @@
 /// there may run on.
 const DARK_MS: u64 = 2_500;
 
+/// For how long an owner may stand still before it gives up what it owns, in milliseconds: its lease
+/// and the overtime.
+const GIVES_UP_MS: u64 = LEASE_MS + OVERTIME_MS;
+
 /// A decision that is carried out at once.
 const PROMPT: Work = Work { slow: 0, unsaved: false };
 
@@ -183,6 +187,8 @@
     told_over: bool,
     away_at: Revision,
     paused: bool,
+    /// When it last decided.
+    worked: u64,
 }
 
 struct World {
@@ -243,6 +249,7 @@
         told_over: false,
         away_at: Revision(0),
         paused: false,
+        worked: 0,
     }
 }
 
@@ -456,6 +463,17 @@
         if node.owner.is_none() {
             out.clear();
         }
+        // An owner that has stood still gives up: it has not asked a worker that hears again meanwhile.
+        let stood_still = GIVES_UP_MS < self.now - node.worked;
+        node.worked = self.now;
+        if stood_still && node.owner.is_some() && self.dark.is_some() {
+            let held = self.holds(number);
+            self.nodes[number].release();
+            if held {
+                self.lapse();
+            }
+            return;
+        }
         take_up(node, now, &mut out);
         if let Some(owner) = node.owner.as_mut() {
             if self.holder.is_some_and(|(token, _)| token == owner.token) {
