Soak: nodes are asked how many jobs wait, and the answer is checked

Cause: no run of our own asked for the count of waiting jobs, so neither cause of a count that is too small could show in one.

Ruled out: that a start or cancel on its way makes a right answer look wrong. The counts are taken before the workers' log is read, a job counts as cancelled from when that is sent, and what had not begun when the answer came had not begun when it was asked for.

Change: every 150 ms a drawn node is asked for a drawn pool's count (load.rs). It is broken if it is below half of the pool's jobs that were accepted more than 5 s before, have begun at no worker and are not cancelled (check.rs, check_counts); which node counted what is printed. The checker has a test of its own. The two places that fetched the log and checked it are one function now.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -67,10 +67,7 @@
             ended = &mut loading => break ended.is_ok(),
             () = sleep(CHECK_EVERY) => {}
         }
-        let more = rig.log(log.len()).await;
-        log.extend(more);
-        let stories = load.stories.lock().unwrap().clone();
-        if !check::check(&log, &stories, false).is_empty() {
+        if !look(&rig, &load, &mut log, false).await.is_empty() {
             break true;
         }
     };
@@ -78,14 +75,31 @@
     assert!(ended, "the load has ended before its time");
     let is_whole = loading.is_finished();
     loading.abort();
-    let more = rig.log(log.len()).await;
-    log.extend(more);
+    let broken = look(&rig, &load, &mut log, is_whole).await;
     let stories = load.stories.lock().unwrap().clone();
-    let broken = check::check(&log, &stories, is_whole);
+    let counts = load.counts.lock().unwrap().clone();
+    println!("seed {seed}: {} counts of waiting jobs", counts.len());
+    for count in counts.iter().filter(|count| broken.iter().any(|b| b.at == count.answered)) {
+        let check::Count { node, pool, waiting, .. } = count;
+        println!("seed {seed}: node {node} counted {waiting} of pool {pool}");
+    }
     tell(&rig, seed, &log, &stories, &broken).await;
     broken
 }
 
+/// The promises broken so far. What nodes have counted is taken before the log of the workers, so that
+/// whatever had begun by then is in the log.
+async fn look(rig: &Rig, load: &Load, log: &mut Vec<Entry>, at_end: bool) -> Vec<Broken> {
+    let counts = load.counts.lock().unwrap().clone();
+    let more = rig.log(log.len()).await;
+    log.extend(more);
+    let stories = load.stories.lock().unwrap();
+    let mut broken = check::check_counts(log, &stories, &counts);
+    broken.extend(check::check(log, &stories, at_end));
+    broken.sort_by_key(|broken| broken.at);
+    broken
+}
+
 async fn tell(
     rig: &Arc<Rig>,
     seed: u64,
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -12,6 +12,10 @@
 const CRASHES: usize = 3;
 const STARTS_AFTER: usize = 3;
 
+/// How old a job must be to be counted among those that wait, in milliseconds: accepted jobs are known
+/// to all nodes within three seconds, and the count may be two seconds old.
+const COUNTED_MS: u64 = 5_000;
+
 /// One event at a worker.
 #[derive(Debug, Clone, Deserialize)]
 pub struct Entry {
@@ -59,6 +63,16 @@
     pub told: Vec<(u64, String)>,
 }
 
+/// How many jobs of a pool a node said to wait. Times as in [`Story`].
+#[derive(Debug, Clone)]
+pub struct Count {
+    pub node: String,
+    pub pool: u32,
+    pub asked: u64,
+    pub answered: u64,
+    pub waiting: usize,
+}
+
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Broken {
@@ -160,6 +174,33 @@
     broken
 }
 
+/// Whether nodes told of half at the least of the jobs that have waited for long. The log must have been
+/// read after the last count.
+pub fn check_counts(
+    log: &[Entry],
+    stories: &BTreeMap<String, Story>,
+    counts: &[Count],
+) -> Vec<Broken> {
+    let mut begun: HashMap<&str, u64> = HashMap::new();
+    for entry in log.iter().filter(|entry| entry.kind == Kind::Started) {
+        begun.entry(entry.task.split('.').next().unwrap_or_default()).or_insert(entry.at);
+    }
+    let broken = counts.iter().filter_map(|count| {
+        let mut waiting = stories.iter().filter(|(job, story)| {
+            let after = |at: Option<u64>| at.is_none_or(|at| count.answered < at);
+            let is_old = story.accepted.is_some_and(|at| at + COUNTED_MS < count.asked);
+            let waits = after(begun.get(job.as_str()).copied()) && after(story.cancelled);
+            story.pool == count.pool && is_old && waits
+        });
+        let (job, _) = waiting.next()?;
+        let wait = 1 + waiting.count();
+        let rule = "waits, and fewer than half of such jobs are counted";
+        let (job, at) = (job.clone(), count.answered);
+        (count.waiting * 2 < wait).then_some(Broken { rule, job, task: String::new(), at })
+    });
+    broken.collect()
+}
+
 /// The ends `done` that a caller took note of before the worker's lease was over.
 fn noted(log: &[Entry]) -> BTreeSet<usize> {
     let mut open: HashMap<(&str, &str, u32), usize> = HashMap::new();
--- a/tests/soak/load.rs
+++ b/tests/soak/load.rs
@@ -19,7 +19,7 @@
 };
 
 use super::{
-    check::Story,
+    check::{Count, Story},
     rig::{HOST, Rig, now_ms},
 };
 
@@ -33,6 +33,9 @@
 /// Time between two draws of whether a job comes.
 const DRAW_MS: u64 = 10;
 
+/// How often some node is asked how many jobs of some pool wait.
+const COUNT_EVERY: Duration = Duration::from_millis(150);
+
 /// Where some do, every so many jobs crash the workers that start their tasks.
 const CRASHING_EVERY: u32 = 60;
 
@@ -52,13 +55,15 @@
 pub struct Load {
     rig: Arc<Rig>,
     pub stories: Stories,
+    pub counts: Mutex<Vec<Count>>,
     /// No more jobs come, and those that last are cancelled.
     over: AtomicBool,
 }
 
 impl Load {
     pub fn new(rig: &Arc<Rig>) -> Arc<Load> {
-        Arc::new(Load { rig: rig.clone(), stories: Stories::default(), over: false.into() })
+        let (stories, counts) = (Stories::default(), Mutex::default());
+        Arc::new(Load { rig: rig.clone(), stories, counts, over: false.into() })
     }
 
     /// Hands jobs in for so long, and waits until all callers know how theirs ended.
@@ -67,6 +72,8 @@
         let (began, size) = (Instant::now(), self.rig.size);
         let mut callers = JoinSet::new();
         let mut number = 0;
+        let mut counting = JoinSet::new();
+        counting.spawn(self.clone().count(Pcg64Mcg::seed_from_u64(seed ^ 0xc0)));
         for at in (0..size.millis).step_by(DRAW_MS as usize) {
             sleep_until(began + Duration::from_millis(at)).await;
             for pool in 0..size.pools {
@@ -90,6 +97,29 @@
         let _ = tokio::time::timeout(patience, all).await;
     }
 
+    /// Asks now and then how many jobs wait.
+    async fn count(self: Arc<Load>, mut rng: Pcg64Mcg) {
+        loop {
+            sleep(COUNT_EVERY).await;
+            let node = &self.rig.nodes[rng.random_range(0..self.rig.nodes.len())];
+            let pool = rng.random_range(0..self.rig.size.pools);
+            let request = self.rig.client.get(format!("http://{}/q{pool}/", node.callers));
+            let request = request.header("Host", HOST).header("Deadline-Ms", "2500");
+            let asked = now_ms();
+            let Ok(answer) = request.send().await else {
+                continue;
+            };
+            let Ok(body) = answer.json::<Value>().await else {
+                continue;
+            };
+            if let Some(waiting) = body["pending"].as_u64() {
+                let node = node.name.clone();
+                let (answered, waiting) = (now_ms(), waiting as usize);
+                self.counts.lock().unwrap().push(Count { node, pool, asked, answered, waiting });
+            }
+        }
+    }
+
     async fn call(self: Arc<Load>, id: String, story: Story, mut rng: Pcg64Mcg) {
         let (body, lasts) = (story.body(), story.lasts);
         let cancel = story.cancel_after;
@@ -147,6 +177,8 @@
     }
 
     async fn cancel(&self, id: &str, rng: &mut Pcg64Mcg) -> bool {
+        let sent = now_ms();
+        self.stories.lock().unwrap().get_mut(id).unwrap().cancelled.get_or_insert(sent);
         matches!(self.send(Method::DELETE, id, None, rng).await.0, Told::Taken | Told::Gone)
     }
 
@@ -192,7 +224,6 @@
         match (&method, told) {
             (&Method::POST, Told::Taken) => story.accepted.get_or_insert(now_ms()),
             (&Method::POST, Told::Unknown) => story.unsure.get_or_insert(now_ms()),
-            (&Method::DELETE, _) => story.cancelled.get_or_insert(sent),
             (&Method::GET, Told::Gone) if story.accepted.is_some_and(|at| at + 1_000 < sent) => {
                 story.lost.get_or_insert(now_ms())
             }
--- a/tests/soak/tests.rs
+++ b/tests/soak/tests.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{
-    check::{Entry, Kind, Story, check},
+    check::{Count, Entry, Kind, Story, check, check_counts},
     plan::{self, Size},
 };
 
@@ -69,6 +69,29 @@
     assert_eq!(check(&log(&early), &BTreeMap::new(), false)[0].rule, "was never handed in");
 }
 
+#[test]
+fn a_count_below_half_of_the_jobs_that_have_waited_for_long_is_seen() {
+    let names = [JOB, "00000000000000a2", "00000000000000a3"];
+    let stories = |story: Story| -> BTreeMap<String, Story> {
+        names.map(|name| (name.to_owned(), story.clone())).into()
+    };
+    let count = |asked, waiting| {
+        let node = "n1".to_owned();
+        Count { node, pool: 0, asked, answered: asked + 100, waiting }
+    };
+    let is_broken = |log: &[Entry], story: Story, count| {
+        !check_counts(log, &stories(story), &[count]).is_empty()
+    };
+    assert!(is_broken(&[], accepted(), count(6_000, 1)));
+    assert!(!is_broken(&[], accepted(), count(6_000, 2)));
+    assert!(!is_broken(&[], accepted(), count(4_000, 0)), "they were accepted lately");
+    assert!(!is_broken(&[], accepted(), Count { pool: 1, ..count(6_000, 0) }));
+    let cancelled = Story { cancelled: Some(6_050), ..accepted() };
+    assert!(!is_broken(&[], cancelled, count(6_000, 0)));
+    let begun = log(&[("a", Kind::Started, 0)]);
+    assert!(!is_broken(&begun, accepted(), count(6_000, 1)), "two of them wait");
+}
+
 #[test]
 fn a_seed_draws_the_same_each_time() {
     let size =
