Failing tests: of a review of the handover, the fleet's owner and the age of a view

(1) The next owner of the fleet's work counts as away for a wave only hosts of its own calls and those that the list shows in upkeep, not those that the owner before has called within the rest that it keeps: with work that is given back, calls are still on their way. (2) An ownership that is given back is not denied, so that calls to hosts and queued orders are made after it. (3) A doubt holds all that was left once more for each worker not asked. (4) The two nodes asked about a queue are the same each time, also when they know as little. (5) A confirmation is asked for with the word of an owner whose own watch is silent, which then counts as new.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -32,6 +32,8 @@
     },
 };
 
+#[cfg(test)]
+pub(crate) use roster::DOUBTED;
 pub(crate) use shown::{Emptied, HostUsage};
 
 /// How long a node that is not heard of keeps what it owns, in milliseconds. Three renewals fit.
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -27,6 +27,12 @@
 /// milliseconds: it is told to stop with each look, and lapses with its worker's time at the latest.
 const STRANGE_MS: u64 = 5_000;
 
+#[cfg(test)]
+thread_local! {
+    /// How many tasks were put together into doubts, to tell what a plan costs.
+    pub(crate) static DOUBTED: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
+}
+
 /// Tasks of earlier jobs that may run where they cannot be seen.
 pub(super) enum Doubt {
     /// Any that no worker has told of.
@@ -191,13 +197,21 @@
         for worker in self.workers.values().filter(hides) {
             match self.roster.holding(&worker.report.id) {
                 Some(Holding::Any) => match &self.handed {
-                    Some(handed) => tasks.extend(handed),
+                    Some(handed) => tasks.extend(handed.iter().inspect(|_| count_doubted())),
                     None => return Doubt::All,
                 },
-                Some(Holding::Only(held)) => tasks.extend(held),
+                Some(Holding::Only(held)) => {
+                    tasks.extend(held.iter().inspect(|_| count_doubted()));
+                }
                 None => {}
             }
         }
         Doubt::Only(tasks)
     }
 }
+
+/// Counts, in tests, that a task is put into a doubt.
+fn count_doubted() {
+    #[cfg(test)]
+    DOUBTED.set(DOUBTED.get() + 1);
+}
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -192,6 +192,27 @@
     assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 1);
 }
 
+/// An owner that gave the work back had called as many hosts as the wave allows, and the list did not
+/// show them away yet. The next owner left these alone, and called as many others.
+#[test]
+fn hosts_that_another_owner_called_lately_may_be_away_for_their_wave() {
+    let mut known = Known::new();
+    let all = (1..9).map(host).collect();
+    known.upkeeps = vec![Upkeep { wave: 1, hosts: all, period_ms: 20_000, at_once: 2 }];
+    for number in 1..9 {
+        known.show(host(number), UPKEEP);
+        known.empties.insert(host(number), format!("w{number}").parse().unwrap());
+    }
+    known.resting = BTreeSet::from([host(1), host(2)]);
+    let mut fleet = fleet((1..9).map(|n| listed(n, "busy")).collect());
+    let begun = |effects: Vec<FleetEffect>| {
+        effects.iter().filter(|effect| matches!(effect, FleetEffect::Maintain(..))).count()
+    };
+    assert_eq!(begun(fleet.plan(&known.scene(), at(100))), 0);
+    known.resting.clear();
+    assert_eq!(begun(fleet.plan(&known.scene(), at(200))), 2);
+}
+
 #[test]
 fn a_wave_is_done_only_when_every_host_that_stays_was_maintained() {
     let mut known = Known::new();
--- a/src/jobs/tests/handover.rs
+++ b/src/jobs/tests/handover.rs
@@ -6,6 +6,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event},
+        owner::DOUBTED,
         roster::Away,
     },
     model::{
@@ -172,3 +173,17 @@
         .collect();
     assert_eq!(asked, [worker_id("w0"), worker_id("w1")].into());
 }
+
+/// Each plan put all that was left together anew for each worker that was not asked yet: after a
+/// change of turns hundreds of workers times thousands of tasks, some hundred times a second.
+#[test]
+fn a_plan_does_not_go_through_what_was_left_for_each_worker_anew() {
+    const WORKERS: usize = 200;
+    let (earlier, _) = busy(WORKERS);
+    let mut bench = next(&earlier, WORKERS, [(1, 800), (2, 9)].into_iter());
+    bench.work();
+    DOUBTED.set(0);
+    bench.work();
+    let doubted = DOUBTED.take();
+    assert!(doubted <= WORKERS * 4, "{doubted} for {} tasks", WORKERS * 4);
+}
--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -204,3 +204,40 @@
     assert!(tells(RECORDS_MS));
     assert!(!tells(RECORDS_MS));
 }
+
+/// A write that asks for a confirmation carried the word with it, and made one that was old count as
+/// new at the nodes that add words up.
+#[test]
+fn a_confirmation_is_asked_for_without_a_word_by_an_owner_that_does_not_hear_of_jobs() {
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.hear();
+    play.win(false);
+    // The lease is renewed too late, and the owner's own watch stays silent.
+    play.pass(2 * RECORDS_MS);
+    let before = play.world.drive.owned[POOL].told_queued.1;
+    play.world.drive.ask_confirmation(POOL, play.now);
+    let owned = &play.world.drive.owned[POOL];
+    assert!(play.now.steady < owned.next_confirmation, "it was asked for");
+    assert_eq!(owned.told_queued.1, before);
+}
+
+/// Calls to hosts and orders that wait to be sent outlived the ownership that was given back: the next
+/// owner had won the work before they were made.
+#[test]
+fn what_was_decided_on_before_work_was_given_back_is_not_sent_after_it() {
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.win(true);
+    play.win(false);
+    let drive = &mut play.world.drive;
+    let calls = drive.fleet.as_ref().unwrap().tenure.clone();
+    let orders = drive.owned[POOL].tenure.clone();
+    assert!(calls.holds(play.now.steady) && orders.allows_orders(play.now.steady));
+    drive.hand_over(keys::FLEET.to_owned(), play.now);
+    drive.hand_over(POOL.to_owned(), play.now);
+    assert!(!calls.holds(play.now.steady), "a call to a host");
+    assert!(!orders.allows_orders(play.now.steady), "an order to a worker");
+}
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -2,7 +2,14 @@
 //! stand-in's store, and a gate before it that holds the answers of some watches. Time passes by the
 //! node's clock alone.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use poem::{
     Endpoint, Request, Response,
@@ -374,6 +381,49 @@
     until("the jobs to be counted", async || (scene.pending().await == Ok(3)).then_some(())).await;
 }
 
+/// The same two nodes were asked about a queue each time. Where these were behind too, callers were
+/// refused for as long as they were, though others knew.
+#[tokio::test]
+async fn nodes_that_do_not_know_how_many_jobs_wait_are_not_always_the_ones_asked() {
+    const PEERS: usize = 7;
+    let scene = Scene::whole().await;
+    let asked: [Arc<AtomicUsize>; PEERS] = Default::default();
+    for (number, asked) in asked.iter().enumerate() {
+        let (listener, peers) = http::listen("127.0.0.1:0").await.unwrap();
+        let peer = Ignorant { asked: asked.clone() };
+        tokio::spawn(http::serve(listener, 16, peer, http::Stop::default()));
+        let record = json!({ "cpu": 500, "peers": peers });
+        scene.put(keys::node(&format!("peer-{number}")), json(&record)).await;
+    }
+    until("the nodes to be known", async || {
+        (scene.node.view().nodes.len() == PEERS + 1).then_some(())
+    })
+    .await;
+    hold(&scene, Some(keys::ROOT));
+    scene.pass(LONG);
+    for _ in 0..PEERS {
+        assert_eq!(scene.pending().await, Err(NOT_KNOWN));
+        // Longer than the pause after which other nodes are asked again.
+        scene.pass(1_000);
+    }
+    let asked = asked.map(|asked| asked.load(Ordering::Relaxed));
+    assert!(asked.iter().all(|times| *times != 0), "asked: {asked:?}");
+}
+
+/// Another node that does not know either.
+struct Ignorant {
+    asked: Arc<AtomicUsize>,
+}
+
+impl Endpoint for Ignorant {
+    type Output = Response;
+
+    async fn call(&self, _: Request) -> poem::Result<Response> {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        Ok(http::text(StatusCode::SERVICE_UNAVAILABLE, "not known"))
+    }
+}
+
 /// A question that comes from another node is answered here or not at all: two nodes that are behind
 /// would ask each other.
 #[tokio::test]
