Fleet: hosts that the owner before has called lately count as away for their wave

Cause: a call is kept, and then made up to 0.5 s later; the owner that follows on one that gave the work back lists the hosts before the calls show, leaves these hosts alone, and called as many others: up to twice what a wave allows, since six hosts are emptied ahead.

Ruled out: waiting with all upkeep for the rest (a wave would stand still at each change of owners); counting all kept calls (those of moves are no upkeep: only hosts marked for the wave count).

Change: a host that is marked for a wave and rests counts as away.

Measured: hosts_that_another_owner_called_lately_may_be_away_for_their_wave fails before (2 called, 0 allowed) and passes; the 29 tests of the fleet's decisions pass.

--- a/src/jobs/fleet/calls.rs
+++ b/src/jobs/fleet/calls.rs
@@ -95,7 +95,7 @@
         }
         let marked = self.marks.iter().filter(|(host, _)| !scene.resting.contains(*host));
         let marked: Vec<HostId> = marked.map(|(host, _)| host.clone()).collect();
-        let mut away = self.away();
+        let mut away = self.away(scene);
         for host in marked {
             if room == 0 {
                 break;
--- a/src/jobs/fleet/wave.rs
+++ b/src/jobs/fleet/wave.rs
@@ -108,15 +108,17 @@
         count_by_pool(self.hosts.values().inspect(|_| self.count_look()))
     }
 
-    /// How many hosts are or may be away for each wave.
-    pub(super) fn away(&self) -> BTreeMap<u64, usize> {
+    /// How many hosts are or may be away for each wave. What an earlier owner has called lately the list
+    /// need not show yet.
+    pub(super) fn away(&self, scene: &Scene<'_>) -> BTreeMap<u64, usize> {
         let mut away = BTreeMap::new();
         for (host, mark) in self.marks.iter() {
             let Leave::Upkeep(wave) = mark.leave else {
                 continue;
             };
             let listed = self.hosts.get(host).map(|known| known.phase);
-            if self.may_be_away(host) || listed == Some(HostPhase::Upkeep) {
+            let may_be = self.may_be_away(host) || scene.resting.contains(host);
+            if may_be || listed == Some(HostPhase::Upkeep) {
                 *away.entry(wave).or_default() += 1;
             }
         }
