Work that is given back is over at once for what was decided on before

Cause: an ownership lasts as long as the node's lease, which goes on when one piece of work is given back. Calls to hosts wait for a record that keeps them, and were made up to 0.5 s later by a node that owned the work no more; orders that waited to be sent went out as well, against what the handover says.

Ruled out: runs in two places by such orders: what was left counts each start that was decided on.

Change: giving work back denies its tenure, which calls and orders ask right before they are sent.

--- a/src/scheduler/drive/reach.rs
+++ b/src/scheduler/drive/reach.rs
@@ -2,12 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{Drive, Input, Vacancy, Won, behind::REACH_LATE_MS, json};
+use super::{Drive, Input, Owned, Vacancy, Won, behind::REACH_LATE_MS, json};
 use crate::{
-    jobs::{
-        balance::{self, Capacity},
-        owner::Owner,
-    },
+    jobs::balance::{self, Capacity},
     model::unit::{Millicores, Now, Revision},
     platform::{
         kv::{Committed, Txn},
@@ -143,9 +140,11 @@
         let vacancy = Vacancy { since: now.steady, reaching: false, not_before };
         if let Some(owned) = self.owned.remove(&name) {
             self.vacant.insert(name.clone(), vacancy);
-            self.give_back_pool(name, &owned.owner, now);
+            self.give_back_pool(name, &owned, now);
         } else if let Some(owned) = self.fleet.take_if(|_| name == keys::FLEET) {
             let token = owned.fleet.token;
+            // Calls that are being kept are not made: the next owner may have the work before.
+            owned.tenure.deny();
             log::info!("owner {name}: given back: token {token}");
             self.vacant.insert(name.clone(), vacancy);
             self.give_back(name, token, Txn::default());
@@ -211,7 +210,7 @@
         self.leaving = true;
         self.won.clear();
         for (name, owned) in std::mem::take(&mut self.owned) {
-            self.give_back_pool(name, &owned.owner, now);
+            self.give_back_pool(name, &owned, now);
         }
         let node = self.node.clone();
         let key = keys::node(node.settings.node.as_str());
@@ -225,9 +224,11 @@
 
     /// Gives a pool back, with word of what may run: all that waits need not wait for workers that
     /// the next owner does not reach.
-    fn give_back_pool(&self, name: String, owner: &Owner, now: Now) {
-        let token = owner.token;
-        let left = owner.parting(now);
+    fn give_back_pool(&self, name: String, owned: &Owned, now: Now) {
+        // Nothing that was decided on is sent any more; what was left counts it all the same.
+        owned.tenure.deny();
+        let token = owned.owner.token;
+        let left = owned.owner.parting(now);
         let may_run = match left.as_ref().and_then(|away| away.handover.as_ref()) {
             Some(handover) => format!("{} tasks may run", handover.len()),
             None => "not known what may run".to_owned(),
