A doubt holds what was left once, not for each worker that was not asked

Cause: each plan put the tasks that the owner before had left together anew for each worker of the roster that has not answered: at a takeover with hundreds of gone hosts, workers times up to 8,000 tasks, with each decision.

Change: they are put in once, if any such worker is left.

One copy of what was left for each plan remains.

--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -194,18 +194,22 @@
             true => worker.owes_ends(confirmed),
             false => !worker.told_all,
         };
+        let mut any = false;
         for worker in self.workers.values().filter(hides) {
             match self.roster.holding(&worker.report.id) {
-                Some(Holding::Any) => match &self.handed {
-                    Some(handed) => tasks.extend(handed.iter().inspect(|_| count_doubted())),
-                    None => return Doubt::All,
-                },
+                Some(Holding::Any) => any = true,
                 Some(Holding::Only(held)) => {
                     tasks.extend(held.iter().inspect(|_| count_doubted()));
                 }
                 None => {}
             }
         }
+        match &self.handed {
+            // Once for all workers: after a change of turns hundreds of them are gone.
+            Some(handed) if any => tasks.extend(handed.iter().inspect(|_| count_doubted())),
+            None if any => return Doubt::All,
+            Some(_) | None => {}
+        }
         Doubt::Only(tasks)
     }
 }
