Questions about queues go to other nodes after those that were asked in vain

Cause: the nodes to be asked are ordered by a hash of node and queue, and two are asked, so that it was the same two each time. Where both are behind, each node that must ask was refused for as long.

Ruled out: asking more nodes in one question (each may take 0.9 s, and callers wait).

Change: after a question in vain the order of those that hear of everything turns by the two.

The pause of 0.5 s after a question in vain still holds for all queues.

--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -7,7 +7,7 @@
     fmt,
     hash::{Hash, Hasher},
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -93,6 +93,8 @@
     jobs_not_before: AtomicU64,
     /// The same about queues.
     queues_not_before: AtomicU64,
+    /// How many nodes were asked about queues in vain: others are asked next.
+    in_vain: AtomicUsize,
 }
 
 impl Relay {
@@ -108,6 +110,7 @@
             connections,
             jobs_not_before: AtomicU64::new(0),
             queues_not_before: AtomicU64::new(0),
+            in_vain: AtomicUsize::new(0),
         }
     }
 
@@ -122,7 +125,8 @@
             return Relayed::NotTaken;
         }
         let mut unknown = false;
-        for peer in peers(node, subject).into_iter().take(MOST_NODES) {
+        let in_vain = self.in_vain.load(Ordering::Relaxed);
+        for peer in peers(node, subject, in_vain).into_iter().take(MOST_NODES) {
             match self.ask_one(peer, call).await {
                 Relayed::Answered(response) => {
                     log::info!("{subject}: {} answered by {peer}", call.method);
@@ -134,6 +138,9 @@
         }
         let pause = node.now().steady.after(PAUSE_MS).since(Steady::default());
         not_before.store(pause, Ordering::Release);
+        if matches!(subject, Subject::Queue(_)) {
+            self.in_vain.fetch_add(MOST_NODES, Ordering::Relaxed);
+        }
         log::info!("{subject}: {} answered by no other node", call.method);
         if unknown { Relayed::Unknown } else { Relayed::NotTaken }
     }
@@ -174,8 +181,9 @@
 }
 
 /// The other nodes, as last known, in an order that differs by subject so that they share the load. Of
-/// queues those are asked first that hear of everything.
-fn peers(node: &Node, subject: &Subject) -> Vec<SocketAddr> {
+/// queues those are asked first that hear of everything, and of these not the ones that were asked in
+/// vain: what they lack is not about the queue, and may last.
+fn peers(node: &Node, subject: &Subject, in_vain: usize) -> Vec<SocketAddr> {
     let view = node.view();
     let replicas = view.replicas(node.settings.replicas);
     let others = view.nodes.iter().filter(|(name, _)| **name != *node.settings.node.as_str());
@@ -189,5 +197,9 @@
         let comes_later = matches!(subject, Subject::Queue(_)) && !is_replica;
         (comes_later, hasher.finish())
     });
+    if matches!(subject, Subject::Queue(_)) {
+        let first = peers.iter().filter(|(is_replica, _)| *is_replica).count();
+        peers[..first].rotate_left(in_vain % first.max(1));
+    }
     peers.into_iter().map(|(_, peer)| peer).collect()
 }
