An owner that does not hear of jobs asks for a confirmation without its word

Cause: the write that asks the store to confirm an owner carried how many jobs wait, as new, also where the owner's own watch had been silent for longer than a word may be old.

Ruled out: writing the word of before again (it would count as new as well); no write at all (lapsed runs wait for the confirmation).

Change: such an owner writes how its hosts are used instead, which is a hint without an age.

--- a/src/scheduler/drive/behind.rs
+++ b/src/scheduler/drive/behind.rs
@@ -61,12 +61,16 @@
     /// Tells how many jobs wait, if the pool's owner has lately heard which came: a word that was
     /// written counts as new.
     pub(super) fn tell_waiting(&mut self, name: &str, now: Now) {
-        let heard = self.node.view().ages.is_within(&keys::work(name), RECORDS_MS, now.steady);
-        if heard {
+        if self.hears_of_jobs(name, now) {
             self.tell_queued(name, now);
         }
     }
 
+    /// Whether a pool's owner has lately heard which jobs came.
+    pub(super) fn hears_of_jobs(&self, name: &str, now: Now) -> bool {
+        self.node.view().ages.is_within(&keys::work(name), RECORDS_MS, now.steady)
+    }
+
     /// Gives back a piece of work, once the view has long been behind while the lease holds: the store
     /// is reached, and another node may keep up. The fleet's work comes first, which rests on the
     /// view most and costs the least to move.
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -131,6 +131,7 @@
     /// Has the store confirm that a pool has no later owner, where something waits for that: any
     /// write under that condition does, and most often one has just been made.
     pub(super) fn ask_confirmation(&mut self, name: &str, now: Now) {
+        let hears = self.hears_of_jobs(name, now);
         let Some(owned) = self.owned.get_mut(name) else {
             return;
         };
@@ -142,11 +143,20 @@
             return;
         }
         owned.next_confirmation = now.steady.after(CONFIRM_PAUSE_MS);
-        let queued = owned.owner.queued();
-        let (token, value) = (owned.owner.token, json(&queued));
-        owned.told_queued = (queued, now.steady);
-        let tenure = owned.tenure.clone();
-        self.write_hint(name, token, tenure, keys::queued(name), value);
+        let (token, tenure) = (owned.owner.token, owned.tenure.clone());
+        let (key, value) = if hears {
+            let queued = owned.owner.queued();
+            let value = json(&queued);
+            owned.told_queued = (queued, now.steady);
+            (keys::queued(name), value)
+        } else {
+            // The word would count as new, and may lack the jobs that the owner has not heard of.
+            let usage = owned.owner.usage();
+            let value = json(&usage);
+            owned.told_usage = Some(usage);
+            (keys::usage(name), value)
+        };
+        self.write_hint(name, token, tenure, key, value);
     }
 
     /// The same for the fleet's work. It has no queues: what is written is empty, and adds nothing to
