Fleet: calls go to what is worth most, and a call not taken slows all down

Cause: calls were given out in the order of the hosts' names, so that hosts on their way to the pool that is off took the calls of a pool that lacked hosts and of the wave. After a 429 each host tried again on its own every 0.3 s.

Change: calls are ordered by worth: a pool that lacks hosts for work that can be in time, waves, pools that have what they need, the pool whose hosts are off. A call that is not taken stops all calls for 0.25 s; from then on as many are made in a second as were taken in the last one, four at least, an eighth more after each second in which all are taken.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    calls::{Call, CallState},
+    calls::{Call, CallState, Pace},
     marks::Marks,
     wave::WaveWrites,
 };
@@ -201,6 +201,7 @@
     pub(crate) token: u64,
     sizing: Sizing,
     calls: BTreeMap<HostId, Call>,
+    pace: Pace,
     /// Hosts that are off and come to a pool: nothing runs there, so that they need no mark.
     coming: BTreeMap<HostId, Coming>,
     marks: Marks,
@@ -228,6 +229,7 @@
             token,
             sizing,
             calls: BTreeMap::new(),
+            pace: Pace::default(),
             coming: BTreeMap::new(),
             marks: Marks::default(),
             waves: BTreeMap::new(),
--- a/src/jobs/fleet/calls.rs
+++ b/src/jobs/fleet/calls.rs
@@ -1,8 +1,8 @@
 //! The calls that change hosts: which are made, and how far they are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use super::{CallEnd, Fleet, FleetEffect, Leave, Scene};
+use super::{CallEnd, Demand, Fleet, FleetEffect, Leave, Scene};
 use crate::model::{
     id::{HostId, PoolId},
     unit::Steady,
@@ -16,6 +16,77 @@
 /// Calls that may be on their way at one time: what the platform allows in a second.
 const CALLS_MOST: usize = 64;
 
+/// How long no call is made after one that the platform did not take, in milliseconds: what it takes
+/// in a second has a quarter of its room again by then.
+const LIMITED_PAUSE_MS: u64 = 250;
+
+/// Over how long the platform counts the calls that it takes, in milliseconds.
+const COUNTED_MS: u64 = 1_000;
+
+/// The least calls in that time, however many were not taken: other owners' calls may have filled it.
+const CALLS_LEAST: usize = 4;
+
+/// How many calls are made in a second, by what the platform took: with each host tried again on its
+/// own, calls that are not taken come again and again before those that are worth more.
+#[derive(Debug, Default)]
+pub(super) struct Pace {
+    /// The most that may be made; nothing as long as all were taken.
+    most: Option<usize>,
+    /// When the bound was last changed.
+    changed: Steady,
+    /// When the last calls were made that were taken, or may be.
+    made: VecDeque<Steady>,
+    not_before: Steady,
+}
+
+impl Pace {
+    /// How many calls may be made now. The bound rises by an eighth a second as long as all are
+    /// taken, since others may have used what was allowed.
+    fn room(&mut self, now: Steady) -> usize {
+        self.forget(now);
+        if now < self.not_before {
+            return 0;
+        }
+        let Some(most) = &mut self.most else {
+            return usize::MAX;
+        };
+        if COUNTED_MS <= now.since(self.changed) {
+            *most += most.div_ceil(8);
+            self.changed = now;
+        }
+        most.saturating_sub(self.made.len())
+    }
+
+    /// Leaves out calls that no longer count.
+    fn forget(&mut self, now: Steady) {
+        while self.made.front().is_some_and(|at| COUNTED_MS <= now.since(*at)) {
+            self.made.pop_front();
+        }
+    }
+
+    /// Takes note that a call was not taken.
+    fn limited(&mut self, now: Steady) {
+        self.forget(now);
+        self.made.pop_back();
+        let most = self.made.len().max(CALLS_LEAST);
+        self.most = Some(self.most.map_or(most, |before| before.min(most)));
+        self.changed = now;
+        self.not_before = now.after(LIMITED_PAUSE_MS);
+    }
+}
+
+/// What a call is worth: the first comes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Worth {
+    /// To a pool that lacks hosts for work that can be in time.
+    Lacking,
+    Upkeep,
+    /// To a pool that has what it needs now.
+    More,
+    /// To the pool whose hosts are off.
+    Off,
+}
+
 /// A call that changes a host, and what it is for: what became of a move says nothing of upkeep.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct Call {
@@ -41,8 +112,12 @@
         let state = match end {
             CallEnd::Begun => CallState::Begun(now),
             CallEnd::NotBegun => CallState::Undone(now.after(CALL_AGAIN_MS)),
-            // An earlier call may have had no answer.
-            CallEnd::Unknown | CallEnd::Limited => CallState::Again(now.after(CALL_AGAIN_MS)),
+            CallEnd::Unknown => CallState::Again(now.after(CALL_AGAIN_MS)),
+            CallEnd::Limited => {
+                self.pace.limited(now);
+                // An earlier call may have had no answer.
+                CallState::Again(self.pace.not_before)
+            }
         };
         self.calls.insert(host.clone(), Call { purpose, state });
     }
@@ -62,55 +137,84 @@
         !matches!(state, None | Some(CallState::Undone(_)))
     }
 
-    /// Makes the calls for hosts that are empty.
+    /// Makes the calls for hosts that are empty, those that are worth most first: fewer are taken in
+    /// a second than hosts are due at a change of turns.
     pub(super) fn call(&mut self, scene: &Scene<'_>, now: Steady, out: &mut Vec<FleetEffect>) {
         let under_way =
             self.calls.values().filter(|call| call.state == CallState::OnItsWay).count();
-        let mut room = CALLS_MOST.saturating_sub(under_way);
-        let coming = self.coming.iter().filter(|(host, _)| !scene.resting.contains(*host));
-        let coming: Vec<(HostId, PoolId)> =
-            coming.map(|(host, coming)| (host.clone(), coming.pool.clone())).collect();
-        for (host, pool) in coming {
-            let again = match self.calls.get(&host).map(|call| call.state) {
-                None => true,
-                Some(CallState::Again(at) | CallState::Undone(at)) => at <= now,
-                Some(CallState::OnItsWay | CallState::Begun(_)) => false,
-            };
-            if again && room != 0 {
-                room -= 1;
-                if let Some(coming) = self.coming.get_mut(&host)
-                    && !self.calls.contains_key(&host)
-                {
-                    coming.since = now;
-                }
-                self.note_call(&host, Leave::Move(pool.clone()));
-                out.push(FleetEffect::Move(host, pool));
-            }
+        let mut room = CALLS_MOST.saturating_sub(under_way).min(self.pace.room(now));
+        if room == 0 {
+            return;
         }
-        let marked = self.marks.iter().filter(|(host, _)| !scene.resting.contains(*host));
-        let marked: Vec<HostId> = marked.map(|(host, _)| host.clone()).collect();
         let mut away = self.away();
-        for host in marked {
+        for host in self.by_worth(scene) {
+            let Some(leave) = self.due(scene, &host, &away, now) else {
+                continue;
+            };
+            if let Leave::Upkeep(wave) = leave
+                && !self.may_be_away(&host)
+            {
+                *away.entry(wave).or_default() += 1;
+            }
+            if let Some(coming) = self.coming.get_mut(&host)
+                && !self.calls.contains_key(&host)
+            {
+                coming.since = now;
+            }
+            self.note_call(&host, leave.clone());
+            self.pace.made.push_back(now);
+            out.push(match leave {
+                Leave::Upkeep(wave) => FleetEffect::Maintain(host, wave),
+                Leave::Move(pool) => FleetEffect::Move(host, pool),
+            });
+            room -= 1;
             if room == 0 {
                 break;
             }
-            if let Some(leave) = self.due(scene, &host, &away, now) {
-                room -= 1;
-                if let Leave::Upkeep(wave) = leave
-                    && !self.may_be_away(&host)
-                {
-                    *away.entry(wave).or_default() += 1;
-                }
-                self.note_call(&host, leave.clone());
-                out.push(match leave {
-                    Leave::Upkeep(wave) => FleetEffect::Maintain(host, wave),
-                    Leave::Move(pool) => FleetEffect::Move(host, pool),
-                });
+        }
+    }
+
+    /// The hosts that come to a pool or are marked to leave, those whose calls are worth most first.
+    fn by_worth(&self, scene: &Scene<'_>) -> Vec<HostId> {
+        let mut lacking = self.lacking(scene);
+        let mut worth = |leave: &Leave| match leave {
+            Leave::Upkeep(_) => Worth::Upkeep,
+            Leave::Move(pool) if scene.config.pools.get(pool).is_some_and(|rules| rules.off) => {
+                Worth::Off
             }
+            Leave::Move(pool) => match lacking.get_mut(pool).filter(|hosts| **hosts != 0) {
+                Some(hosts) => {
+                    *hosts -= 1;
+                    Worth::Lacking
+                }
+                None => Worth::More,
+            },
+        };
+        let mut hosts: Vec<(Worth, &HostId)> = Vec::new();
+        for (host, coming) in &self.coming {
+            hosts.push((worth(&Leave::Move(coming.pool.clone())), host));
+        }
+        for (host, mark) in self.marks.iter() {
+            hosts.push((worth(&mark.leave), host));
         }
+        // Stable: a host that is off comes before one that another pool gives.
+        hosts.sort_by_key(|(worth, _)| *worth);
+        let free = hosts.into_iter().filter(|(_, host)| !scene.resting.contains(*host));
+        free.map(|(_, host)| host.clone()).collect()
+    }
+
+    /// By pool, how many hosts it lacks for the work that can be in time, beside those that are
+    /// there and stay. Those whose calls were made are among the ones to be called for.
+    fn lacking<'a>(&self, scene: &Scene<'a>) -> BTreeMap<&'a PoolId, usize> {
+        let staying = self.staying(scene);
+        let lacks = |(pool, demand): (&'a PoolId, &Demand)| {
+            let has = staying.get(pool).map_or(0, Vec::len);
+            (pool, self.needed(demand).saturating_sub(has))
+        };
+        scene.demands.iter().map(lacks).collect()
     }
 
-    /// What a marked host is to be called for now, with so many away for each wave.
+    /// What a host that comes or is marked is to be called for now, with so many away for each wave.
     fn due(
         &self,
         scene: &Scene<'_>,
@@ -118,6 +222,14 @@
         away: &BTreeMap<u64, usize>,
         now: Steady,
     ) -> Option<Leave> {
+        if let Some(coming) = self.coming.get(host) {
+            let due = match self.calls.get(host).map(|call| call.state) {
+                None => true,
+                Some(CallState::Again(at) | CallState::Undone(at)) => at <= now,
+                Some(CallState::OnItsWay | CallState::Begun(_)) => false,
+            };
+            return due.then(|| Leave::Move(coming.pool.clone()));
+        }
         let (leave, _) = self.marks.settled(host)?;
         let again = match self.calls.get(host) {
             None => false,
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -174,7 +174,7 @@
     }
 
     /// Hosts that a pool needs for what it asks for now.
-    fn needed(&self, demand: &Demand) -> usize {
+    pub(super) fn needed(&self, demand: &Demand) -> usize {
         self.hosts_for(demand.cpu).max(self.floor(demand))
     }
 
