--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -10,10 +10,14 @@
     jobs::owner::LEASE_MS,
     model::{
         queue::{PoolRules, QueueConfig},
-        unit::Now,
+        unit::{Now, Revision},
     },
     platform::records::{OPERATOR_PREFIX, WORKER_PREFIX},
-    scheduler::{drive::json as bytes, keys, view::age::RECORDS_MS},
+    scheduler::{
+        drive::{Input, OverwriteEnd, json as bytes},
+        keys,
+        view::age::{RECORDS_MS, WORD_MS},
+    },
 };
 
 const POOL: &str = "pool-work";
@@ -227,3 +231,34 @@
     assert!(!calls.holds(play.now.steady), "a call to a host");
     assert!(!orders.allows_orders(play.now.steady), "an order to a worker");
 }
+
+/// A pool whose count did not change was told of so seldom that its word was too old, for half a second
+/// of each pause, at nodes that add words up: a watch of these waits for half a second, and the next
+/// one is sent as long after it.
+#[test]
+fn a_word_is_renewed_before_it_is_too_old_elsewhere() {
+    const WATCH_MS: u64 = 500;
+    const PAUSE_MS: u64 = 500;
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.hear();
+    play.win(false);
+    let (mut told, mut longest) = (play.now.steady, 0);
+    for _ in 0..100 {
+        play.pass(100);
+        let (now, drive) = (play.now, &mut play.world.drive);
+        let (name, token) = (POOL.to_owned(), drive.owned[POOL].owner.token);
+        drive.take(Input::Followed { name: name.clone(), token, asked: now.steady });
+        drive.tell_queued(POOL, now);
+        if drive.owned[POOL].word.on_way == 0 {
+            continue;
+        }
+        let (counts, sent) = (drive.owned[POOL].owner.queued(), now.steady);
+        let end = OverwriteEnd::Kept(Revision(1));
+        drive.take(Input::Worded { name, token, counts, sent, end });
+        longest = longest.max(sent.since(told));
+        told = sent;
+    }
+    assert!(longest + WATCH_MS + PAUSE_MS <= WORD_MS, "renewed after {longest} ms");
+}
