--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -19,7 +19,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::{
-    calls::{Call, CallState},
+    calls::{Call, CallState, Pace},
     marks::Marks,
     wave::WaveWrites,
 };
@@ -177,6 +177,18 @@
     Lost,
 }
 
+/// What became of a call that changes a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallEnd {
+    Begun,
+    /// Not done, and never will be.
+    NotBegun,
+    /// No answer that tells: it may be done, or be done later.
+    Unknown,
+    /// The platform took no more calls.
+    Limited,
+}
+
 /// A host that is off and comes to a pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Coming {
@@ -189,6 +201,7 @@
     pub(crate) token: u64,
     sizing: Sizing,
     calls: BTreeMap<HostId, Call>,
+    pace: Pace,
     /// Hosts that are off and come to a pool: nothing runs there, so that they need no mark.
     coming: BTreeMap<HostId, Coming>,
     marks: Marks,
@@ -216,6 +229,7 @@
             token,
             sizing,
             calls: BTreeMap::new(),
+            pace: Pace::default(),
             coming: BTreeMap::new(),
             marks: Marks::default(),
             waves: BTreeMap::new(),
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -1,11 +1,12 @@
 //! Tests of the owner of the fleet's work.
 
+mod calls;
 mod lagging;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    jobs::fleet::{Demand, Fleet, FleetEffect, Leave, Mark, Scene, Sizing, WriteEnd},
+    jobs::fleet::{CallEnd, Demand, Fleet, FleetEffect, Leave, Mark, Scene, Sizing, WriteEnd},
     model::{
         id::{HostId, PoolId, WorkerId},
         job::Room,
@@ -162,9 +163,9 @@
         effects.iter().filter(|effect| matches!(effect, FleetEffect::Maintain(..))).count()
     };
     assert_eq!(begun(fleet.plan(&known.scene(), at(100))), 2);
-    fleet.called(&host(1), UPKEEP, Some(true), at(150));
+    fleet.called(&host(1), UPKEEP, CallEnd::Begun, at(150));
     // Without an answer it may be away as well.
-    fleet.called(&host(2), UPKEEP, None, at(150));
+    fleet.called(&host(2), UPKEEP, CallEnd::Unknown, at(150));
     assert_eq!(begun(fleet.plan(&known.scene(), at(200))), 0);
 }
 
@@ -192,6 +193,27 @@
     assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 1);
 }
 
+/// An owner that gave the work back had called as many hosts as the wave allows, and the list did not
+/// show them away yet. The next owner left these alone, and called as many others.
+#[test]
+fn hosts_that_another_owner_called_lately_may_be_away_for_their_wave() {
+    let mut known = Known::new();
+    let all = (1..9).map(host).collect();
+    known.upkeeps = vec![Upkeep { wave: 1, hosts: all, period_ms: 20_000, at_once: 2 }];
+    for number in 1..9 {
+        known.show(host(number), UPKEEP);
+        known.empties.insert(host(number), format!("w{number}").parse().unwrap());
+    }
+    known.resting = BTreeSet::from([host(1), host(2)]);
+    let mut fleet = fleet((1..9).map(|n| listed(n, "busy")).collect());
+    let begun = |effects: Vec<FleetEffect>| {
+        effects.iter().filter(|effect| matches!(effect, FleetEffect::Maintain(..))).count()
+    };
+    assert_eq!(begun(fleet.plan(&known.scene(), at(100))), 0);
+    known.resting.clear();
+    assert_eq!(begun(fleet.plan(&known.scene(), at(200))), 2);
+}
+
 #[test]
 fn a_wave_is_done_only_when_every_host_that_stays_was_maintained() {
     let mut known = Known::new();
@@ -218,7 +240,7 @@
     fleet.plan(&known.scene(), at(100));
     let first = fleet.plan(&known.scene(), at(200));
     assert_eq!(moves(&first), 1);
-    fleet.called(&host(2), Leave::Move(pool("busy")), Some(true), at(250));
+    fleet.called(&host(2), Leave::Move(pool("busy")), CallEnd::Begun, at(250));
     let mut down = listed(2, "off");
     down.phase = HostPhase::Down;
     fleet.heard_list(at(300), Some(vec![listed(1, "busy"), down, listed(3, "off")]));
@@ -285,13 +307,13 @@
     let begun = fleet.plan(&known.scene(), at(100));
     answer(&mut fleet, &begun, at(120));
     for number in 1..4 {
-        fleet.called(&host(number), UPKEEP, Some(true), at(150));
+        fleet.called(&host(number), UPKEEP, CallEnd::Begun, at(150));
     }
     fleet.heard_list(at(2_500), Some(hosts.clone()));
     let first = BTreeSet::from([host(1), host(2), host(3)]);
     let written = fleet.plan(&known.scene(), at(2_600));
     assert_eq!(kept(written.clone()), vec![first.clone()]);
-    fleet.called(&host(4), UPKEEP, Some(true), at(2_650));
+    fleet.called(&host(4), UPKEEP, CallEnd::Begun, at(2_650));
     fleet.heard_list(at(2_700), Some(hosts));
     // The first write is not answered yet.
     assert_eq!(kept(fleet.plan(&known.scene(), at(2_800))), Vec::<BTreeSet<HostId>>::new());
@@ -312,7 +334,7 @@
     // The mark does not show yet.
     assert_eq!(moves(&fleet.plan(&known.scene(), at(200))), 0);
     known.show(host(2), UPKEEP);
-    fleet.called(&host(2), Leave::Move(pool("busy")), Some(true), at(250));
+    fleet.called(&host(2), Leave::Move(pool("busy")), CallEnd::Begun, at(250));
     fleet.heard_list(at(2_500), Some(vec![listed(1, "busy"), listed(2, "busy")]));
     let later = fleet.plan(&known.scene(), at(2_600));
     assert!(!later.iter().any(|e| matches!(e, FleetEffect::Maintained(..))), "{later:?}");
--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -10,10 +10,14 @@
     jobs::owner::LEASE_MS,
     model::{
         queue::{PoolRules, QueueConfig},
-        unit::Now,
+        unit::{Now, Revision},
     },
     platform::records::{OPERATOR_PREFIX, WORKER_PREFIX},
-    scheduler::{drive::json as bytes, keys, view::age::RECORDS_MS},
+    scheduler::{
+        drive::{Input, OverwriteEnd, json as bytes},
+        keys,
+        view::age::{RECORDS_MS, WORD_MS},
+    },
 };
 
 const POOL: &str = "pool-work";
@@ -190,3 +194,71 @@
     play.pass(600);
     assert!(reaches(&mut play), "it is not behind any more");
 }
+
+/// A write that asks for a confirmation carried the word with it, and made one that was old count as
+/// new at the nodes that add words up.
+#[test]
+fn a_confirmation_is_asked_for_without_a_word_by_an_owner_that_does_not_hear_of_jobs() {
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.hear();
+    play.win(false);
+    // The lease is renewed too late, and the owner's own watch stays silent.
+    play.pass(2 * RECORDS_MS);
+    let before = play.world.drive.owned[POOL].word.on_way;
+    play.world.drive.ask_confirmation(POOL, play.now);
+    let owned = &play.world.drive.owned[POOL];
+    assert!(play.now.steady < owned.next_confirmation, "it was asked for");
+    assert_eq!(owned.word.on_way, before);
+}
+
+/// Calls to hosts and orders that wait to be sent outlived the ownership that was given back: the next
+/// owner had won the work before they were made.
+#[test]
+fn what_was_decided_on_before_work_was_given_back_is_not_sent_after_it() {
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.win(true);
+    play.win(false);
+    let drive = &mut play.world.drive;
+    let calls = drive.fleet.as_ref().unwrap().tenure.clone();
+    let orders = drive.owned[POOL].tenure.clone();
+    assert!(calls.holds(play.now.steady) && orders.allows_orders(play.now.steady));
+    drive.hand_over(keys::FLEET.to_owned(), play.now);
+    drive.hand_over(POOL.to_owned(), play.now);
+    assert!(!calls.holds(play.now.steady), "a call to a host");
+    assert!(!orders.allows_orders(play.now.steady), "an order to a worker");
+}
+
+/// A pool whose count did not change was told of so seldom that its word was too old, for half a second
+/// of each pause, at nodes that add words up: a watch of these waits for half a second, and the next
+/// one is sent as long after it.
+#[test]
+fn a_word_is_renewed_before_it_is_too_old_elsewhere() {
+    const WATCH_MS: u64 = 500;
+    const PAUSE_MS: u64 = 500;
+    let runtime = runtime();
+    let _entered = runtime.enter();
+    let mut play = Play::start();
+    play.hear();
+    play.win(false);
+    let (mut told, mut longest) = (play.now.steady, 0);
+    for _ in 0..100 {
+        play.pass(100);
+        let (now, drive) = (play.now, &mut play.world.drive);
+        let (name, token) = (POOL.to_owned(), drive.owned[POOL].owner.token);
+        drive.take(Input::Followed { name: name.clone(), token, asked: now.steady });
+        drive.tell_queued(POOL, now);
+        if drive.owned[POOL].word.on_way == 0 {
+            continue;
+        }
+        let (counts, sent) = (drive.owned[POOL].owner.queued(), now.steady);
+        let end = OverwriteEnd::Kept(Revision(1));
+        drive.take(Input::Worded { name, token, counts, sent, end });
+        longest = longest.max(sent.since(told));
+        told = sent;
+    }
+    assert!(longest + WATCH_MS + PAUSE_MS <= WORD_MS, "renewed after {longest} ms");
+}
--- a/src/scheduler/drive/word.rs
+++ b/src/scheduler/drive/word.rs
@@ -15,8 +15,9 @@
 const QUEUED_PAUSE_MS: u64 = 500;
 
 /// How long after the last word it is told again though nothing has changed, in milliseconds: nodes
-/// answer from a word for two seconds, and one that is lost or held up leaves time for the next.
-const QUEUED_AGAIN_MS: u64 = 1_000;
+/// answer from a word for two seconds, hear of it up to one second late (a watch of half a second, and
+/// its pause), and 200 are left for the write and its way.
+const QUEUED_AGAIN_MS: u64 = 800;
 
 /// How long after a word that was not taken it is told again, in milliseconds: five fit into a
 /// second, and a store that is away is not asked more often than that.
