--- a/src/jobs/fleet/marks.rs
+++ b/src/jobs/fleet/marks.rs
@@ -40,7 +40,7 @@
 
 /// A mark that was taken away.
 #[derive(Debug, Clone, Copy)]
-struct Gone {
+struct Removal {
     mark: Revision,
     /// From this revision on the view is right again.
     until: Revision,
@@ -61,7 +61,7 @@
     /// When each was first known.
     since: BTreeMap<HostId, Steady>,
     writes: BTreeMap<HostId, MarkWrite>,
-    gone: BTreeMap<HostId, Gone>,
+    removals: BTreeMap<HostId, Removal>,
     /// How often a host or a mark was looked at.
     #[cfg(test)]
     pub(super) looks: std::cell::Cell<usize>,
@@ -71,8 +71,8 @@
     /// Puts together what the view shows and what was answered.
     pub(super) fn refresh(&mut self, scene: &Scene<'_>, now: Steady) {
         let shown = |host: &HostId| scene.leaves.get(host).map(|mark| mark.revision);
-        self.gone.retain(|host, gone| {
-            scene.known < gone.until || shown(host).is_some_and(|at| at <= gone.mark)
+        self.removals.retain(|host, removal| {
+            scene.known < removal.until || shown(host).is_some_and(|at| at <= removal.mark)
         });
         self.writes.retain(|host, write| match write {
             MarkWrite::Marking(_) | MarkWrite::Unmarking(_) => true,
@@ -81,9 +81,9 @@
             }
             MarkWrite::Resting(until) => now < *until,
         });
-        let gone = &self.gone;
+        let removals = &self.removals;
         let stands = |(host, mark): &(&HostId, &Mark)| {
-            gone.get(*host).is_none_or(|gone| gone.mark < mark.revision)
+            removals.get(*host).is_none_or(|removal| removal.mark < mark.revision)
         };
         let known =
             |mark: &Mark| KnownMark { leave: mark.leave.clone(), standing: Some(mark.revision) };
@@ -145,11 +145,11 @@
         Some((&known.leave, known.standing?))
     }
 
-    /// Whether more marks may be written or taken away now.
+    /// Whether one more mark may be written now. Removals count, and are not held back: they end work.
     fn has_room(&self) -> bool {
         let rests = |write: &&MarkWrite| matches!(write, MarkWrite::Resting(_));
         let open = self.writes.values().filter(|write| !rests(write)).count();
-        open + self.gone.len() < UNSHOWN_MOST
+        open + self.removals.len() < UNSHOWN_MOST
     }
 
     /// Notes that a mark is being taken away: its revision, unless nothing may be written of it.
@@ -186,7 +186,7 @@
         match until {
             Some(until) => {
                 self.writes.remove(host);
-                self.gone.insert(host.clone(), Gone { mark, until });
+                self.removals.insert(host.clone(), Removal { mark, until });
             }
             None => {
                 let rests = MarkWrite::Resting(now.after(WRITE_AGAIN_MS));
@@ -194,9 +194,7 @@
             }
         }
     }
-}
 
-impl Marks {
     /// Takes note of how a write ended that took a mark away besides.
     pub(super) fn taken_away(&mut self, host: &HostId, end: &WriteEnd, now: Steady) {
         let Some(MarkWrite::Unmarking(mark)) = self.writes.get(host) else {
