--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -19,6 +19,10 @@
 mod unsent;
 mod watches;
 
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
 use crate::{
     model::{
         job::{JobId, JobState, Progress},
@@ -28,6 +32,23 @@
     scheduler::{drive::json, keys, view::View},
 };
 
+/// How long anything may take before a test gives up. No test passes or fails by time otherwise.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time between two looks.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Looks until something is there.
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(Instant::now() < end, "{what}: not seen in time");
+        sleep(LOOK_EVERY).await;
+    }
+}
+
 fn job() -> JobId {
     "00e0f5a2b4c6d801".parse().unwrap()
 }
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -17,11 +17,9 @@
 };
 use reqwest::Client;
 use serde_json::{Value, json};
-use tokio::{
-    sync::{mpsc, watch},
-    time::{Instant, sleep},
-};
+use tokio::sync::{mpsc, watch};
 
+use super::until;
 use crate::{
     http,
     jobs::owner::LEASE_MS,
@@ -47,10 +45,6 @@
     tests::sample,
 };
 
-/// How long anything may take before a test gives up. No test passes or fails by time otherwise.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Time between two looks.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// How long a call of the store may take.
 const STORE_LIMIT: Duration = Duration::from_millis(700);
 const TTL: Duration = Duration::from_millis(LEASE_MS);
@@ -59,17 +53,6 @@
 const HOST: &str = "quotes.example";
 const QUEUE: &str = "quotes";
 
-async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
-    let end = Instant::now() + PATIENCE;
-    loop {
-        if let Some(found) = look().await {
-            return found;
-        }
-        assert!(Instant::now() < end, "{what}: not seen in time");
-        sleep(LOOK_EVERY).await;
-    }
-}
-
 fn pool() -> PoolId {
     "work".parse().unwrap()
 }
--- a/src/scheduler/tests/ownership.rs
+++ b/src/scheduler/tests/ownership.rs
@@ -15,11 +15,9 @@
 };
 use reqwest::Client;
 use serde_json::{Value, json};
-use tokio::{
-    sync::{mpsc, watch},
-    time::{Instant, sleep},
-};
+use tokio::sync::{mpsc, watch};
 
+use super::until;
 use crate::{
     http,
     model::{
@@ -45,10 +43,6 @@
     tests::sample,
 };
 
-/// How long anything may take before a test gives up. No test passes or fails by time otherwise.
-const PATIENCE: Duration = Duration::from_secs(60);
-/// Time between two looks.
-const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// How long a call of the store may take.
 const STORE_LIMIT: Duration = Duration::from_millis(700);
 /// A token above all that a test sees.
@@ -56,17 +50,6 @@
 /// How long a task takes that is to run on for the whole test, in milliseconds, as its payload.
 const WORK: &str = "600000";
 
-async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
-    let end = Instant::now() + PATIENCE;
-    loop {
-        if let Some(found) = look().await {
-            return found;
-        }
-        assert!(Instant::now() < end, "{what}: not seen in time");
-        sleep(LOOK_EVERY).await;
-    }
-}
-
 fn pool() -> PoolId {
     "work".parse().unwrap()
 }
