Failing test: a pool stands still while trials are announced at all its workers

Nothing of the pool runs, with all its living workers empty.

Two workers live, both listed and heard; each has `trial` set to a task that was lost with two workers; no copy is anywhere; all that a start asks for is durable. Another job waits as well and comes first in the plan.

Ruled out: a write that is never made (version and durable are equal), a worker that is not in the roster, tasks of earlier owners that are held back.

Change: a test of its own in the rig of tasks that crash their workers, with what is kept as its only clue.

--- a/src/jobs/tests/crashes.rs
+++ b/src/jobs/tests/crashes.rs
@@ -8,6 +8,7 @@
 //! attempts. What proved it: one token on the starts 4 to 7, each 3.2 s after the one before, each
 //! restarted `with its worker`, and no failure in what was kept of the job.
 
+mod announced;
 mod many;
 mod pool;
 
--- a/src/jobs/tests/crashes/pool.rs
+++ b/src/jobs/tests/crashes/pool.rs
@@ -151,6 +151,15 @@
         self.progress.get(&job).map(|(progress, _)| progress.state)
     }
 
+    /// How many living workers are kept as doubted of a job.
+    pub(super) fn announced(&self, job: JobId) -> usize {
+        let kept = self.progress.get(&job).into_iter().flat_map(|(progress, _)| &progress.steps);
+        let tasks = kept.flat_map(|(_, note)| note.tasks.values());
+        let doubted: BTreeSet<&WorkerId> = tasks.flat_map(|note| &note.doubted).collect();
+        let up = self.hosts.iter().filter(|host| host.back.is_none());
+        up.filter(|host| doubted.contains(&host.life.report.id)).count()
+    }
+
     /// How many runs of a job are there now.
     pub(super) fn runs_of(&self, job: JobId) -> usize {
         let tasks = self.hosts.iter().flat_map(|host| host.life.runs.keys());
