Trials that are announced start whatever room others have not found

Cause: a worker that is kept for an announced trial takes nothing else. A more urgent job finds no worker for that; the plan notes that there is no room for its size and passes over all that needs as much, the announced trials included. Each waits for the other. Ruled out: writes that are never done, tasks held back for a worker that is not asked.

Change: announced tasks of a step are tried first and one by one, whatever is noted as full; the search that ends at the first task without a worker no longer hides those behind it either. Why it holds: an announced trial needs no search, its worker is its own until it is withdrawn.

--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -78,9 +78,19 @@
                 continue;
             }
             let placed = match self.step(of).map(|step| step.gang) {
-                _ if self.is_full_for(of) => false,
+                Some(true) if self.is_full_for(of) => false,
                 Some(true) => self.place_gang(of, &waiting, now, out),
-                _ => self.place_tasks(of, &waiting, now, out),
+                _ => {
+                    // Each announced trial has a worker that is kept for it, whatever room others
+                    // have not found: nothing else begins there until it has.
+                    let (announced, others) = self.split_announced(of, waiting);
+                    let mut placed = true;
+                    for index in announced {
+                        placed &= self.place_tasks(of, &[index], now, out);
+                    }
+                    let tried = others.is_empty() || !self.is_full_for(of);
+                    tried && self.place_tasks(of, &others, now, out) && placed
+                }
             };
             if let Some(tasks) = self.step_tasks_mut(of) {
                 let since = tasks.starved.unwrap_or(now.steady);
@@ -184,6 +194,16 @@
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
     }
 
+    /// Which tasks of a step have a trial announced at some worker, and which have none.
+    fn split_announced(&self, of: StepId, tasks: Vec<u32>) -> (Vec<u32>, Vec<u32>) {
+        let is_announced = |index: &u32| {
+            let job = self.jobs.get(&of.job);
+            let task = job.and_then(|job| job.task(of, *index));
+            task.is_some_and(|task| task.trial_at.is_some())
+        };
+        tasks.into_iter().partition(is_announced)
+    }
+
     /// Starts the tasks of a step one by one; tells whether all found room.
     fn place_tasks(
         &mut self,
