Failing tests: a task is started once more than its attempts by a later owner

The next takes the pool up at 27.387 s, hears at 27.400 s of the failure of run 2, takes run 4 over, hears at 27.533 s that it failed, and starts run 1001 in the same millisecond. The worker that lists the failure of run 3 was cut off from it; it hears of that one at 30.634 s.

Change: two tests that fail and one that passes, which says what must not be held back.

--- a/src/jobs/tests/roster.rs
+++ b/src/jobs/tests/roster.rs
@@ -7,7 +7,7 @@
     jobs::{event::Event, roster::Away},
     model::{
         id::WorkerId,
-        job::{JobId, TaskId},
+        job::{JobId, JobState, TaskId},
         unit::Revision,
         worker::{Ended, HowEnded},
     },
@@ -168,3 +168,54 @@
     bench.look("w1", vec![], vec![]);
     assert_eq!(bench.owner.roster_note(MANY), None);
 }
+
+/// What users saw: a task was started a fifth time, 6 ms after its fourth run had failed. Its owner had
+/// lost the store before it could write the second and third failure; the next one took the fourth run
+/// over, saw it fail, and knew of three failures: the worker that still listed the third was cut off
+/// from it. That a run was taken over says where the task runs, and nothing of how earlier runs ended.
+/// Evidence: the logs of both owners; the new one heard of the third failure 3 s later.
+mod failures_of_earlier_owners {
+    use super::*;
+
+    fn failed(number: u64, task: TaskId, run: u32) -> Ended {
+        Ended { number, task, run, how: HowEnded::Failed, saved: String::new() }
+    }
+
+    /// A task of three attempts whose run of that number was taken over at one worker and failed there;
+    /// another worker was not asked.
+    fn taken_over_and_failed(run: u32) -> (Bench, TaskId) {
+        let mut bench = Bench::inheriting(&[("w1", "h1"), ("w2", "h2")], Away::default());
+        bench.tell(Event::Job(stored(1, vec![step(1)], 50)));
+        let task: TaskId = format!("{}.0.0.0", id(1)).parse().unwrap();
+        bench.touch("w1", vec![present(task, run, 30)]);
+        bench.now += 100;
+        bench.look("w1", vec![], vec![failed(2, task, run)]);
+        bench.work();
+        (bench, task)
+    }
+
+    #[test]
+    fn may_be_the_last_ones_allowed() {
+        let (mut bench, task) = taken_over_and_failed(3);
+        assert_eq!(bench.starts(), vec![], "w2 may list two failures");
+        bench.look("w2", vec![], vec![failed(1, task, 1), failed(2, task, 2)]);
+        bench.work();
+        assert_eq!(bench.starts(), vec![]);
+        assert_eq!(bench.save()[0].1.state, JobState::Failed);
+    }
+
+    #[test]
+    fn hold_nothing_back_once_every_worker_was_asked() {
+        let (mut bench, task) = taken_over_and_failed(3);
+        assert_eq!(bench.starts(), vec![]);
+        bench.look("w2", vec![], vec![failed(1, task, 2)]);
+        bench.work();
+        assert_eq!(bench.starts().len(), 1, "two have failed");
+    }
+
+    #[test]
+    fn hold_nothing_back_that_has_attempts_left_whatever_they_are() {
+        let (mut bench, _) = taken_over_and_failed(2);
+        assert_eq!(bench.starts().len(), 1, "one has failed, and one may have");
+    }
+}
