A task taken over starts again only if its unheard failures leave an attempt

Cause: tasks of earlier jobs wait until every worker that may hold them was asked, but one that was taken over counted as accounted for for good. When its run failed, the next one was started at once, though a worker that was cut off still listed a failure that its first owner could not write. Ruled out: progress that was read too old (8 ms, and it held all that was durable).

Change: the run that was taken over is remembered; as long as failures known and runs unheard may together reach the limit, the task waits for those not asked, like any other task of an earlier job. Why it holds: an end that is not acknowledged is listed on, so whoever has asked every worker that may hold one knows all failures; workers whose leases lapsed are excepted by the promise.

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -92,6 +92,9 @@
     /// no worker that has not seen the token can hold a run of it. That a worker lists the end of
     /// a run says nothing: the owner before may have heard of it and have started the next.
     pub(crate) accounted: bool,
+    /// The run that was taken over from an earlier owner. How those before it ended may be listed by
+    /// a worker that was not asked yet.
+    pub(crate) inherited: Option<u32>,
 }
 
 impl Task {
@@ -105,6 +108,19 @@
         MOST_LOST <= self.lost_workers()
     }
 
+    /// How many runs before the one that was taken over may have failed without this owner knowing.
+    fn unheard_runs(&self) -> usize {
+        match self.inherited {
+            // Runs of several owners have gaps between their numbers.
+            Some(run) if RUNS_PER_OWNER <= run => usize::MAX,
+            Some(run) => {
+                let heard = self.failed.iter().filter(|failed| **failed < run).count();
+                (run as usize).saturating_sub(1 + heard)
+            }
+            None => 0,
+        }
+    }
+
     /// Whether a run that is to show if it crashes its worker is, or is to be, at one.
     pub(crate) fn is_on_trial_at(&self, id: &WorkerId) -> bool {
         let begun = self.copies.iter().any(|copy| copy.trial && copy.worker == *id);
@@ -303,6 +319,19 @@
         kept && (!task.is_lost_too_often() || task.trial_at.is_some())
     }
 
+    /// Whether a task may have failed as often as it may, with failures that only a worker knows
+    /// that was not asked yet.
+    pub(crate) fn may_have_failed(&self, of: StepId, index: u32) -> bool {
+        let step = self.step(of.step);
+        // A gang has one count, which its first task keeps.
+        let counted = if step.gang { 0 } else { index };
+        let (Some(task), Some(counts)) = (self.task(of, index), self.task(of, counted)) else {
+            return false;
+        };
+        let failed = counts.failed.len().saturating_add(task.unheard_runs());
+        !step.lasting && self.record.attempts as usize <= failed
+    }
+
     /// Whether there is something to write.
     pub(crate) fn is_dirty(&self) -> bool {
         self.durable < self.version
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -274,6 +274,9 @@
             return;
         };
         entry.run = entry.run.max(run);
+        if !entry.accounted {
+            entry.inherited = Some(run);
+        }
         entry.accounted = true;
         entry.copies.push(Copy {
             worker: id.clone(),
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -187,7 +187,9 @@
         };
         let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
             let index = index as u32;
-            let certain = task.accounted || !doubt.covers(&TaskId { of, index });
+            // Where it runs is known of one that was taken over, and not how often it has failed.
+            let known = task.accounted && !job.may_have_failed(of, index);
+            let certain = known || !doubt.covers(&TaskId { of, index });
             let may = task.not_before <= now && certain && job.may_start(task);
             (task.is_waiting() && may).then_some(index)
         };
