Failing test: a task runs again after its worker has started again under its identifier

The stand-in's workers may now keep their identifier (--keep-ids): every other one starts again under it, tells when it started, and counts its ends and its clock anew; each third life begins under a time of day that has jumped back.

Shown by it: ends of the next incarnation are taken for counted. Not seen in it: lapsed runs, starts refused as late.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -450,6 +450,12 @@
                         .value_parser(value_parser!(u64))
                         .default_value("300")
                         .help("Take so long for a task whose payload names no time."),
+                )
+                .arg(
+                    Arg::new("keep-ids")
+                        .long("keep-ids")
+                        .action(ArgAction::SetTrue)
+                        .help("Have workers tell when they started, and every other one start again under its identifier."),
                 ),
         )
         .subcommand(
--- a/src/options.rs
+++ b/src/options.rs
@@ -134,6 +134,7 @@
             workers: *given::<u32>(inner, "workers"),
             pools: *given::<u32>(inner, "pools"),
             work: Duration::from_millis(*given::<u64>(inner, "work-ms")),
+            keep_ids: inner.get_flag("keep-ids"),
         }),
         "worker" => Job::Worker(Box::new(worker::Options {
             listen,
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -144,7 +144,10 @@
     async fn start(replicas: &Value) -> Scene {
         let listen = "127.0.0.1:0".to_owned();
         let work = Duration::from_millis(50);
-        let site = site::start(site::Options { listen, workers: 0, work, pools: 1 }).await.unwrap();
+        let site =
+            site::start(site::Options { listen, workers: 0, work, pools: 1, keep_ids: false })
+                .await
+                .unwrap();
         let kv = Kv::new(&site.address, STORE_LIMIT, |_, _, _| {});
         let config = json!({
             "version": 1,
--- a/src/scheduler/tests/behind.rs
+++ b/src/scheduler/tests/behind.rs
@@ -70,7 +70,10 @@
 #[tokio::test]
 async fn what_a_cut_answer_leaves_out_is_told_by_the_next_ones() {
     let (listen, work) = ("127.0.0.1:0".to_owned(), Duration::from_millis(50));
-    let running = site::start(site::Options { listen, workers: 1, work, pools: 1 }).await.unwrap();
+    let running =
+        site::start(site::Options { listen, workers: 1, work, pools: 1, keep_ids: false })
+            .await
+            .unwrap();
     let kv = Kv::new(&running.address, Duration::from_secs(5), |_, _, _| {});
     let mut written = Vec::new();
     for first in (0..1_300).step_by(26) {
--- a/src/scheduler/tests/ownership.rs
+++ b/src/scheduler/tests/ownership.rs
@@ -68,7 +68,10 @@
 impl Site {
     async fn start(workers: u32) -> Site {
         let (listen, work) = ("127.0.0.1:0".to_owned(), Duration::from_millis(50));
-        let running = site::start(site::Options { listen, workers, work, pools: 1 }).await.unwrap();
+        let running =
+            site::start(site::Options { listen, workers, work, pools: 1, keep_ids: false })
+                .await
+                .unwrap();
         let client = Client::builder().no_proxy().build().unwrap();
         let kv = Kv::new(&running.address, STORE_LIMIT, |_, _, _| {});
         let site = Site { address: running.address, client, kv };
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -49,6 +49,9 @@
     pub(crate) pools: u32,
     /// How long a worker takes for a task whose payload names no time.
     pub(crate) work: Duration,
+    /// Whether workers tell when they started, and every other one starts again under the
+    /// identifier that it had.
+    pub(crate) keep_ids: bool,
 }
 
 /// What is wrong with the store, as switched over HTTP.
@@ -189,7 +192,8 @@
     for number in 0..options.workers {
         let (listener, address) = http::listen("127.0.0.1:0").await?;
         let pool = worker::pool(number % options.pools.max(1));
-        let worker = Worker::new(number, pool, &address.to_string(), options.work);
+        let born = options.keep_ids.then(|| life::today());
+        let worker = Worker::new(number, pool, &address.to_string(), options.work, born);
         site.state().workers.push(worker);
         let endpoint = worker::Face { site: site.clone(), number: number as usize };
         tokio::spawn(http::serve(listener, MAX_CONNECTIONS, endpoint, http::Stop::default()));
--- a/src/standin/site/life.rs
+++ b/src/standin/site/life.rs
@@ -1,5 +1,7 @@
 //! The lives of a worker: how one ends and the next begins, and the clock that each has.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use super::{
     log::{Kind, Log},
     worker::Worker,
@@ -14,6 +16,11 @@
 /// Every so many workers have a clock that is 2 % slow.
 const SLOW_EVERY: u32 = 3;
 
+/// Every so many lives begin under a time of day that has jumped back, and by how much, in
+/// milliseconds.
+const JUMP_EVERY: u32 = 3;
+const JUMP_MS: u64 = 3_600_000;
+
 /// What a host is doing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -27,16 +34,30 @@
 pub(super) struct Clock {
     offset: u64,
     slow: bool,
+    /// The stand-in's time at which it began.
+    since: u64,
+}
+
+/// The Unix millisecond of now.
+pub(super) fn today() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 impl Clock {
     pub(super) fn new(number: u32) -> Clock {
-        Clock { offset: u64::from(number) * CLOCK_STEP_MS, slow: number % SLOW_EVERY == 1 }
+        let offset = u64::from(number) * CLOCK_STEP_MS;
+        Clock { offset, slow: number % SLOW_EVERY == 1, since: 0 }
+    }
+
+    /// The clock of the next life, which begins anew.
+    fn restarted(self, now: u64) -> Clock {
+        Clock { offset: 1, since: now, ..self }
     }
 
     /// What the clock shows at a time of the stand-in.
     pub(super) fn at(&self, now: u64) -> u64 {
-        self.offset + if self.slow { now - now / 50 } else { now }
+        let passed = now.saturating_sub(self.since);
+        self.offset + if self.slow { passed - passed / 50 } else { passed }
     }
 }
 
@@ -59,9 +80,11 @@
             log.note(now, (&self.id, run.token), Kind::Crashed, (&task, run.run));
         }
         self.phase = Phase::Away(why, now + away_ms);
-        self.stale_reports.push((self.report_key(), now + REPORT_STAYS_MS));
         self.life += 1;
-        self.id = format!("w{}-{}", self.number, self.life);
+        if !self.keeps_id {
+            self.stale_reports.push((self.report_key(), now + REPORT_STAYS_MS));
+            self.id = format!("w{}-{}", self.number, self.life);
+        }
         self.forget();
     }
 
@@ -71,6 +94,13 @@
             && until <= now
         {
             self.phase = Phase::Up;
+            if self.born.is_some() {
+                let jump = if self.life % JUMP_EVERY == 2 { JUMP_MS } else { 0 };
+                self.born = Some(today().saturating_sub(jump));
+            }
+            if self.keeps_id {
+                self.clock = self.clock.restarted(now);
+            }
         }
     }
 
--- a/src/standin/site/worker.rs
+++ b/src/standin/site/worker.rs
@@ -69,6 +69,10 @@
     pub(super) number: u32,
     /// How many lives ended.
     pub(super) life: u32,
+    /// Whether the next life has the identifier of this one.
+    pub(super) keeps_id: bool,
+    /// The Unix millisecond at which its life began, if it tells that.
+    pub(super) born: Option<u64>,
     pub(super) phase: Phase,
     pub(super) trouble: Trouble,
     /// Reports of earlier lives, and when they go.
@@ -77,7 +81,7 @@
     pub(super) host_fence: u64,
     address: String,
     work: Duration,
-    clock: Clock,
+    pub(super) clock: Clock,
     orders: u64,
     fence: u64,
     /// The end of the lease, by the worker's clock.
@@ -116,13 +120,23 @@
 }
 
 impl Worker {
-    pub(super) fn new(number: u32, pool: String, address: &str, work: Duration) -> Worker {
+    /// A worker in its first life, which began at a Unix millisecond if it is to tell that. Of
+    /// those that do, every other one keeps its identifier for all its lives.
+    pub(super) fn new(
+        number: u32,
+        pool: String,
+        address: &str,
+        work: Duration,
+        born: Option<u64>,
+    ) -> Worker {
         Worker {
             id: format!("w{number}"),
             host: format!("h{number}"),
             pool,
             number,
             life: 0,
+            keeps_id: born.is_some() && number.is_multiple_of(2),
+            born,
             phase: Phase::Up,
             trouble: Trouble::default(),
             stale_reports: Vec::new(),
@@ -158,11 +172,12 @@
 
     /// What the worker writes of itself.
     pub(super) fn report(&self) -> Vec<u8> {
-        let report = json!({
+        let mut report = json!({
             "service": self.pool, "address": self.address, "zone": "hall-a", "version": "v1",
             "slots": 8, "state": "ready", "machine": self.host, "labels": ["a", "r1"],
             "capacity": { "cpu": 8_000, "mem_mb": 16_000, "gpu": 0 },
         });
+        self.tell_born(&mut report);
         report.to_string().into_bytes()
     }
 
@@ -201,6 +216,12 @@
         !over.is_empty()
     }
 
+    fn tell_born(&self, of: &mut Value) {
+        if let Some(born) = self.born {
+            of["born"] = json!(born);
+        }
+    }
+
     fn refuse(&self, now: u64, reason: &str) -> Response {
         let clock = self.clock.at(now);
         http::json(StatusCode::CONFLICT, &json!({ "clock_ms": clock, "reason": reason }))
@@ -263,7 +284,8 @@
             .map(|end| json!([end.number, end.task, end.run, end.how, ""]))
             .collect();
         let clock = self.clock.at(now);
-        let look = json!({ "clock_ms": clock, "running": running, "finished": finished });
+        let mut look = json!({ "clock_ms": clock, "running": running, "finished": finished });
+        self.tell_born(&mut look);
         http::json(StatusCode::OK, &look)
     }
 
@@ -396,6 +418,9 @@
             {
                 let state = self.site.state();
                 let worker = &state.workers[self.number];
+                if worker.life != life && worker.keeps_id {
+                    return http::text(StatusCode::GATEWAY_TIMEOUT, "");
+                }
                 if worker.life != life {
                     return http::text(StatusCode::MISDIRECTED_REQUEST, "another life\n");
                 }
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -83,9 +83,14 @@
 
 impl Site {
     async fn start(name: &str, workers: u32) -> Site {
+        Site::start_with(name, workers, &[]).await
+    }
+
+    async fn start_with(name: &str, workers: u32, args: &[&str]) -> Site {
         let mut child = binary()
             .args(["standin", "site", "--listen", "127.0.0.1:0"])
             .args(["--workers", &workers.to_string()])
+            .args(args)
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
@@ -149,6 +154,13 @@
         answer.json::<Value>().await.ok()?["revision"].as_u64()
     }
 
+    /// Sets what is wrong with a worker.
+    async fn trouble(&self, worker: u64, trouble: Value) {
+        let url = format!("http://{}/trouble?{worker}", self.address);
+        let answer = self.client.post(url).json(&trouble).send().await.unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+    }
+
     async fn counted(&self) -> Value {
         let url = format!("http://{}/counted", self.address);
         self.client.get(url).send().await.unwrap().json().await.unwrap()
@@ -301,6 +313,25 @@
     assert_eq!(site.state(&two, "00000000000000ff").await.unwrap(), "410");
 }
 
+/// A worker that starts again under its identifier counts its ends from 1 again.
+#[tokio::test]
+async fn a_task_that_is_done_at_a_worker_that_started_again_under_its_id_does_not_run_again() {
+    let site = Site::start_with("again", 1, &["--keep-ids"]).await;
+    let node = site.node("one").await;
+    for id in ["00000000000000a1", "00000000000000a2"] {
+        assert_eq!(site.hand_in(&node, id, &two_steps()).await, StatusCode::OK);
+        site.until_state(&node, id, "succeeded").await;
+    }
+    assert_eq!(site.counted().await["starts"], json!(10));
+    site.trouble(0, json!({ "crash_ms": 600 })).await;
+    for id in ["00000000000000b1", "00000000000000b2"] {
+        assert_eq!(site.hand_in(&node, id, &two_steps()).await, StatusCode::OK);
+        site.until_state(&node, id, "succeeded").await;
+    }
+    let counted = site.counted().await;
+    assert_eq!((&counted["starts"], &counted["done"]), (&json!(20), &json!(20)), "{counted}");
+}
+
 #[tokio::test]
 async fn a_job_outlives_the_node_that_owns_it() {
     let site = Site::start("kill", 3).await;
