Metrics: workers that have started again under their name are counted

Logs told the end of an incarnation and its successor; how often it happens was not counted. caperhollow_workers_started_again counts each once, by the owner that hears of it.

--- a/src/jobs/gone.rs
+++ b/src/jobs/gone.rs
@@ -95,6 +95,8 @@
     pub(crate) strays: BTreeMap<&'static str, u64>,
     /// Workers that were lost under a task, counted once for each task.
     pub(crate) crashes: u64,
+    /// Workers that have started again under their name.
+    pub(crate) started_again: u64,
     /// Tasks that were given up, since workers crash under them.
     pub(crate) given_up: u64,
     /// Looks and stops that were sent again, since the one before had no answer.
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -72,7 +72,10 @@
         let held = self.roster.holding(old).or(before.inherited.as_ref()).cloned();
         let bound = self.possibly_begun_at_next(before);
         match old.born {
-            Some(_) => self.bury(old, &format!("it has started again, as {new}"), now),
+            Some(_) => {
+                self.counts.started_again += 1;
+                self.bury(old, &format!("it has started again, as {new}"), now);
+            }
             None => self.identify(old, new, now),
         }
         for (task, run) in bound {
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -95,6 +95,7 @@
     strays: Family<Because, Counter>,
     crashes: Counter,
     given_up: Counter,
+    started_again: Counter,
     job_seconds: Family<OfQueue, Histogram, Latencies>,
     owned: Gauge,
     config: Gauge,
@@ -123,6 +124,7 @@
             strays: Family::default(),
             crashes: Counter::default(),
             given_up: Counter::default(),
+            started_again: Counter::default(),
             job_seconds: Family::new_with_constructor(latencies as Latencies),
             owned: Gauge::default(),
             config: Gauge::default(),
@@ -184,6 +186,11 @@
             "Tasks given up because workers crash under them; their jobs are shown as failed",
             self.given_up.clone(),
         );
+        registry.register(
+            "workers_started_again",
+            "Workers that have started again under their name, as their owners heard",
+            self.started_again.clone(),
+        );
         registry.register("owned", "Pieces of work that the node owns", self.owned.clone());
         registry.register("config_version", "The configuration in force", self.config.clone());
         registry.register(
@@ -259,6 +266,7 @@
         }
         self.crashes.inc_by(counts.crashes);
         self.given_up.inc_by(counts.given_up);
+        self.started_again.inc_by(counts.started_again);
         self.orders_again.inc_by(counts.again);
         for (why, count) in &counts.strays {
             self.strays.get_or_create(&Because { why }).inc_by(*count);
