Which incarnations an answer ends is looked up by name and by address, not compared for each worker

Cause: every answer of a worker compared the names and the starts of all workers of its pool. Change: addresses are compared first, and earlier incarnations come from the ordered map. The rig of real processes has workers that keep their identifiers (every second seed of a long run, and one short run); not run yet.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -487,17 +487,17 @@
         let host = report.host.clone();
         let is_over = |worker: &&Worker| {
             let other = &worker.report;
-            let is_earlier = other.id.worker == report.id.worker;
-            other.id != report.id && (is_earlier || worker.heard && other.address == report.address)
+            worker.heard && other.address == report.address && other.id.worker != by.worker
         };
         let others = self.workers.values().filter(is_over);
         let others: Vec<Incarnation> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
-            if id.worker == by.worker {
-                self.succeed(&id, by, now);
-            } else {
-                self.bury(&id, "another life answers in its place", now);
-            }
+            self.bury(&id, "another life answers in its place", now);
+        }
+        let earlier = self.incarnations(&by.worker).map(|one| one.report.id.clone());
+        let earlier: Vec<Incarnation> = earlier.filter(|id| id != by).collect();
+        for id in earlier {
+            self.succeed(&id, by, now);
         }
         self.heard_on(&host, by, now);
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -36,7 +36,7 @@
 
 use check::{Broken, Entry};
 use load::Load;
-use plan::Size;
+use plan::{FAVOURITES, Size};
 use rig::Rig;
 use tokio::time::sleep;
 
@@ -138,9 +138,11 @@
     let first = number("CAPERHOLLOW_SOAK_SEED", 1);
     let millis = number("CAPERHOLLOW_SOAK_SECONDS", 30) * 1_000;
     let often = std::env::var("CAPERHOLLOW_SOAK_OFTEN").ok().and_then(|kind| kind.parse().ok());
-    let size = Size { nodes: 6, workers: 15, pools: 3, millis, often, crashes: true };
+    let size =
+        Size { nodes: 6, workers: 15, pools: 3, millis, often, crashes: true, keep_ids: false };
     let mut failed = Vec::new();
     for seed in first..first + number("CAPERHOLLOW_SOAK_RUNS", 20) {
+        let size = Size { keep_ids: seed % 2 == 1, ..size };
         if !play("long", seed, size).await.is_empty() {
             failed.push(seed);
         }
@@ -154,9 +156,36 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_promise_is_broken_in_a_short_run() {
-    let size = Size { nodes: 4, workers: 8, pools: 2, millis: 5_000, often: None, crashes: false };
+    let size = Size {
+        nodes: 4,
+        workers: 8,
+        pools: 2,
+        millis: 5_000,
+        often: None,
+        crashes: false,
+        keep_ids: false,
+    };
     for seed in SHORT {
         let broken = play("short", seed, size).await;
         assert!(broken.is_empty(), "broken under the seed {seed}: {broken:?}");
     }
 }
+
+/// A seed under which workers of both kinds crash, and take orders late.
+const KEPT: u64 = 7;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_promise_is_broken_though_workers_start_again_under_their_ids() {
+    let often = Some(FAVOURITES - 1);
+    let size = Size {
+        nodes: 4,
+        workers: 8,
+        pools: 2,
+        millis: 6_000,
+        often,
+        crashes: true,
+        keep_ids: true,
+    };
+    let broken = play("kept", KEPT, size).await;
+    assert!(broken.is_empty(), "broken under the seed {KEPT}: {broken:?}");
+}
--- a/tests/soak/cases.rs
+++ b/tests/soak/cases.rs
@@ -34,7 +34,15 @@
 /// another. Here its owner is killed while the second worker is down.
 #[tokio::test]
 async fn a_task_that_crashes_its_workers_is_given_up_though_its_owner_is_killed() {
-    let size = Size { nodes: 2, workers: 6, pools: 1, millis: 0, often: None, crashes: true };
+    let size = Size {
+        nodes: 2,
+        workers: 6,
+        pools: 1,
+        millis: 0,
+        often: None,
+        crashes: true,
+        keep_ids: false,
+    };
     let rig = Rig::start("crashes", 1, size).await;
     let job = "00000000000000c1";
     let step = json!({ "count": 1, "cpu": 1_000, "estimated_ms": 300 });
@@ -88,7 +96,15 @@
 /// `started` of the owner before, after `taken over` of the later one; tokens 53 and 1376.
 #[tokio::test]
 async fn an_owner_without_a_lease_takes_no_run_for_lapsed() {
-    let size = Size { nodes: 2, workers: 2, pools: 1, millis: 0, often: None, crashes: false };
+    let size = Size {
+        nodes: 2,
+        workers: 2,
+        pools: 1,
+        millis: 0,
+        often: None,
+        crashes: false,
+        keep_ids: false,
+    };
     let rig = Rig::start("lapsed", 1, size).await;
     // One task fills a worker: both have heard of the owner.
     let (first, second) = ("00000000000000a1", "00000000000000a2");
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -64,6 +64,8 @@
     pub often: Option<u32>,
     /// Whether some jobs crash the workers that start their tasks.
     pub crashes: bool,
+    /// Whether every other worker starts again under the identifier that it had.
+    pub keep_ids: bool,
 }
 
 /// Draws the injections of a seed.
@@ -88,7 +90,7 @@
 }
 
 /// How many kinds there are of what may come often.
-const FAVOURITES: u32 = 10;
+pub const FAVOURITES: u32 = 10;
 
 fn favourite(rng: &mut Pcg64Mcg, often: u32, size: Size) -> What {
     let whats = match often {
--- a/tests/soak/rig.rs
+++ b/tests/soak/rig.rs
@@ -91,6 +91,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_caperhollow"))
             .args(["standin", "site", "--listen", "127.0.0.1:0"])
             .args(["--workers", &size.workers.to_string(), "--pools", &size.pools.to_string()])
+            .args(size.keep_ids.then_some("--keep-ids"))
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
--- a/tests/soak/tests.rs
+++ b/tests/soak/tests.rs
@@ -94,8 +94,15 @@
 
 #[test]
 fn a_seed_draws_the_same_each_time() {
-    let size =
-        Size { nodes: 6, workers: 15, pools: 3, millis: 30_000, often: None, crashes: false };
+    let size = Size {
+        nodes: 6,
+        workers: 15,
+        pools: 3,
+        millis: 30_000,
+        often: None,
+        crashes: false,
+        keep_ids: false,
+    };
     assert_eq!(plan::draw(7, size), plan::draw(7, size));
     assert_ne!(plan::draw(7, size), plan::draw(8, size));
 }
