Where no start is told, every answer is the worker's own

Cause: the clock in answers to starts and stops was passed over if it was 100 ms ahead of what is reckoned from the last look, also where an identifier is one incarnation. A busy owner reads a look's answer late, and then took all clocks for those of another incarnation; and looks after a silence acknowledged nothing. Change: both count only where a worker tells when it started. The bound on a clock is 1.5 s there, since answers may wait to be read.

--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -71,7 +71,8 @@
             again += u64::from(worker.misses != 0);
             // The next incarnation may answer after a silence: it counts its ends anew, and would
             // forget those up to this number.
-            let acknowledged = if worker.misses == 0 { worker.acknowledged } else { 0 };
+            let is_certain = worker.misses == 0 || !worker.may_start_again();
+            let acknowledged = if is_certain { worker.acknowledged } else { 0 };
             out.push(Effect::Look {
                 to: worker.addressee(token),
                 acknowledged,
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -20,8 +20,9 @@
 /// The slowest a worker's clock may run, in percent: 2 % slow, by the platform's contract.
 pub(crate) const SLOWEST_PERCENT: u64 = 98;
 
-/// How far ahead of what is reckoned the clock in an answer may be, in milliseconds.
-const CLOCK_SLACK_MS: u64 = 100;
+/// How far ahead of what is reckoned the clock in an answer may be, in milliseconds: the answer
+/// before may have waited for so long until it was read.
+const CLOCK_SLACK_MS: u64 = 1_500;
 
 /// How late a worker may act on the end of its time, in milliseconds: timers fire late on a busy
 /// machine. It delays only what ran at workers that are silent.
@@ -329,6 +330,11 @@
         }
     }
 
+    /// Whether its next incarnation may answer in its name.
+    pub(crate) fn may_start_again(&self) -> bool {
+        self.report.id.born.is_some()
+    }
+
     /// Learns the clock from the answer to another order, which came now. That does not tell which
     /// incarnation gave it: a clock that cannot be this one's is passed over.
     pub(crate) fn read_clock_of_order(&mut self, clock_ms: u64, now: Steady) {
@@ -336,7 +342,7 @@
             let passed = now.since(reading.at);
             clock_ms <= reading.clock_ms + passed * 100 / SLOWEST_PERCENT + CLOCK_SLACK_MS
         };
-        if self.reading.is_none_or(fits) {
+        if !self.may_start_again() || self.reading.is_none_or(fits) {
             self.read_clock(clock_ms, now);
         }
     }
