An acknowledgement of ends and a start are never on their way together

What callers saw: a task that was done could run again.

Cause: a look that acknowledges ends up to a number names the worker, and waits there for up to a second, or is carried out late. A start that goes out meanwhile may be carried out by the next incarnation, which numbers its ends anew, and the late look has it forget that end unread. Evidence: the trace of the sequence. A look for w0@1001 with the number 2 is carried out by w0@1004 at 4,100 ms, after a start for w0@1001 was carried out there at 3,320 ms, under the same token.

Ruled out: a look sent in the silence. It was sent before the restart, while the worker answered. Tokens per incarnation do not help: the next one has seen none. A token drawn for each start was weighed: a start would overtake the look before it on another connection, and have it refused.

Fixed: at workers that tell when they started, a look acknowledges only while no start there is without an answer, does not wait, and nothing starts there until it has ended; looks that wait acknowledge nothing. Workers of which no start is told are called as before.

Failed before: no_start_may_be_on_its_way_beside_a_look_that_acknowledges_ends, on, with "left: [(1, 1s)], right: [(1, 0ns)]".

--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -81,6 +81,11 @@
             pace: 100,
         }
     }
+
+    /// Whether its start may be carried out later, or was without an answer.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.began.is_none() && !self.listed && !matches!(self.phase, Phase::Stopped(_))
+    }
 }
 
 /// A task.
--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -1,18 +1,21 @@
 //! Looks at workers: what runs there is compared with what is thought to run there.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use super::{Owner, UNSENT_PAUSE_MS, acknowledge};
 use crate::{
     jobs::{
         event::Effect,
         gone::{Gone, Stray},
-        job::{Copy, Phase},
+        job::{Copy, Job, Phase},
         worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Lost, Worker},
     },
     model::{
         id::Incarnation,
-        job::TaskId,
+        job::{JobId, TaskId},
         unit::{Now, Steady},
         worker::{Look, OrderEnd, Present, Refusal},
     },
@@ -36,6 +39,26 @@
 /// would not wait, since they are still listed. Most often they are kept within 20.
 const UNSAVED_LOOK_MS: u64 = 100;
 
+/// Up to which end a look may tell a worker to forget; nothing if it has to wait with that.
+///
+/// The next incarnation numbers its ends anew, and would forget unread those up to this number. So
+/// they are acknowledged neither after a silence nor beside starts that it may carry out.
+fn acknowledgement(worker: &Worker, jobs: &BTreeMap<JobId, Job>) -> Option<u64> {
+    if !worker.may_start_again() {
+        return Some(worker.acknowledged);
+    }
+    if !worker.owes_acknowledgement() || worker.misses != 0 {
+        return Some(0);
+    }
+    let is_unanswered = |task: &TaskId| {
+        let entry = jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
+        let mut copies = entry.into_iter().flat_map(|entry| &entry.copies);
+        copies.any(|copy| copy.worker == worker.report.id && copy.is_unanswered())
+    };
+    let waits = worker.copies.keys().any(is_unanswered);
+    (!waits).then_some(worker.acknowledged)
+}
+
 impl Owner {
     /// Sends the looks that are due.
     pub(super) fn look(&mut self, now: Steady, out: &mut Vec<Effect>) {
@@ -43,19 +66,24 @@
         let mixed: BTreeSet<Incarnation> = self.mixed_workers();
         let hasty = self.losses.are_many(self.workers.len(), now);
         let mut again = 0;
+        let jobs = &self.jobs;
         for worker in self.workers.values_mut() {
             // A run in doubt does not wait for the look on its way, which may wait for an end.
             let waits = worker.looking.is_some() && !worker.hurried;
             if waits || now < worker.next_look {
                 continue;
             }
-            let unsaved = !worker.unacknowledged.is_empty();
+            let acknowledgement = acknowledgement(worker, jobs);
+            let unsaved = !worker.unacknowledged.is_empty() || acknowledgement.is_none();
             let lately = worker.answered.is_some_and(|at| now.since(at) < UNSAVED_LOOK_MS);
             if unsaved && lately {
                 continue;
             }
-            let waits = worker.touched && !unsaved && worker.misses == 0 && !worker.hurried;
-            let wait = match waits {
+            let acknowledged = acknowledgement.unwrap_or(0);
+            // It is to be answered soon: nothing starts there meanwhile.
+            let exclusive = acknowledged != 0 && worker.may_start_again();
+            let waits = worker.touched && worker.misses == 0 && !worker.hurried;
+            let wait = match waits && !unsaved && !exclusive {
                 true if hasty && !worker.copies.is_empty() => HASTY_LOOK_WAIT_MS,
                 true if mixed.contains(&worker.report.id) => LOOK_WAIT_MS / 2,
                 true => LOOK_WAIT_MS,
@@ -69,10 +97,9 @@
             worker.look_wait = wait;
             worker.hurried = false;
             again += u64::from(worker.misses != 0);
-            // The next incarnation may answer after a silence: it counts its ends anew, and would
-            // forget those up to this number.
-            let is_certain = worker.misses == 0 || !worker.may_start_again();
-            let acknowledged = if is_certain { worker.acknowledged } else { 0 };
+            if exclusive {
+                worker.acknowledge(acknowledged, now);
+            }
             out.push(Effect::Look {
                 to: worker.addressee(token),
                 acknowledged,
@@ -99,6 +126,11 @@
         if worker.looking.is_some_and(|newest| newest <= sent) {
             worker.looking = None;
         }
+        let listed = match &end {
+            OrderEnd::Done(look) => look.ended.iter().map(|end| end.number).min(),
+            _ => None,
+        };
+        worker.note_look_end(sent, matches!(end, OrderEnd::Done(_)), listed);
         if sent < worker.placed {
             // The answer came from an address that was not the worker's.
             return;
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -1,6 +1,8 @@
 //! Tests of workers that start again under their name: each incarnation counts its ends anew, and
 //! may carry out what was ordered of the one before.
 
+use std::time::Duration;
+
 use super::{Bench, TOKEN, done, id, present, report, step, stored, worker_id};
 use crate::{
     jobs::event::{Effect, Event},
@@ -42,6 +44,16 @@
     looks.last().expect("a look is due")
 }
 
+/// What a look acknowledges, if anything, and how long it waits.
+fn acknowledging(effect: &Effect) -> Option<(u64, Duration)> {
+    match effect {
+        Effect::Look { acknowledged, wait, .. } if *acknowledged != 0 => {
+            Some((*acknowledged, *wait))
+        }
+        _ => None,
+    }
+}
+
 /// A look that was sent to one incarnation is answered by another, or the same.
 fn answer(bench: &mut Bench, to: &str, by: &str, present: Vec<Present>, ended: Vec<Ended>) {
     let born = worker_id(by).born;
@@ -110,6 +122,36 @@
     assert_eq!(newest_look(&mut bench).1, 1);
 }
 
+/// A late look would have the next incarnation forget the end of a start that it carried out.
+#[test]
+fn no_start_may_be_on_its_way_beside_a_look_that_acknowledges_ends() {
+    let mut bench = first();
+    let (task, run, at) = ordered(&mut bench, 1);
+    bench.started(task, run, &at);
+    bench.now += 500;
+    answer(&mut bench, FIRST, FIRST, vec![], vec![done(1, task, run)]);
+    bench.save();
+    bench.tell(Event::Job(stored(2, vec![step(2)], 111)));
+    bench.work();
+    let looks: Vec<(u64, Duration)> = bench.effects.iter().filter_map(acknowledging).collect();
+    assert_eq!(looks, [(1, Duration::ZERO)], "it is answered at once");
+    assert_eq!(bench.starts(), vec![], "the look is on its way");
+    answer(&mut bench, FIRST, FIRST, vec![], vec![]);
+    bench.work();
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 2);
+    let (first, second) = (&starts[0], &starts[1]);
+    bench.started(first.0, first.1, &at);
+    bench.now += 500;
+    answer(&mut bench, FIRST, FIRST, vec![], vec![done(2, first.0, first.1)]);
+    bench.save();
+    bench.now += 200;
+    assert_eq!(newest_look(&mut bench).1, 0, "the second start has no answer yet");
+    bench.started(second.0, second.1, &at);
+    answer(&mut bench, FIRST, FIRST, vec![present(second.0, second.1, 10)], vec![]);
+    assert_eq!(newest_look(&mut bench).1, 2);
+}
+
 #[test]
 fn what_ran_at_an_incarnation_that_is_over_starts_again_at_once() {
     let mut bench = first();
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -164,6 +164,10 @@
     pub(crate) counted: u64,
     /// The highest end that may be acknowledged.
     pub(crate) acknowledged: u64,
+    /// The highest end that an answered look has acknowledged.
+    forgotten: u64,
+    /// The look on its way that acknowledges ends: when it was sent, and up to which end.
+    acknowledging: Option<(Steady, u64)>,
     pub(crate) unacknowledged: VecDeque<Unacknowledged>,
     /// Jobs that failed here since a task was last done.
     failed_jobs: BTreeSet<JobId>,
@@ -203,6 +207,8 @@
             begun: BTreeMap::new(),
             counted: 0,
             acknowledged: 0,
+            forgotten: 0,
+            acknowledging: None,
             unacknowledged: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
             trial: None,
@@ -335,6 +341,27 @@
         self.report.id.born.is_some()
     }
 
+    /// Whether it lists ends that may be acknowledged.
+    pub(crate) fn owes_acknowledgement(&self) -> bool {
+        self.forgotten < self.acknowledged
+    }
+
+    /// Takes note that a look is sent that acknowledges ends up to a number.
+    pub(crate) fn acknowledge(&mut self, number: u64, now: Steady) {
+        self.acknowledging = Some((now, number));
+    }
+
+    /// Takes note of how a look of then ended; `listed` is the lowest end in its answer.
+    pub(crate) fn note_look_end(&mut self, sent: Steady, answered: bool, listed: Option<u64>) {
+        let number = self.acknowledging.take_if(|(at, _)| *at == sent);
+        if let Some((_, number)) = number.filter(|_| answered) {
+            self.forgotten = self.forgotten.max(number);
+        }
+        if let Some(listed) = listed {
+            self.forgotten = self.forgotten.min(listed - 1);
+        }
+    }
+
     /// Learns the clock from the answer to another order, which came now. That does not tell which
     /// incarnation gave it: a clock that cannot be this one's is passed over.
     pub(crate) fn read_clock_of_order(&mut self, clock_ms: u64, now: Steady) {
@@ -410,6 +437,7 @@
         self.touched
             && self.rostered
             && self.guard == Guard::Clear
+            && self.acknowledging.is_none()
             && !self.barred
             && !self.has_left_list(now)
             && self.report.leaves_ms.is_none()
