A start without an answer at a silent worker is awaited for as long as it may be late

Cause: the owner took everything at a silent worker for lapsed after 3.8 s, also a start that had no answer. Carried out later, by the next incarnation of the worker, it runs in spite of that: the clock there has begun anew, so that its time lies far ahead, and no token was seen there.

The contract bounds it: orders are carried out 2 to 12 s later (the platform's list of faults). What does not help, each by a line of the contract: tokens of any kind ("has seen no fencing token"), a stop at the new incarnation (it has to be reached first, and is bound to the run from then on already), a time close to the clock of the incarnation before ("never shortens", and the clock begins anew).

Fixed: at workers that tell when they started, a task whose start has no answer is started elsewhere only 12.4 s after it, unless some incarnation answers before. Other runs there lapse as before, and lasting tasks too: their callers miss them all the while, and each of them is to run again soon.

Failed before: a_start_without_an_answer_is_awaited_for_as_long_as_it_may_be_late, on, "4000 ms after the order". Costs callers one late task for each start that was on its way as its worker fell silent for good. Not covered: orders of an earlier owner.

--- a/src/jobs/owner/looks.rs
+++ b/src/jobs/owner/looks.rs
@@ -11,7 +11,7 @@
         event::Effect,
         gone::{Gone, Stray},
         job::{Copy, Job, Phase},
-        worker::{HASTY_LOOK_WAIT_MS, LOOK_WAIT_MS, Lost, Worker},
+        worker::{HASTY_LOOK_WAIT_MS, LATE_MS, LATE_ORDER_MS, LOOK_WAIT_MS, Lost, Worker},
     },
     model::{
         id::Incarnation,
@@ -393,6 +393,24 @@
         self.jobs.get_mut(&task.of.job)?.task_mut(task.of, task.index)
     }
 
+    /// Tasks of which a start without an answer may yet be carried out by the next incarnation of a
+    /// silent worker. Lasting tasks are not held back: callers miss them meanwhile.
+    fn awaited_starts(&self, id: &Incarnation, confirmed: Steady) -> BTreeSet<TaskId> {
+        let Some(worker) = self.workers.get(id).filter(|worker| worker.may_start_again()) else {
+            return BTreeSet::new();
+        };
+        let is_awaited = |task: &&TaskId| {
+            let Some(job) = self.jobs.get(&task.of.job) else {
+                return false;
+            };
+            let copies = job.task(task.of, task.index).into_iter().flat_map(|entry| &entry.copies);
+            let mut here = copies.filter(|copy| copy.worker == *id);
+            let late = |copy: &Copy| confirmed < copy.since.after(LATE_ORDER_MS + LATE_MS);
+            !job.step(task.of.step).lasting && here.any(|copy| copy.is_unanswered() && late(copy))
+        };
+        worker.copies.keys().filter(is_awaited).copied().collect()
+    }
+
     /// Forgets runs at workers that are silent for so long that everything there has lapsed, and
     /// workers that are gone. Counted is what had lapsed when the store last confirmed the owner: a
     /// later one may give a worker more time that is silent here.
@@ -402,9 +420,19 @@
         let lapsed: Vec<Incarnation> =
             self.workers.values().filter(lapsed).map(|w| w.report.id.clone()).collect();
         for id in lapsed {
+            let awaited = self.awaited_starts(&id, confirmed);
+            let worker = &self.workers[&id];
+            if !awaited.is_empty() && awaited.len() == worker.copies.len() {
+                continue;
+            }
             for Lost { task, .. } in self.lose(&id, now) {
-                log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
-                self.drop_copy(task, &id, Gone::Lapsed, now);
+                if !awaited.contains(&task) {
+                    log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
+                    self.drop_copy(task, &id, Gone::Lapsed, now);
+                }
+            }
+            if !awaited.is_empty() {
+                continue;
             }
             let worker = &self.workers[&id];
             let untouched = !worker.touched && confirmed < self.quiet_until;
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -5,10 +5,13 @@
 
 use super::{Bench, TOKEN, done, id, present, report, step, stored, worker_id};
 use crate::{
-    jobs::event::{Effect, Event},
+    jobs::{
+        event::{Effect, Event},
+        worker::LATE_ORDER_MS,
+    },
     model::{
         id::{Born, Incarnation},
-        job::{JobState, TaskId},
+        job::{JobState, Step, TaskId},
         order::Addressee,
         unit::Steady,
         worker::{Ended, Look, OrderEnd, Present, Refusal},
@@ -152,6 +155,47 @@
     assert_eq!(newest_look(&mut bench).1, 2);
 }
 
+/// The next incarnation would carry it out after the task has begun elsewhere.
+#[test]
+fn a_start_without_an_answer_is_awaited_for_as_long_as_it_may_be_late() {
+    let mut bench = first();
+    let (task, run, at) = ordered(&mut bench, 1);
+    bench.tell(Event::Worker(report("w2@1000", "h2")));
+    bench.touch("w2@1000", vec![]);
+    let sent = bench.now;
+    bench.tell(Event::Started { worker: at, task, run, end: OrderEnd::Unknown });
+    while bench.now < sent + LATE_ORDER_MS {
+        bench.now += 100;
+        bench.miss(FIRST);
+        answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
+        bench.work();
+        assert_eq!(bench.starts(), vec![], "{} ms after the order", bench.now - sent);
+    }
+    bench.now += 1_000;
+    answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
+    bench.work();
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// Its callers miss it all the while.
+#[test]
+fn a_lasting_task_is_not_held_back_for_a_late_start() {
+    let mut bench = first();
+    bench.tell(Event::Job(stored(1, vec![Step { lasting: true, ..step(1) }], 110)));
+    bench.work();
+    let (task, run, at) = bench.starts().pop().expect("a worker takes work");
+    bench.tell(Event::Worker(report("w2@1000", "h2")));
+    bench.touch("w2@1000", vec![]);
+    bench.tell(Event::Started { worker: at, task, run, end: OrderEnd::Unknown });
+    for _ in 0..50 {
+        bench.now += 100;
+        bench.miss(FIRST);
+        answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
+        bench.work();
+    }
+    assert_eq!(bench.starts().len(), 1);
+}
+
 #[test]
 fn what_ran_at_an_incarnation_that_is_over_starts_again_at_once() {
     let mut bench = first();
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -49,6 +49,10 @@
 /// twice as long as the entry of one that is over stays.
 const LONG_SILENT_MS: u64 = 10_000;
 
+/// How long an order without an answer may take until it is carried out, in milliseconds, by the
+/// platform's contract.
+pub(crate) const LATE_ORDER_MS: u64 = 12_000;
+
 /// How much later than its wait a look may be before the worker gets no new work, in milliseconds.
 const OVERDUE_MS: u64 = 250;
 
