A host leaves only by what is certain of its tasks, and no task is bound for it

What operators saw: a wave took a service over its budget (fuzz-waves). waves_with_successors_keep_budgets: "host w0046 left: service prices has 2 out and 2 in its worst rack"; waves_without_successors_keep_budgets: "host w0006 left: service quotes has 3 out and 1".

A leave is written under the condition of the host's record, and rests on placements. A repair let a successor take its task's place on the host that was closing; the answer of that write was lost, so that the node which had the host leave saw no task there, asked no budget and took no permit. 2. A leave did not ask for the permits of its plan. Where the store had refused one, only a list of refused hosts that the driver keeps stood between.

Ruled out: that permits of another node are not counted (permits are written under the condition of the placement that holds all of them).

Fixed: a closing host to which a successor is bound waits, and is told to (Wait::Coming); a repair starts such a successor elsewhere, and lets none take over there; the effect of a leave is nothing without a permit of each service on the host. And the store refuses the write: leaves, reboots, moves to another pool and quarantines are conditional on the placements of the pool's services as they were seen, repairs, successors and moves on the records of the hosts that they name. Transactions with several conditions are part of the store's published protocol; the stand-in serves them.

--- a/src/decide/repair.rs
+++ b/src/decide/repair.rs
@@ -34,6 +34,18 @@
 }
 
 impl Repair {
+    /// The hosts at which tasks are to run by it, which must take tasks still.
+    pub(crate) fn targets<'a>(
+        &'a self,
+        fleet: &'a Fleet,
+        id: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a HostId> {
+        let successors = fleet.placements.get(id).map(|placement| &placement.successors);
+        let swapped = self.swaps.iter().filter_map(move |index| successors?.get(index));
+        let placed = self.moves.values().chain(self.successors.values());
+        placed.chain(swapped.map(|successor| &successor.to.host))
+    }
+
     /// Whether nothing is to be written.
     pub(crate) fn is_empty(&self) -> bool {
         self.moves.is_empty() && self.swaps.is_empty() && self.successors.is_empty()
@@ -51,11 +63,17 @@
         let successor = fleet.successor(&task).map(|successor| &successor.to);
         match successor {
             // A successor that is no worse takes the place of what is broken at once.
-            Some(to) if is_ready(fleet, &task, to, now, rules) => repair.swaps.push(index),
+            Some(to)
+                if is_ready(fleet, &task, to, now, rules) && (broken || !leaves(fleet, to)) =>
+            {
+                repair.swaps.push(index);
+            }
             Some(to) if broken && !is_lost(fleet, &task, to, now, rules) => {
                 repair.swaps.push(index);
             }
-            Some(to) if !broken && !is_lost(fleet, &task, to, now, rules) => {}
+            // One that is to start on a host that leaves would have to move on with it.
+            Some(to) if !broken && !is_lost(fleet, &task, to, now, rules) && !leaves(fleet, to) => {
+            }
             None if !broken => {}
             _ => {
                 let placer = placer.get_or_insert_with(|| Placer::new(fleet, now, rules));
@@ -74,6 +92,11 @@
     repair
 }
 
+/// Whether a start of a task is on a host that a plan is about to take away.
+fn leaves(fleet: &Fleet, at: &Assigned) -> bool {
+    fleet.hosts.get(&at.host).is_some_and(|host| host.state == HostState::Closing)
+}
+
 /// Whether a start of a task answers, where it may.
 fn is_ready(fleet: &Fleet, task: &TaskRef, at: &Assigned, now: Time, rules: &Rules) -> bool {
     let serves = fleet.hosts.get(&at.host).is_some_and(|host| host.state.serves());
--- a/src/decide/tests.rs
+++ b/src/decide/tests.rs
@@ -16,10 +16,10 @@
     measure::shape::{self, BEGIN},
     model::{
         fleet::Fleet,
-        host::HostOutcome,
+        host::{HostOutcome, TaskReport},
         id::{HostId, OpId, PlanId},
         plan::{Action, Intent, Plan, PlanState},
-        record::Record,
+        record::{Assigned, Key, Placement, Record, Successor},
         unit::{Revision, Time},
     },
     preset,
@@ -195,6 +195,71 @@
     assert!(!next_steps(&fleet, &plan, &rules, BEGIN).contains(&leave));
 }
 
+/// A fleet as in `closing`, and a task on another host whose successor is ready on the closing one.
+fn bound_for_closing() -> (Fleet, Rules, Plan, HostId, u32) {
+    let (mut fleet, rules, plan, host) = closing();
+    let service = "quotes".parse().unwrap();
+    let mut placement: Placement = fleet.placements[&service].clone();
+    let here = |task: &Option<Assigned>| task.as_ref().is_some_and(|task| task.host == host);
+    let index = placement.tasks.iter().position(|task| !here(task)).unwrap() as u32;
+    let to = Assigned { host: host.clone(), generation: 7, since: BEGIN };
+    placement.successors.insert(index, Successor { to, plan: None });
+    fleet.put(Record::Placement(service.clone(), placement), Revision(4));
+    fleet.reports.get_mut(&host).unwrap().tasks.push(TaskReport {
+        service,
+        index,
+        generation: 7,
+        ready: true,
+        address: String::new(),
+        in_flight: 0,
+    });
+    (fleet, rules, plan, host, index)
+}
+
+#[test]
+fn a_successor_does_not_take_over_on_a_host_that_closes() {
+    let (fleet, rules, _, host, index) = bound_for_closing();
+    let repair = repair::repair(&fleet, &"quotes".parse().unwrap(), BEGIN, &rules);
+    assert!(!repair.swaps.contains(&index));
+    assert!(repair.successors.get(&index).is_some_and(|other| *other != host));
+}
+
+#[test]
+fn a_host_to_which_a_successor_is_bound_does_not_leave() {
+    let (fleet, rules, plan, host, _) = bound_for_closing();
+    let steps = next_steps(&fleet, &plan, &rules, BEGIN);
+    assert!(!steps.contains(&Step::Leave { host }), "{steps:?}");
+}
+
+#[test]
+fn a_host_leaves_only_with_the_permits_of_its_plan() {
+    let (mut fleet, _, plan, host) = closing();
+    let leave = Step::Leave { host: host.clone() };
+    let op: OpId = "op".parse().unwrap();
+    for service in budget::services_on(&fleet, &host) {
+        assert_eq!(wave::effect(&fleet, &plan.id, &leave, &op, BEGIN), None, "{service}");
+        let step = Step::Permit { host: host.clone(), service };
+        fleet.put(wave::effect(&fleet, &plan.id, &step, &op, BEGIN).unwrap(), Revision(4));
+    }
+    assert!(wave::effect(&fleet, &plan.id, &leave, &op, BEGIN).is_some());
+    let other = "p-9".parse().unwrap();
+    assert_eq!(wave::effect(&fleet, &other, &leave, &op, BEGIN), None);
+}
+
+/// What a host holds stands in other records than its own.
+#[test]
+fn what_a_host_holds_is_a_condition_of_its_leaving() {
+    let (fleet, _, _, host) = closing();
+    let pool = &fleet.hosts[&host].pool;
+    let services = fleet.config.services.iter().filter(|(_, service)| service.pool == *pool);
+    let placements: Vec<Key> = services.map(|(id, _)| Key::Placement(id.clone())).collect();
+    assert!(1 < placements.len());
+    let away = Step::Away { host: host.clone() };
+    for step in [Step::Leave { host: host.clone() }, away] {
+        assert_eq!(wave::rests_on(&fleet, &step), placements, "{step:?}");
+    }
+}
+
 /// Found by CI beside load: a confirmation whose answer was lost was sent again, met its own write,
 /// and was told as a conflict.
 #[test]
--- a/src/decide/tests/fuzz.rs
+++ b/src/decide/tests/fuzz.rs
@@ -25,7 +25,7 @@
         unit::{Revision, Time},
     },
     preset,
-    tests::fuzz,
+    tests::{fuzz, replay},
 };
 
 const NODES: usize = 2;
@@ -635,3 +635,15 @@
 fn waves_with_successors_keep_budgets() {
     fuzz(100, 100, |ops| lively(ops, true));
 }
+
+/// A successor took its task's place on a closing host, unknown to the node that had the host leave.
+#[test]
+fn a_host_to_which_a_task_is_bound_does_not_leave_without_its_budget() {
+    replay(7004313, 100, |ops| lively(ops, true));
+}
+
+/// The store had refused the permit.
+#[test]
+fn a_host_does_not_leave_without_its_permits() {
+    replay(7005259, 100, |ops| lively(ops, false));
+}
--- a/src/decide/wave.rs
+++ b/src/decide/wave.rs
@@ -34,7 +34,8 @@
 };
 
 pub(crate) use step::{
-    Step, change_host, change_placement, effect, host_of, is_timely, key_of, repaired,
+    Step, change_host, change_placement, effect, host_of, hosts_of, is_timely, key_of, repaired,
+    rests_on,
 };
 
 /// Why a host makes no progress now.
@@ -54,6 +55,8 @@
     Budget(#[from] OverBudget),
     #[error(transparent)]
     Room(#[from] NoHost),
+    #[error("successors of other tasks are to start on it")]
+    Coming,
     #[error("its tasks would have to move twice")]
     Twice,
     #[error("too little room would be left to take in the worst rack of the pool")]
@@ -228,6 +231,11 @@
         if surging {
             return;
         }
+        if !fleet.coming_to(host).is_empty() {
+            self.steps.extend(give_back(fleet, self.plan, host));
+            self.waiting.insert(host.clone(), Wait::Coming);
+            return;
+        }
         match self.scene().admit_budget(host) {
             Ok(()) => {
                 let held = permits_of(fleet, self.plan, host);
--- a/src/decide/wave/step.rs
+++ b/src/decide/wave/step.rs
@@ -1,11 +1,14 @@
 //! Steps of a wave: what each writes, from the record that stands.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     decide::repair::{Moves, Repair},
     model::{
-        fleet::Fleet,
+        fleet::{Fleet, TaskRef},
         host::{HostOutcome, HostRecord, HostState},
         id::{HostId, OpId, PlanId, PoolId, ServiceId},
         record::{Assigned, Key, Permit, Placement, Record, Successor},
@@ -73,6 +76,46 @@
     }
 }
 
+/// The records that a step rests on besides the one that it writes. What its host holds stands in the
+/// placements of the pool's services, and whether a host takes tasks in its own record.
+pub(crate) fn rests_on(fleet: &Fleet, step: &Step) -> Vec<Key> {
+    match step {
+        Step::Leave { host }
+        | Step::Away { host }
+        | Step::Join { host, .. }
+        | Step::Quarantine { host, .. } => placements_at(fleet, host),
+        Step::Prepare { moves, .. } | Step::Move { moves, .. } => hosts_of(moves.values()),
+        Step::Close { .. } | Step::Permit { .. } | Step::GiveBack { .. } | Step::Return { .. } => {
+            Vec::new()
+        }
+    }
+}
+
+/// The placements of all services that may have tasks on a host.
+fn placements_at(fleet: &Fleet, host: &HostId) -> Vec<Key> {
+    let pool = fleet.hosts.get(host).map(|record| &record.pool);
+    let of_pool = fleet.config.services.iter().filter(|(_, s)| Some(&s.pool) == pool);
+    let there = fleet.tasks_on(host).iter().chain(fleet.coming_to(host));
+    let services = of_pool.map(|(id, _)| id).chain(there.map(|task| &task.service));
+    let services: BTreeSet<&ServiceId> = services.collect();
+    services.into_iter().map(|id| Key::Placement(id.clone())).collect()
+}
+
+/// The records of some hosts.
+pub(crate) fn hosts_of<'a>(hosts: impl Iterator<Item = &'a HostId>) -> Vec<Key> {
+    let hosts: BTreeSet<&HostId> = hosts.collect();
+    hosts.into_iter().map(|host| Key::Host(host.clone())).collect()
+}
+
+/// Whether the plan holds a permit of each service with tasks on a host, and no task is to come there.
+fn may_leave(fleet: &Fleet, plan: &PlanId, host: &HostId) -> bool {
+    let is_permitted = |task: &TaskRef| {
+        let permits = fleet.placements.get(&task.service).map(|placement| &placement.permits);
+        permits.and_then(|p| p.get(host)).is_some_and(|permit| permit.plan == *plan)
+    };
+    fleet.coming_to(host).is_empty() && fleet.tasks_on(host).iter().all(is_permitted)
+}
+
 /// The record that a step writes, from the one that stands now. Nothing if the step does not apply
 /// any more.
 pub(crate) fn effect(
@@ -103,6 +146,7 @@
             relocate(placement, moves, Some(host), now);
             placement.permits.remove(host);
         }),
+        Step::Leave { host } if !may_leave(fleet, plan, host) => None,
         Step::Leave { host } => change_host(fleet, host, op, now, |record| {
             record.state = HostState::Leaving;
         }),
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -192,7 +192,7 @@
             let value: Bytes = serde_json::to_vec(&next)
                 .expect("buckets hold no value that JSON cannot write")
                 .into();
-            match self.store.swap_surely(&self.key, revision, value, None).await? {
+            match self.store.swap_surely(&self.key, revision, Vec::new(), value).await? {
                 Swap::Done(_) => return Ok(granted),
                 Swap::Conflict(entry) => self.known = Some(read_bucket(entry)),
             }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -112,17 +112,20 @@
 }
 
 async fn repair_placements(node: &Node, now: Time) -> Result<(), StoreError> {
-    let due: Vec<(ServiceId, Repair, Revision)> = {
+    let due: Vec<(ServiceId, Repair, Revision, Vec<(Key, Revision)>)> = {
         let view = node.view();
         let owned = |id: &&ServiceId| node.owns(&view, &format!("service/{id}"));
         let services = view.fleet.config.services.keys().filter(owned);
         let repairs = services.map(|id| {
             let repair = repair::repair(&view.fleet, id, now, &node.settings.rules);
-            (id.clone(), repair, view.fleet.revision(&Key::Placement(id.clone())))
+            let targets = wave::hosts_of(repair.targets(&view.fleet, id));
+            let at = |key: Key| (key.clone(), view.fleet.revision(&key));
+            let targets = targets.into_iter().map(at).collect();
+            (id.clone(), repair, view.fleet.revision(&Key::Placement(id.clone())), targets)
         });
         repairs.collect()
     };
-    for (id, repair, expect) in due {
+    for (id, repair, expect, targets) in due {
         for reason in &repair.refused {
             log::debug!("service {id}: {reason}");
         }
@@ -140,7 +143,7 @@
             record.filter(|_| same)
         };
         let Some(record) = record else { continue };
-        if let Written::Yes(_) = write::write(node, record, expect).await? {
+        if let Written::Yes(_) = write::write_guarded(node, record, expect, &targets).await? {
             log::info!(
                 "service {id}: {} tasks placed, {} taken over, {} successors started",
                 repair.moves.len(),
--- a/src/node/drive.rs
+++ b/src/node/drive.rs
@@ -52,7 +52,9 @@
     let plans = view.fleet.plans.values().filter(moving).filter(owned);
     let due = plans.map(|plan| {
         let steps = next_steps(node, &view, plan, now);
-        let keys = steps.iter().map(wave::key_of);
+        let written = steps.iter().map(wave::key_of);
+        let read = steps.iter().flat_map(|step| wave::rests_on(&view.fleet, step));
+        let keys = written.chain(read);
         let expected = keys.map(|key| (key.clone(), view.fleet.revision(&key))).collect();
         Due { plan: plan.clone(), steps, expected }
     });
@@ -89,16 +91,21 @@
         let key = wave::key_of(&step);
         // A record that is not there is expected at revision 0: it is created.
         let expect = expected.get(&key).copied().unwrap_or_default();
-        let record = {
+        let (record, rests_on) = {
             let view = node.view();
             let same = view.fleet.revision(&key) == expect;
-            wave::effect(&view.fleet, &plan.id, &step, &OpId::fresh(), now).filter(|_| same)
+            let rests_on: Vec<(Key, Revision)> = wave::rests_on(&view.fleet, &step)
+                .into_iter()
+                .map(|key| (key.clone(), expected.get(&key).copied().unwrap_or_default()))
+                .collect();
+            let record = wave::effect(&view.fleet, &plan.id, &step, &OpId::fresh(), now);
+            (record.filter(|_| same), rests_on)
         };
         let Some(record) = record else {
             refused.insert(host);
             continue;
         };
-        match write::write(node, record, expect).await? {
+        match write::write_guarded(node, record, expect, &rests_on).await? {
             Written::Yes(revision) => {
                 expected.insert(key, revision);
                 log::info!("plan {}: host {host}: {}", plan.id, describe(&step));
--- a/src/node/write.rs
+++ b/src/node/write.rs
@@ -3,9 +3,12 @@
 use bytes::Bytes;
 
 use crate::{
-    model::{record::Record, unit::Revision},
+    model::{
+        record::{Key, Record},
+        unit::Revision,
+    },
     node::Node,
-    platform::store::{Entry, StoreError, Swap},
+    platform::store::{Entry, Guard, StoreError, Swap},
 };
 
 /// How a write ended.
@@ -22,10 +25,22 @@
     node: &Node,
     record: Record,
     expect: Revision,
+) -> Result<Written, StoreError> {
+    write_guarded(node, record, expect, &[]).await
+}
+
+/// As [`write`], if the records that it rests on are in the store as they were then, too.
+pub(crate) async fn write_guarded(
+    node: &Node,
+    record: Record,
+    expect: Revision,
+    rests_on: &[(Key, Revision)],
 ) -> Result<Written, StoreError> {
     let key = record.key().path();
     let value = Bytes::from(record.to_json());
-    let swapped = node.store.swap_surely(&key, expect, value.clone(), None).await?;
+    let guards = rests_on.iter().filter(|(guard, _)| *guard != record.key());
+    let guards = guards.map(|(key, revision)| Guard { key: key.path(), revision: *revision });
+    let swapped = node.store.swap_surely(&key, expect, guards.collect(), value.clone()).await?;
     Ok(take_in(node, &key, Some(value), swapped))
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,4 +1,4 @@
-//! The platform's key-value store: single-key compare-and-swap, leases and watches, spoken to in
+//! The platform's key-value store: compare-and-swap of one key, leases and watches, spoken to in
 //! the published JSON mapping of etcd v3.
 //!
 //! A write whose answer was lost is *unknown*, not failed: [`Store::swap`] says so, and whoever
@@ -17,6 +17,13 @@
 /// A lease of the store.
 pub(crate) type LeaseId = i64;
 
+/// Another key that a write rests on: it is refused unless that stands at its revision, too.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Guard {
+    pub(crate) key: String,
+    pub(crate) revision: Revision,
+}
+
 /// One call of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Call {
@@ -27,7 +34,13 @@
     /// Reads the newest revision below a prefix.
     Newest { prefix: String },
     /// Writes a key if its revision is the expected one; zero: if there is none.
-    Swap { key: String, expect: Revision, value: Option<Bytes>, lease: Option<LeaseId> },
+    Swap {
+        key: String,
+        expect: Revision,
+        guards: Vec<Guard>,
+        value: Option<Bytes>,
+        lease: Option<LeaseId>,
+    },
     /// Takes a lease.
     Grant { ttl: Duration },
     /// Renews a lease.
@@ -258,7 +271,18 @@
         value: Option<Bytes>,
         lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError> {
-        let call = Call::Swap { key: key.to_owned(), expect, value, lease };
+        self.swap_guarded(key, expect, Vec::new(), value, lease).await
+    }
+
+    async fn swap_guarded(
+        &self,
+        key: &str,
+        expect: Revision,
+        guards: Vec<Guard>,
+        value: Option<Bytes>,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        let call = Call::Swap { key: key.to_owned(), expect, guards, value, lease };
         match (self.call)(call).await? {
             Reply::Swapped(revision) => Ok(Swap::Done(revision)),
             Reply::Conflict(entry) => Ok(Swap::Conflict(entry)),
@@ -266,17 +290,17 @@
         }
     }
 
-    /// Like [`Store::swap`], but an unanswered write is read back once: if the value that stands
+    /// Like [`Store::swap`], under the condition of other keys' revisions besides; an unanswered write is read back once: if the value that stands
     /// there is the one that was to be written, which carries its own operation's identifier, the
     /// write took effect.
     pub(crate) async fn swap_surely(
         &self,
         key: &str,
         expect: Revision,
+        guards: Vec<Guard>,
         value: Bytes,
-        lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError> {
-        match self.swap(key, expect, Some(value.clone()), lease).await {
+        match self.swap_guarded(key, expect, guards, Some(value.clone()), None).await {
             Err(error) if error.is_unknown() => match self.get(key).await? {
                 Some(entry) if entry.value.as_ref() == Some(&value) => {
                     Ok(Swap::Done(entry.revision))
--- a/src/platform/store/etcd.rs
+++ b/src/platform/store/etcd.rs
@@ -10,7 +10,8 @@
 use crate::{
     model::unit::Revision,
     platform::store::{
-        Call, Entry, Events, LeaseId, Note, Reply, StoreError, WatchStream, chain, prefix_end,
+        Call, Entry, Events, Guard, LeaseId, Note, Reply, StoreError, WatchStream, chain,
+        prefix_end,
     },
 };
 
@@ -96,6 +97,18 @@
     pub(crate) mod_revision: Int,
 }
 
+impl Compare {
+    /// Whether a key stands at a revision; zero: whether there is none.
+    fn of(key: &str, revision: Revision) -> Compare {
+        Compare {
+            key: encode(key.as_bytes()),
+            target: "MOD".to_owned(),
+            result: "EQUAL".to_owned(),
+            mod_revision: Int(revision.0 as i64),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct PutRequest {
@@ -243,7 +256,9 @@
             };
             link.range(request).await
         }
-        Call::Swap { key, expect, value, lease } => link.swap(key, expect, value, lease).await,
+        Call::Swap { key, expect, guards, value, lease } => {
+            link.swap(key, expect, guards, value, lease).await
+        }
         Call::Grant { ttl } => {
             let ttl = Int(ttl.as_secs().max(1) as i64);
             let request = LeaseRequest { ttl, ..Default::default() };
@@ -284,15 +299,18 @@
         &self,
         key: String,
         expect: Revision,
+        guards: Vec<Guard>,
         value: Option<Bytes>,
         lease: Option<LeaseId>,
     ) -> Result<Reply, StoreError> {
+        let guards = guards.iter().map(|guard| Compare::of(&guard.key, guard.revision));
+        let compare = std::iter::once(Compare::of(&key, expect)).chain(guards).collect();
         let key = encode(key.as_bytes());
         let at_key = RangeRequest { key: key.clone(), ..Default::default() };
         let write = match value {
             Some(value) => Operation {
                 request_put: Some(PutRequest {
-                    key: key.clone(),
+                    key,
                     value: encode(&value),
                     lease: Int(lease.unwrap_or(0)),
                 }),
@@ -301,12 +319,7 @@
             None => Operation { request_delete_range: Some(at_key.clone()), ..Default::default() },
         };
         let request = TxnRequest {
-            compare: vec![Compare {
-                key,
-                target: "MOD".to_owned(),
-                result: "EQUAL".to_owned(),
-                mod_revision: Int(expect.0 as i64),
-            }],
+            compare,
             success: vec![write],
             failure: vec![Operation { request_range: Some(at_key), ..Default::default() }],
         };
--- a/src/standin/kv.rs
+++ b/src/standin/kv.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     model::unit::{Revision, Time},
-    platform::store::{Call, Entry, LeaseId, Reply},
+    platform::store::{Call, Entry, Guard, LeaseId, Reply},
 };
 
 /// Events that are kept for watches; older ones are compacted away.
@@ -50,7 +50,9 @@
                 let newest = self.below(&prefix).into_iter().max_by_key(|entry| entry.revision);
                 self.reply(newest.into_iter().collect())
             }
-            Call::Swap { key, expect, value, lease } => self.swap(key, expect, value, lease),
+            Call::Swap { key, expect, guards, value, lease } => {
+                self.swap(key, expect, &guards, value, lease)
+            }
             Call::Grant { ttl } => {
                 self.last_lease += 1;
                 self.leases.insert(self.last_lease, Lease { ttl, ends: now + ttl });
@@ -115,12 +117,15 @@
         &mut self,
         key: String,
         expect: Revision,
+        guards: &[Guard],
         value: Option<Bytes>,
         lease: Option<LeaseId>,
     ) -> Reply {
-        let now = self.entries.get(&key).map(|s| s.revision).unwrap_or_default();
+        let stands = |key: &str| self.entries.get(key).map(|s| s.revision).unwrap_or_default();
+        let holds = guards.iter().all(|guard| stands(&guard.key) == guard.revision);
+        let now = stands(&key);
         let lapsed = lease.is_some_and(|lease| !self.leases.contains_key(&lease));
-        if now != expect || lapsed {
+        if now != expect || !holds || lapsed {
             return Reply::Conflict(self.entry(&key));
         }
         self.write(key, value, lease);
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -23,7 +23,7 @@
     platform::{
         hosts::HostList,
         store::{
-            Call, Entry, Reply,
+            Call, Entry, Guard, Reply,
             etcd::{
                 self, Header, Int, KeyValue, LeaseRequest, LeaseResponse, OperationResponse,
                 RangeRequest, RangeResponse, Streamed, TxnRequest, TxnResponse, WatchEvent,
@@ -358,16 +358,21 @@
     }
 
     async fn txn(&self, request: &TxnRequest) -> Response {
-        let (Some(compare), Some(write)) = (request.compare.first(), request.success.first())
-        else {
-            return http::text(StatusCode::BAD_REQUEST, "one compare and one write are served");
+        let Some(write) = request.success.first() else {
+            return http::text(StatusCode::BAD_REQUEST, "one write is served");
         };
-        let key = text_of(&compare.key);
-        let expect = Revision(u64::try_from(compare.mod_revision.0).unwrap_or(0));
+        let mut compared = request.compare.iter().map(|compare| Guard {
+            key: text_of(&compare.key),
+            revision: Revision(u64::try_from(compare.mod_revision.0).unwrap_or(0)),
+        });
+        let Some(Guard { key, revision: expect }) = compared.next() else {
+            return http::text(StatusCode::BAD_REQUEST, "a compare is needed");
+        };
+        let guards = compared.collect();
         let put = write.request_put.as_ref();
         let value = put.map(|put| Bytes::from(etcd::decode(&put.value).unwrap_or_default()));
         let lease = put.map(|put| put.lease.0).filter(|lease| *lease != 0);
-        let reply = self.call(Call::Swap { key, expect, value, lease });
+        let reply = self.call(Call::Swap { key, expect, guards, value, lease });
         let lost = {
             let faults = &mut self.lock().faults;
             let lost = faults.lose_answers != 0;
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -40,6 +40,11 @@
     }
 }
 
+/// Runs the sequence of operations that one seed draws.
+pub(crate) fn replay<T: TypeGenerator>(seed: u64, len: usize, test: impl Fn(&[T])) {
+    test(&draw(seed, len));
+}
+
 fn draw<T: TypeGenerator>(seed: u64, len: usize) -> Vec<T> {
     let mut bytes = vec![0; len * BYTES];
     Pcg64::seed_from_u64(seed).fill_bytes(&mut bytes);
