A cancel meets what was decided at another node

Cause: the node had not heard of the confirmation. It decided by the proposal, its write met the newer record, and that was told as a race with another operator. A plan that runs can be cancelled, so that the refusal told nothing that the operator could not have been given. A node that had not heard of the plan at all said that there is none.

Evidence: tests with two nodes that hear of nothing by themselves, so that one lags for certain.

Fixed: a cancel that meets a newer record is decided again by that; the record is in the view then, so that each round meets a later state. A plan that is not known is read. Refused as before: one that is done, or cancelled by another.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -62,8 +62,8 @@
     }
 }
 
-/// Starts a node on its sockets.
-pub(crate) fn start(settings: NodeSettings, sockets: Sockets) -> Running {
+/// A node that does nothing yet, and knows nothing.
+pub(crate) fn idle(settings: NodeSettings) -> Arc<Node> {
     let metrics = Metrics::new();
     let traffic = Arc::new(Traffic::default());
     let noted = traffic.clone();
@@ -81,7 +81,7 @@
         Box::pin(async move { pace.turn(priority).await })
     });
     let once = Once::start(&store, &settings.node, &settings.claims);
-    let node = Arc::new(Node {
+    Arc::new(Node {
         started: Time::now(),
         store,
         pace,
@@ -96,7 +96,12 @@
         traffic,
         leaving: CancellationToken::new(),
         settings,
-    });
+    })
+}
+
+/// Starts a node on its sockets.
+pub(crate) fn start(settings: NodeSettings, sockets: Sockets) -> Running {
+    let node = idle(settings);
     tokio::spawn(sync::watch(node.clone()));
     tokio::spawn(sync::verify(node.clone()));
     tokio::spawn(hosts::follow(node.clone()));
--- a/src/node/write.rs
+++ b/src/node/write.rs
@@ -44,6 +44,15 @@
     Ok(take_in(node, &key, Some(value), swapped))
 }
 
+/// Takes in what stands under a key now.
+pub(crate) async fn refresh(node: &Node, key: &Key) -> Result<(), StoreError> {
+    let entry = node.store.get(&key.path()).await?;
+    if entry.is_some_and(|entry| node.view().apply(entry)) {
+        node.note_change();
+    }
+    Ok(())
+}
+
 /// Deletes a record if the store holds it at `expect`.
 pub(crate) async fn delete(
     node: &Node,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -6,3 +6,6 @@
 pub(crate) mod message;
 pub(crate) mod show;
 pub(crate) mod status;
+
+#[cfg(test)]
+mod tests;
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -265,6 +265,7 @@
     let Some(digest) = asked.digest else {
         return Err(Refused::new(StatusCode::BAD_REQUEST, "a confirmation names the digest"));
     };
+    hear_of(node, &id).await?;
     let rules = &node.settings.rules;
     let (decided, expect) = {
         let view = node.view();
@@ -303,12 +304,31 @@
 async fn cancel(node: &Node, id: &str, request: &mut Request, now: Time) -> Result<Plan, Refused> {
     let id = plan_id(id)?;
     let asked: Decision = read(request).await?;
-    let (decided, expect) = {
-        let view = node.view();
-        let decided = plan::cancel(&view.fleet, &id, &asked.by, OpId::fresh(), now);
-        (decided, view.fleet.revision(&Key::Plan(id.clone())))
-    };
-    store_plan(node, decided.map_err(refused)?, expect).await
+    hear_of(node, &id).await?;
+    loop {
+        let (decided, expect) = {
+            let view = node.view();
+            let decided = plan::cancel(&view.fleet, &id, &asked.by, OpId::fresh(), now);
+            (decided, view.fleet.revision(&Key::Plan(id.clone())))
+        };
+        let stored = store_plan(node, decided.map_err(refused)?, expect).await;
+        let is_conflict =
+            stored.as_ref().is_err_and(|refused| refused.status == StatusCode::CONFLICT);
+        // What was decided at another node meanwhile, a confirmation, can be cancelled as well. The
+        // view holds it now, so that each round meets a later state of the plan.
+        let newer = expect < node.view().fleet.revision(&Key::Plan(id.clone()));
+        if !(is_conflict && newer) {
+            return stored;
+        }
+    }
+}
+
+/// Has the node know of a plan that was made at another one.
+async fn hear_of(node: &Node, id: &PlanId) -> Result<(), StoreError> {
+    if node.view().fleet.plans.contains_key(id) {
+        return Ok(());
+    }
+    write::refresh(node, &Key::Plan(id.clone())).await
 }
 
 async fn store_plan(node: &Node, plan: Plan, expect: Revision) -> Result<Plan, Refused> {
