Tests of silent connections run no call out of time by the machine's clock

Cause: the test. Its subject is the order of two events, that a call ends without an answer and that the next one has a new connection; the product's limit of 300 ms of real time applied to the six calls before as well.

Changed, with the same assertions: the limits of these clients are arguments, 60 s here, and only for a call that the server has read and leaves unanswered the runtime's clock is moved past it. All four tests of the file had the same fault. The read time-out of watches (1.5 s) is still that of the product.

--- a/src/platform/machines.rs
+++ b/src/platform/machines.rs
@@ -82,18 +82,25 @@
     connections: Connections,
     address: String,
     holder: NodeId,
+    /// How long a call may stay unanswered.
+    limit: Duration,
 }
 
 impl Machines {
     /// A client of the service at an address.
     pub(crate) fn new(address: &str, holder: NodeId) -> Machines {
+        Machines::with_limit(address, holder, CALL_LIMIT)
+    }
+
+    /// A client whose calls may stay unanswered for so long.
+    pub(crate) fn with_limit(address: &str, holder: NodeId, limit: Duration) -> Machines {
         let connections = Connections::new(|| {
             Client::builder()
                 .no_proxy()
                 .tcp_nodelay(true)
                 .connect_timeout(Duration::from_millis(500))
         });
-        Machines { connections, address: address.to_owned(), holder }
+        Machines { connections, address: address.to_owned(), holder, limit }
     }
 
     /// Reads all hosts; nothing if the service gave no whole answer.
@@ -116,7 +123,7 @@
         let url = format!("http://{}/-/machines", self.address);
         let request = |client: &Client| {
             let query: Vec<_> = token.iter().map(|token| ("page_token", *token)).collect();
-            client.get(url).query(&query).timeout(CALL_LIMIT)
+            client.get(url).query(&query).timeout(self.limit)
         };
         let answer = match self.connections.call(request).await {
             Ok(answer) if answer.status == StatusCode::OK => answer,
@@ -150,7 +157,7 @@
                 .header("Lease-Holder", self.holder.as_str())
                 .header("Fencing-Token", token.to_string())
                 .json(body)
-                .timeout(CALL_LIMIT)
+                .timeout(self.limit)
         };
         let answer = match self.connections.call(request).await {
             Ok(answer) => answer,
--- a/src/platform/runner.rs
+++ b/src/platform/runner.rs
@@ -101,19 +101,26 @@
 pub(crate) struct Runners {
     connections: ManyConnections,
     lines: Lines,
+    /// How long an order may stay unanswered.
+    limit: Duration,
 }
 
 impl Runners {
     /// A client with connections of its own.
     pub(crate) fn new() -> Runners {
-        let connections = ManyConnections::new(|| {
+        Runners::with_limit(ORDER_LIMIT)
+    }
+
+    /// A client whose orders may stay unanswered for so long.
+    pub(crate) fn with_limit(limit: Duration) -> Runners {
+        let connections = ManyConnections::new(move || {
             Client::builder()
                 .no_proxy()
                 .tcp_nodelay(true)
-                .connect_timeout(CONNECT_LIMIT)
+                .connect_timeout(CONNECT_LIMIT.max(limit))
                 .pool_max_idle_per_host(MOST_CALLS)
         });
-        Runners { connections, lines: Lines::default() }
+        Runners { connections, lines: Lines::default(), limit }
     }
 
     /// Starts a run. Done also if the run exists already.
@@ -127,13 +134,13 @@
             checkpoint: &start.checkpoint,
             ticket: &start.ticket,
         };
-        clock(self.order(to, "run-start", &body, ORDER_LIMIT).await)
+        clock(self.order(to, "run-start", &body, self.limit).await)
     }
 
     /// Stops a run. If it is not there yet, it will be refused when it comes.
     pub(crate) async fn stop(&self, to: &Addressee, task: TaskId, run: u32) -> OrderEnd<u64> {
         let body = WireStop { task: task.to_string(), run, fencing_token: to.token };
-        clock(self.order(to, "run-stop", &body, ORDER_LIMIT).await)
+        clock(self.order(to, "run-stop", &body, self.limit).await)
     }
 
     /// Lets a run work at a share of its pace, in percent.
@@ -145,7 +152,7 @@
         percent: u32,
     ) -> OrderEnd<u64> {
         let body = WirePace { task: task.to_string(), run, percent, fencing_token: to.token };
-        clock(self.order(to, "pace", &body, ORDER_LIMIT).await)
+        clock(self.order(to, "pace", &body, self.limit).await)
     }
 
     /// Acknowledges ends up to a number, lets everything run on until a time on the worker's
@@ -180,7 +187,7 @@
     ) -> OrderEnd<WireAnswer> {
         let line = self.lines.to(&to.address);
         // Nothing was sent: the owner may decide anew.
-        let Ok(Ok(_turn)) = timeout(ORDER_LIMIT, line.acquire()).await else {
+        let Ok(Ok(_turn)) = timeout(self.limit, line.acquire()).await else {
             log::debug!("worker {}: {call}: too many calls there", to.worker);
             return OrderEnd::Unsent;
         };
--- a/src/platform/tests/silence.rs
+++ b/src/platform/tests/silence.rs
@@ -19,7 +19,8 @@
     platform::{kv::Kv, machines::Machines, runner::Runners},
 };
 
-const LIMIT: Duration = Duration::from_millis(300);
+/// No call that is answered takes so long, whatever else the machine does.
+const LIMIT: Duration = Duration::from_secs(60);
 
 /// Connections that are open when all fall silent: as many as a burst of calls has opened.
 const OPEN: usize = 6;
@@ -67,6 +68,20 @@
         }
     }
 
+    /// Lets the time run out of a call that the server has read and leaves unanswered.
+    async fn outlast<T>(&self, call: impl Future<Output = T>) -> T {
+        let read = self.together.load(Ordering::Acquire);
+        let run_out = async {
+            while self.together.load(Ordering::Acquire) == read {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            tokio::time::pause();
+            tokio::time::advance(LIMIT).await;
+            tokio::time::resume();
+        };
+        tokio::join!(call, run_out).0
+    }
+
     /// All connections that are open fall silent.
     fn fall_silent(&self) {
         let opened = self.opened.load(Ordering::Acquire);
@@ -84,7 +99,7 @@
         assert!(end.is_ok(), "{end:?}");
     }
     server.fall_silent();
-    assert!(kv.keep(1).await.is_err(), "nobody can know yet");
+    assert!(server.outlast(kv.keep(1)).await.is_err(), "nobody can know yet");
     assert!(kv.keep(1).await.is_ok());
 }
 
@@ -98,14 +113,15 @@
         assert!(end.is_ok(), "{end:?}");
     }
     server.fall_silent();
-    assert!(kv.watch("ch/", Revision(1), wait).await.is_err(), "nobody can know yet");
+    let unanswered = server.outlast(kv.watch("ch/", Revision(1), wait)).await;
+    assert!(unanswered.is_err(), "nobody can know yet");
     assert!(kv.watch("ch/", Revision(1), wait).await.is_ok());
 }
 
 #[tokio::test]
 async fn an_order_after_one_without_an_answer_has_a_new_connection() {
     let (server, address) = Server::start(r#"{"clock_ms":5}"#).await;
-    let runners = Runners::new();
+    let runners = Runners::with_limit(LIMIT);
     let to = Addressee { worker: "w1".parse().unwrap(), address, token: 7 };
     let task = "00e0f5a2b4c6d801.0.0.0".parse().unwrap();
     let calls = (0..OPEN).map(|_| runners.stop(&to, task, 1));
@@ -113,19 +129,20 @@
         assert_eq!(end, OrderEnd::Done(5));
     }
     server.fall_silent();
-    assert_eq!(runners.stop(&to, task, 1).await, OrderEnd::Unknown, "nobody can know yet");
+    let unanswered = server.outlast(runners.stop(&to, task, 1)).await;
+    assert_eq!(unanswered, OrderEnd::Unknown, "nobody can know yet");
     assert_eq!(runners.stop(&to, task, 1).await, OrderEnd::Done(5));
 }
 
 #[tokio::test]
 async fn a_list_of_hosts_after_one_without_an_answer_comes_over_a_new_connection() {
     let (server, address) = Server::start(r#"{"machines":[]}"#).await;
-    let hosts = Machines::new(&address, "n1".parse().unwrap());
+    let hosts = Machines::with_limit(&address, "n1".parse().unwrap(), LIMIT);
     let calls = (0..OPEN).map(|_| hosts.list());
     for list in futures_util::future::join_all(calls).await {
         assert_eq!(list, Some(Vec::new()));
     }
     server.fall_silent();
-    assert_eq!(hosts.list().await, None, "nobody can know yet");
+    assert_eq!(server.outlast(hosts.list()).await, None, "nobody can know yet");
     assert_eq!(hosts.list().await, Some(Vec::new()));
 }
