How old a word of an owner is, is told by the revision up to which it knew of its jobs

Cause: nodes that add up the words of owners took a word for as old as the watch that told of it. What passed between the counting and the write was in no bound: an owner that stands still, or a write that the store does one to six seconds late. The bounds themselves add up to 4.4 s (what the owner knows 1.2, its write 0.7, the pause of the watch 0.5, the word 2.0), and a question that is handed on takes up to 0.9 more.

Fixed: a word names the revision up to which its owner knew of its jobs, by the owner's own watch and in the order in which the loop took it in. Readers know when the store stood there, and use a word only for 3.5 s from then on. Other versions read and write counts by queue as before: the revision stands under a name that no queue has.

--- a/src/scheduler/drive.rs
+++ b/src/scheduler/drive.rs
@@ -258,9 +258,9 @@
             Input::Worded { name, token, counts, sent, end } => {
                 self.worded(&name, token, (counts, sent), &end, now);
             }
-            Input::Followed { name, token, asked } => {
+            Input::Followed { name, token, asked, at } => {
                 if let Some(owned) = self.owned_under(&name, token) {
-                    owned.word.heard(asked);
+                    owned.word.heard(asked, at);
                 }
             }
             Input::Removed { name, token, jobs, done } => {
@@ -453,7 +453,7 @@
         owner.set_emptying(news::marks(&view, &pool));
         // All jobs up to the token were told, and it was won after that was sent.
         let word_at = view.queued.get(name).map(|at| at.revision).unwrap_or_default();
-        let word = Word::new(word_at, tenure.confirmed());
+        let word = Word::new(word_at, tenure.confirmed(), Revision(token));
         drop(view);
         self.log_taken_up(name, token, earlier, now);
         let over = CancellationToken::new();
--- a/src/scheduler/drive/input.rs
+++ b/src/scheduler/drive/input.rs
@@ -62,6 +62,8 @@
         name: String,
         token: u64,
         asked: Steady,
+        /// The revision up to which it has told of everything.
+        at: Revision,
     },
     /// What became of a removal of jobs that ended.
     Removed {
--- a/src/scheduler/drive/tell.rs
+++ b/src/scheduler/drive/tell.rs
@@ -104,7 +104,7 @@
         let txn = Txn::default()
             .expect(keys::owner(name), Revision(token))
             .expect(key.clone(), owned.word.at)
-            .put(key.clone(), json(&counts));
+            .put(key.clone(), json(&owned.word.record(counts.clone())));
         let (node, tenure, sent) = (self.node.clone(), owned.tenure.clone(), now.steady);
         let (to, name) = (self.to.clone(), name.to_owned());
         tokio::spawn(async move {
--- a/src/scheduler/drive/tests/behind.rs
+++ b/src/scheduler/drive/tests/behind.rs
@@ -249,7 +249,8 @@
         play.pass(100);
         let (now, drive) = (play.now, &mut play.world.drive);
         let (name, token) = (POOL.to_owned(), drive.owned[POOL].owner.token);
-        drive.take(Input::Followed { name: name.clone(), token, asked: now.steady });
+        let (asked, at) = (now.steady, Revision(token));
+        drive.take(Input::Followed { name: name.clone(), token, asked, at });
         drive.tell_queued(POOL, now);
         if drive.owned[POOL].word.on_way == 0 {
             continue;
--- a/src/scheduler/drive/tests/words.rs
+++ b/src/scheduler/drive/tests/words.rs
@@ -80,7 +80,12 @@
     /// The owner hears that it knows of all jobs that were there at a moment.
     fn follow(&mut self, asked: Steady) {
         let token = self.owned().owner.token;
-        self.drive.take(Input::Followed { name: POOL.to_owned(), token, asked });
+        self.drive.take(Input::Followed {
+            name: POOL.to_owned(),
+            token,
+            asked,
+            at: Revision(token),
+        });
     }
 }
 
--- a/src/scheduler/drive/word.rs
+++ b/src/scheduler/drive/word.rs
@@ -8,7 +8,10 @@
 use std::collections::BTreeMap;
 
 use super::OverwriteEnd;
-use crate::model::unit::{Revision, Steady};
+use crate::{
+    model::unit::{Revision, Steady},
+    scheduler::view::waiting::WordRecord,
+};
 
 /// The least time between two words, in milliseconds: callers may be told what is two seconds old,
 /// and other nodes hear of it half a second later at the most.
@@ -43,19 +46,29 @@
     next: Steady,
     /// Up to when the owner knows of its jobs.
     known: Steady,
+    /// The revision up to which it does.
+    known_at: Revision,
     /// Whether the last one was not taken.
     failing: bool,
 }
 
 impl Word {
     /// Of an owner that knows of its jobs up to a moment, over a record of earlier ones.
-    pub(super) fn new(at: Revision, known: Steady) -> Word {
-        Word { taken: None, at, on_way: 0, next: Steady::default(), known, failing: false }
+    pub(super) fn new(at: Revision, known: Steady, known_at: Revision) -> Word {
+        let next = Steady::default();
+        Word { taken: None, at, on_way: 0, next, known, known_at, failing: false }
     }
 
     /// Takes note that the owner has heard of all jobs up to a moment.
-    pub(super) fn heard(&mut self, known: Steady) {
+    pub(super) fn heard(&mut self, known: Steady, at: Revision) {
         self.known = self.known.max(known);
+        self.known_at = self.known_at.max(at);
+    }
+
+    /// What is written of these counts: with the revision up to which the jobs were known, by which
+    /// other nodes tell how old they are, however late it is written.
+    pub(super) fn record(&self, counts: Counts) -> WordRecord {
+        WordRecord { known: Some(self.known_at), counts }
     }
 
     /// Whether the owner knows of its jobs lately enough to tell how many wait.
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -186,7 +186,8 @@
                     }
                     if !cut {
                         let (name, token) = (self.name.clone(), self.token);
-                        let _ = to.send(Input::Followed { name, token, asked: asked.sent });
+                        let asked = asked.sent;
+                        let _ = to.send(Input::Followed { name, token, asked, at: since });
                         sleep(FOLLOW_PAUSE).await;
                     }
                 }
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -26,7 +26,7 @@
     model::{
         id::PoolId,
         job::{JobId, JobState, Progress},
-        unit::Time,
+        unit::{Revision, Time},
     },
     platform::kv::{Kv, Txn},
     scheduler::{
@@ -38,7 +38,7 @@
         metrics::Metrics,
         mirror, node,
         relay::{RELAYED_HEADER, Relay},
-        view::age::RECORDS_MS,
+        view::{age::RECORDS_MS, waiting::WordRecord},
     },
     settings::scheduler::parse,
     standin::site,
@@ -325,6 +325,48 @@
     .await;
 }
 
+/// The owner stood still after it had counted, or the store did its write late.
+#[tokio::test]
+async fn a_word_that_is_written_long_after_it_was_counted_does_not_say_how_many_jobs_wait() {
+    let scene = Scene::small().await;
+    let tell = async |jobs: usize, known: Revision| {
+        scene
+            .tell(&json!(WordRecord {
+                known: Some(known),
+                counts: BTreeMap::from([(QUEUE.to_owned(), jobs)]),
+            }))
+            .await;
+    };
+    let stands = async || scene.kv.range(keys::ALL).await.unwrap().1;
+    let counted = stands().await;
+    until("the word to be told", async || {
+        tell(0, stands().await).await;
+        (scene.pending().await == Ok(0)).then_some(())
+    })
+    .await;
+    for number in 1..=4 {
+        scene.hand_in(number).await;
+    }
+    scene.pass(LONG);
+    until("the watch to be answered", async || {
+        let now = scene.node.now().steady;
+        scene.node.view().ages.is_within(keys::ALL, RECORDS_MS, now).then_some(())
+    })
+    .await;
+    tell(0, counted).await;
+    until("the late word to be heard", async || {
+        let view = scene.node.view();
+        (view.queued.get(&keys::pool(&pool()))?.known == Some(counted)).then_some(())
+    })
+    .await;
+    assert_eq!(scene.pending().await, Err(NOT_KNOWN), "4 jobs have waited for 6 s");
+    until("the next word to be heard", async || {
+        tell(4, stands().await).await;
+        (scene.pending().await == Ok(4)).then_some(())
+    })
+    .await;
+}
+
 /// The same before the first word of all: a pool that has had no owner yet.
 #[tokio::test]
 async fn a_pool_without_a_word_does_not_say_that_no_job_waits() {
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -34,7 +34,7 @@
         view::{
             age::{Ages, Asked, Extent},
             heard::{Heard, SourceId},
-            waiting::Word,
+            waiting::{Word, WordRecord},
         },
     },
 };
@@ -401,8 +401,8 @@
             Key::Queued(name) => {
                 let heard = self.hearing;
                 match read(&text, value, revision, refused) {
-                    Some(At { value: counts, .. }) => {
-                        self.queued.insert(name, Word { counts, revision, heard })
+                    Some(At { value: WordRecord { known, counts }, .. }) => {
+                        self.queued.insert(name, Word { counts, revision, known, heard })
                     }
                     None => self.queued.remove(&name),
                 };
--- a/src/scheduler/view/age.rs
+++ b/src/scheduler/view/age.rs
@@ -41,6 +41,11 @@
 /// each second, and it is heard of within another half.
 pub(crate) const WORD_MS: u64 = 2_000;
 
+/// How long ago the store may have been at the revision up to which an owner knew of its jobs, as they
+/// are added up, in milliseconds: a job may take 3 s until it is shown and callers may be told what is
+/// two seconds old, less the way of a question by another node.
+pub(crate) const COUNTED_MS: u64 = 3_500;
+
 /// What a node knows, and that is too old for what it is to be used for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct TooOld {
@@ -194,6 +199,19 @@
         self.check(prefix, most_ms, now).is_ok()
     }
 
+    /// Checks that what holds as of a revision is no older than what is added up may be.
+    pub(crate) fn check_revision(
+        &self,
+        what: &str,
+        at: Revision,
+        now: Steady,
+    ) -> Result<(), TooOld> {
+        match self.last_moment(at).map(|moment| now.since(moment)) {
+            Some(age) if age <= COUNTED_MS => Ok(()),
+            age_ms => Err(TooOld { what: what.to_owned(), age_ms }),
+        }
+    }
+
     fn last_moment(&self, at: Revision) -> Option<Steady> {
         let passed = self.moments.iter().rev().find(|(_, revision)| *revision <= at);
         passed.map(|(moment, _)| *moment)
--- a/src/scheduler/view/waiting.rs
+++ b/src/scheduler/view/waiting.rs
@@ -3,6 +3,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     model::{
         job::JobState,
@@ -18,12 +20,25 @@
     },
 };
 
+/// How many jobs of each queue have not begun, as the owner of a pool writes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WordRecord {
+    /// The revision of the store up to which the owner knew of its jobs. No queue has this name:
+    /// earlier versions read counts by queue, and write no such revision.
+    #[serde(rename = "", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) known: Option<Revision>,
+    #[serde(flatten)]
+    pub(crate) counts: BTreeMap<String, usize>,
+}
+
 /// What the owner of a pool has last written of how many jobs have not begun.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Word {
     pub(crate) counts: BTreeMap<String, usize>,
     /// The revision of the record.
     pub(crate) revision: Revision,
+    /// The revision up to which the owner knew of its jobs, if it has said so.
+    pub(crate) known: Option<Revision>,
     /// When the call was sent whose answer told of it. It may have been written one pause of that
     /// watch before.
     pub(crate) heard: Steady,
@@ -71,6 +86,9 @@
             if WORD_MS < age {
                 return Err(TooOld { what: format!("the word of {name}"), age_ms: Some(age) });
             }
+            if let Some(known) = word.known {
+                self.ages.check_revision(&format!("the word of {name}"), known, now)?;
+            }
             jobs += counted.copied().unwrap_or_default();
         }
         Ok(Counted { jobs, by: "words" })
