--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -362,7 +362,7 @@
             self.forgotten = self.forgotten.max(number);
         }
         if let Some(listed) = listed {
-            self.forgotten = self.forgotten.min(listed - 1);
+            self.forgotten = self.forgotten.min(listed.saturating_sub(1));
         }
     }
 
