Failing test: nothing begins while the store's watches are silent; the rig slows owners and silences watches

Its watches hear nothing for 1 to 1.5 s while all calls are answered; the owner of a pool hears of no accepted job, and the fleet of no emptied host.

Weighed, not built: that the node which accepts a job tells its owner. On a large deployment it does not know who that is: it hears of ch/all/ only, and owners stand elsewhere.

The rig has two kinds of faults more, asked for by CAPERHOLLOW_SOAK_OFTEN (10: the owner stands still four fifths of the time; 11: silent watches). Draws of other kinds are as before.

--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -64,6 +64,8 @@
     store_lost: bool,
     /// Watches that are far behind get no answer, as if it were too long for the link.
     store_long_history: bool,
+    /// Watches hear nothing while all other calls are answered, and are cut once that is over.
+    store_watches_silent: bool,
     /// The watches' history is gone, once.
     store_compact: bool,
     /// Every call takes that much longer.
--- a/src/standin/site/store.rs
+++ b/src/standin/site/store.rs
@@ -20,6 +20,9 @@
 /// Changes that a watch may have missed before a link is too slow for them, if that is switched on.
 const FAR_BEHIND: usize = 2;
 
+/// How often a silent watch looks whether it may end.
+const SILENT_CHECK: Duration = Duration::from_millis(20);
+
 /// Most items of one page, and of one answer of a watch but for the rest of a transaction.
 const PAGE: usize = 500;
 
@@ -306,10 +309,16 @@
         sleep(LOST_FOR).await;
     }
     loop {
+        if site.state().faults.store_watches_silent {
+            return cut_once_heard(site).await;
+        }
         if let Some(answer) = site.state().store.events(prefix, since) {
             return answer;
         }
         if timeout_at(until, changed.changed()).await.is_err() {
+            if site.state().faults.store_watches_silent {
+                return cut_once_heard(site).await;
+            }
             // A change is noted after it is made: one may have come in between, and a revision
             // that is told without it would hide it for ever.
             let state = site.state();
@@ -320,6 +329,14 @@
     }
 }
 
+/// Ends a watch that hears nothing, once watches do again.
+async fn cut_once_heard(site: &Site) -> Response {
+    while site.state().faults.store_watches_silent {
+        sleep(SILENT_CHECK).await;
+    }
+    http::text(StatusCode::SERVICE_UNAVAILABLE, "the watch is cut\n")
+}
+
 fn grant(site: &Site, ttl_ms: u64) -> Response {
     let mut state = site.state();
     let end = state.now_ms() + ttl_ms;
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -399,6 +399,22 @@
     assert_eq!(site.counted().await["twice"], json!(0));
 }
 
+/// The store goes on to answer calls: what was accepted is to begin all the same.
+#[tokio::test]
+async fn a_job_begins_though_the_watches_of_the_store_have_fallen_silent() {
+    let site = Site::start("silent", 2).await;
+    let nodes = [site.node("one").await, site.node("two").await];
+    assert_eq!(site.hand_in(&nodes[0], "00000000000000a1", &two_steps()).await, StatusCode::OK);
+    site.until_state(&nodes[0], "00000000000000a1", "succeeded").await;
+    site.faults(json!({ "store_watches_silent": true })).await;
+    // One of them does not own the pool.
+    for (node, id) in nodes.iter().zip(["00000000000000b1", "00000000000000b2"]) {
+        assert_eq!(site.hand_in(node, id, &two_steps()).await, StatusCode::OK);
+        site.until_state(node, id, "succeeded").await;
+    }
+    assert_eq!(site.counted().await["twice"], json!(0));
+}
+
 /// A node that the store turns away has another one answer its callers: what they hand in is kept,
 /// states are those of now, and cancels count.
 #[tokio::test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,7 +11,7 @@
 //!
 //! `CAPERHOLLOW_SOAK_BINARY` names another program for the nodes, and `CAPERHOLLOW_SOAK_PLAIN` leaves
 //! out of its settings what early versions do not know. `CAPERHOLLOW_SOAK_OFTEN` gives the kind of
-//! fault that comes often (0 to 9, `plan::favourite`) instead of drawing it. The lines of the nodes are below `target/tmp`.
+//! fault that comes often (0 to 11, `plan::favourite`) instead of drawing it. The lines of the nodes are below `target/tmp`.
 
 #[path = "soak/cases.rs"]
 mod cases;
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Signal {
     Freeze,
+    /// Its process stands still again and again, as one that has too little processor time.
+    Slow,
     Term,
     Kill,
     Hup,
@@ -92,6 +94,10 @@
 /// How many kinds there are of what may come often.
 pub const FAVOURITES: u32 = 10;
 
+/// Kinds that come often only where they are asked for.
+const SLOW_OWNERS: u32 = FAVOURITES;
+const SILENT_WATCHES: u32 = FAVOURITES + 1;
+
 fn favourite(rng: &mut Pcg64Mcg, often: u32, size: Size) -> What {
     let whats = match often {
         0 => vec![What::Way(0, lag(rng))],
@@ -103,6 +109,8 @@
         6 => return What::Store(late(rng)),
         7 => vec![What::Store(json!({ "leases_over": "all" })), What::Way(0, Harm::NoWatch)],
         8 => vec![What::Way(0, Harm::NoWatch)],
+        SLOW_OWNERS => vec![What::Node(0, Signal::Slow)],
+        SILENT_WATCHES => return What::Store(json!({ "store_watches_silent": true })),
         _ => return What::Worker(rng.random_range(0..size.workers), trouble(rng)),
     };
     What::Owner(rng.random_range(0..size.pools), whats, cut_off(rng, size))
--- a/tests/soak/rig.rs
+++ b/tests/soak/rig.rs
@@ -34,6 +34,10 @@
 /// How long a node that was ended stays away, in milliseconds.
 const AWAY_MS: u64 = 700;
 
+/// How long a slow node stands still at a time and runs in between, in milliseconds: a fifth of the time.
+const SLOW_STOP_MS: u64 = 600;
+const SLOW_RUN_MS: u64 = 150;
+
 /// How long connections that are held up again and again pass in between, in milliseconds.
 const LET_GO_MS: u64 = 60;
 
@@ -336,6 +340,15 @@
                 sleep(rest).await;
                 self.send(Signal::SIGCONT).await;
             }
+            plan::Signal::Slow => {
+                let end = Instant::now() + rest;
+                while Instant::now() < end {
+                    self.send(Signal::SIGSTOP).await;
+                    sleep(Duration::from_millis(SLOW_STOP_MS)).await;
+                    self.send(Signal::SIGCONT).await;
+                    sleep(Duration::from_millis(SLOW_RUN_MS)).await;
+                }
+            }
             plan::Signal::Hup => self.send(Signal::SIGHUP).await,
             plan::Signal::Term => {
                 self.send(Signal::SIGTERM).await;
