--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -155,43 +155,45 @@
     assert_eq!(newest_look(&mut bench).1, 2);
 }
 
-/// The next incarnation would carry it out after the task has begun elsewhere.
-#[test]
-fn a_start_without_an_answer_is_awaited_for_as_long_as_it_may_be_late() {
+/// An owner whose start of a task got no answer, with another worker that could take it.
+fn unanswered(task: Step) -> Bench {
     let mut bench = first();
-    let (task, run, at) = ordered(&mut bench, 1);
+    bench.tell(Event::Job(stored(1, vec![task], 110)));
+    bench.work();
+    let (task, run, at) = bench.starts().pop().expect("a worker takes work");
     bench.tell(Event::Worker(report("w2@1000", "h2")));
     bench.touch("w2@1000", vec![]);
-    let sent = bench.now;
     bench.tell(Event::Started { worker: at, task, run, end: OrderEnd::Unknown });
+    bench
+}
+
+/// The first worker stays silent for a while, and the other one answers.
+fn stay_silent(bench: &mut Bench, millis: u64) {
+    bench.now += millis;
+    bench.miss(FIRST);
+    answer(bench, "w2@1000", "w2@1000", vec![], vec![]);
+    bench.work();
+}
+
+/// The next incarnation would carry it out after the task has begun elsewhere.
+#[test]
+fn a_start_without_an_answer_is_awaited_for_as_long_as_it_may_be_late() {
+    let mut bench = unanswered(step(1));
+    let sent = bench.now;
     while bench.now < sent + LATE_ORDER_MS {
-        bench.now += 100;
-        bench.miss(FIRST);
-        answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
-        bench.work();
+        stay_silent(&mut bench, 100);
         assert_eq!(bench.starts(), vec![], "{} ms after the order", bench.now - sent);
     }
-    bench.now += 1_000;
-    answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
-    bench.work();
+    stay_silent(&mut bench, 1_000);
     assert_eq!(bench.starts().len(), 1);
 }
 
 /// Its callers miss it all the while.
 #[test]
 fn a_lasting_task_is_not_held_back_for_a_late_start() {
-    let mut bench = first();
-    bench.tell(Event::Job(stored(1, vec![Step { lasting: true, ..step(1) }], 110)));
-    bench.work();
-    let (task, run, at) = bench.starts().pop().expect("a worker takes work");
-    bench.tell(Event::Worker(report("w2@1000", "h2")));
-    bench.touch("w2@1000", vec![]);
-    bench.tell(Event::Started { worker: at, task, run, end: OrderEnd::Unknown });
+    let mut bench = unanswered(Step { lasting: true, ..step(1) });
     for _ in 0..50 {
-        bench.now += 100;
-        bench.miss(FIRST);
-        answer(&mut bench, "w2@1000", "w2@1000", vec![], vec![]);
-        bench.work();
+        stay_silent(&mut bench, 100);
     }
     assert_eq!(bench.starts().len(), 1);
 }
--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -111,8 +111,17 @@
     Ok(())
 }
 
+/// A service's repair, with the revisions of the records that it was worked out from.
+struct Due {
+    service: ServiceId,
+    repair: Repair,
+    expect: Revision,
+    /// Of the hosts that it names.
+    targets: Vec<(Key, Revision)>,
+}
+
 async fn repair_placements(node: &Node, now: Time) -> Result<(), StoreError> {
-    let due: Vec<(ServiceId, Repair, Revision, Vec<(Key, Revision)>)> = {
+    let due: Vec<Due> = {
         let view = node.view();
         let owned = |id: &&ServiceId| node.owns(&view, &format!("service/{id}"));
         let services = view.fleet.config.services.keys().filter(owned);
@@ -121,11 +130,12 @@
             let targets = wave::hosts_of(repair.targets(&view.fleet, id));
             let at = |key: Key| (key.clone(), view.fleet.revision(&key));
             let targets = targets.into_iter().map(at).collect();
-            (id.clone(), repair, view.fleet.revision(&Key::Placement(id.clone())), targets)
+            let expect = view.fleet.revision(&Key::Placement(id.clone()));
+            Due { service: id.clone(), repair, expect, targets }
         });
         repairs.collect()
     };
-    for (id, repair, expect, targets) in due {
+    for Due { service: id, repair, expect, targets } in due {
         for reason in &repair.refused {
             log::debug!("service {id}: {reason}");
         }
--- a/src/scheduler/tests/age.rs
+++ b/src/scheduler/tests/age.rs
@@ -211,6 +211,16 @@
         self.lease.renewed(1, now, TTL, now);
     }
 
+    /// Lets time pass, and waits until the watch of what all nodes hear of was answered since.
+    async fn pass_and_hear(&self, millis: u64) {
+        self.pass(millis);
+        until("the watch to be answered", async || {
+            let now = self.node.now().steady;
+            self.node.view().ages.is_within(keys::ALL, RECORDS_MS, now).then_some(())
+        })
+        .await;
+    }
+
     /// What a caller is told.
     async fn ask(&self, path: &str) -> Result<Value, Refusal> {
         ask(&self.api, path).await
@@ -311,12 +321,7 @@
     for number in 1..=4 {
         scene.hand_in(number).await;
     }
-    scene.pass(LONG);
-    until("the watch to be answered", async || {
-        let now = scene.node.now().steady;
-        scene.node.view().ages.is_within(keys::ALL, RECORDS_MS, now).then_some(())
-    })
-    .await;
+    scene.pass_and_hear(LONG).await;
     assert_eq!(scene.pending().await, Err(NOT_KNOWN), "4 jobs have waited for 6 s");
     until("the next word to be heard", async || {
         scene.tell(&json!({ QUEUE: 4 })).await;
@@ -347,12 +352,7 @@
     for number in 1..=4 {
         scene.hand_in(number).await;
     }
-    scene.pass(LONG);
-    until("the watch to be answered", async || {
-        let now = scene.node.now().steady;
-        scene.node.view().ages.is_within(keys::ALL, RECORDS_MS, now).then_some(())
-    })
-    .await;
+    scene.pass_and_hear(LONG).await;
     tell(0, counted).await;
     until("the late word to be heard", async || {
         let view = scene.node.view();
