--- a/src/node/write.rs
+++ b/src/node/write.rs
@@ -29,7 +29,7 @@
     write_guarded(node, record, expect, &[]).await
 }
 
-/// As [`write`], if the records that it rests on are in the store as they were then, too.
+/// As [`write()`], if the records that it rests on are in the store as they were then, too.
 pub(crate) async fn write_guarded(
     node: &Node,
     record: Record,
