A late answer ends no incarnation that became known after its call

Callers saw: a job that never ends. A worker started again under its name while its owner had a backlog of answers; the owner recorded the live incarnation as ended, ignored all its later answers, and kept its task assigned to the ended one.

Cause: `supersede` took the incarnation whose answer was handled last for the live one. An answer proves that its sender was alive after the call was sent. It says nothing about an incarnation that became known after that, which may have started since. The same conclusion was drawn for another worker at the address, and for a worker that vanished from the host.

Change: each worker has the time since which it was known, and an answer ends those only that were known when its call was sent.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -65,6 +65,13 @@
 /// 1.25 s for which a worker without an answer still gets work, doubled.
 const CLOCK_DRIFT_MS: u64 = 50;
 
+/// A worker that was removed although it may be alive.
+struct Vanished {
+    id: Incarnation,
+    known_since: Steady,
+    lost_runs: Vec<LostRun>,
+}
+
 /// The owner of one pool's jobs.
 pub(crate) struct Owner {
     /// The revision of the ownership.
@@ -87,6 +94,8 @@
     /// and a worker does not list an end again once it is acknowledged.
     unknown: BTreeMap<JobId, Steady>,
     workers: BTreeMap<Incarnation, Worker>,
+    /// When polls were last sent.
+    last_polls: Option<Steady>,
     /// The records about the workers that a later owner would find in the store.
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
@@ -115,9 +124,9 @@
     counts: Counts,
     /// Whether it was logged that tasks of earlier jobs may start.
     unblocking_logged: bool,
-    /// Workers that are silent and not listed, by host, with the runs lost there. Each may be alive
-    /// until another worker answers on its host.
-    vanished: BTreeMap<HostId, (Incarnation, Vec<LostRun>)>,
+    /// Workers that are silent and not listed, by host. Each may be alive until another worker
+    /// answers on its host.
+    vanished: BTreeMap<HostId, Vanished>,
     /// Tasks that have crashed too many workers, to be given up.
     crashing: Vec<TaskId>,
     /// Tasks whose runs were lost together with their workers.
@@ -139,6 +148,7 @@
             ended: HashSet::new(),
             unknown: BTreeMap::new(),
             workers: BTreeMap::new(),
+            last_polls: None,
             roster: Roster::default(),
             handed_over: None,
             unknown_seen: None,
@@ -488,7 +498,7 @@
             worker.advance_fencing_token(*fence);
             worker.restart_fence = RestartFence::Needed;
         }
-        self.workers.insert(worker.report.id.clone(), worker);
+        self.track(worker, now);
     }
 
     /// Schedules polls of the workers that have the host or address of a report. Reports do not
@@ -501,29 +511,31 @@
         }
     }
 
-    /// Removes the workers that have answered at the address where another worker has just
-    /// answered. A report that names the same host proves nothing: another writer may have written
-    /// it.
-    fn supersede(&mut self, by: &Incarnation, now: Steady) {
+    /// Removes the workers that have answered at the address where another worker has answered a
+    /// call, and the other incarnations of that one, if they were known when the call was sent. A
+    /// report that names the same host proves nothing: another writer may have written it.
+    fn supersede(&mut self, by: &Incarnation, sent: Steady, now: Steady) {
         let Some(report) = self.workers.get(by).map(|worker| &worker.report) else {
             return;
         };
         let host = report.host.clone();
         let is_over = |worker: &&Worker| {
             let other = &worker.report;
-            worker.has_answered && other.address == report.address && other.id.worker != by.worker
+            let same_worker = other.id.worker == by.worker;
+            let same_address = worker.has_answered && other.address == report.address;
+            other.id != *by && (same_worker || same_address) && worker.was_known(sent)
         };
         let others = self.workers.values().filter(is_over);
         let others: Vec<Incarnation> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
-            self.remove_ended_worker(&id, "another worker has answered at its address", now);
-        }
-        let earlier = self.incarnations(&by.worker).map(|one| one.report.id.clone());
-        let earlier: Vec<Incarnation> = earlier.filter(|id| id != by).collect();
-        for id in earlier {
-            self.replace_incarnation(&id, by, now);
+            if id.worker == by.worker {
+                self.replace_incarnation(&id, by, now);
+            } else {
+                let reason = "another worker has answered at its address";
+                self.remove_ended_worker(&id, reason, now);
+            }
         }
-        self.note_answer_on(&host, by, now);
+        self.note_answer_on(&host, by, sent, now);
     }
 
     /// Removes a worker that has certainly ended, and with it all that ran there.
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeSet;
 
-use super::{Owner, plan::ISOLATED_RETRY_POLL_MS};
+use super::{Owner, Vanished, plan::ISOLATED_RETRY_POLL_MS};
 use crate::{
     jobs::{
         event::Effect,
@@ -84,36 +84,48 @@
     /// Removes a worker that is not listed and silent, but may be alive. Once another worker
     /// answers on its host, the runs lost with it have certainly ended with it.
     pub(super) fn remove_silent_worker(&mut self, id: &Incarnation, now: Steady) {
-        let Some((host, lost)) = self.remove_worker(id) else {
+        let Some(worker) = self.workers.get(id) else {
             return;
         };
-        for lost in &lost {
+        let (host, known_since) = (worker.report.host.clone(), worker.known_since);
+        let lost_runs = self.remove_worker(id);
+        for lost in &lost_runs {
             self.count_worker_loss(id, lost, false, now);
             self.judge_isolated_retry(lost);
         }
-        self.vanished.insert(host, (id.clone(), lost));
+        self.vanished.insert(host, Vanished { id: id.clone(), known_since, lost_runs });
     }
 
     /// Removes a worker that has certainly ended: the runs lost with it have ended with it.
     pub(super) fn remove_crashed_worker(&mut self, id: &Incarnation, now: Steady) {
-        if let Some((_, lost)) = self.remove_worker(id) {
-            self.note_crash(id, &lost, now);
-        }
+        let lost_runs = self.remove_worker(id);
+        self.note_crash(id, &lost_runs, now);
     }
 
-    /// Records that a worker answers on a host: a different worker that vanished there has ended.
-    pub(super) fn note_answer_on(&mut self, host: &HostId, id: &Incarnation, now: Steady) {
-        if let Some((vanished, lost)) = self.vanished.remove(host)
-            && vanished != *id
-        {
-            self.note_crash(&vanished, &lost, now);
+    /// Records that a worker on a host has answered a call: a different worker that vanished there
+    /// and was known when the call was sent has ended.
+    pub(super) fn note_answer_on(
+        &mut self,
+        host: &HostId,
+        by: &Incarnation,
+        sent: Steady,
+        now: Steady,
+    ) {
+        let is_settled = |vanished: &Vanished| vanished.id == *by || vanished.known_since <= sent;
+        if !self.vanished.get(host).is_some_and(is_settled) {
+            return;
+        }
+        if let Some(vanished) = self.vanished.remove(host).filter(|vanished| vanished.id != *by) {
+            self.note_crash(&vanished.id, &vanished.lost_runs, now);
         }
     }
 
-    /// Removes a worker; returns its host, and the runs lost with it unless it ended as planned.
-    fn remove_worker(&mut self, id: &Incarnation) -> Option<(HostId, Vec<LostRun>)> {
+    /// Removes a worker; returns the runs lost with it unless it ended as planned.
+    fn remove_worker(&mut self, id: &Incarnation) -> Vec<LostRun> {
         let persisted = self.roster.holding(id).cloned();
-        let worker = self.workers.remove(id)?;
+        let Some(worker) = self.workers.remove(id) else {
+            return Vec::new();
+        };
         if worker.has_reported && id.born.is_some() {
             self.former_fences.insert(id.worker.clone(), worker.fencing_token());
         }
@@ -126,7 +138,7 @@
         if let (false, Some(Holding::Only(tasks))) = (worker.reported_all, persisted) {
             lost.extend(tasks.into_iter().map(LostRun::unobserved));
         }
-        Some((worker.report.host, lost))
+        lost
     }
 
     /// Records that a worker has certainly ended, with the runs lost there.
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -35,6 +35,15 @@
         from_first.take_while(move |incarnation| incarnation.report.id.worker == *worker)
     }
 
+    /// Begins to track an incarnation.
+    pub(super) fn track(&mut self, mut worker: Worker, now: Steady) {
+        // Polls that were sent in this millisecond were sent before it was known.
+        if self.last_polls == Some(now) {
+            worker.known_since = now.after(1);
+        }
+        self.workers.insert(worker.report.id.clone(), worker);
+    }
+
     /// Records that the store lists an incarnation under its worker's name, and so no other one.
     pub(super) fn unlist_others(&mut self, listed: &Incarnation, now: Steady) {
         for other in self.incarnations(&listed.worker) {
@@ -59,7 +68,7 @@
             let mut next = Worker::new(report, now);
             // Its labels and resources may differ: it gets no work before its own entry is listed.
             next.block(now);
-            self.workers.insert(by.clone(), next);
+            self.track(next, now);
         }
         self.replace_incarnation(called, &by, now);
     }
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -108,6 +108,7 @@
             if exclusive {
                 worker.note_ack_sent(acknowledged, now);
             }
+            self.last_polls = Some(now);
             out.push(Effect::Poll {
                 to: worker.addressee(token),
                 acknowledged,
@@ -211,7 +212,7 @@
         worker.reported_all |= complete;
         worker.confirm_fencing_token(sent, complete);
         self.clear_crashes_at(id, was_lost);
-        self.supersede(id, now.steady);
+        self.supersede(id, sent, now.steady);
         let mut ended = response.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -64,11 +64,24 @@
     by: &str,
     present: Vec<PresentRun>,
     ended: Vec<EndedRun>,
+) {
+    let sent = Steady::from_millis(harness.now);
+    answer_to(harness, sent, to, by, present, ended);
+}
+
+/// The answer to a poll that was sent earlier.
+fn answer_to(
+    harness: &mut Harness,
+    sent: Steady,
+    to: &str,
+    by: &str,
+    present: Vec<PresentRun>,
+    ended: Vec<EndedRun>,
 ) {
     let born = worker_id(by).born;
     let response = PollResponse { born, clock_ms: 10 + harness.now % 1_000, present, ended };
-    let (worker, sent) = (worker_id(to), Steady::from_millis(harness.now));
-    harness.deliver(Event::Polled { worker, sent, end: OrderResult::Done(response) });
+    let end = OrderResult::Done(response);
+    harness.deliver(Event::Polled { worker: worker_id(to), sent, end });
 }
 
 /// The worker has started again, as its entry and its answers show, and may get work.
@@ -394,3 +407,49 @@
     harness.work();
     assert_eq!(harness.take_starts(), vec![], "it runs there");
 }
+
+#[test]
+fn a_late_answer_of_the_earlier_incarnation_does_not_end_the_listed_one() {
+    let mut harness = first_incarnation();
+    let (task, run, at) = order_start(&mut harness, 1);
+    harness.confirm_start(task, run, &at);
+    harness.now += 100;
+    answer(&mut harness, FIRST, FIRST, vec![present(task, run, 10)], vec![]);
+    let sent = Steady::from_millis(harness.now);
+    harness.now += 100;
+    harness.deliver(Event::Worker(report(NEXT, "h1")));
+    // It was carried out before the restart, and is handled after the new entry.
+    answer_to(&mut harness, sent, FIRST, FIRST, vec![present(task, run, 10)], vec![]);
+    let mut restarted = Vec::new();
+    for _ in 0..400 {
+        harness.now += 50;
+        harness.work();
+        restarted.extend(harness.take_starts());
+        answer(&mut harness, FIRST, NEXT, vec![], vec![]);
+        answer(&mut harness, NEXT, NEXT, vec![], vec![]);
+        harness.persist_roster();
+    }
+    assert_eq!(restarted.len(), 1, "the run ended with the earlier incarnation");
+    assert_eq!(restarted[0].2, worker_id(NEXT));
+}
+
+#[test]
+fn a_late_first_answer_of_the_earlier_worker_at_an_address_does_not_end_the_live_one() {
+    let mut harness = Harness::new(0);
+    harness.deliver(Event::Worker(report("w0@1000", "h1")));
+    harness.work();
+    let early = Steady::from_millis(harness.now);
+    harness.now += 100;
+    harness.deliver(Event::Worker(report(FIRST, "h1")));
+    harness.connect(FIRST, vec![]);
+    let (task, run, at) = order_start(&mut harness, 1);
+    assert_eq!(at, worker_id(FIRST));
+    harness.confirm_start(task, run, &at);
+    harness.deliver(Event::Worker(report("w2@1000", "h2")));
+    harness.connect("w2@1000", vec![]);
+    harness.now += 100;
+    answer(&mut harness, FIRST, FIRST, vec![present(task, run, 10)], vec![]);
+    answer_to(&mut harness, early, "w0@1000", "w0@1000", vec![], vec![]);
+    harness.work();
+    assert_eq!(harness.take_starts(), vec![], "it runs at the worker that answered last");
+}
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -129,6 +129,8 @@
     pub(crate) blocked: bool,
     /// Whether it has answered at its address, to this owner or an earlier one.
     pub(crate) has_answered: bool,
+    /// Calls sent since then were sent while this incarnation was known.
+    pub(crate) known_since: Steady,
     /// Since when it is called at its address: answers to earlier calls are another worker's.
     pub(crate) address_since: Steady,
     /// Whether it has seen this owner's token and reported its runs.
@@ -193,6 +195,7 @@
             unlisted_since: None,
             blocked: false,
             has_answered: false,
+            known_since: now,
             address_since: now,
             has_reported: false,
             reported_all: false,
@@ -264,6 +267,13 @@
         self.unlisted_since.get_or_insert(now);
     }
 
+    /// Whether it was known when a call was sent. An answer proves that the worker that gave it was
+    /// alive after the call was sent, so that it ends the others that were known by then. One that
+    /// became known later may have started since: answers are handled late.
+    pub(crate) fn was_known(&self, sent: Steady) -> bool {
+        self.known_since <= sent
+    }
+
     /// Whether the store lists it.
     pub(crate) fn is_listed(&self) -> bool {
         self.unlisted_since.is_none()
