The fencing token of a worker never decreases

Callers saw: a job that stays running. The owner had given a restarted worker a token of its own, lost sight of the worker, and polled it under its older token when it came back. The poll was refused, and the owner took itself for deposed.

Cause: `note_listed` restored the token only if the roster did not list the worker, and a removal could overwrite a higher token with a lower one.

Change: the highest token is kept by worker and applied to each incarnation that is tracked; only the fence depends on the roster.

Before: the new test fails, "100 after 1420". After: it passes, with all tests of incarnations.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -104,9 +104,9 @@
     unknown_seen: Option<Steady>,
     /// Workers that have certainly ended. The store may list their reports a while longer.
     ended_workers: HashSet<Incarnation>,
-    /// Workers whose earlier incarnation had orders of this owner and is no longer tracked, with
-    /// the highest token of these orders where it was not the owner's.
-    former_fences: HashMap<WorkerId, u64>,
+    /// Workers of which an incarnation had orders of this owner and is no longer tracked, with the
+    /// highest token of these orders where it was not the owner's. A worker's token only rises.
+    fencing_tokens: HashMap<WorkerId, u64>,
     /// Hosts to be drained, by the revision of their drain mark.
     draining: BTreeMap<HostId, Revision>,
     /// Workers whose capacity the current plan reserves for long-running tasks that wait.
@@ -153,7 +153,7 @@
             handed_over: None,
             unknown_seen: None,
             ended_workers: HashSet::new(),
-            former_fences: HashMap::new(),
+            fencing_tokens: HashMap::new(),
             draining: BTreeMap::new(),
             reserved: BTreeSet::new(),
             unplaceable: Vec::new(),
@@ -492,10 +492,7 @@
         self.poll_conflicting(&report, now);
         let mut worker = Worker::new(report, now);
         worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
-        if let Some(fence) = self.former_fences.get(&worker.report.id.worker)
-            && !worker.rostered
-        {
-            worker.advance_fencing_token(*fence);
+        if !worker.rostered && self.fencing_tokens.contains_key(&worker.report.id.worker) {
             worker.restart_fence = RestartFence::Needed;
         }
         self.track(worker, now);
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -127,7 +127,8 @@
             return Vec::new();
         };
         if worker.has_reported && id.born.is_some() {
-            self.former_fences.insert(id.worker.clone(), worker.fencing_token());
+            let token = self.fencing_tokens.entry(id.worker.clone()).or_default();
+            *token = worker.fencing_token().max(*token);
         }
         let planned = self.ends_as_planned(&worker);
         let mut lost = worker.lost_runs;
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -41,6 +41,9 @@
         if self.last_polls == Some(now) {
             worker.known_since = now.after(1);
         }
+        if let Some(token) = self.fencing_tokens.get(&worker.report.id.worker) {
+            worker.advance_fencing_token(*token);
+        }
         self.workers.insert(worker.report.id.clone(), worker);
     }
 
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -453,3 +453,25 @@
     harness.work();
     assert_eq!(harness.take_starts(), vec![], "it runs at the worker that answered last");
 }
+
+#[test]
+fn the_token_of_a_worker_that_is_listed_again_does_not_decrease() {
+    let mut harness = first_incarnation();
+    order_start(&mut harness, 1);
+    start_again(&mut harness);
+    harness.now += 1_100;
+    let (before, _) = newest_poll(&mut harness);
+    assert!(TOKEN < before.token);
+    harness.deliver(Event::Unlisted(worker_id(NEXT).worker));
+    // The roster's write is delayed for as long as the worker is silent.
+    for _ in 0..200 {
+        harness.now += 100;
+        harness.poll_unanswered(NEXT);
+        harness.work();
+    }
+    harness.effects.clear();
+    harness.deliver(Event::Worker(report(NEXT, "h1")));
+    let (after, _) = newest_poll(&mut harness);
+    assert_eq!(after.worker, before.worker);
+    assert!(before.token <= after.token, "{} after {}", after.token, before.token);
+}
