A refusal of its own earlier token does not depose an owner

Callers saw: a pool that changes its owner for nothing, and waits for the next one. A poll was overtaken by one with the worker's new token; its late refusal named the older token, which the same owner had sent.

Cause: once the restart fence was clear, each refused poll counted as one that had carried the present token, whenever it was sent.

Change: a worker keeps the time of the first poll that carried its token.

Before: the new test fails. After: it passes, with all tests of incarnations.

--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -475,3 +475,26 @@
     assert_eq!(after.worker, before.worker);
     assert!(before.token <= after.token, "{} after {}", after.token, before.token);
 }
+
+#[test]
+fn a_poll_from_before_the_own_token_that_is_refused_late_does_not_depose_the_owner() {
+    let mut harness = first_incarnation();
+    order_start(&mut harness, 1);
+    answer(&mut harness, FIRST, NEXT, vec![], vec![]);
+    harness.deliver(Event::Worker(report(NEXT, "h1")));
+    harness.now += 20;
+    harness.work();
+    answer(&mut harness, NEXT, NEXT, vec![], vec![]);
+    harness.now += 1_100;
+    let (to, _) = newest_poll(&mut harness);
+    assert_eq!((to.worker, to.token), (worker_id(NEXT), TOKEN));
+    let early = Steady::from_millis(harness.now);
+    harness.now += 20;
+    harness.persist_roster().expect("its entry in the roster is new");
+    let (to, _) = newest_poll(&mut harness);
+    assert!(TOKEN < to.token, "the second poll overtakes the first");
+    answer(&mut harness, NEXT, NEXT, vec![], vec![]);
+    let end = OrderResult::Refused { why: Refusal::Fenced, clock_ms: None };
+    harness.deliver(Event::Polled { worker: worker_id(NEXT), sent: early, end });
+    assert!(!harness.owner.is_deposed(), "the refused poll carried the owner's earlier token");
+}
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -145,6 +145,8 @@
     pub(crate) earlier_tasks: Option<Holding>,
     /// The fencing token of orders to it, if it differs from the owner's; else 0.
     fencing_token: u64,
+    /// When the first poll was sent that carried this token.
+    token_since: Steady,
     /// Whether orders to an earlier incarnation may still be carried out here.
     pub(crate) restart_fence: RestartFence,
     reading: Option<ClockReading>,
@@ -202,6 +204,7 @@
             rostered: false,
             earlier_tasks: None,
             fencing_token: 0,
+            token_since: Steady::default(),
             restart_fence: RestartFence::Clear,
             reading: None,
             lease_end_ms: 0,
@@ -328,13 +331,14 @@
             && is_complete
         {
             self.restart_fence = RestartFence::Clear;
+            self.token_since = first;
         }
     }
 
     /// Whether a poll sent at that time carried the token that orders carry now.
     pub(crate) fn carried_fencing_token(&self, sent: Steady) -> bool {
         match self.restart_fence {
-            RestartFence::Clear => true,
+            RestartFence::Clear => self.token_since <= sent,
             RestartFence::Needed | RestartFence::Assigned => false,
             RestartFence::Sent(first) => first <= sent,
         }
