The lease of a restarted worker may be from orders to the one before

Callers saw: work done twice at one time. A worker started again under its name, was cut off soon after, and ran on while its task was started elsewhere.

Cause: a poll or start bears the end of the lease by the clock of the incarnation that was called. The next one, whose clock has restarted, adopts it, "never shortens" it, and runs on for longer than its owner granted; the owner took its runs for expired. It needs no late order: a worker that restarts between two polls is enough.

Workers that do not tell their start are not concerned. Price: tasks of a worker that falls silent within 10 s of its restart start elsewhere up to 6 s later.

The simulated workers accepted leases of any length. The oracle is unchanged.

Before: both new tests fail ("runs twice"), also with the simulated workers as changed.

--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -197,6 +197,9 @@
             return;
         };
         worker.read_clock(response.clock_ms, now.steady);
+        if worker.may_obey_earlier_orders(self.earlier != 0) {
+            worker.assume_longest_lease();
+        }
         let was_lost = !worker.has_reported || !worker.lost_runs.is_empty();
         if !worker.has_reported {
             worker.has_reported = true;
--- a/src/jobs/tests/fuzz.rs
+++ b/src/jobs/tests/fuzz.rs
@@ -3,6 +3,7 @@
 //! are disconnected from some owners only; responses of the store are lost. The oracle checks the
 //! runs that workers actually execute and shares no code with the decisions.
 
+mod late_orders;
 mod network;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +16,7 @@
         event::{Effect, Event, ProgressWrite, StoredJob},
         owner::{GRACE_PERIOD_MS, LEASE_MS, Owner},
         roster::{RosterWrite, SilentWorkers},
-        worker::WORKER_LEASE_MS,
+        worker::{MAX_LEASE_MS, WORKER_LEASE_MS},
     },
     model::{
         id::{HostId, Incarnation},
@@ -161,6 +162,13 @@
     restart_at: Option<u64>,
 }
 
+impl SimWorker {
+    /// Extends the lease. The worker cuts down one that is too long, by the platform's contract.
+    fn extend_lease(&mut self, until: u64, clock: u64) {
+        self.lease_until = self.lease_until.max(until.min(clock + MAX_LEASE_MS));
+    }
+}
+
 /// An owner and its orders that are not yet delivered.
 struct SimOwner {
     owner: Owner,
@@ -647,8 +655,8 @@
         if until <= clock {
             return refused(Refusal::Late);
         }
+        self.workers[host].extend_lease(until, clock);
         let sim = &mut self.workers[host];
-        sim.lease_until = sim.lease_until.max(until);
         if sim.runs.get(&task).is_some_and(|present_run| present_run.run == run) {
             return OrderResult::Done(clock);
         }
@@ -750,7 +758,7 @@
         let clock_ms = self.worker_clock(host);
         let acknowledged_ends: Vec<EndedRun> = {
             let sim = &mut self.workers[host];
-            sim.lease_until = sim.lease_until.max(until.unwrap_or(0));
+            sim.extend_lease(until.unwrap_or(0), clock_ms);
             let (acknowledged_ends, remaining) =
                 sim.ends.drain(..).partition(|end| end.number <= acknowledged);
             sim.ends = remaining;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -49,6 +49,13 @@
 /// terminated worker remains listed.
 const LONG_SILENCE_MS: u64 = 10_000;
 
+/// A worker whose clock is beyond this carries out no more orders to its earlier incarnation, and
+/// its lease is not from one, in milliseconds.
+const RESTARTED_MS: u64 = MAX_ORDER_DELAY_MS + MAX_LEASE_MS;
+
+/// The longest lease of a worker, which cuts longer ones down, by the platform's contract.
+pub(crate) const MAX_LEASE_MS: u64 = 10_000;
+
 /// The longest delay after which an unanswered order may still be carried out, by the platform's
 /// contract.
 pub(crate) const MAX_ORDER_DELAY_MS: u64 = 12_000;
@@ -406,12 +413,29 @@
 
     /// Assumes that an earlier owner has extended the lease as far as this one would.
     pub(crate) fn assume_full_lease(&mut self) {
+        self.assume_lease(WORKER_LEASE_MS + WORKER_LEASE_MS / 50);
+    }
+
+    /// Assumes that orders to an earlier incarnation have extended the lease as far as the worker
+    /// allows: they bear times on that incarnation's clock.
+    pub(crate) fn assume_longest_lease(&mut self) {
+        self.assume_lease(MAX_LEASE_MS);
+    }
+
+    fn assume_lease(&mut self, millis: u64) {
         if let Some(reading) = self.reading {
-            self.lease_end_ms =
-                self.lease_end_ms.max(reading.clock_ms + WORKER_LEASE_MS + WORKER_LEASE_MS / 50);
+            self.lease_end_ms = self.lease_end_ms.max(reading.clock_ms + millis);
         }
     }
 
+    /// Whether its lease may be from orders to an earlier incarnation, if `earlier_owners` may have
+    /// sent any: it has not answered a poll with a token that these orders do not bear.
+    pub(crate) fn may_obey_earlier_orders(&self, earlier_owners: bool) -> bool {
+        let has_started = self.reading.is_some_and(|reading| reading.clock_ms < RESTARTED_MS);
+        let is_unknown = earlier_owners && has_started && !self.has_reported;
+        self.may_start_again() && (is_unknown || self.restart_fence != RestartFence::Clear)
+    }
+
     /// Whether a listed end is still to be counted.
     pub(crate) fn is_uncounted(&self, number: u64) -> bool {
         let waits = |end: &UnacknowledgedEnd| end.number == number && end.version.is_none();
