A live incarnation that was recorded as ended is used again

This is the second line of defence: an incarnation that answers two calls which were sent after its end was recorded is alive, and is tracked again with the entry that the store listed meanwhile. One answer is not enough, since answers overtake one another.

Found beside it: an incarnation that became known by an answer to a call of one that had not reported was given work without a token of its own, though an earlier one had orders of this owner. Both are now set where an incarnation is first tracked, however it became known.

Before: the new test fails.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -19,13 +19,11 @@
         event::{Effect, Event, ProgressWrite, StoredJob},
         job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
         message_loss::MessageLoss,
-        roster::{Holding, Roster},
+        roster::Roster,
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
         urgency::Durations,
-        worker::{
-            EXPIRY_DELAY_MS, LostRun, RestartFence, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker,
-        },
+        worker::{EXPIRY_DELAY_MS, LostRun, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker},
     },
     model::{
         id::{HostId, Incarnation, WorkerId},
@@ -35,6 +33,7 @@
     },
 };
 
+use incarnations::EndedWorker;
 #[cfg(test)]
 pub(crate) use roster::UNCONFIRMED_ADDED;
 pub(crate) use status::{DrainedHost, HostUsage};
@@ -102,8 +101,8 @@
     handed_over: Option<BTreeSet<TaskId>>,
     /// When a run of an unknown job was last seen.
     unknown_seen: Option<Steady>,
-    /// Workers that have certainly ended. The store may list their reports a while longer.
-    ended_workers: HashSet<Incarnation>,
+    /// Workers that have ended. The store may list their reports a while longer.
+    ended_workers: BTreeMap<Incarnation, EndedWorker>,
     /// Workers of which an incarnation had orders of this owner and is no longer tracked, with the
     /// highest token of these orders where it was not the owner's. A worker's token only rises.
     fencing_tokens: HashMap<WorkerId, u64>,
@@ -152,7 +151,7 @@
             roster: Roster::default(),
             handed_over: None,
             unknown_seen: None,
-            ended_workers: HashSet::new(),
+            ended_workers: BTreeMap::new(),
             fencing_tokens: HashMap::new(),
             draining: BTreeMap::new(),
             reserved: BTreeSet::new(),
@@ -219,7 +218,10 @@
                 self.poll_conflicting(&report, now.steady);
             }
             Event::InvalidEntry(id) => self.incarnations(&id).for_each(|one| one.block(now.steady)),
-            Event::Unlisted(id) => self.incarnations(&id).for_each(|one| one.unlist(now.steady)),
+            Event::Unlisted(id) => {
+                self.incarnations(&id).for_each(|one| one.unlist(now.steady));
+                self.forget_ended_reports(&id);
+            }
             Event::Started { worker, task, run, end } => {
                 self.note_start_result(&worker, task, run, end, now.steady);
             }
@@ -481,7 +483,8 @@
     }
 
     fn note_listed(&mut self, report: WorkerReport, now: Steady) {
-        if self.ended_workers.contains(&report.id) {
+        if let Some(ended) = self.ended_workers.get_mut(&report.id) {
+            ended.report = Some(report);
             return;
         }
         self.unlist_others(&report.id, now);
@@ -490,12 +493,7 @@
             return;
         }
         self.poll_conflicting(&report, now);
-        let mut worker = Worker::new(report, now);
-        worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
-        if !worker.rostered && self.fencing_tokens.contains_key(&worker.report.id.worker) {
-            worker.restart_fence = RestartFence::Needed;
-        }
-        self.track(worker, now);
+        self.track(Worker::new(report, now), now);
     }
 
     /// Schedules polls of the workers that have the host or address of a report. Reports do not
@@ -545,7 +543,7 @@
             self.remove_run(task, id, RunEnd::WorkerTerminated, now);
         }
         self.remove_crashed_worker(id, now);
-        self.ended_workers.insert(id.clone());
+        self.ended_workers.insert(id.clone(), EndedWorker::new(now));
     }
 }
 
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -35,14 +35,26 @@
         from_first.take_while(move |incarnation| incarnation.report.id.worker == *worker)
     }
 
+    /// Records that the store lists no incarnation of a worker.
+    pub(super) fn forget_ended_reports(&mut self, worker: &WorkerId) {
+        let first = Incarnation::new(worker.clone(), None);
+        let from_first = self.ended_workers.range_mut(first..);
+        let ended = from_first.take_while(|(id, _)| id.worker == *worker);
+        ended.for_each(|(_, ended)| ended.report = None);
+    }
+
     /// Begins to track an incarnation.
     pub(super) fn track(&mut self, mut worker: Worker, now: Steady) {
         // Polls that were sent in this millisecond were sent before it was known.
         if self.last_polls == Some(now) {
             worker.known_since = now.after(1);
         }
+        worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
         if let Some(token) = self.fencing_tokens.get(&worker.report.id.worker) {
             worker.advance_fencing_token(*token);
+            if !worker.rostered {
+                worker.restart_fence = RestartFence::Needed;
+            }
         }
         self.workers.insert(worker.report.id.clone(), worker);
     }
@@ -57,9 +69,15 @@
     }
 
     /// Records that an incarnation other than the called one has answered.
-    pub(super) fn note_answer_by(&mut self, called: &Incarnation, started: StartTime, now: Steady) {
+    pub(super) fn note_answer_by(
+        &mut self,
+        called: &Incarnation,
+        started: StartTime,
+        sent: Steady,
+        now: Steady,
+    ) {
         let by = Incarnation::new(called.worker.clone(), Some(started));
-        if self.ended_workers.contains(&by) {
+        if self.ended_workers.get_mut(&by).is_some_and(|ended| !ended.is_contradicted(sent)) {
             log::warn!("worker {called}: answer ignored: it is from {by}, which has ended");
             return;
         }
@@ -72,6 +90,10 @@
             // Its labels and resources may differ: it gets no work before its own entry is listed.
             next.block(now);
             self.track(next, now);
+            if let Some(ended) = self.ended_workers.remove(&by) {
+                log::error!("worker {by}: answers, though it was taken for ended");
+                ended.report.into_iter().for_each(|report| self.note_listed(report, now));
+            }
         }
         self.replace_incarnation(called, &by, now);
     }
@@ -127,7 +149,7 @@
             self.remove_run(task, old, RunEnd::WorkerTerminated, now);
         }
         self.workers.remove(old);
-        self.ended_workers.insert(old.clone());
+        self.ended_workers.insert(old.clone(), EndedWorker::new(now));
     }
 
     /// Assigns a run to a worker that may have begun it, or still may.
@@ -150,6 +172,32 @@
     }
 }
 
+/// The record of a worker that has ended.
+#[derive(Debug)]
+pub(super) struct EndedWorker {
+    /// When it was found to have ended.
+    since: Steady,
+    /// The newest call after that which it seems to have answered.
+    answered: Option<Steady>,
+    /// Its entry in the store, if that was listed since.
+    pub(super) report: Option<WorkerReport>,
+}
+
+impl EndedWorker {
+    pub(super) fn new(now: Steady) -> EndedWorker {
+        EndedWorker { since: now, answered: None, report: None }
+    }
+
+    /// Records an answer of the worker to a call sent at that time. Returns whether the worker is
+    /// alive after all: it has answered two calls that were sent after it was found to have ended.
+    fn is_contradicted(&mut self, sent: Steady) -> bool {
+        if sent <= self.since {
+            return false;
+        }
+        self.answered.replace(sent).is_some_and(|earlier| earlier < sent)
+    }
+}
+
 impl Worker {
     /// Records that it follows another incarnation: the token of orders to that one, whether there
     /// were any, and what it may have run.
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -147,7 +147,7 @@
         match end {
             OrderResult::Done(response) => {
                 match response.born.filter(|born| id.born != Some(*born)) {
-                    Some(other) => self.note_answer_by(id, other, now.steady),
+                    Some(other) => self.note_answer_by(id, other, sent, now.steady),
                     None => self.note_poll_answer(id, sent, response, now, out),
                 }
             }
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -498,3 +498,20 @@
     harness.deliver(Event::Polled { worker: worker_id(NEXT), sent: early, end });
     assert!(!harness.owner.is_deposed(), "the refused poll carried the owner's earlier token");
 }
+
+#[test]
+fn a_worker_that_answers_again_and_again_is_not_ignored_for_good() {
+    let mut harness = first_incarnation();
+    start_again(&mut harness);
+    let (worker, sent) = (worker_id(NEXT), Steady::from_millis(harness.now));
+    let end = OrderResult::Refused { why: Refusal::OtherLife, clock_ms: None };
+    harness.deliver(Event::Polled { worker, sent, end });
+    harness.deliver(Event::Worker(report("w1@3000", "h1")));
+    harness.deliver(Event::Worker(report(NEXT, "h1")));
+    for _ in 0..2 {
+        harness.now += 200;
+        answer(&mut harness, "w1@3000", NEXT, vec![], vec![]);
+    }
+    poll_until_fenced(&mut harness, &[]);
+    assert_eq!(order_start(&mut harness, 1).2, worker_id(NEXT));
+}
