The result of an order bears the time of its decision

Callers saw: workers that get no work, on pools whose workers tell their start.

Cause: the owner recognizes the poll that acknowledges ends by the time at which it decided on it. The control loop reported the time at which it handed the order on, later in the same iteration. Where an iteration took a millisecond or more, the owner waited for that poll for good, and nothing starts at the worker meanwhile. Large pools and nodes with a small share of a core always take so long.

Change: the time of the decision goes with the orders.

Before: the new test fails.

--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -250,7 +250,7 @@
                 if owned.owner.token == token {
                     let mut out = Vec::new();
                     owned.owner.handle(*event, now, &mut out);
-                    self.execute(&name, token, out);
+                    self.execute(&name, token, out, now.steady);
                 }
             }
             Input::Acquired { name, won } => self.note_acquire_result(name, won, now),
@@ -340,7 +340,7 @@
             let counts = owned.owner.take_counts();
             self.node.metrics.add_counts(&counts);
             owned.order_counts.note_resent(counts.resent_orders);
-            self.execute(&name, token, out);
+            self.execute(&name, token, out, now.steady);
             self.persist_progress(&name, now);
             self.persist_roster(&name, now);
             self.remove_ended_jobs(&name, now);
@@ -494,7 +494,7 @@
         // large pool has time for a fifth of these calls, and late polls make live workers look
         // silent.
         self.next_delegates = now.steady;
-        self.execute(name, token, out);
+        self.execute(name, token, out, now.steady);
     }
 }
 
--- a/src/scheduler/control_loop/orders.rs
+++ b/src/scheduler/control_loop/orders.rs
@@ -31,8 +31,15 @@
 const DIRECT_CALL_MS: u64 = 2_000;
 
 impl ControlLoop {
-    /// Executes the effects of an owner, on this node or through a delegate.
-    pub(super) fn execute(&mut self, name: &str, token: u64, effects: Vec<Effect>) {
+    /// Executes the effects that an owner decided on at the given time, on this node or through a
+    /// delegate.
+    pub(super) fn execute(
+        &mut self,
+        name: &str,
+        token: u64,
+        effects: Vec<Effect>,
+        decided: Steady,
+    ) {
         for effect in effects {
             match effect {
                 Effect::Advise { step, workers, needs } => {
@@ -52,8 +59,8 @@
                     });
                 }
                 order => match self.delegate_address(name, &order) {
-                    Some(address) => self.delegate(address, name, token, order),
-                    None => self.call_directly(name, token, order),
+                    Some(address) => self.delegate(address, name, token, order, decided),
+                    None => self.call_directly(name, token, order, decided),
                 },
             }
         }
@@ -90,12 +97,12 @@
     }
 
     /// Makes the call on this node.
-    fn call_directly(&self, name: &str, token: u64, effect: Effect) {
+    fn call_directly(&self, name: &str, token: u64, effect: Effect, sent: Steady) {
         let (send_event, may_send) = (self.event_sender(name, token), self.send_check(name));
         let worker_client = self.worker_client.clone();
         let metrics = self.node.metrics.clone();
         let pending = self.count_order(name, CallingNode::Own);
-        let (sent, began) = (self.node.now().steady, Instant::now());
+        let began = Instant::now();
         tokio::spawn(async move {
             let answer = match may_send() {
                 true => call(&worker_client, &effect).await,
@@ -112,7 +119,14 @@
     }
 
     /// Has another node make the call, batched with all others for that node in this iteration.
-    fn delegate(&mut self, address: SocketAddr, name: &str, token: u64, effect: Effect) {
+    fn delegate(
+        &mut self,
+        address: SocketAddr,
+        name: &str,
+        token: u64,
+        effect: Effect,
+        sent: Steady,
+    ) {
         let send_event = self.event_sender(name, token);
         let inputs = self.inputs.clone();
         let worker = target_worker(&effect).cloned();
@@ -129,7 +143,7 @@
             }
             send_event(event);
         };
-        let (sent, may_send) = (self.node.now().steady, Box::new(self.send_check(name)));
+        let may_send = Box::new(self.send_check(name));
         let order = Outgoing { effect, sent, may_send, on_result: Box::new(finish) };
         self.outbox.entry(address).or_default().push(order);
     }
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -2,6 +2,7 @@
 //! view lags. An ownership won under a lease that the store has ended must be dropped, whatever
 //! lease the node holds by then.
 
+mod acknowledgements;
 mod load;
 mod stale_view;
 mod waiting_report;
--- a/src/scheduler/control_loop/updates.rs
+++ b/src/scheduler/control_loop/updates.rs
@@ -89,7 +89,7 @@
         };
         let (mut out, token) = (Vec::new(), owned.owner.token);
         owned.owner.handle(event, now, &mut out);
-        self.execute(name, token, out);
+        self.execute(name, token, out, now.steady);
     }
 
     /// Drops an ownership that, according to the view, another node or no node holds.
