A start that a next incarnation may carry out binds its task to the worker

Callers saw: work done twice, and work done again after its end was noted. A start without an answer, of an earlier owner or of the same one, was carried out by an incarnation that the present owner had not reached. The task had been started elsewhere, since the incarnation before had agreed to stop it, or had listed all its runs to the present owner. The end of such a run could be acknowledged unread.

Cause: what an incarnation promises ends with it. An order names the worker, and one that has just started obeys each order for up to 12 s after it was sent.

Change: a start is unsettled until an answer or a list shows that it was carried out or refused, or 12.4 s after its result was missed. Meanwhile its task starts only at the same worker, whose present incarnation refuses the earlier start, and no ends are acknowledged there. Starts are persisted with the roster before they are sent, so that the next owner knows them: it awaits them for 5 s more, the grace period, or not if the pool was handed over. Nobody waits who can be placed at that worker. This replaces the wait at silent workers. Workers that do not tell their start refuse such orders by identifier; nothing changes for them.

What it costs, at workers that tell their start: one write for the starts of 20 ms, and no starts while the store cannot be written.

`an_unanswered_start_is_assigned_to_the_next_incarnation_until_that_has_listed_its_runs` took an accepted stop for the end of the matter. A third incarnation may begin the run, as `a_late_start_that_the_earlier_incarnation_agreed_to_stop_...` shows; it now asserts that nothing starts for 12 s. In the other tests of incarnations the announcement is persisted before a start is expected; their assertions are the same.

Before: the four new tests fail.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -22,6 +22,7 @@
 pub(crate) mod roster;
 pub(crate) mod run_end;
 pub(crate) mod save_queue;
+pub(crate) mod unsettled;
 pub(crate) mod urgency;
 pub(crate) mod worker;
 
--- a/src/jobs/job.rs
+++ b/src/jobs/job.rs
@@ -28,6 +28,8 @@
 /// The phase of a run, as far as the owner knows it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
+    /// The start is to be announced to later owners, and is not sent yet.
+    Announced,
     /// The start order is in flight.
     Starting,
     /// The start order got no answer: the run may have begun, or may yet begin.
@@ -84,11 +86,6 @@
             throttle_percent: 100,
         }
     }
-
-    /// Whether its start is not confirmed: it may yet be carried out.
-    pub(crate) fn is_unanswered(&self) -> bool {
-        self.began.is_none() && !self.listed && !matches!(self.phase, Phase::Stopped(_))
-    }
 }
 
 #[derive(Debug, Clone, Default)]
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -1,5 +1,6 @@
 //! The owner of one pool's jobs.
 
+mod announced;
 mod answers;
 mod crashes;
 mod ends;
@@ -22,12 +23,14 @@
         roster::Roster,
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
+        unsettled::{StartsByWorker, UnsettledStarts},
         urgency::Durations,
         worker::{EXPIRY_DELAY_MS, LostRun, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker},
     },
     model::{
         id::{HostId, Incarnation, WorkerId},
         job::{JobId, TaskId, TaskResources},
+        order::Start,
         unit::{Now, Revision, Steady},
         worker::WorkerReport,
     },
@@ -95,6 +98,12 @@
     workers: BTreeMap<Incarnation, Worker>,
     /// When polls were last sent.
     last_polls: Option<Steady>,
+    /// Starts that the next incarnation of a worker may carry out.
+    unsettled: UnsettledStarts,
+    /// Starts that are sent once the announcement is durable.
+    announced_starts: BTreeMap<(TaskId, Incarnation), Start>,
+    /// The starts that a later owner would find in the store.
+    persisted_starts: StartsByWorker,
     /// The records about the workers that a later owner would find in the store.
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
@@ -148,6 +157,9 @@
             unknown: BTreeMap::new(),
             workers: BTreeMap::new(),
             last_polls: None,
+            unsettled: UnsettledStarts::default(),
+            announced_starts: BTreeMap::new(),
+            persisted_starts: StartsByWorker::new(),
             roster: Roster::default(),
             handed_over: None,
             unknown_seen: None,
@@ -242,6 +254,7 @@
 
     /// Requests the polls, stops and starts that are due.
     pub(crate) fn tick(&mut self, now: Now, out: &mut Vec<Effect>) {
+        self.unsettled.expire(now.steady);
         self.remove_expired_runs(now.steady);
         self.give_up_crashing(now, out);
         self.send_polls(now.steady, out);
@@ -435,6 +448,10 @@
         if matches!(task_run.phase, Phase::Stopping | Phase::Stopped(_)) {
             return;
         }
+        if task_run.phase == Phase::Announced {
+            self.withdraw_start(task, at, now);
+            return;
+        }
         task_run.phase = Phase::Stopping;
         task_run.since = now;
         out.push(Effect::Stop { to, task, run: task_run.run });
--- a/src/jobs/owner/answers.rs
+++ b/src/jobs/owner/answers.rs
@@ -5,7 +5,7 @@
     jobs::{
         job::{Phase, RUNS_PER_OWNER},
         run_end::RunEnd,
-        worker::RestartFence,
+        worker::{EXPIRY_DELAY_MS, MAX_ORDER_DELAY_MS, RestartFence},
     },
     model::{
         id::Incarnation,
@@ -34,6 +34,13 @@
         {
             worker.read_order_clock(clock_ms, now);
         }
+        match end {
+            OrderResult::Unknown => {
+                let until = now.after(MAX_ORDER_DELAY_MS + EXPIRY_DELAY_MS);
+                self.unsettled.note_unanswered(&at.worker, task, run, until);
+            }
+            _ => self.unsettled.settle(&at.worker, task, run),
+        }
         // Even if the run is no longer tracked: it did begin.
         if matches!(end, OrderResult::Done(_)) {
             self.note_begun(task.of.job);
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -8,13 +8,13 @@
 
 use std::collections::BTreeSet;
 
-use super::{Owner, Vanished, plan::ISOLATED_RETRY_POLL_MS};
+use super::{Owner, Vanished};
 use crate::{
     jobs::{
         event::Effect,
         job::Task,
         roster::Holding,
-        worker::{LostRun, STABLE_MS, Worker},
+        worker::{ISOLATED_RETRY_POLL_MS, LostRun, STABLE_MS, Worker},
     },
     model::{
         id::{HostId, Incarnation},
@@ -39,6 +39,7 @@
 impl Owner {
     /// Records that a worker is lost with all its runs, certainly or presumably; returns the runs.
     pub(super) fn note_worker_loss(&mut self, id: &Incarnation, now: Steady) -> Vec<LostRun> {
+        self.withdraw_starts(id, now);
         let Some(worker) = self.workers.get(id) else {
             return Vec::new();
         };
@@ -285,7 +286,8 @@
         let takes = |worker: &Worker| {
             worker.isolated_task == Some(task) && placer.can_run(worker, step, tasks, ticketed)
         };
-        if self.workers.get(&at).is_some_and(takes) {
+        let is_allowed = self.bound_to(task).iter().all(|worker| **worker == at.worker);
+        if is_allowed && self.workers.get(&at).is_some_and(takes) {
             return Some(at);
         }
         self.withdraw_isolated_retry(task);
--- a/src/jobs/owner/ends.rs
+++ b/src/jobs/owner/ends.rs
@@ -24,6 +24,7 @@
         now: Now,
         out: &mut Vec<Effect>,
     ) {
+        self.unsettled.settle(&id.worker, end.task, end.run);
         if !self.workers.get(id).is_some_and(|worker| worker.is_uncounted(end.number)) {
             return;
         }
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -105,6 +105,7 @@
         new: &Incarnation,
         now: Steady,
     ) {
+        self.withdraw_starts(old, now);
         let Some(previous) = self.workers.get(old) else {
             return;
         };
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -10,10 +10,9 @@
         job::{Phase, Run, StepTasks},
         place::TaskPlacer,
         urgency,
-        worker::STABLE_MS,
     },
     model::{
-        id::Incarnation,
+        id::{Incarnation, WorkerId},
         job::{JobId, Step, StepId, TaskId},
         order::Start,
         unit::{Now, Steady},
@@ -35,10 +34,6 @@
 /// milliseconds: workers take up to 900 ms to stop a run, and list it as ready meanwhile.
 const LATE_STOP_MS: u64 = 1_200;
 
-/// Delay after an isolated retry starts until its worker is polled, in milliseconds: an answer then
-/// shows that the run is stable.
-pub(super) const ISOLATED_RETRY_POLL_MS: u64 = STABLE_MS + 40;
-
 /// The percent at which a long-running task is ready.
 const READY_PERCENT: u32 = 100;
 
@@ -58,6 +53,7 @@
         self.end_isolated_retries();
         let unconfirmed = self.unconfirmed(now.steady);
         self.log_unblocking(&unconfirmed, now.steady);
+        self.send_announced_starts(now.steady, out);
         for (_, id) in order {
             self.plan_job(id, &unconfirmed, now, out);
         }
@@ -204,6 +200,17 @@
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
     }
 
+    /// The workers at which alone a task may start now: where an earlier start of it may still be
+    /// carried out. Callers would have to do without a long-running task meanwhile.
+    pub(super) fn bound_to(&self, task: TaskId) -> Vec<&WorkerId> {
+        match self.step(task.of) {
+            Some(step) if !step.long_running && !step.speculative => {
+                self.unsettled.workers_of(task).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Splits the tasks of a step into those with an announced isolated retry and the others.
     fn split_announced(&self, of: StepId, tasks: Vec<u32>) -> (Vec<u32>, Vec<u32>) {
         let is_announced = |index: &u32| {
@@ -226,6 +233,9 @@
             let announced = self.announced_isolated_retry(TaskId { of, index: *index }, now.steady);
             let Some(worker) = announced.or_else(|| self.worker_for(of, *index, None, now.steady))
             else {
+                if !self.bound_to(TaskId { of, index: *index }).is_empty() {
+                    continue;
+                }
                 self.note_unplaceable(of);
                 return false;
             };
@@ -249,7 +259,9 @@
         let task = tasks.tasks.get(index as usize)?;
         let placer = self.task_placer(now);
         let ticketed = job.record.advice.is_some();
-        let worker = placer.worker_for(job.step(of.step), tasks, task, ticketed, rack)?;
+        let bound = self.bound_to(TaskId { of, index });
+        let allows = |id: &Incarnation| bound.iter().all(|worker| **worker == id.worker);
+        let worker = placer.worker_for(job.step(of.step), tasks, task, ticketed, rack, allows)?;
         Some(worker.report.id.clone())
     }
 
@@ -350,9 +362,6 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let Some(until_ms) = worker.extend_lease(now.steady) else {
-            return;
-        };
         let (charge, long_running) = (job.step(of.step).charge(), job.step(of.step).long_running);
         let payload = job.record.payload.clone();
         let ticket = job.steps.get(&(of.occurrence, of.step)).and_then(|step| step.tickets.get(id));
@@ -368,14 +377,12 @@
         let is_isolated = entry.suspect;
         entry.runs.push(Run {
             isolated: is_isolated,
-            ..Run::new(id.clone(), run, Phase::Starting, now.steady)
+            ..Run::new(id.clone(), run, Phase::Announced, now.steady)
         });
         let task = TaskId { of, index };
         worker.occupy(task, run, &charge);
         if entry.suspect {
             worker.isolated_task = Some(task);
-            worker.next_poll = now.steady.after(ISOLATED_RETRY_POLL_MS);
-            worker.urgent_poll = true;
             log::info!(
                 "job {}: task {task} run {run} at {id}: on trial: {} workers were lost under it",
                 of.job,
@@ -396,9 +403,8 @@
             }
             None => {}
         }
-        let to = worker.addressee(token);
-        let start = Start { task, run, payload, until_ms, checkpoint, ticket };
-        out.push(Effect::Start { to, start });
+        let start = Start { task, run, payload, until_ms: 0, checkpoint, ticket };
+        self.announce_start(id, start, now.steady, out);
     }
 
     /// Stops the runs that may be stopped on workers that are to leave and on hosts that are being
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -1,24 +1,19 @@
 //! Polls of workers: the runs that a worker lists are compared with those that the owner expects.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{Owner, UNSENT_RETRY_MS, acknowledge};
 use crate::{
     jobs::{
         event::Effect,
-        job::{Job, Phase, Run},
+        job::{Phase, Run},
         run_end::{RunEnd, UnexpectedRun},
-        worker::{
-            EXPIRY_DELAY_MS, LostRun, MAX_ORDER_DELAY_MS, POLL_TIMEOUT_MS, SHORT_POLL_TIMEOUT_MS,
-            Worker,
-        },
+        unsettled::UnsettledStarts,
+        worker::{LostRun, POLL_TIMEOUT_MS, SHORT_POLL_TIMEOUT_MS, Worker},
     },
     model::{
         id::Incarnation,
-        job::{JobId, TaskId},
+        job::TaskId,
         unit::{Now, Steady},
         worker::{OrderResult, PollResponse, PresentRun, Refusal},
     },
@@ -46,21 +41,16 @@
 /// The highest end that a poll may acknowledge; none if the poll has to wait until it may.
 ///
 /// The next incarnation numbers its ends anew, and would discard those up to this number without
-/// listing them. So no ends are acknowledged after an unanswered poll, nor while a start is
-/// unanswered that the next incarnation may carry out.
-fn acknowledgement(worker: &Worker, jobs: &BTreeMap<JobId, Job>) -> Option<u64> {
+/// listing them. So no ends are acknowledged after an unanswered poll, nor while there is a start
+/// that the next incarnation may carry out.
+fn acknowledgement(worker: &Worker, unsettled: &UnsettledStarts) -> Option<u64> {
     if !worker.may_start_again() {
         return Some(worker.acknowledged);
     }
     if !worker.has_acknowledgeable_ends() || worker.missed_polls != 0 {
         return Some(0);
     }
-    let is_unanswered = |task: &TaskId| {
-        let entry = jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
-        let mut task_runs = entry.into_iter().flat_map(|entry| &entry.runs);
-        task_runs.any(|task_run| task_run.worker == worker.report.id && task_run.is_unanswered())
-    };
-    let waits = worker.runs.keys().any(is_unanswered);
+    let waits = unsettled.is_any_at(&worker.report.id.worker);
     (!waits).then_some(worker.acknowledged)
 }
 
@@ -71,7 +61,7 @@
         let mixed: BTreeSet<Incarnation> = self.mixed_workers();
         let short_polls = self.message_loss.is_high(self.workers.len(), now);
         let mut resent = 0;
-        let jobs = &self.jobs;
+        let unsettled = &self.unsettled;
         for worker in self.workers.values_mut() {
             // A run in an unknown phase does not wait for the pending poll, which may wait for an
             // end.
@@ -79,7 +69,7 @@
             if waits || now < worker.next_poll {
                 continue;
             }
-            let acknowledgement = acknowledgement(worker, jobs);
+            let acknowledgement = acknowledgement(worker, unsettled);
             let unsaved = !worker.unacknowledged.is_empty() || acknowledgement.is_none();
             let recently =
                 worker.last_answer.is_some_and(|at| now.since(at) < UNSAVED_POLL_PAUSE_MS);
@@ -244,6 +234,7 @@
         out: &mut Vec<Effect>,
     ) {
         let PresentRun { task, run, checkpoint, percent, gauge } = found;
+        self.unsettled.settle(&id.worker, task, run);
         self.note_begun(task.of.job);
         let unexpected = self.why_unexpected(id, task);
         let job = task.of.job;
@@ -422,28 +413,6 @@
         self.jobs.get_mut(&task.of.job)?.task_mut(task.of, task.index)
     }
 
-    /// Tasks whose unanswered start may still be carried out by the next incarnation of a silent
-    /// worker. Long-running tasks are not held back, since callers would have to do without them
-    /// meanwhile.
-    fn awaited_starts(&self, id: &Incarnation, confirmed: Steady) -> BTreeSet<TaskId> {
-        let Some(worker) = self.workers.get(id).filter(|worker| worker.may_start_again()) else {
-            return BTreeSet::new();
-        };
-        let is_awaited = |task: &&TaskId| {
-            let Some(job) = self.jobs.get(&task.of.job) else {
-                return false;
-            };
-            let task_runs = job.task(task.of, task.index).into_iter().flat_map(|entry| &entry.runs);
-            let mut here = task_runs.filter(|task_run| task_run.worker == *id);
-            let late = |task_run: &Run| {
-                confirmed < task_run.since.after(MAX_ORDER_DELAY_MS + EXPIRY_DELAY_MS)
-            };
-            !job.step(task.of.step).long_running
-                && here.any(|task_run| task_run.is_unanswered() && late(task_run))
-        };
-        worker.runs.keys().filter(is_awaited).copied().collect()
-    }
-
     /// Removes runs at workers that have been silent until all their leases expired, and workers
     /// that have presumably ended. Only what had expired when the store last confirmed the
     /// ownership counts: a later owner may renew the lease of a worker that is silent here.
@@ -453,19 +422,9 @@
         let expired: Vec<Incarnation> =
             self.workers.values().filter(expired).map(|w| w.report.id.clone()).collect();
         for id in expired {
-            let awaited = self.awaited_starts(&id, confirmed);
-            let worker = &self.workers[&id];
-            if !awaited.is_empty() && awaited.len() == worker.runs.len() {
-                continue;
-            }
             for LostRun { task, .. } in self.note_worker_loss(&id, now) {
-                if !awaited.contains(&task) {
-                    log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
-                    self.remove_run(task, &id, RunEnd::Lapsed, now);
-                }
-            }
-            if !awaited.is_empty() {
-                continue;
+                log::info!("job {}: task {task} at {id}: lapsed unseen", task.of.job);
+                self.remove_run(task, &id, RunEnd::Lapsed, now);
             }
             let worker = &self.workers[&id];
             let untouched = !worker.has_reported && confirmed < self.fenced_until;
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -3,14 +3,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::Owner;
+use super::{Owner, PREDECESSOR_MS};
 use crate::{
     jobs::{
         event::{Effect, Event},
         handover::Handover,
         job::{Job, Task},
         roster::{Holding, Roster, RosterWrite, SilentWorkers},
-        worker::Worker,
+        worker::{EXPIRY_DELAY_MS, MAX_ORDER_DELAY_MS, Worker},
     },
     model::{
         id::Incarnation,
@@ -65,6 +65,15 @@
         let record =
             silent_workers.handover.as_ref().and_then(|record| record.for_owner(self.earlier));
         self.handed_over = record.cloned();
+        // A predecessor that has handed over the pool sends no more orders.
+        let last_order_ms = if self.handed_over.is_some() { 0 } else { PREDECESSOR_MS };
+        let until = now.steady.after(last_order_ms + MAX_ORDER_DELAY_MS + EXPIRY_DELAY_MS);
+        self.persisted_starts = silent_workers.starts.clone();
+        for (worker, starts) in &silent_workers.starts {
+            for (task, run) in starts {
+                self.unsettled.inherit(worker, *task, *run, until);
+            }
+        }
         for report in workers {
             let id = report.id.clone();
             // One that holds nothing matters only once it is listed: otherwise each host that has
@@ -104,7 +113,8 @@
         let handover = Some(Handover::new(self.earlier, tasks)?);
         let silent =
             self.roster.listed().filter_map(|id| Some((id.clone(), self.silent_holding(id)?)));
-        Some(SilentWorkers { silent: silent.collect(), handover })
+        let starts = self.unsettled.by_worker();
+        Some(SilentWorkers { silent: silent.collect(), handover, starts })
     }
 
     /// Whether a run of a task may exist somewhere, or has ended with a result that is not durable
@@ -137,10 +147,11 @@
     /// the records of at most `limit` workers. The caller reports when it is persisted; workers get
     /// work only by what is persisted.
     pub(crate) fn roster_note(&mut self, limit: usize) -> Option<RosterWrite> {
-        let holdings = self.holdings();
+        let (holdings, starts) = (self.holdings(), self.starts_to_persist());
+        let announces = self.has_unpersisted_starts();
         let workers = &self.workers;
-        let write =
-            self.roster.next_write(holdings, limit, |id| workers.get(id).map(|w| &w.report))?;
+        let report = |id: &Incarnation| workers.get(id).map(|worker| &worker.report);
+        let write = self.roster.next_write(holdings, limit, report, starts, announces)?;
         for worker in self.workers.values_mut() {
             worker.rostered &= write.allows_work(&worker.report.id);
         }
@@ -150,6 +161,7 @@
     /// Records that the roster was persisted by the write with this revision.
     pub(crate) fn note_roster_written(&mut self, write: &RosterWrite, revision: Revision) {
         self.roster.confirm_write(write);
+        self.persisted_starts = write.silent_workers.starts.clone();
         for worker in self.workers.values_mut() {
             worker.rostered = write.allows_work(&worker.report.id);
             worker.assign_fencing_token(revision);
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -65,7 +65,7 @@
             && (step.label.is_empty() || worker.report.labels.contains(&step.label))
     }
 
-    /// The worker for a task, if one fits. Among equally reliable workers, those near the data come
+    /// The worker for a task, if one that `allows` admits fits. Among equally reliable workers, those near the data come
     /// first, then the one with the least processor time left, so that large tasks still fit.
     pub(crate) fn worker_for(
         &self,
@@ -74,9 +74,11 @@
         task: &Task,
         needs_ticket: bool,
         rack: Option<&str>,
+        allows: impl Fn(&Incarnation) -> bool,
     ) -> Option<&Worker> {
         let fits = |worker: &&Worker| {
             worker.isolated_task.is_none()
+                && allows(&worker.report.id)
                 && self.can_run(worker, step, tasks, needs_ticket)
                 && rack.is_none_or(|rack| worker.rack() == rack)
         };
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::handover::Handover,
+    jobs::{handover::Handover, unsettled::StartsByWorker},
     model::{id::Incarnation, job::TaskId, worker::WorkerReport},
 };
 
@@ -39,6 +39,9 @@
     /// The tasks that may run at all others, if the previous owner handed over the pool.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub(crate) handover: Option<Handover>,
+    /// Starts that may be carried out by the next incarnation of their worker.
+    #[serde(rename = "u", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(crate) starts: StartsByWorker,
 }
 
 /// One write of the roster.
@@ -100,14 +103,18 @@
     }
 
     /// The next write that brings the roster to the `wanted` state and changes at most `limit`
-    /// workers' records; `None` if that state is already persisted.
+    /// workers' records; `None` if that state is already persisted. Each write contains `starts`,
+    /// which need a write of their own if `announces` is set.
     pub(crate) fn next_write<'a>(
         &mut self,
         wanted: BTreeMap<Incarnation, Holding>,
         limit: usize,
         report: impl Fn(&Incarnation) -> Option<&'a WorkerReport>,
+        starts: StartsByWorker,
+        announces: bool,
     ) -> Option<RosterWrite> {
-        if !self.is_write_pending && self.unconfirmed.is_empty() && wanted == self.holdings {
+        let is_current = !announces && wanted == self.holdings;
+        if is_current && !self.is_write_pending && self.unconfirmed.is_empty() {
             return None;
         }
         let is_listed =
@@ -124,7 +131,7 @@
             Holding::Any => None,
             Holding::Only(tasks) => Some((id.clone(), tasks.clone())),
         });
-        let silent_record = SilentWorkers { silent: silent.collect(), handover: None };
+        let silent_record = SilentWorkers { silent: silent.collect(), handover: None, starts };
         self.is_write_pending = true;
         self.unconfirmed.extend(added.iter().map(|report| report.id.clone()));
         self.unconfirmed.extend(dropped.iter().cloned());
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -114,6 +114,13 @@
         self.owner.tick(now, &mut self.effects);
     }
 
+    /// The owner plans, persists what it announces, and goes on.
+    fn plan(&mut self) {
+        self.work();
+        self.persist_roster();
+        self.work();
+    }
+
     /// Connects a worker: it answers its first poll with the runs present there.
     fn connect(&mut self, name: &str, present: Vec<PresentRun>) {
         self.work();
--- a/src/jobs/tests/fuzz/late_orders.rs
+++ b/src/jobs/tests/fuzz/late_orders.rs
@@ -6,10 +6,18 @@
 /// Longer than any worker lease, in milliseconds.
 const LONG_RUN_MS: u64 = 20_000;
 
+fn is_start(effect: &Effect) -> bool {
+    matches!(effect, Effect::Start { .. })
+}
+
 fn is_poll(effect: &Effect) -> bool {
     matches!(effect, Effect::Poll { .. })
 }
 
+fn acknowledges(effect: &Effect) -> bool {
+    matches!(effect, Effect::Poll { acknowledged, .. } if *acknowledged != 0)
+}
+
 impl Simulation {
     /// Workers that start again under their names, all polled.
     fn reused_names() -> Simulation {
@@ -25,6 +33,26 @@
         Some((index, self.host_of(worker_of(&orders[index].0)?)?))
     }
 
+    /// The owner works until it requests a start, which is left pending.
+    fn request_start(&mut self, owner: usize) -> (usize, usize) {
+        self.work(owner);
+        self.persist_roster(owner, Delivery::Delivered);
+        self.work(owner);
+        self.pending(owner, is_start).expect("a worker takes work")
+    }
+
+    /// The owner works for some time, or until it requests a poll that acknowledges ends, which is
+    /// left pending.
+    fn request_acknowledgement(&mut self, owner: usize) -> Option<(usize, usize)> {
+        let limit = self.now + 10_000;
+        while self.pending(owner, acknowledges).is_none() && self.now < limit {
+            self.round(owner);
+            self.advance(60);
+            self.work(owner);
+        }
+        self.pending(owner, acknowledges)
+    }
+
     fn start_again(&mut self, host: usize) {
         self.crash_or_restart(host);
         self.crash_or_restart(host);
@@ -36,6 +64,10 @@
         }
     }
 
+    fn run_elsewhere(&self, host: usize) -> bool {
+        (0..HOSTS).any(|other| other != host && !self.workers[other].runs.is_empty())
+    }
+
     /// A host takes work, and is cut off until the owner takes its run for lapsed.
     fn lose_after_start(&mut self, host: usize) {
         self.run_rounds(20);
@@ -54,6 +86,85 @@
     }
 }
 
+#[test]
+fn a_start_of_an_earlier_owner_at_a_restarted_worker_does_not_run_beside_another() {
+    let mut simulation = Simulation::reused_names();
+    simulation.submit(0);
+    let (_, host) = simulation.request_start(0);
+    simulation.toggle_drain(host);
+    simulation.replace_owner(true);
+    simulation.run_rounds(3);
+    simulation.start_again(host);
+    let (index, _) = simulation.pending(0, is_start).expect("it is in flight");
+    assert!(simulation.now < simulation.owners[0].active_until);
+    simulation.deliver_order(0, index, Delivery::Delivered);
+    simulation.heal_and_check();
+}
+
+#[test]
+fn a_late_start_of_an_earlier_owner_at_a_restarted_worker_does_not_run_beside_another() {
+    let mut simulation = Simulation::reused_names();
+    simulation.submit(0);
+    let (index, host) = simulation.request_start(0);
+    simulation.deliver_order(0, index, Delivery::Late);
+    simulation.toggle_drain(host);
+    simulation.advance(2_000);
+    simulation.replace_owner(true);
+    simulation.run_rounds(3);
+    simulation.start_again(host);
+    simulation.deliver_late(0);
+    simulation.heal_and_check();
+}
+
+#[test]
+fn a_late_start_that_the_earlier_incarnation_agreed_to_stop_does_not_run_beside_another() {
+    let mut simulation = Simulation::reused_names();
+    simulation.submit(0);
+    let (index, host) = simulation.request_start(0);
+    let sent = simulation.now;
+    simulation.deliver_order(0, index, Delivery::Late);
+    simulation.toggle_drain(host);
+    while !simulation.run_elsewhere(host) && simulation.now < sent + 2_000 {
+        simulation.run_rounds(1);
+    }
+    for other in 0..HOSTS {
+        simulation.prolong_runs(other);
+    }
+    while simulation.now < sent + 2_000 {
+        simulation.run_rounds(1);
+    }
+    assert!(simulation.now < sent + 12_000, "the start may still be carried out");
+    simulation.start_again(host);
+    simulation.deliver_late(0);
+    simulation.heal_and_check();
+}
+
+#[test]
+fn a_late_acknowledgement_does_not_discard_an_end_of_the_next_incarnation() {
+    let mut simulation = Simulation::reused_names();
+    for other in 1..HOSTS {
+        simulation.toggle_drain(other);
+    }
+    simulation.submit(0);
+    simulation.run_rounds(4);
+    assert!(!simulation.workers[0].runs.is_empty());
+    simulation.submit(0);
+    let (index, host) = simulation.request_start(0);
+    assert_eq!(host, 0);
+    simulation.deliver_order(0, index, Delivery::Late);
+    if let Some((index, _)) = simulation.request_acknowledgement(0) {
+        simulation.deliver_order(0, index, Delivery::Late);
+    }
+    simulation.crash_or_restart(0);
+    simulation.run_rounds(34);
+    simulation.crash_or_restart(0);
+    simulation.deliver_late(0);
+    assert!(!simulation.workers[0].runs.is_empty(), "the late start is carried out");
+    simulation.advance(800);
+    simulation.deliver_late(0);
+    simulation.heal_and_check();
+}
+
 #[test]
 fn a_late_poll_on_the_clock_of_the_earlier_incarnation_does_not_prolong_later_runs() {
     let mut simulation = Simulation::reused_names();
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -32,7 +32,7 @@
 /// A task that was ordered to start at a worker.
 fn order_start(harness: &mut Harness, job: u64) -> (TaskId, u32, Incarnation) {
     harness.deliver(Event::Job(stored(job, vec![step(1)], 110)));
-    harness.work();
+    harness.plan();
     harness.take_starts().pop().expect("a worker takes work")
 }
 
@@ -159,7 +159,7 @@
     assert_eq!(polls, [(1, Duration::ZERO)], "it is answered at once");
     assert_eq!(harness.take_starts(), vec![], "the poll is pending");
     answer(&mut harness, FIRST, FIRST, vec![], vec![]);
-    harness.work();
+    harness.plan();
     let starts = harness.take_starts();
     assert_eq!(starts.len(), 2);
     let (first, second) = (&starts[0], &starts[1]);
@@ -178,7 +178,7 @@
 fn unanswered_start(task: Step) -> Harness {
     let mut harness = first_incarnation();
     harness.deliver(Event::Job(stored(1, vec![task], 110)));
-    harness.work();
+    harness.plan();
     let (task, run, at) = harness.take_starts().pop().expect("a worker takes work");
     harness.deliver(Event::Worker(report("w2@1000", "h2")));
     harness.connect("w2@1000", vec![]);
@@ -191,7 +191,7 @@
     harness.now += millis;
     harness.poll_unanswered(FIRST);
     answer(harness, "w2@1000", "w2@1000", vec![], vec![]);
-    harness.work();
+    harness.plan();
 }
 
 /// If the task were started elsewhere earlier, the next incarnation might still carry out the
@@ -230,7 +230,7 @@
     harness.now += 100;
     let next = Incarnation::new(at.worker.clone(), Some(StartTime(2_000)));
     answer(&mut harness, &at.to_string(), &next.to_string(), vec![], vec![]);
-    harness.work();
+    harness.plan();
     let starts = harness.take_starts();
     assert_eq!(starts.len(), 1, "it was listed by the ended incarnation");
     assert_ne!(starts[0].2.worker, at.worker, "the next one has no entry and no token yet");
@@ -255,7 +255,16 @@
     harness.deliver(Event::Stopped { worker: worker_id(&next), task, run, end });
     harness.now += 20;
     answer(&mut harness, &next, &next, vec![], vec![]);
-    harness.work();
+    let stopped = harness.now;
+    while harness.now < stopped + MAX_ORDER_DELAY_MS {
+        harness.plan();
+        assert_eq!(harness.take_starts(), vec![], "a third incarnation may begin it");
+        harness.now += 100;
+        answer(&mut harness, "w2@1000", "w2@1000", vec![], vec![]);
+    }
+    harness.now += 1_000;
+    answer(&mut harness, "w2@1000", "w2@1000", vec![], vec![]);
+    harness.plan();
     assert_eq!(harness.take_starts().len(), 1, "it will not begin");
 }
 
@@ -300,7 +309,7 @@
     assert!(TOKEN < token);
     answer(&mut harness, NEXT, NEXT, vec![], vec![]);
     harness.effects.clear();
-    harness.work();
+    harness.plan();
     let start = harness.effects.iter().find_map(|effect| match effect {
         Effect::Start { to, .. } => Some(to.token),
         _ => None,
@@ -374,7 +383,7 @@
     harness.deliver(Event::Worker(report(NEXT, "h1")));
     poll_until_fenced(&mut harness, &[]);
     harness.deliver(Event::Job(stored(2, vec![step(1)], 111)));
-    harness.work();
+    harness.plan();
     let until = harness.effects.iter().find_map(|effect| match effect {
         Effect::Start { start, .. } => Some(start.until_ms),
         _ => None,
@@ -423,7 +432,7 @@
     let mut restarted = Vec::new();
     for _ in 0..400 {
         harness.now += 50;
-        harness.work();
+        harness.plan();
         restarted.extend(harness.take_starts());
         answer(&mut harness, FIRST, NEXT, vec![], vec![]);
         answer(&mut harness, NEXT, NEXT, vec![], vec![]);
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -41,6 +41,10 @@
 /// nothing else is started beside an isolated retry.
 pub(crate) const STABLE_MS: u64 = 200;
 
+/// Delay after an isolated retry starts until its worker is polled, in milliseconds: an answer then
+/// shows that the run is stable.
+pub(crate) const ISOLATED_RETRY_POLL_MS: u64 = STABLE_MS + 40;
+
 /// How long a live worker may be missing from the store's list: by the platform's contract, entries
 /// that lapsed during a store outage are listed again within this time.
 const RELIST_LIMIT_MS: u64 = 2_000;
@@ -482,12 +486,16 @@
         self.missed_polls != 0 && self.has_lapsed(now) && LONG_SILENCE_MS <= now.since(last_answer)
     }
 
-    /// Whether the worker may get new work.
+    /// Whether the worker may get new work now.
     pub(crate) fn takes_work(&self, now: Steady) -> bool {
+        self.pending_ack.is_none() && self.may_get_work(now)
+    }
+
+    /// Whether the worker may get new work, as soon as no poll that acknowledges ends is pending.
+    pub(crate) fn may_get_work(&self, now: Steady) -> bool {
         self.has_reported
             && self.rostered
             && self.restart_fence == RestartFence::Clear
-            && self.pending_ack.is_none()
             && !self.blocked
             && !self.has_left_list(now)
             && self.report.leaves_ms.is_none()
@@ -576,6 +584,14 @@
         }
     }
 
+    /// Schedules a poll for when an isolated retry that starts now is stable.
+    pub(crate) fn expect_isolated_retry(&mut self, task: TaskId, now: Steady) {
+        if self.isolated_task == Some(task) {
+            self.next_poll = now.after(ISOLATED_RETRY_POLL_MS);
+            self.urgent_poll = true;
+        }
+    }
+
     /// Releases the resources of a run.
     pub(crate) fn release(&mut self, task: TaskId, charge: &TaskResources) {
         if self.runs.remove(&task).is_some() {
--- a/src/scheduler/control_loop/tests/acknowledgements.rs
+++ b/src/scheduler/control_loop/tests/acknowledgements.rs
@@ -82,6 +82,7 @@
         node.clock.simulate_pause(self.iteration_ms);
         control_loop.execute(POOL, token, effects, now.steady);
         drop(entered);
+        self.persist_roster();
         self.runtime.block_on(async { sleep(Duration::from_millis(20)).await });
         let mut results = Vec::new();
         while let Ok(input) = self.results.try_recv() {
@@ -92,6 +93,13 @@
         results
     }
 
+    fn persist_roster(&mut self) {
+        let owned = self.simulation.control_loop.owned.get_mut(POOL).unwrap();
+        if let Some(write) = owned.owner.roster_note(10) {
+            owned.owner.note_roster_written(&write, Revision(2_000));
+        }
+    }
+
     /// Lets the worker answer one poll with these ends. Returns whether a start was ordered.
     fn answer_poll(&mut self, ended: &[EndedRun]) -> bool {
         for _ in 0..200 {
@@ -134,9 +142,7 @@
 fn gets_work_after_acknowledgement(iteration_ms: u64) -> bool {
     let mut harness = Harness::start("w1@1000", iteration_ms);
     harness.answer_poll(&[]);
-    let owned = harness.simulation.control_loop.owned.get_mut(POOL).unwrap();
-    let write = owned.owner.roster_note(10).unwrap();
-    owned.owner.note_roster_written(&write, Revision(2_000));
+    harness.persist_roster();
     let job = JobId::from_number(1);
     let task = TaskId { of: StepId { job, occurrence: 0, step: 0 }, index: 0 };
     let (how, checkpoint) = (RunOutcome::Done, String::new());
