No start is sent while a lost acknowledgement may still be carried out

Callers saw: a task whose end was noted unread, and that ran again. A poll that acknowledged ends was lost, the worker answered the next one and got a start, which was lost as well; the next incarnation carried out the start, listed its end, and discarded it by the late poll before anybody had read it.

Cause: acknowledgements and starts were kept apart only while either had no answer.

Evidence: the new test forces this order.

Before: the new test fails.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -36,7 +36,7 @@
     },
 };
 
-use incarnations::EndedWorker;
+use incarnations::{EndedWorker, FormerOrders};
 #[cfg(test)]
 pub(crate) use roster::UNCONFIRMED_ADDED;
 pub(crate) use status::{DrainedHost, HostUsage};
@@ -112,9 +112,8 @@
     unknown_seen: Option<Steady>,
     /// Workers that have ended. The store may list their reports a while longer.
     ended_workers: BTreeMap<Incarnation, EndedWorker>,
-    /// Workers of which an incarnation had orders of this owner and is no longer tracked, with the
-    /// highest token of these orders where it was not the owner's. A worker's token only rises.
-    fencing_tokens: HashMap<WorkerId, u64>,
+    /// Workers of which an incarnation had orders of this owner and is no longer tracked.
+    former_orders: HashMap<WorkerId, FormerOrders>,
     /// Hosts to be drained, by the revision of their drain mark.
     draining: BTreeMap<HostId, Revision>,
     /// Workers whose capacity the current plan reserves for long-running tasks that wait.
@@ -164,7 +163,7 @@
             handed_over: None,
             unknown_seen: None,
             ended_workers: BTreeMap::new(),
-            fencing_tokens: HashMap::new(),
+            former_orders: HashMap::new(),
             draining: BTreeMap::new(),
             reserved: BTreeSet::new(),
             unplaceable: Vec::new(),
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -89,7 +89,7 @@
             return;
         };
         let (host, known_since) = (worker.report.host.clone(), worker.known_since);
-        let lost_runs = self.remove_worker(id);
+        let lost_runs = self.remove_worker(id, now);
         for lost in &lost_runs {
             self.count_worker_loss(id, lost, false, now);
             self.judge_isolated_retry(lost);
@@ -99,7 +99,7 @@
 
     /// Removes a worker that has certainly ended: the runs lost with it have ended with it.
     pub(super) fn remove_crashed_worker(&mut self, id: &Incarnation, now: Steady) {
-        let lost_runs = self.remove_worker(id);
+        let lost_runs = self.remove_worker(id, now);
         self.note_crash(id, &lost_runs, now);
     }
 
@@ -122,14 +122,13 @@
     }
 
     /// Removes a worker; returns the runs lost with it unless it ended as planned.
-    fn remove_worker(&mut self, id: &Incarnation) -> Vec<LostRun> {
+    fn remove_worker(&mut self, id: &Incarnation, now: Steady) -> Vec<LostRun> {
         let persisted = self.roster.holding(id).cloned();
         let Some(worker) = self.workers.remove(id) else {
             return Vec::new();
         };
         if worker.has_reported && id.born.is_some() {
-            let token = self.fencing_tokens.entry(id.worker.clone()).or_default();
-            *token = worker.fencing_token().max(*token);
+            self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
         let planned = self.ends_as_planned(&worker);
         let mut lost = worker.lost_runs;
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -50,8 +50,8 @@
             worker.known_since = now.after(1);
         }
         worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
-        if let Some(token) = self.fencing_tokens.get(&worker.report.id.worker) {
-            worker.advance_fencing_token(*token);
+        if let Some(former) = self.former_orders.get(&worker.report.id.worker) {
+            worker.follow(former);
             if !worker.rostered {
                 worker.restart_fence = RestartFence::Needed;
             }
@@ -109,7 +109,9 @@
         let Some(previous) = self.workers.get(old) else {
             return;
         };
-        let (had_orders, fencing_token) = (previous.has_reported, previous.fencing_token());
+        let had_orders = previous.has_reported;
+        let mut former = FormerOrders::default();
+        former.add(previous, now);
         let holding = self.roster.holding(old).or(previous.earlier_tasks.as_ref()).cloned();
         let possibly_begun = self.possibly_begun_at_next(previous);
         match old.born {
@@ -123,7 +125,13 @@
             self.assign_run(task, run, new, now);
         }
         if let Some(worker) = self.workers.get_mut(new) {
-            worker.follow(fencing_token, had_orders, holding);
+            worker.follow(&former);
+            if !worker.reported_all {
+                worker.earlier_tasks = holding;
+            }
+            if had_orders && !worker.rostered {
+                worker.restart_fence = RestartFence::Needed;
+            }
             worker.next_poll = now;
         }
     }
@@ -199,16 +207,27 @@
     }
 }
 
+/// What matters to the next incarnation of the orders to earlier ones.
+#[derive(Debug, Default)]
+pub(super) struct FormerOrders {
+    /// The highest fencing token of these orders where it was not the owner's, else 0.
+    fencing_token: u64,
+    /// Until when one that acknowledges ends may still be carried out.
+    late_ack_until: Steady,
+}
+
+impl FormerOrders {
+    /// Adds the orders to an incarnation.
+    pub(super) fn add(&mut self, worker: &Worker, now: Steady) {
+        self.fencing_token = self.fencing_token.max(worker.fencing_token());
+        self.late_ack_until = self.late_ack_until.max(worker.late_ack_end(now));
+    }
+}
+
 impl Worker {
-    /// Records that it follows another incarnation: the token of orders to that one, whether there
-    /// were any, and what it may have run.
-    fn follow(&mut self, fencing_token: u64, had_orders: bool, holding: Option<Holding>) {
-        self.advance_fencing_token(fencing_token);
-        if !self.reported_all {
-            self.earlier_tasks = holding;
-        }
-        if had_orders && !self.rostered {
-            self.restart_fence = RestartFence::Needed;
-        }
+    /// Records the orders to earlier incarnations. A worker's fencing token only rises.
+    fn follow(&mut self, former: &FormerOrders) {
+        self.advance_fencing_token(former.fencing_token);
+        self.late_ack_until = self.late_ack_until.max(former.late_ack_until);
     }
 }
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -42,15 +42,20 @@
 ///
 /// The next incarnation numbers its ends anew, and would discard those up to this number without
 /// listing them. So no ends are acknowledged after an unanswered poll, nor while there is a start
-/// that the next incarnation may carry out.
-fn acknowledgement(worker: &Worker, unsettled: &UnsettledStarts) -> Option<u64> {
+/// that the next incarnation may carry out. While many orders get lost, none are acknowledged:
+/// nothing could start at the worker until a lost acknowledgement is too old to be carried out.
+fn acknowledgement(
+    worker: &Worker,
+    unsettled: &UnsettledStarts,
+    orders_get_lost: bool,
+) -> Option<u64> {
     if !worker.may_start_again() {
         return Some(worker.acknowledged);
     }
     if !worker.has_acknowledgeable_ends() || worker.missed_polls != 0 {
         return Some(0);
     }
-    let waits = unsettled.is_any_at(&worker.report.id.worker);
+    let waits = orders_get_lost || unsettled.is_any_at(&worker.report.id.worker);
     (!waits).then_some(worker.acknowledged)
 }
 
@@ -69,10 +74,13 @@
             if waits || now < worker.next_poll {
                 continue;
             }
-            let acknowledgement = acknowledgement(worker, unsettled);
+            let acknowledgement = acknowledgement(worker, unsettled, short_polls);
             let unsaved = !worker.unacknowledged.is_empty() || acknowledgement.is_none();
-            let recently =
-                worker.last_answer.is_some_and(|at| now.since(at) < UNSAVED_POLL_PAUSE_MS);
+            let pause = match acknowledgement {
+                None if short_polls => SHORT_POLL_TIMEOUT_MS,
+                _ => UNSAVED_POLL_PAUSE_MS,
+            };
+            let recently = worker.last_answer.is_some_and(|at| now.since(at) < pause);
             if unsaved && recently {
                 continue;
             }
@@ -125,11 +133,7 @@
         if worker.poll_sent.is_some_and(|newest| newest <= sent) {
             worker.poll_sent = None;
         }
-        let listed = match &end {
-            OrderResult::Done(response) => response.ended.iter().map(|end| end.number).min(),
-            _ => None,
-        };
-        worker.note_poll_result(sent, matches!(end, OrderResult::Done(_)), listed);
+        worker.note_poll_result(sent, &end, now.steady);
         if sent < worker.address_since {
             // The answer came from an address that was not the worker's.
             return;
--- a/src/jobs/tests/fuzz/late_orders.rs
+++ b/src/jobs/tests/fuzz/late_orders.rs
@@ -165,6 +165,33 @@
     simulation.heal_and_check();
 }
 
+#[test]
+fn a_late_acknowledgement_before_a_late_start_does_not_discard_the_end_of_that_start() {
+    let mut simulation = Simulation::reused_names();
+    for other in 1..HOSTS {
+        simulation.toggle_drain(other);
+    }
+    simulation.submit(0);
+    simulation.run_rounds(4);
+    let (index, _) = simulation.request_acknowledgement(0).expect("an end is counted");
+    simulation.deliver_order(0, index, Delivery::Late);
+    simulation.run_rounds(10);
+    simulation.submit(0);
+    simulation.work(0);
+    simulation.persist_roster(0, Delivery::Delivered);
+    simulation.work(0);
+    if let Some((index, _)) = simulation.pending(0, is_start) {
+        simulation.deliver_order(0, index, Delivery::Late);
+    }
+    simulation.crash_or_restart(0);
+    simulation.run_rounds(34);
+    simulation.crash_or_restart(0);
+    simulation.deliver_late(1);
+    simulation.advance(800);
+    simulation.deliver_late(0);
+    simulation.heal_and_check();
+}
+
 #[test]
 fn a_late_poll_on_the_clock_of_the_earlier_incarnation_does_not_prolong_later_runs() {
     let mut simulation = Simulation::reused_names();
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -8,7 +8,7 @@
         job::{JobId, TaskId, TaskResources},
         order::Addressee,
         unit::{Revision, Steady},
-        worker::WorkerReport,
+        worker::{OrderResult, PollResponse, WorkerReport},
     },
 };
 
@@ -188,6 +188,9 @@
     confirmed_ack: u64,
     /// The poll in flight that acknowledges ends: when it was sent, and up to which end.
     pending_ack: Option<(Steady, u64)>,
+    /// Until when a poll without an answer that acknowledges ends may still be carried out. The
+    /// next incarnation would discard the end of a start that it carried out before that poll.
+    pub(crate) late_ack_until: Steady,
     pub(crate) unacknowledged: VecDeque<UnacknowledgedEnd>,
     /// Jobs that failed here since a task was last done.
     failed_jobs: BTreeSet<JobId>,
@@ -232,6 +235,7 @@
             acknowledged: 0,
             confirmed_ack: 0,
             pending_ack: None,
+            late_ack_until: Steady::default(),
             unacknowledged: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
             isolated_task: None,
@@ -383,14 +387,35 @@
         self.pending_ack = Some((now, number));
     }
 
-    /// Records the result of a poll sent at that time; `listed` is the lowest end in its answer.
-    pub(crate) fn note_poll_result(&mut self, sent: Steady, answered: bool, listed: Option<u64>) {
+    /// Until when a poll that acknowledges ends may still be carried out by the next incarnation.
+    pub(crate) fn late_ack_end(&self, now: Steady) -> Steady {
+        match self.pending_ack {
+            Some(_) => now.after(MAX_ORDER_DELAY_MS),
+            None => self.late_ack_until,
+        }
+    }
+
+    /// Records the result of a poll sent at that time.
+    pub(crate) fn note_poll_result(
+        &mut self,
+        sent: Steady,
+        result: &OrderResult<PollResponse>,
+        now: Steady,
+    ) {
         let number = self.pending_ack.take_if(|(at, _)| *at == sent);
-        if let Some((_, number)) = number.filter(|_| answered) {
-            self.confirmed_ack = self.confirmed_ack.max(number);
+        match (result, number) {
+            (OrderResult::Done(_), Some((_, number))) => {
+                self.confirmed_ack = self.confirmed_ack.max(number);
+            }
+            (OrderResult::Unknown | OrderResult::Unsent, Some(_)) => {
+                self.late_ack_until = now.after(MAX_ORDER_DELAY_MS);
+            }
+            _ => {}
         }
-        if let Some(listed) = listed {
-            self.confirmed_ack = self.confirmed_ack.min(listed.saturating_sub(1));
+        if let OrderResult::Done(response) = result
+            && let Some(lowest) = response.ended.iter().map(|end| end.number).min()
+        {
+            self.confirmed_ack = self.confirmed_ack.min(lowest.saturating_sub(1));
         }
     }
 
@@ -496,6 +521,7 @@
         self.has_reported
             && self.rostered
             && self.restart_fence == RestartFence::Clear
+            && self.late_ack_until <= now
             && !self.blocked
             && !self.has_left_list(now)
             && self.report.leaves_ms.is_none()
