A start does not count against an incarnation that did not carry it out

Callers saw: a sound job reported as failed. It was given up as one that crashes its workers, though one worker had crashed while it ran a task of the job.

Cause: an order names the worker, and the answer to a start does not say which incarnation gave it. w2@897 had crashed, idle, before the start was sent to it. w2@1005 carried it out and answered. When w2@1005 then listed the run in answer to a poll of w2@897, the owner took the answered start as proof that w2@897 had crashed with the run: the second crash, in an isolated retry. A run that expired at the next incarnation counted in the same way, and a start without an answer counted for each incarnation that it was handed on to.

Change: if another incarnation of a lost worker is tracked, the loss with a run that the lost one has not listed is unconfirmed until the next one has listed its runs. If it lists the run or its end, the loss is taken back; if not, it counts as before. The run counts for no other incarnation meanwhile.

--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -14,12 +14,13 @@
         event::Effect,
         job::Task,
         roster::Holding,
-        worker::{ISOLATED_RETRY_POLL_MS, LostRun, STABLE_MS, Worker},
+        worker::{DoubtfulLoss, ISOLATED_RETRY_POLL_MS, LostRun, RestartFence, STABLE_MS, Worker},
     },
     model::{
         id::{HostId, Incarnation},
         job::{JobState, TaskId},
         unit::{Now, Steady},
+        worker::PollResponse,
     },
 };
 
@@ -50,7 +51,7 @@
         // If some runs had only just begun, those that were stable are not the cause. Where many
         // tasks crash their workers, up to eighteen other runs are lost with each, and a sound
         // long-running task may be on four such workers within seconds.
-        lost.iter_mut().for_each(|lost| lost.cleared = new != 0 && STABLE_MS <= lost.observed_ms);
+        lost.iter_mut().for_each(|lost| lost.cleared |= new != 0 && STABLE_MS <= lost.observed_ms);
         for lost in lost.iter().filter(|lost| lost.observed_ms < STABLE_MS) {
             self.count_worker_loss(id, lost, false, now);
         }
@@ -66,13 +67,16 @@
         let mut task_runs = entry.into_iter().flat_map(|entry| &entry.runs);
         let task_run = task_runs.find(|task_run| task_run.worker == worker.report.id);
         let began = task_run.is_some_and(|task_run| task_run.began.is_some());
+        let run = task_run.map_or(0, |task_run| task_run.run);
+        let mut doubtful = worker.doubtful_losses.iter();
         LostRun {
             task,
-            run: task_run.map_or(0, |task_run| task_run.run),
+            run,
             observed_ms: worker.observed_ms(task),
             began,
+            listed: task_run.is_some_and(|task_run| task_run.listed),
             sole_suspect: began && task_run.is_some_and(|task_run| task_run.isolated),
-            cleared: false,
+            cleared: doubtful.any(|loss| loss.lost.task == task && loss.lost.run == run),
         }
     }
 
@@ -130,6 +134,9 @@
         if worker.has_reported && id.born.is_some() {
             self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
+        if let Some(next) = self.incarnations(&id.worker).next() {
+            next.doubtful_losses.extend(worker.doubtful_losses.iter().cloned());
+        }
         let planned = self.ends_as_planned(&worker);
         let mut lost = worker.lost_runs;
         if planned {
@@ -142,11 +149,57 @@
         lost
     }
 
-    /// Records that a worker has certainly ended, with the runs lost there.
+    /// Records that a worker has certainly ended, with the runs lost there. A loss is doubtful if
+    /// the next incarnation may have carried out the start instead.
     fn note_crash(&mut self, id: &Incarnation, lost: &[LostRun], now: Steady) {
         for lost in lost {
-            self.count_worker_loss(id, lost, lost.began, now);
-            self.judge_isolated_retry(lost);
+            let next = self.incarnations(&id.worker).next();
+            match next.filter(|_| !lost.listed && !lost.cleared) {
+                Some(next) => {
+                    let loss = DoubtfulLoss { worker: id.clone(), lost: *lost, since: now };
+                    next.doubtful_losses.push(loss);
+                    self.count_worker_loss(id, lost, false, now);
+                }
+                None => self.confirm_loss(id, lost, now),
+            }
+        }
+    }
+
+    /// Counts a loss that is as certain as the beginning of its run.
+    fn confirm_loss(&mut self, id: &Incarnation, lost: &LostRun, now: Steady) {
+        self.count_worker_loss(id, lost, lost.began, now);
+        self.judge_isolated_retry(lost);
+    }
+
+    /// Decides the doubtful losses of earlier incarnations by what a worker lists: one start can
+    /// crash at most one incarnation.
+    pub(super) fn decide_doubtful_losses(
+        &mut self,
+        id: &Incarnation,
+        response: &PollResponse,
+        sent: Steady,
+        now: Steady,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let refuses_earlier = worker.restart_fence == RestartFence::Clear;
+        let complete = response.lists_all_ends();
+        for loss in std::mem::take(&mut worker.doubtful_losses) {
+            let DoubtfulLoss { worker: earlier, lost, since } = &loss;
+            let start = (lost.task, lost.run);
+            let is_present = response.present.iter().any(|run| (run.task, run.run) == start);
+            if is_present || response.ended.iter().any(|end| (end.task, end.run) == start) {
+                self.change_worker_losses(lost.task, |entry| {
+                    let is_new = entry.unconfirmed_crashes.remove(earlier);
+                    entry.suspect &= entry.lost_workers() != 0;
+                    is_new
+                });
+            } else if complete && *since < sent && (lost.began || refuses_earlier) {
+                self.confirm_loss(earlier, lost, now);
+            } else if let Some(worker) = self.workers.get_mut(id) {
+                worker.doubtful_losses.push(loss);
+            }
         }
     }
 
@@ -234,9 +287,16 @@
         };
         self.crash_suspects
             .retain(|task| entry(task).is_some_and(|entry| entry.lost_workers() != 0));
-        // A worker that is still tracked may answer again, and then no longer counts as lost.
-        let is_awaited =
-            |id: &Incarnation| self.workers.get(id).is_some_and(|w| !w.is_long_silent(now.steady));
+        // A worker that is still tracked may answer again, and then no longer counts as lost. Or its
+        // list may show that an earlier incarnation does not.
+        let decides = |worker: &Worker, id: &Incarnation| {
+            let mut doubtful = worker.doubtful_losses.iter();
+            worker.report.id == *id || doubtful.any(|loss| loss.worker == *id)
+        };
+        let is_awaited = |id: &Incarnation| {
+            let mut answering = self.workers.values().filter(|w| !w.is_long_silent(now.steady));
+            answering.any(|worker| decides(worker, id))
+        };
         let is_open = |task: &Task| task.unconfirmed_crashes.iter().any(&is_awaited);
         let is_over = |task: &&TaskId| {
             entry(task).is_some_and(|entry| entry.is_lost_too_often() && !is_open(entry))
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -210,6 +210,7 @@
         worker.confirm_fencing_token(sent, complete);
         self.clear_crashes_at(id, was_lost);
         self.supersede(id, sent, now.steady);
+        self.decide_doubtful_losses(id, &response, sent, now.steady);
         let mut ended = response.ended;
         ended.sort_by_key(|end| end.number);
         for end in ended {
--- a/src/jobs/tests/incarnations.rs
+++ b/src/jobs/tests/incarnations.rs
@@ -1,6 +1,8 @@
 //! Tests of workers that start again under their name: each incarnation numbers its ends anew, and
 //! may carry out orders to the previous one.
 
+mod losses;
+
 use std::time::Duration;
 
 use super::{Harness, TOKEN, done, id, present, report, step, stored, worker_id};
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -5,6 +5,7 @@
 use crate::{
     jobs::roster::Holding,
     model::{
+        id::Incarnation,
         job::{JobId, TaskId, TaskResources},
         order::Addressee,
         unit::{Revision, Steady},
@@ -102,20 +103,41 @@
     pub(crate) observed_ms: u64,
     /// Whether it is known to have begun.
     pub(crate) began: bool,
+    /// Whether its worker has listed it.
+    pub(crate) listed: bool,
     /// Whether it was an isolated retry that had begun, and the only run there that was not stable:
     /// if the worker crashed, this run caused it.
     pub(crate) sole_suspect: bool,
-    /// Whether it was stable while another run there was not: it did not cause the loss.
+    /// Whether it did not cause the loss, since it was stable while another run there was not, or
+    /// counts for an earlier incarnation.
     pub(crate) cleared: bool,
 }
 
 impl LostRun {
     /// A run that may have been at a worker according to the record of an earlier owner.
     pub(crate) fn unobserved(task: TaskId) -> LostRun {
-        LostRun { task, run: 0, observed_ms: 0, began: false, sole_suspect: false, cleared: false }
+        LostRun {
+            task,
+            run: 0,
+            observed_ms: 0,
+            began: false,
+            listed: false,
+            sole_suspect: false,
+            cleared: false,
+        }
     }
 }
 
+/// The loss of an earlier incarnation with a start that the present one may have carried out
+/// instead: the answer to a start does not identify the incarnation, a list does.
+#[derive(Debug, Clone)]
+pub(crate) struct DoubtfulLoss {
+    pub(crate) worker: Incarnation,
+    pub(crate) lost: LostRun,
+    /// When it was recorded: lists that were requested later decide it.
+    pub(crate) since: Steady,
+}
+
 /// Protection of a worker against orders to its earlier incarnation: it carries them out until it
 /// has received a fencing token of its own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -199,6 +221,8 @@
     /// Runs that were given up since it became silent. They have ended with it if it has
     /// terminated.
     pub(crate) lost_runs: Vec<LostRun>,
+    /// Losses of earlier incarnations that its lists are to decide.
+    pub(crate) doubtful_losses: Vec<DoubtfulLoss>,
     pub(crate) last_done: Option<Steady>,
     suspended_until: Steady,
     suspensions: u32,
@@ -240,6 +264,7 @@
             failed_jobs: BTreeSet::new(),
             isolated_task: None,
             lost_runs: Vec::new(),
+            doubtful_losses: Vec::new(),
             last_done: None,
             suspended_until: now,
             suspensions: 0,
