Test: a late removal of a node's record unlists its next process

Fails on this code: the removal that a node writes when it shuts down has no condition. Carried out late, it removes the record of the next process of the node, which registers only once for each lease.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -22,7 +22,7 @@
     io::copy_bidirectional,
     net::TcpStream,
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// How long a test waits for a condition before it fails; test results depend on time in no other
@@ -609,6 +609,33 @@
     assert_eq!((&run_counts["twice"], &run_counts["starts"]), (&json!(0), &json!(2)));
 }
 
+/// Guards against a node that is not listed for as long as its lease lasts: the removal of its
+/// record by its previous process was carried out late.
+#[tokio::test]
+async fn a_restarted_node_stays_listed_though_its_previous_process_is_removed_late() {
+    const LATE: Duration = Duration::from_millis(5_000);
+    let site = Site::start("listed", 1).await;
+    let is_listed = async || {
+        let url = format!("http://{}/-/kv-key", site.address);
+        let query = [("private_key", "ch/all/node/one")];
+        let answer = site.client.get(url).query(&query).send().await.unwrap();
+        (answer.status() == StatusCode::OK).then_some(())
+    };
+    let mut first = site.node("one").await;
+    wait_until("the node to be listed", is_listed).await;
+    site.set_faults(json!({ "store_late_ms": LATE.as_millis() as u64 })).await;
+    let stopped = Instant::now();
+    kill(Pid::from_raw(first.process.0.id() as i32), Signal::SIGTERM).unwrap();
+    assert!(first.process.0.wait().unwrap().success());
+    site.set_faults(json!({})).await;
+    let _next = site.node("one").await;
+    wait_until("the node to be listed again", is_listed).await;
+    assert!(stopped.elapsed() < LATE, "the removal has been carried out already");
+    sleep(LATE - stopped.elapsed() + Duration::from_millis(500)).await;
+    let listed = wait_until("the node to be listed after the late removal", is_listed);
+    assert!(timeout(Duration::from_secs(10), listed).await.is_ok(), "the node is not listed");
+}
+
 /// When no node reaches the store, requests are not relayed in a loop.
 #[tokio::test]
 async fn nodes_refuse_requests_when_none_reaches_the_store() {
