Test: answers that arrived while their owner was paused count

Fails on this code: after a pause, a link to a delegate may check for overdue orders before it reads the answers that wait, and gives all of them up.

--- a/src/scheduler/tests/link_failures.rs
+++ b/src/scheduler/tests/link_failures.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use futures_util::StreamExt;
+use futures_util::{SinkExt, StreamExt};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -19,7 +19,7 @@
     },
     scheduler::dispatch::{
         link::{Links, Outgoing},
-        wire::{self, Batch, WorkerTable},
+        wire::{self, Answer, Answers, Batch, WorkerTable},
     },
 };
 
@@ -30,6 +30,13 @@
 /// happen.
 const TRIES: u32 = 30;
 
+/// How many links have answers that wait while their owners are paused: each of them checks for
+/// overdue orders or reads its answer first, by chance.
+const PAUSED_LINKS: u32 = 24;
+
+/// Longer than a start may take by way of a delegate.
+const PAUSE: Duration = Duration::from_millis(700);
+
 fn to() -> Addressee {
     Addressee { worker: "w1".parse().unwrap(), address: "127.0.0.1:9".to_owned(), token: 7 }
 }
@@ -232,3 +239,33 @@
     owner.send(start(2));
     assert_eq!(owner.next_result().await, (2, "unsent"));
 }
+
+/// Guards against answers that arrived in time and count as missing, since the owner's process was
+/// paused for longer than an order may take and checks for overdue orders first.
+#[tokio::test]
+async fn an_answer_that_arrived_while_the_owner_was_paused_counts() {
+    let mut owners = Vec::new();
+    for _ in 0..PAUSED_LINKS {
+        let (listener, mut owner) = delegate().await;
+        owner.send(start(1));
+        let mut link = accept(&listener).await;
+        let Some(Ok(Message::Binary(bytes))) = link.next().await else {
+            panic!("no order");
+        };
+        let batch: Batch = ciborium::from_reader(&bytes[..]).unwrap();
+        let number = wire::orders(&mut WorkerTable::default(), batch)[0].number;
+        owners.push((owner, link, number));
+    }
+    for (_, link, number) in &mut owners {
+        let mut answers = Answers::default();
+        wire::add_answer(&mut answers, *number, Answer::Order(OrderResult::Done(1)));
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&answers, &mut bytes).unwrap();
+        link.send(Message::binary(bytes)).await.unwrap();
+    }
+    // The owners run on this thread.
+    std::thread::sleep(PAUSE);
+    for (owner, ..) in &mut owners {
+        assert_eq!(owner.next_result().await, (1, "done"));
+    }
+}
