Tests: workers restart under their names while their owner is paused

Real processes: one node that is paused for 1 to 3 s several times, and two nodes of which the owner is paused past its lease.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,6 +28,8 @@
 mod proxy;
 #[path = "soak/report.rs"]
 mod report;
+#[path = "soak/restarts.rs"]
+mod restarts;
 #[path = "soak/rig.rs"]
 mod rig;
 #[path = "soak/tests.rs"]
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -238,7 +238,7 @@
         self.states.iter().find(|(_, shown)| shown == state).map(|(at, _)| *at)
     }
 
-    fn tasks(&self, job: &str) -> Vec<String> {
+    pub fn tasks(&self, job: &str) -> Vec<String> {
         let steps = self.steps.iter().enumerate();
         steps.flat_map(|(step, count)| step_tasks(job, step, *count)).collect()
     }
