A repeated call to a host that was not made says nothing of the call before

Callers saw: more hosts of a wave out of service than it allows. A call for upkeep got no answer; its repetition was not made, since the owner's record could not be written, and the host counted as in service: the next one was called.

Cause: the result that arrived last replaced the one before. "Not begun" is about the repetition only; the earlier call may be carried out seconds later.

Change: a call keeps until when an earlier one for the same action may be carried out, 12 s, and is repeated meanwhile.

--- a/src/jobs/fleet/calls.rs
+++ b/src/jobs/fleet/calls.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use super::{CallResult, Demand, FleetEffect, FleetOwner, FleetSnapshot, HostAction};
-use crate::model::{
-    id::{HostId, PoolId},
-    unit::Steady,
-    worker::{HostPhase, ListedHost},
+use crate::{
+    jobs::worker::MAX_ORDER_DELAY_MS,
+    model::{
+        id::{HostId, PoolId},
+        unit::Steady,
+        worker::{HostPhase, ListedHost},
+    },
 };
 
 /// How long after a call without an answer it is retried, in milliseconds. The platform answers a
@@ -95,6 +98,8 @@
 pub(super) struct Call {
     pub(super) action: HostAction,
     pub(super) state: CallState,
+    /// Until when a call for the action that got no answer may still be carried out.
+    pub(super) unresolved_until: Steady,
 }
 
 /// The state of a call that maintains or moves a host.
@@ -118,8 +123,16 @@
         result: CallResult,
         now: Steady,
     ) {
+        let earlier = self.calls.get(host).map(|call| call.unresolved_until);
+        let unresolved_until = match result {
+            CallResult::Unknown => now.after(MAX_ORDER_DELAY_MS),
+            _ => earlier.unwrap_or_default(),
+        };
         let state = match result {
             CallResult::Begun => CallState::Begun(now),
+            CallResult::NotBegun if now < unresolved_until => {
+                CallState::RetryAt(now.after(CALL_RETRY_MS))
+            }
             CallResult::NotBegun => CallState::NotBegun(now.after(CALL_RETRY_MS)),
             CallResult::Unknown => CallState::RetryAt(now.after(CALL_RETRY_MS)),
             CallResult::RateLimited => {
@@ -128,7 +141,7 @@
                 CallState::RetryAt(self.rate_limiter.paused_until)
             }
         };
-        self.calls.insert(host.clone(), Call { action, state });
+        self.calls.insert(host.clone(), Call { action, state, unresolved_until });
     }
 
     /// The state of the call for an action, if one was made.
@@ -137,7 +150,10 @@
     }
 
     fn record_call(&mut self, host: &HostId, action: HostAction) {
-        self.calls.insert(host.clone(), Call { action, state: CallState::InFlight });
+        let earlier = self.calls.get(host).filter(|call| call.action == action);
+        let unresolved_until = earlier.map(|call| call.unresolved_until).unwrap_or_default();
+        let state = CallState::InFlight;
+        self.calls.insert(host.clone(), Call { action, state, unresolved_until });
     }
 
     /// Whether a call may have taken its host out of service, or may yet do so.
@@ -252,7 +268,7 @@
         let (marked, _) = self.marks.confirmed_mark(host)?;
         let is_retry = match self.calls.get(host) {
             None => false,
-            Some(Call { action, state: CallState::RetryAt(at) })
+            Some(Call { action, state: CallState::RetryAt(at), .. })
                 if action == marked && *at <= now =>
             {
                 true
