The late result of a finished move does not replace a later call

Callers saw: one host more out of service than a wave allows. A move was shown as done by the host list before its call returned; the result that came then replaced the state of the upkeep call that had followed.

Cause: a result was recorded for the host, whatever action it was about.

Evidence: `the_late_result_of_a_finished_move_does_not_replace_a_later_call`.

Change: the result of an action other than the one on record is logged and ignored.

--- a/src/jobs/fleet/calls.rs
+++ b/src/jobs/fleet/calls.rs
@@ -123,6 +123,10 @@
         result: CallResult,
         now: Steady,
     ) {
+        if self.calls.get(host).is_some_and(|call| call.action != action) {
+            log::info!("host {host}: late result of an earlier {action:?} ignored: {result:?}");
+            return;
+        }
         let earlier = self.calls.get(host).map(|call| call.unresolved_until);
         let unresolved_until = match result {
             CallResult::Unknown => now.after(MAX_ORDER_DELAY_MS),
