Answers of a delegate that have arrived count, however late they are read

Callers saw: tasks that begin late. After a pause of its process, longer than an order may take, an owner gave up all orders of which the answers waited in its sockets: starts counted as unanswered, and the delegate got nothing for a second.

Cause: the check for overdue orders ran before the socket was read, by chance.

Evidence: `an_answer_that_arrived_while_the_owner_was_paused_counts`, 24 links.

Change: the check reads first what has arrived.

Before: the test fails (11 of 11 runs). After: it passes. Direct calls have the same fault by reading (the client checks its timer first); it is not fixed.

--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -10,13 +10,16 @@
     time::Duration,
 };
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use tokio::{
     net::TcpStream,
     sync::mpsc,
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
-use tokio_tungstenite::{WebSocketStream, client_async_with_config, tungstenite::Message};
+use tokio_tungstenite::{
+    WebSocketStream, client_async_with_config,
+    tungstenite::{Error as WsError, Message},
+};
 
 use super::{
     ORDERS_PATH,
@@ -231,18 +234,28 @@
                     open = batch.is_some();
                     next = batch;
                 }
-                message = stream.next() => {
-                    let message = message.ok_or_else(|| eyre::eyre!("closed by the other side"))?;
-                    if let Message::Binary(bytes) = message? {
-                        self.handle_answers(ciborium::from_reader(&bytes[..])?);
+                message = stream.next() => self.receive(message)?,
+                _ = check.tick() => {
+                    // What has arrived counts, even if this process was paused until it was overdue.
+                    while let Some(message) = stream.next().now_or_never() {
+                        self.receive(message)?;
                     }
+                    self.check()?;
                 }
-                _ = check.tick() => self.check()?,
             }
         }
         Ok(())
     }
 
+    /// Handles a message of the delegate; `None` if it has closed the link.
+    fn receive(&mut self, message: Option<Result<Message, WsError>>) -> eyre::Result<()> {
+        let message = message.ok_or_else(|| eyre::eyre!("closed by the other side"))?;
+        if let Message::Binary(bytes) = message? {
+            self.handle_answers(ciborium::from_reader(&bytes[..])?);
+        }
+        Ok(())
+    }
+
     /// Records a batch as pending and encodes it, without orders that may no longer be sent: an
     /// ownership may have ended while the link was opened or the previous message was written.
     fn encode(&mut self, batch: Vec<Outgoing>) -> eyre::Result<Vec<u8>> {
