A node that shuts down removes its own record only

Callers saw: fewer nodes that answer. A node was stopped and started again; the removal of its record, which had got no answer, was carried out seconds later, and the new process was not listed for as long as its lease lasted: no requests were relayed to it, and it made no calls for owners.

Cause: the removal had no condition.

Evidence: `a_restarted_node_stays_listed_though_its_previous_process_is_removed_late`, with real processes; not listed again within 60 s.

Change: the removal requires the revision at which the process had registered.

--- a/src/scheduler/control_loop/acquire.rs
+++ b/src/scheduler/control_loop/acquire.rs
@@ -223,11 +223,16 @@
         for (name, owned) in std::mem::take(&mut self.owned) {
             self.release_pool(name, &owned, now);
         }
+        // The record may be the next process's by the time at which its removal is carried out.
+        let Some(registration) = self.lease.registration() else {
+            return;
+        };
         let node = self.node.clone();
         let key = keys::node(node.settings.node.as_str());
+        let txn = Txn::default().expect(key.clone(), registration).remove(key);
         tokio::spawn(async move {
             // Removes this node from the list of nodes, so that its work goes to nodes that stay.
-            if let Err(error) = node.kv.commit(&Txn::default().remove(key)).await {
+            if let Err(error) = node.kv.commit(&txn).await {
                 log::warn!("node {}: its record was not removed: {error}", node.settings.node);
             }
         });
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     jobs::owner::{GRACE_PERIOD_MS, LEASE_MS},
-    model::unit::Steady,
+    model::unit::{Revision, Steady},
     platform::{
         kv::{CommitResult, Txn},
         store::LeaseId,
@@ -61,6 +61,8 @@
     barrier: Steady,
     /// Whether the last renewal failed.
     failing: bool,
+    /// The revision of the node's record, if it is registered.
+    registration: Option<Revision>,
 }
 
 impl Lease {
@@ -105,7 +107,14 @@
 
     /// Records that the store has reported the lease as expired.
     pub(crate) fn note_ended(&self) {
-        self.state().last = None;
+        let mut state = self.state();
+        state.last = None;
+        state.registration = None;
+    }
+
+    /// The revision of the node's record, if this process has registered it.
+    pub(crate) fn registration(&self) -> Option<Revision> {
+        self.state().registration
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -208,7 +217,6 @@
 
 /// Acquires a lease and renews it until the node ends.
 pub(crate) async fn maintain(node: Arc<Node>, lease: Arc<Lease>) {
-    let mut registered = false;
     loop {
         let sent = node.now().steady;
         let held = lease.last();
@@ -222,14 +230,14 @@
                     log::info!("store: lease {id} for {} ms", ttl.as_millis());
                 }
                 lease.note_renewed(id, sent, ttl, node.now().steady);
-                if !registered {
-                    registered = register(&node, id).await;
+                if lease.registration().is_none() {
+                    let registration = register(&node, id).await;
+                    lease.state().registration = registration;
                 }
                 sleep(RENEW_INTERVAL).await;
             }
             Ok(None) => {
                 log::warn!("store: lease {held:?} has expired: ownership of all work is lost");
-                registered = false;
                 lease.note_ended();
             }
             Err(error) => {
@@ -244,18 +252,19 @@
     }
 }
 
-/// Registers the node as one that may own work; returns whether that succeeded.
-async fn register(node: &Node, lease: LeaseId) -> bool {
+/// Registers the node as one that may own work; returns the revision of its record if that
+/// succeeded.
+async fn register(node: &Node, lease: LeaseId) -> Option<Revision> {
     let record = NodeRecord { cpu: node.settings.cpu, peers: node.settings.listen.peers };
     let key = keys::node(node.settings.node.as_str());
     let txn = Txn::default().put_leased(&key, json(&record), lease);
     match node.kv.commit(&txn).await {
-        Ok(CommitResult::Done(_)) => true,
+        Ok(CommitResult::Done(revision)) => Some(revision),
         // The next renewal reports that the lease has expired.
-        Ok(CommitResult::LeaseExpired | CommitResult::Conflict(_)) => false,
+        Ok(CommitResult::LeaseExpired | CommitResult::Conflict(_)) => None,
         Err(error) => {
             log::warn!("node {}: registration failed: {error}", node.settings.node);
-            false
+            None
         }
     }
 }
