Review of the late starts: gangs, drained hosts, flapping hosts, stale records

- A worker that was removed before its first answer lost its token and its fence, so that its owner could be deposed, or never reach it again: the removal recorded former orders only if the worker had reported.
- Of two polls in flight that acknowledge ends, the loss of the first was forgotten.
- Nothing was acknowledged while many orders kept getting lost; a worker lists 500 ends at most.
From 100 on they are acknowledged.
- A task bound to a host that restarts again and again was given up while another host was idle.
After three losses it waits until it may start elsewhere.
- Some members of a gang were sent while the start of another was withdrawn.
- A start was sent to a host that got its drain mark after the announcement.
- The record kept settled starts, and the next owner bound their tasks for 17.4 s.
It is written again after a second.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -36,6 +36,7 @@
     },
 };
 
+use announced::Announced;
 use incarnations::{EndedWorker, FormerOrders};
 #[cfg(test)]
 pub(crate) use roster::UNCONFIRMED_ADDED;
@@ -101,9 +102,13 @@
     /// Starts that the next incarnation of a worker may carry out.
     unsettled: UnsettledStarts,
     /// Starts that are sent once the announcement is durable.
-    announced_starts: BTreeMap<(TaskId, Incarnation), Start>,
+    announced_starts: BTreeMap<Announced, Start>,
     /// The starts that a later owner would find in the store.
     persisted_starts: StartsByWorker,
+    /// Since when these have differed from the starts to be persisted.
+    stale_starts_since: Option<Steady>,
+    /// The time of the latest tick.
+    ticked: Steady,
     /// The records about the workers that a later owner would find in the store.
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
@@ -159,6 +164,8 @@
             unsettled: UnsettledStarts::default(),
             announced_starts: BTreeMap::new(),
             persisted_starts: StartsByWorker::new(),
+            stale_starts_since: None,
+            ticked: now,
             roster: Roster::default(),
             handed_over: None,
             unknown_seen: None,
@@ -253,6 +260,7 @@
 
     /// Requests the polls, stops and starts that are due.
     pub(crate) fn tick(&mut self, now: Now, out: &mut Vec<Effect>) {
+        self.ticked = now.steady;
         self.unsettled.expire(now.steady);
         self.remove_expired_runs(now.steady);
         self.give_up_crashing(now, out);
--- a/src/jobs/owner/announced.rs
+++ b/src/jobs/owner/announced.rs
@@ -4,12 +4,34 @@
 //! owner must know of it, however this one ends: see [`crate::jobs::unsettled`]. Workers that never
 //! start again under their name refuse such a start, and need no announcement.
 
+use std::collections::BTreeMap;
+
 use super::Owner;
 use crate::{
-    jobs::{event::Effect, job::Phase, run_end::RunEnd, unsettled::StartsByWorker},
-    model::{id::Incarnation, job::TaskId, order::Start, unit::Steady},
+    jobs::{event::Effect, job::Phase, run_end::RunEnd, unsettled::StartsByWorker, worker::Worker},
+    model::{
+        id::Incarnation,
+        job::{StepId, TaskId},
+        order::Start,
+        unit::Steady,
+    },
 };
 
+/// A task, and the worker at which its start is announced.
+pub(super) type Announced = (TaskId, Incarnation);
+
+/// Whether an announced start can be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Readiness {
+    Withdrawn,
+    Waiting,
+    Ready,
+}
+
+/// How long the starts in the store may differ from those that matter, in milliseconds: the next
+/// owner binds the tasks of all that it finds there.
+const STALE_STARTS_MS: u64 = 1_000;
+
 impl Owner {
     /// Announces a start, or sends it at once if it needs no announcement.
     pub(super) fn announce_start(
@@ -27,34 +49,53 @@
     }
 
     /// Sends the starts whose announcements are durable, and withdraws those whose worker gets no
-    /// work any more.
+    /// work any more. All members of a gang start together.
     pub(super) fn send_announced_starts(&mut self, now: Steady, out: &mut Vec<Effect>) {
-        let announced: Vec<(TaskId, Incarnation)> = self.announced_starts.keys().cloned().collect();
-        for (task, at) in announced {
-            let key = (task, at);
-            let Some(start) = self.announced_starts.get(&key) else {
-                continue;
-            };
+        let announced = self.announced_starts.iter();
+        let readiness =
+            announced.map(|(key, start)| (key.clone(), self.readiness(key, start, now)));
+        let readiness: Vec<(Announced, Readiness)> = readiness.collect();
+        let gangs = readiness.iter().filter(|((task, _), _)| self.is_gang(task.of));
+        let mut least_ready = BTreeMap::<StepId, Readiness>::new();
+        for ((task, _), readiness) in gangs {
+            let least = least_ready.entry(task.of).or_insert(*readiness);
+            *least = (*least).min(*readiness);
+        }
+        for (key, readiness) in readiness {
             let (task, at) = &key;
-            let is_durable = self
-                .persisted_starts
-                .get(&at.worker)
-                .is_some_and(|starts| starts.contains(&(*task, start.run)));
-            let is_expected = self.is_announced(*task, at);
-            let worker = self.workers.get(at).filter(|_| is_expected);
-            let Some(worker) = worker.filter(|worker| worker.may_get_work(now)) else {
-                self.withdraw_start(*task, at, now);
-                continue;
-            };
-            if is_durable
-                && worker.takes_work(now)
-                && let Some(start) = self.announced_starts.remove(&key)
-            {
-                self.send_start(&key.1, start, now, out);
+            match least_ready.get(&task.of).copied().unwrap_or(readiness) {
+                Readiness::Withdrawn => self.withdraw_start(*task, at, now),
+                Readiness::Waiting => {}
+                Readiness::Ready => {
+                    if let Some(start) = self.announced_starts.remove(&key) {
+                        self.send_start(at, start, now, out);
+                    }
+                }
             }
         }
     }
 
+    fn readiness(&self, (task, at): &Announced, start: &Start, now: Steady) -> Readiness {
+        let worker = self.workers.get(at).filter(|_| self.is_announced(*task, at));
+        let may_start = |worker: &&Worker| {
+            let is_drained = self.draining.contains_key(&worker.report.host);
+            worker.may_get_work(now) && (!is_drained || self.is_long_running(task))
+        };
+        let Some(worker) = worker.filter(may_start) else {
+            return Readiness::Withdrawn;
+        };
+        let persisted = self.persisted_starts.get(&at.worker);
+        let is_durable = persisted.is_some_and(|starts| starts.contains(&(*task, start.run)));
+        match is_durable && worker.takes_work(now) {
+            true => Readiness::Ready,
+            false => Readiness::Waiting,
+        }
+    }
+
+    fn is_gang(&self, of: StepId) -> bool {
+        self.jobs.get(&of.job).is_some_and(|job| job.step(of.step).gang)
+    }
+
     fn is_announced(&self, task: TaskId, at: &Incarnation) -> bool {
         let entry = self.jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
         let mut task_runs = entry.into_iter().flat_map(|entry| &entry.runs);
@@ -115,11 +156,18 @@
         starts
     }
 
-    /// Whether an announced start is not durable yet.
-    pub(super) fn has_unpersisted_starts(&self) -> bool {
-        self.announced_starts.iter().any(|((task, at), start)| {
-            let persisted = self.persisted_starts.get(&at.worker);
-            !persisted.is_some_and(|starts| starts.contains(&(*task, start.run)))
-        })
+    /// Whether the starts must be persisted now: one is announced that is not durable yet, or the
+    /// record contains others for too long.
+    pub(super) fn must_persist_starts(&mut self, wanted: &StartsByWorker) -> bool {
+        if *wanted == self.persisted_starts {
+            self.stale_starts_since = None;
+            return false;
+        }
+        let since = *self.stale_starts_since.get_or_insert(self.ticked);
+        STALE_STARTS_MS <= self.ticked.since(since)
+            || self.announced_starts.iter().any(|((task, at), start)| {
+                let persisted = self.persisted_starts.get(&at.worker);
+                !persisted.is_some_and(|starts| starts.contains(&(*task, start.run)))
+            })
     }
 }
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -131,7 +131,7 @@
         let Some(worker) = self.workers.remove(id) else {
             return Vec::new();
         };
-        if worker.has_reported && id.born.is_some() {
+        if id.born.is_some() {
             self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
         if let Some(next) = self.incarnations(&id.worker).next() {
@@ -345,8 +345,7 @@
         let takes = |worker: &Worker| {
             worker.isolated_task == Some(task) && placer.can_run(worker, step, tasks, ticketed)
         };
-        let is_allowed = self.bound_to(task).iter().all(|worker| **worker == at.worker);
-        if is_allowed && self.workers.get(&at).is_some_and(takes) {
+        if self.allows(task, &at) && self.workers.get(&at).is_some_and(takes) {
             return Some(at);
         }
         self.withdraw_isolated_retry(task);
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -34,6 +34,10 @@
 /// milliseconds: workers take up to 900 ms to stop a run, and list it as ready meanwhile.
 const LATE_STOP_MS: u64 = 1_200;
 
+/// The number of workers lost with a task from which on it does not start again at the worker that
+/// it is bound to: one host that restarts again and again would use up its attempts.
+const MAX_BOUND_LOSSES: usize = 3;
+
 /// The percent at which a long-running task is ready.
 const READY_PERCENT: u32 = 100;
 
@@ -211,6 +215,16 @@
         }
     }
 
+    /// Whether a task may start at a worker: at any, or at the one that it is bound to unless it was
+    /// lost there too often already. Then it waits until it may start elsewhere.
+    pub(super) fn allows(&self, task: TaskId, at: &Incarnation) -> bool {
+        let bound = self.bound_to(task);
+        let entry = self.jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
+        let lost = entry
+            .map_or(0, |entry| entry.lost_workers() - usize::from(entry.isolated_worker.is_some()));
+        bound.iter().all(|worker| **worker == at.worker && lost < MAX_BOUND_LOSSES)
+    }
+
     /// Splits the tasks of a step into those with an announced isolated retry and the others.
     fn split_announced(&self, of: StepId, tasks: Vec<u32>) -> (Vec<u32>, Vec<u32>) {
         let is_announced = |index: &u32| {
@@ -259,8 +273,7 @@
         let task = tasks.tasks.get(index as usize)?;
         let placer = self.task_placer(now);
         let ticketed = job.record.advice.is_some();
-        let bound = self.bound_to(TaskId { of, index });
-        let allows = |id: &Incarnation| bound.iter().all(|worker| **worker == id.worker);
+        let allows = |id: &Incarnation| self.allows(TaskId { of, index }, id);
         let worker = placer.worker_for(job.step(of.step), tasks, task, ticketed, rack, allows)?;
         Some(worker.report.id.clone())
     }
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -38,11 +38,15 @@
 /// would return at once, since the ends are still listed. Most ends are persisted within 20 ms.
 const UNSAVED_POLL_PAUSE_MS: u64 = 100;
 
+/// How many ends are left unacknowledged at a worker while many orders get lost. Workers list 500
+/// at once.
+const MAX_DEFERRED_ENDS: u64 = 100;
+
 /// The highest end that a poll may acknowledge; none if the poll has to wait until it may.
 ///
 /// The next incarnation numbers its ends anew, and would discard those up to this number without
 /// listing them. So no ends are acknowledged after an unanswered poll, nor while there is a start
-/// that the next incarnation may carry out. While many orders get lost, none are acknowledged:
+/// that the next incarnation may carry out. While many orders get lost, few are acknowledged:
 /// nothing could start at the worker until a lost acknowledgement is too old to be carried out.
 fn acknowledgement(
     worker: &Worker,
@@ -52,10 +56,12 @@
     if !worker.may_start_again() {
         return Some(worker.acknowledged);
     }
-    if !worker.has_acknowledgeable_ends() || worker.missed_polls != 0 {
+    let ends = worker.acknowledgeable_ends();
+    if ends == 0 || worker.missed_polls != 0 {
         return Some(0);
     }
-    let waits = orders_get_lost || unsettled.is_any_at(&worker.report.id.worker);
+    let defers = orders_get_lost && ends < MAX_DEFERRED_ENDS;
+    let waits = defers || unsettled.is_any_at(&worker.report.id.worker);
     (!waits).then_some(worker.acknowledged)
 }
 
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -148,7 +148,7 @@
     /// work only by what is persisted.
     pub(crate) fn roster_note(&mut self, limit: usize) -> Option<RosterWrite> {
         let (holdings, starts) = (self.holdings(), self.starts_to_persist());
-        let announces = self.has_unpersisted_starts();
+        let announces = self.must_persist_starts(&starts);
         let workers = &self.workers;
         let report = |id: &Incarnation| workers.get(id).map(|worker| &worker.report);
         let write = self.roster.next_write(holdings, limit, report, starts, announces)?;
--- a/src/jobs/owner/status.rs
+++ b/src/jobs/owner/status.rs
@@ -127,7 +127,7 @@
         queued
     }
 
-    fn is_long_running(&self, task: &TaskId) -> bool {
+    pub(super) fn is_long_running(&self, task: &TaskId) -> bool {
         self.jobs.get(&task.of.job).is_some_and(|job| job.step(task.of.step).long_running)
     }
 }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -65,8 +65,9 @@
             && (step.label.is_empty() || worker.report.labels.contains(&step.label))
     }
 
-    /// The worker for a task, if one that `allows` admits fits. Among equally reliable workers, those near the data come
-    /// first, then the one with the least processor time left, so that large tasks still fit.
+    /// The worker for a task, if one fits that `allows` admits. Among equally reliable workers, those
+    /// near the data come first, then the one with the least processor time left, so that large
+    /// tasks still fit.
     pub(crate) fn worker_for(
         &self,
         step: &Step,
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -9,6 +9,7 @@
 mod fuzz;
 mod handover;
 mod incarnations;
+mod late_starts;
 mod late_timers;
 mod plan_cost;
 mod polls;
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -208,8 +208,8 @@
     pub(crate) acknowledged: u64,
     /// The highest end that an answered poll has acknowledged.
     confirmed_ack: u64,
-    /// The poll in flight that acknowledges ends: when it was sent, and up to which end.
-    pending_ack: Option<(Steady, u64)>,
+    /// The polls in flight that acknowledge ends: when each was sent, and up to which end.
+    pending_acks: BTreeMap<Steady, u64>,
     /// Until when a poll without an answer that acknowledges ends may still be carried out. The
     /// next incarnation would discard the end of a start that it carried out before that poll.
     pub(crate) late_ack_until: Steady,
@@ -258,7 +258,7 @@
             last_counted: 0,
             acknowledged: 0,
             confirmed_ack: 0,
-            pending_ack: None,
+            pending_acks: BTreeMap::new(),
             late_ack_until: Steady::default(),
             unacknowledged: VecDeque::new(),
             failed_jobs: BTreeSet::new(),
@@ -402,21 +402,21 @@
         self.report.id.born.is_some()
     }
 
-    /// Whether it lists ends that may be acknowledged.
-    pub(crate) fn has_acknowledgeable_ends(&self) -> bool {
-        self.confirmed_ack < self.acknowledged
+    /// The number of ends that may be acknowledged and, as far as is known, are not yet.
+    pub(crate) fn acknowledgeable_ends(&self) -> u64 {
+        self.acknowledged.saturating_sub(self.confirmed_ack)
     }
 
     /// Records that a poll is sent that acknowledges ends up to a number.
     pub(crate) fn note_ack_sent(&mut self, number: u64, now: Steady) {
-        self.pending_ack = Some((now, number));
+        self.pending_acks.insert(now, number);
     }
 
     /// Until when a poll that acknowledges ends may still be carried out by the next incarnation.
     pub(crate) fn late_ack_end(&self, now: Steady) -> Steady {
-        match self.pending_ack {
-            Some(_) => now.after(MAX_ORDER_DELAY_MS),
-            None => self.late_ack_until,
+        match self.pending_acks.is_empty() {
+            false => now.after(MAX_ORDER_DELAY_MS),
+            true => self.late_ack_until,
         }
     }
 
@@ -427,9 +427,9 @@
         result: &OrderResult<PollResponse>,
         now: Steady,
     ) {
-        let number = self.pending_ack.take_if(|(at, _)| *at == sent);
+        let number = self.pending_acks.remove(&sent);
         match (result, number) {
-            (OrderResult::Done(_), Some((_, number))) => {
+            (OrderResult::Done(_), Some(number)) => {
                 self.confirmed_ack = self.confirmed_ack.max(number);
             }
             (OrderResult::Unknown | OrderResult::Unsent, Some(_)) => {
@@ -538,7 +538,7 @@
 
     /// Whether the worker may get new work now.
     pub(crate) fn takes_work(&self, now: Steady) -> bool {
-        self.pending_ack.is_none() && self.may_get_work(now)
+        self.pending_acks.is_empty() && self.may_get_work(now)
     }
 
     /// Whether the worker may get new work, as soon as no poll that acknowledges ends is pending.
