An answered start whose run was given up binds its task until a list shows it

Callers saw: a task that runs twice. A start was in flight for as long as its silent worker was taken for expired; the next incarnation carried it out and answered. The answer settled the start, nobody tracked its run, and the task started elsewhere before a list showed it.

Before: `a_start_that_is_answered_after_its_run_was_given_up_does_not_run_beside_another` fails. After: it passes, with the other tests of late orders.

--- a/src/jobs/owner/answers.rs
+++ b/src/jobs/owner/answers.rs
@@ -34,8 +34,12 @@
         {
             worker.read_order_clock(clock_ms, now);
         }
+        // The answer does not identify the incarnation: if the run is no longer tracked, only a list
+        // shows where it is.
+        let is_tracked = self.run_mut(task, at).is_some_and(|task_run| task_run.run == run);
         match end {
-            OrderResult::Unknown => {
+            OrderResult::Done(_) if is_tracked => self.unsettled.settle(&at.worker, task, run),
+            OrderResult::Unknown | OrderResult::Done(_) => {
                 let until = now.after(MAX_ORDER_DELAY_MS + EXPIRY_DELAY_MS);
                 self.unsettled.note_unanswered(&at.worker, task, run, until);
             }
--- a/src/jobs/tests/fuzz/late_orders.rs
+++ b/src/jobs/tests/fuzz/late_orders.rs
@@ -139,6 +139,33 @@
     simulation.heal_and_check();
 }
 
+#[test]
+fn a_start_that_is_answered_after_its_run_was_given_up_does_not_run_beside_another() {
+    let mut simulation = Simulation::reused_names();
+    simulation.submit(0);
+    let (_, host) = simulation.request_start(0);
+    simulation.crash_or_restart(host);
+    for _ in 0..300 {
+        simulation.work(0);
+        while let Some((index, _)) = simulation.pending(0, is_poll) {
+            simulation.deliver_order(0, index, Delivery::Delivered);
+        }
+        simulation.persist_roster(0, Delivery::Delivered);
+        simulation.advance(20);
+    }
+    simulation.crash_or_restart(host);
+    let (index, _) = simulation.pending(0, is_start).expect("it is in flight");
+    simulation.deliver_order(0, index, Delivery::Delivered);
+    assert!(!simulation.workers[host].runs.is_empty(), "the next incarnation carries it out");
+    simulation.work(0);
+    simulation.persist_roster(0, Delivery::Delivered);
+    simulation.work(0);
+    while let Some((index, _)) = simulation.pending(0, is_start) {
+        simulation.deliver_order(0, index, Delivery::Delivered);
+    }
+    simulation.heal_and_check();
+}
+
 #[test]
 fn a_late_acknowledgement_does_not_discard_an_end_of_the_next_incarnation() {
     let mut simulation = Simulation::reused_names();
