Comments: what a newcomer had to read twice in the late starts

Comments only: which tasks are bound, how an incarnation becomes known, what the two times of a worker mean. No line of code changes; rustfmt passes.

--- a/src/jobs/owner/announced.rs
+++ b/src/jobs/owner/announced.rs
@@ -33,7 +33,7 @@
 const STALE_STARTS_MS: u64 = 1_000;
 
 impl Owner {
-    /// Announces a start, or sends it at once if it needs no announcement.
+    /// Announces a start, or sends it at once to a worker that never starts again under its name.
     pub(super) fn announce_start(
         &mut self,
         at: &Incarnation,
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -43,7 +43,8 @@
         ended.for_each(|(_, ended)| ended.report = None);
     }
 
-    /// Begins to track an incarnation.
+    /// Begins to track an incarnation, however it became known: by its entry in the store, by the
+    /// roster of an earlier owner, or by an answer.
     pub(super) fn track(&mut self, mut worker: Worker, now: Steady) {
         // Polls that were sent in this millisecond were sent before it was known.
         if self.last_polls == Some(now) {
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -204,8 +204,9 @@
         tasks.tasks.iter().enumerate().filter_map(waits).collect()
     }
 
-    /// The workers at which alone a task may start now: where an earlier start of it may still be
-    /// carried out. Callers would have to do without a long-running task meanwhile.
+    /// The workers that a task is bound to: those that may still carry out an earlier start of it.
+    /// Long-running tasks are not bound, since callers would have to do without them meanwhile, nor
+    /// are speculative ones, which may run twice.
     pub(super) fn bound_to(&self, task: TaskId) -> Vec<&WorkerId> {
         match self.step(task.of) {
             Some(step) if !step.long_running && !step.speculative => {
@@ -215,8 +216,8 @@
         }
     }
 
-    /// Whether a task may start at a worker: at any, or at the one that it is bound to unless it was
-    /// lost there too often already. Then it waits until it may start elsewhere.
+    /// Whether a task may start at a worker. One that is bound starts only there, and waits until it
+    /// may start elsewhere if it was lost too often already.
     pub(super) fn allows(&self, task: TaskId, at: &Incarnation) -> bool {
         let bound = self.bound_to(task);
         let entry = self.jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
--- a/src/jobs/worker.rs
+++ b/src/jobs/worker.rs
@@ -54,8 +54,8 @@
 /// terminated worker remains listed.
 const LONG_SILENCE_MS: u64 = 10_000;
 
-/// A worker whose clock is beyond this carries out no more orders to its earlier incarnation, and
-/// its lease is not from one, in milliseconds.
+/// The longest time after its start for which a worker may have a lease from an order to its earlier
+/// incarnation, in milliseconds of its clock.
 const RESTARTED_MS: u64 = MAX_ORDER_DELAY_MS + MAX_LEASE_MS;
 
 /// The longest lease of a worker, which cuts longer ones down, by the platform's contract.
@@ -162,7 +162,7 @@
     pub(crate) blocked: bool,
     /// Whether it has answered at its address, to this owner or an earlier one.
     pub(crate) has_answered: bool,
-    /// Calls sent since then were sent while this incarnation was known.
+    /// Since when it is known: calls sent at this time or later were sent after that.
     pub(crate) known_since: Steady,
     /// Since when it is called at its address: answers to earlier calls are another worker's.
     pub(crate) address_since: Steady,
