Plans check once per task, not once per worker, what it is bound to

Since the review's commit a placement looked up the binding of its task for each worker: 900 look-ups of a job and a step for each task.

Change: the binding is worked out once for each placement. And, found in the read-through: a start that is withdrawn takes those of its gang with it, however it is withdrawn.

--- a/src/jobs/owner/announced.rs
+++ b/src/jobs/owner/announced.rs
@@ -139,11 +139,21 @@
         }
     }
 
-    /// Withdraws an announced start, which was never sent.
+    /// Withdraws an announced start, which was never sent; for a gang, those of all members.
     pub(super) fn withdraw_start(&mut self, task: TaskId, at: &Incarnation, now: Steady) {
-        let is_expected = self.is_announced(task, at);
-        if self.announced_starts.remove(&(task, at.clone())).is_some() && is_expected {
-            self.remove_run(task, at, RunEnd::Unsent, now);
+        let is_gang = self.is_gang(task.of);
+        let is_withdrawn = |(other, worker): &&Announced| match is_gang {
+            true => other.of == task.of,
+            false => *other == task && worker == at,
+        };
+        let withdrawn = self.announced_starts.keys().filter(is_withdrawn);
+        let withdrawn: Vec<Announced> = withdrawn.cloned().collect();
+        for key in withdrawn {
+            let is_expected = self.is_announced(key.0, &key.1);
+            self.announced_starts.remove(&key);
+            if is_expected {
+                self.remove_run(key.0, &key.1, RunEnd::Unsent, now);
+            }
         }
     }
 
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -216,14 +216,20 @@
         }
     }
 
-    /// Whether a task may start at a worker. One that is bound starts only there, and waits until it
-    /// may start elsewhere if it was lost too often already.
-    pub(super) fn allows(&self, task: TaskId, at: &Incarnation) -> bool {
-        let bound = self.bound_to(task);
+    /// Whether a bound task may start at the worker that it is bound to. If it was lost too often
+    /// already, it waits until it may start elsewhere.
+    fn may_start_bound(&self, task: TaskId) -> bool {
         let entry = self.jobs.get(&task.of.job).and_then(|job| job.task(task.of, task.index));
         let lost = entry
             .map_or(0, |entry| entry.lost_workers() - usize::from(entry.isolated_worker.is_some()));
-        bound.iter().all(|worker| **worker == at.worker && lost < MAX_BOUND_LOSSES)
+        lost < MAX_BOUND_LOSSES
+    }
+
+    /// Whether a task may start at a worker.
+    pub(super) fn allows(&self, task: TaskId, at: &Incarnation) -> bool {
+        let bound = self.bound_to(task);
+        bound.is_empty()
+            || self.may_start_bound(task) && bound.iter().all(|worker| **worker == at.worker)
     }
 
     /// Splits the tasks of a step into those with an announced isolated retry and the others.
@@ -274,7 +280,12 @@
         let task = tasks.tasks.get(index as usize)?;
         let placer = self.task_placer(now);
         let ticketed = job.record.advice.is_some();
-        let allows = |id: &Incarnation| self.allows(TaskId { of, index }, id);
+        // Checked once for all workers: placements look at each of them.
+        let bound = self.bound_to(TaskId { of, index });
+        if !bound.is_empty() && !self.may_start_bound(TaskId { of, index }) {
+            return None;
+        }
+        let allows = |id: &Incarnation| bound.iter().all(|worker| **worker == id.worker);
         let worker = placer.worker_for(job.step(of.step), tasks, task, ticketed, rack, allows)?;
         Some(worker.report.id.clone())
     }
--- a/src/jobs/tests/late_starts.rs
+++ b/src/jobs/tests/late_starts.rs
@@ -220,6 +220,28 @@
     assert_eq!(harness.take_starts(), vec![]);
 }
 
+/// Guards against a gang of which only some members start, and wait for the others in vain.
+#[test]
+fn no_member_of_a_gang_starts_when_the_worker_of_another_has_started_again() {
+    let mut harness = first_incarnation();
+    let other = "w2@1000";
+    harness.deliver(Event::Worker(report(other, "h2")));
+    harness.work();
+    answer_to(&mut harness, 0, other, other, vec![], vec![]);
+    harness.persist_roster();
+    let need = TaskResources { cpu: Millicores(3_000), memory: Megabytes(100), gpus: 0 };
+    let gang = Step { gang: true, need, ..step(2) };
+    harness.deliver(Event::Job(stored(1, vec![gang], 110)));
+    harness.work();
+    harness.effects.clear();
+    harness.now += 20;
+    let now = harness.now;
+    answer_to(&mut harness, now, other, "w2@2000", vec![], vec![]);
+    harness.persist_roster();
+    harness.work();
+    assert_eq!(harness.take_starts(), vec![]);
+}
+
 /// The acknowledgements of the polls that were requested.
 fn acknowledgements(harness: &mut Harness) -> Vec<u64> {
     let effects = std::mem::take(&mut harness.effects);
