An answer is compared with the addresses of all workers only, not their names too

By reading: the fix of late answers compared the name and the address of each of 900 workers with each answer, where the code before compared addresses alone and looked the incarnations up by name.

Change: the comparison is as it was before, with the time since which a worker is known as the last condition.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -538,21 +538,24 @@
             return;
         };
         let host = report.host.clone();
+        // Each answer is compared with all workers: the rarest condition comes first.
         let is_over = |worker: &&Worker| {
             let other = &worker.report;
-            let same_worker = other.id.worker == by.worker;
-            let same_address = worker.has_answered && other.address == report.address;
-            other.id != *by && (same_worker || same_address) && worker.was_known(sent)
+            worker.has_answered
+                && other.address == report.address
+                && other.id.worker != by.worker
+                && worker.was_known(sent)
         };
         let others = self.workers.values().filter(is_over);
         let others: Vec<Incarnation> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
-            if id.worker == by.worker {
-                self.replace_incarnation(&id, by, now);
-            } else {
-                let reason = "another worker has answered at its address";
-                self.remove_ended_worker(&id, reason, now);
-            }
+            self.remove_ended_worker(&id, "another worker has answered at its address", now);
+        }
+        let is_earlier = |one: &&mut Worker| one.report.id != *by && one.was_known(sent);
+        let earlier = self.incarnations(&by.worker).filter(is_earlier);
+        let earlier: Vec<Incarnation> = earlier.map(|one| one.report.id.clone()).collect();
+        for id in earlier {
+            self.replace_incarnation(&id, by, now);
         }
         self.note_answer_on(&host, by, sent, now);
     }
