Overdue orders are given up once the runtime has polled all sockets again

Callers saw: tasks that begin late after a pause of an owner's process. Starts whose answers waited in the socket counted as unanswered, and a healthy delegate got nothing for a second.

Cause: the check for overdue orders reads first what has arrived, but a socket with an answer in its buffer may not be known as readable yet when the timer fires.

Change: an order that is overdue is given up by the check after, 10 ms later; its timer fires only after the runtime has polled all sockets. The same for silent links.

--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -45,6 +45,9 @@
 /// How often a link is checked for overdue orders.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long after a check that finds orders overdue the next one follows, which gives them up.
+const RECHECK_DELAY: Duration = Duration::from_millis(10);
+
 /// How long a link with pending orders may receive nothing before it is closed: a connection can
 /// hang for ever without a reset.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -195,18 +198,22 @@
     last_received: Instant,
     /// Until when the delegate gets no more orders, because some were overdue.
     backoff_until: Option<Instant>,
+    /// The time of the last check.
+    last_check: Instant,
 }
 
 impl Session {
     fn new(address: SocketAddr, backing_off: Arc<AtomicBool>) -> Session {
+        let now = Instant::now();
         Session {
             address,
             backing_off,
             numbering: WorkerNumbering::default(),
             next: 0,
             pending: HashMap::new(),
-            last_received: Instant::now(),
+            last_received: now,
             backoff_until: None,
+            last_check: now,
         }
     }
 
@@ -240,7 +247,9 @@
                     while let Some(message) = stream.next().now_or_never() {
                         self.receive(message)?;
                     }
-                    self.check()?;
+                    if self.check(Instant::now())? {
+                        check.reset_after(RECHECK_DELAY);
+                    }
                 }
             }
         }
@@ -290,12 +299,16 @@
         }
     }
 
-    /// Gives up overdue orders, and if there are any sends the delegate nothing more for
-    /// [`BACKOFF`].
-    fn check(&mut self) -> eyre::Result<()> {
-        let now = Instant::now();
+    /// Gives up the orders that were overdue at the previous check already, and if there are any
+    /// sends the delegate nothing more for [`BACKOFF`]. Returns whether others are overdue now.
+    ///
+    /// An answer may be in the socket's buffer before the runtime reports the socket as readable, so
+    /// that a read finds nothing. The timer of the next check fires only after the runtime has
+    /// polled all sockets again, and the answer is read before that check.
+    fn check(&mut self, now: Instant) -> eyre::Result<bool> {
+        let as_of = std::mem::replace(&mut self.last_check, now);
         let number_if_overdue =
-            |(number, (_, due)): (&u32, &(Outgoing, Instant))| (*due <= now).then_some(*number);
+            |(number, (_, due)): (&u32, &(Outgoing, Instant))| (*due <= as_of).then_some(*number);
         let overdue: Vec<u32> = self.pending.iter().filter_map(number_if_overdue).collect();
         if !overdue.is_empty() {
             log::info!("orders: {} without an answer from {}", overdue.len(), self.address);
@@ -310,10 +323,12 @@
                 order.give_up();
             }
         }
-        if !self.pending.is_empty() && RECEIVE_TIMEOUT < now - self.last_received {
+        let is_silent =
+            |at: Instant| RECEIVE_TIMEOUT < at.saturating_duration_since(self.last_received);
+        if !self.pending.is_empty() && is_silent(as_of) {
             eyre::bail!("nothing received with {} orders pending", self.pending.len());
         }
-        Ok(())
+        Ok(self.pending.values().any(|(_, due)| *due <= now))
     }
 
     fn give_up_all(&mut self) {
