--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -43,7 +43,7 @@
         let rules = |off| PoolRules { headroom: off, admission_check: true };
         let pools = BTreeMap::from([(pool("busy"), rules(false)), (pool("off"), rules(true))]);
         Fixture {
-            config: QueueConfig { version: 1, queues: vec![], pools },
+            config: QueueConfig { version: 1, pools, ..QueueConfig::default() },
             demands: BTreeMap::from([(pool("busy"), Demand::default())]),
             view_revision: Revision(100),
             marks: BTreeMap::new(),
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -96,6 +96,7 @@
         repeats: 0,
         first: Time::default(),
         every_ms: 0,
+        account: None,
         priority: 0,
         max_attempts: 3,
         stretch_percent: 200,
@@ -144,7 +145,7 @@
     let headroom_pool = pools.last().cloned();
     let rules =
         pools.iter().map(|pool| (pool.clone(), rules(Some(pool) == headroom_pool.as_ref())));
-    let config = QueueConfig { version: 1, queues: vec![], pools: rules.collect() };
+    let config = QueueConfig { version: 1, pools: rules.collect(), ..QueueConfig::default() };
     let listed: Vec<ListedHost> =
         ids.iter().enumerate().map(|(n, id)| host(id, &pools[n % pools.len()])).collect();
     let upkeep = Upkeep {
--- a/src/measure/mirror/mix.rs
+++ b/src/measure/mirror/mix.rs
@@ -324,6 +324,7 @@
         repeats: 0,
         first: Time::default(),
         every_ms: 0,
+        account: None,
         priority: 0,
         max_attempts: 3,
         stretch_percent: 160,
--- a/src/measure/owner.rs
+++ b/src/measure/owner.rs
@@ -330,6 +330,7 @@
         repeats: 0,
         first: Time::default(),
         every_ms: 0,
+        account: None,
         priority: 0,
         max_attempts: 3,
         stretch_percent: 160,
--- a/src/model.rs
+++ b/src/model.rs
@@ -1,5 +1,6 @@
 //! The data that every part of the program shares: identifiers, units and records.
 
+pub(crate) mod account;
 pub(crate) mod config;
 pub(crate) mod fleet;
 pub(crate) mod host;
--- a/src/model/id.rs
+++ b/src/model/id.rs
@@ -106,6 +106,10 @@
     /// A team: it owns services and a share of the request rate.
     TeamId, "team name"
 );
+id!(
+    /// A client account: whose jobs share a limit and a weight.
+    AccountId, "client account name"
+);
 id!(
     /// A plan.
     PlanId, "plan identifier"
--- a/src/model/job.rs
+++ b/src/model/job.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
-    id::{Incarnation, PoolId},
+    id::{AccountId, Incarnation, PoolId},
     unit::{Megabytes, Millicores, Time},
 };
 
@@ -278,6 +278,9 @@
     /// Interval between two occurrences, in milliseconds.
     #[serde(rename = "i", default, skip_serializing_if = "is_default")]
     pub every_ms: u64,
+    /// The client account that submitted it; `None` if its queue needs no key.
+    #[serde(rename = "ac", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<AccountId>,
     /// Priority; 0 is the highest.
     #[serde(rename = "o", default, skip_serializing_if = "is_default")]
     pub priority: u32,
--- a/src/model/queue.rs
+++ b/src/model/queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::model::{id::PoolId, job::AdviceTiming};
+use crate::model::{account::Accounts, id::PoolId, job::AdviceTiming};
 
 /// A queue of jobs.
 #[derive(Debug, Clone, PartialEq)]
@@ -14,6 +14,8 @@
     pub(crate) prefix: String,
     /// The pool whose workers run the jobs.
     pub(crate) pool: PoolId,
+    /// Whether calls need no key of a client account.
+    pub(crate) public: bool,
     /// Priority; 0 is the highest.
     pub(crate) priority: u32,
     /// Number of failed runs of a task that fail its job.
@@ -41,9 +43,16 @@
     pub(crate) version: u64,
     pub(crate) queues: Vec<Queue>,
     pub(crate) pools: BTreeMap<PoolId, PoolRules>,
+    /// The client accounts; `None` if the deployment has none, and no call needs a key.
+    pub(crate) accounts: Option<Accounts>,
 }
 
 impl QueueConfig {
+    /// Whether calls on a queue need the key of a client account.
+    pub(crate) fn needs_key(&self, queue: &Queue) -> bool {
+        self.accounts.is_some() && !queue.public
+    }
+
     /// The queue of a request: the `Host` header must be equal, and the longest path prefix wins.
     pub(crate) fn queue_of(&self, host: &str, path: &str) -> Option<&Queue> {
         let fits = |queue: &&Queue| queue.host == host && path.starts_with(&queue.prefix);
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,8 +1,11 @@
 //! JSON of the callers' API: submitted jobs, and answers on jobs and queues.
 
+use poem::Request;
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
+    account::{ApiKey, ApiKeyError},
+    id::AccountId,
     job::{JobRecord, JobState, Step, TaskResources},
     queue::Queue,
     unit::{Megabytes, Millicores, Time},
@@ -11,6 +14,15 @@
 /// Maximum size of a payload, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// The header with the key of the caller's account.
+const KEY_HEADER: &str = "Key";
+
+/// The key that a request presents, if any.
+pub(crate) fn key(request: &Request) -> Option<Result<ApiKey, ApiKeyError>> {
+    let value = request.headers().get(KEY_HEADER)?;
+    Some(value.to_str().map_err(|_| ApiKeyError).and_then(str::parse))
+}
+
 /// Why a submitted job is rejected.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum JobError {
@@ -88,8 +100,13 @@
     }
 }
 
-/// Parses a job that was submitted to a queue.
-pub(crate) fn job(body: &[u8], queue: &Queue, now: Time) -> Result<JobRecord, JobError> {
+/// Parses a job that was submitted to a queue by an account.
+pub(crate) fn job(
+    body: &[u8],
+    queue: &Queue,
+    account: Option<AccountId>,
+    now: Time,
+) -> Result<JobRecord, JobError> {
     let wire: WireJob = serde_json::from_slice(body)?;
     if MAX_PAYLOAD_BYTES < wire.spec.len() {
         return Err(JobError::PayloadTooLarge(wire.spec.len()));
@@ -110,6 +127,7 @@
         repeats: wire.repeat_count,
         first: Time::from_millis(wire.first_ms),
         every_ms: wire.interval_ms,
+        account,
         priority: queue.priority,
         max_attempts: queue.max_attempts,
         stretch_percent: queue.stretch_percent,
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::model::{
+    account::{Account, AccountError, Accounts},
     id::{HostId, IdError, Incarnation, PoolId, StartTime, WorkerId, ZoneId},
     job::{AdviceTiming, TaskResources},
     queue::{PoolRules, Queue, QueueConfig},
@@ -42,6 +43,24 @@
     version: u64,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
+    /// Kept as JSON so that one wrong account does not make the rest invalid, and so that no parse
+    /// error can contain a key.
+    #[serde(default)]
+    tenants: Option<Vec<serde_json::Value>>,
+}
+
+/// A client account. It has no `Debug`: it contains keys.
+#[derive(Deserialize)]
+struct WireTenant {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    weight: f64,
+    /// What the account's tasks may use together; 0 for no limit.
+    #[serde(default)]
+    upper_limit: WireCapacity,
 }
 
 /// A queue of jobs.
@@ -53,6 +72,8 @@
     /// The pool whose workers run the queue's tasks.
     service: String,
     #[serde(default)]
+    public: bool,
+    #[serde(default)]
     priority: u32,
     #[serde(default = "one")]
     max_attempts: u32,
@@ -91,8 +112,9 @@
     headroom: bool,
 }
 
-/// Parses the operator's configuration.
-pub(crate) fn config(value: &[u8]) -> Result<QueueConfig, RecordError> {
+/// Parses the operator's configuration. Accounts and keys that cannot be used are left out and
+/// returned as errors.
+pub(crate) fn config(value: &[u8]) -> Result<(QueueConfig, Vec<AccountError>), RecordError> {
     let wire: WireConfig = serde_json::from_slice(value)?;
     let mut config = QueueConfig { version: wire.version, ..QueueConfig::default() };
     for service in wire.services {
@@ -103,7 +125,34 @@
     for route in wire.routes {
         config.queues.push(queue(route)?);
     }
-    Ok(config)
+    let Some(tenants) = wire.tenants else {
+        return Ok((config, Vec::new()));
+    };
+    let (accounts, errors) = accounts(tenants);
+    config.accounts = Some(accounts);
+    Ok((config, errors))
+}
+
+fn accounts(entries: Vec<serde_json::Value>) -> (Accounts, Vec<AccountError>) {
+    let (mut accounts, mut errors) = (Accounts::default(), Vec::new());
+    for (number, entry) in entries.into_iter().enumerate() {
+        let invalid = |reason| AccountError::InvalidEntry { number, reason };
+        // The parse error may quote a key, and is not used.
+        let Ok(WireTenant { name, api_keys, weight, upper_limit }) = WireTenant::deserialize(entry)
+        else {
+            errors.push(invalid("it is not a valid account"));
+            continue;
+        };
+        let Ok(id) = name.parse() else {
+            errors.push(invalid("its name is missing or invalid"));
+            continue;
+        };
+        let account =
+            Account { id, weight: weight.max(0.0).round() as u32, limit: upper_limit.into() };
+        let keys: Vec<&str> = api_keys.iter().map(String::as_str).collect();
+        errors.extend(accounts.add(account, &keys));
+    }
+    (accounts, errors)
 }
 
 fn queue(wire: WireRoute) -> Result<Queue, RecordError> {
@@ -112,6 +161,7 @@
         host: wire.host.to_ascii_lowercase(),
         prefix: wire.path_prefix,
         pool: wire.service.parse()?,
+        public: wire.public,
         priority: wire.priority,
         max_attempts: wire.max_attempts,
         stretch_percent: (wire.stretch * 100.0).round() as u32,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,8 +3,10 @@
 //! accepted jobs are in the platform's store, and what runs is read from the workers.
 
 pub(crate) mod accept;
+pub(crate) mod access;
 pub(crate) mod api;
 pub(crate) mod clock;
+pub(crate) mod config_refresh;
 pub(crate) mod control_loop;
 pub(crate) mod demand;
 pub(crate) mod dispatch;
@@ -29,7 +31,10 @@
 use crate::{
     model::unit::Now,
     platform::kv::Kv,
-    scheduler::{accept::Acceptance, clock::Clock, metrics::Metrics, view::View},
+    scheduler::{
+        accept::Acceptance, clock::Clock, config_refresh::ConfigRefresh, metrics::Metrics,
+        relay::proof::NodeSecret, view::View,
+    },
     settings::scheduler::SchedulerSettings,
 };
 
@@ -39,6 +44,9 @@
     pub(crate) kv: Kv,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) clock: Clock,
+    /// Proves to other nodes that a request was relayed by this process.
+    pub(crate) secret: NodeSecret,
+    pub(crate) config_refresh: ConfigRefresh,
     view: Mutex<View>,
     /// Submitted jobs that are yet to be written.
     pub(crate) accepting: mpsc::Sender<Acceptance>,
@@ -88,6 +96,8 @@
         kv,
         metrics,
         clock: Clock::new(),
+        secret: NodeSecret::random(),
+        config_refresh: ConfigRefresh::new(),
         view: Mutex::default(),
         accepting,
         shutdown: CancellationToken::new(),
--- a/src/scheduler/accept.rs
+++ b/src/scheduler/accept.rs
@@ -10,12 +10,16 @@
 };
 
 use crate::{
-    model::{id::PoolId, job::JobId, unit::Revision},
+    model::{
+        id::{AccountId, PoolId},
+        job::{JobId, JobRecord},
+        unit::Revision,
+    },
     platform::{
         kv::{CommitResult, MAX_TXN_ENTRIES, Txn},
         store::StoreError,
     },
-    scheduler::{Node, keys},
+    scheduler::{Node, access::Holder, keys},
 };
 
 /// Most jobs that may wait to be written.
@@ -38,8 +42,10 @@
 pub(crate) enum Accepted {
     /// The job was written.
     Kept,
-    /// It was written earlier.
+    /// It was written earlier, for the same account.
     Already,
+    /// Another account has a job of this name, or may have one.
+    NameInUse,
     /// Nothing was written, and nothing will be.
     NotWritten,
     /// It may have been written, or may still be written.
@@ -50,6 +56,8 @@
 pub(crate) struct Acceptance {
     pub(crate) id: JobId,
     pub(crate) pool: PoolId,
+    /// The client account that submitted it, if its queue needs a key.
+    pub(crate) account: Option<AccountId>,
     pub(crate) value: Bytes,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
@@ -67,12 +75,13 @@
 pub(crate) async fn accept(
     node: &Node,
     id: JobId,
-    pool: PoolId,
+    record: &JobRecord,
     value: Bytes,
     deadline: Instant,
 ) -> Accepted {
     let (reply, outcome) = oneshot::channel();
-    let acceptance = Acceptance { id, pool, value, deadline, unknown: false, reply };
+    let (pool, account) = (record.pool.clone(), record.account.clone());
+    let acceptance = Acceptance { id, pool, account, value, deadline, unknown: false, reply };
     if node.accepting.try_send(acceptance).is_err() {
         return Accepted::NotWritten;
     }
@@ -111,10 +120,10 @@
         for acceptance in &batch {
             // The key of a job's id is the same in all pools, since its queue may lead to another
             // pool later.
-            let (id, pool) = (keys::id(acceptance.id), acceptance.pool.to_string());
+            let id = keys::id(acceptance.id);
             txn = txn
                 .expect(id.clone(), Revision(0))
-                .put(id, pool)
+                .put(id, keys::marker(&acceptance.pool, acceptance.account.as_ref()))
                 .put(keys::job(&acceptance.pool, acceptance.id), acceptance.value.clone());
         }
         let sent = node.now().steady;
@@ -124,14 +133,20 @@
                 return reply_all(batch, |_| Accepted::Kept);
             }
             Ok(CommitResult::Conflict(items)) => {
-                let exists = |id: JobId| items.iter().any(|item| item.key == keys::id(id));
+                let marker = |id: JobId| items.iter().find(|item| item.key == keys::id(id));
                 let (old, new): (Vec<_>, Vec<_>) =
-                    batch.into_iter().partition(|acceptance| exists(acceptance.id));
+                    batch.into_iter().partition(|acceptance| marker(acceptance.id).is_some());
                 if old.is_empty() {
                     log::error!("store: a conflict lists none of the keys that were to be absent");
                     return reply_all(new, |_| Accepted::Unknown);
                 }
-                reply_all(old, |_| Accepted::Already);
+                reply_all(old, |acceptance| {
+                    let holder = marker(acceptance.id).map(|item| keys::holder(&item.value));
+                    match holder == Some(Holder::of(acceptance.account.clone())) {
+                        true => Accepted::Already,
+                        false => Accepted::NameInUse,
+                    }
+                });
                 batch = new;
             }
             Ok(CommitResult::LeaseExpired) => return reply_all(batch, |_| Accepted::NotWritten),
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -6,16 +6,17 @@
 use bytes::Bytes;
 use poem::{
     Endpoint, Request, Response,
-    http::{Method, StatusCode, header},
+    http::{HeaderValue, Method, StatusCode, header},
 };
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     http,
     model::{
+        account::KeyDigest,
         job::{JobId, JobState},
-        queue::Queue,
-        unit::Revision,
+        queue::{Queue, QueueConfig},
+        unit::{Revision, Time},
     },
     platform::{
         caller::{self, PendingAnswer},
@@ -26,10 +27,14 @@
     scheduler::{
         Node,
         accept::{self, Accepted},
+        access::{self, Access, Caller, Holder},
         dispatch, keys,
         lease::Lease,
-        relay::{Call, RELAYED_HEADER, Relay, Relayed, Subject},
-        view::{self, KnownJob, age::MAX_STATE_AGE_MS, waiting::WaitingCount},
+        relay::{
+            Call, RELAYED_HEADER, Relay, Relayed, Subject,
+            proof::{self, Covered, Proof},
+        },
+        view::{self, age::MAX_STATE_AGE_MS, waiting::WaitingCount},
     },
 };
 
@@ -51,15 +56,38 @@
 /// `Retry-After` of answers with status 503, in seconds.
 const RETRY_AFTER_S: u32 = 1;
 
+/// The age of the configuration from which on it is read again before a key counts as valid, in
+/// milliseconds. Watches keep it under 1 s.
+const MAX_CONFIG_AGE_MS: u64 = 1_500;
+
+/// Who sends requests to a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Sender {
+    Callers,
+    /// Other nodes, which prove it.
+    Nodes,
+}
+
 /// The HTTP endpoint for callers, and for requests that other nodes relay.
 pub(crate) struct Api {
     pub(crate) node: Arc<Node>,
     pub(crate) lease: Arc<Lease>,
     pub(crate) relay: Relay,
-    /// Carries out orders of other nodes; `None` on the listener for callers.
+    pub(crate) sender: Sender,
+    /// Carries out orders of other nodes; `None` if it does not.
     pub(crate) orders: Option<WorkerClient>,
 }
 
+/// A request that may use its queue.
+struct Admitted {
+    config: Arc<QueueConfig>,
+    caller: Caller,
+    key: Option<KeyDigest>,
+    /// The proof of the relaying node; `None` if the request comes from a caller.
+    proof: Option<Proof>,
+    deadline: Instant,
+}
+
 impl Endpoint for Api {
     type Output = Response;
 
@@ -106,42 +134,124 @@
 impl Api {
     /// The name of the queue that the request is about, and the answer.
     async fn answer(&self, request: Request) -> (Option<String>, Response) {
-        let received = Instant::now();
-        let Some(config) = self.node.view().config.clone() else {
-            return (None, unavailable("the node has not read a configuration yet"));
+        let admitted = match self.admit(&request).await {
+            Ok(admitted) => admitted,
+            Err((queue, refusal)) => return (queue, refusal),
         };
-        if relayed_config(&request).is_some_and(|theirs| config.version < theirs) {
-            return (
-                None,
-                unavailable(
-                    "the configuration of this node is older than that of the relaying node",
-                ),
-            );
-        }
-        let host = request.header(header::HOST).unwrap_or_default().to_ascii_lowercase();
         let path = request.uri().path().to_owned();
-        let Some(queue) = config.queue_of(&host, &path) else {
-            return (None, http::text(StatusCode::NOT_FOUND, "there is no such queue\n"));
+        let Some(queue) = admitted.config.queue_of(&host_of(&request), &path) else {
+            return (None, no_such_queue());
         };
-        let deadline = received + caller_timeout(&request).saturating_sub(ANSWER_MARGIN);
         let suffix = &path[queue.prefix.len()..];
         let response = match (suffix.is_empty(), suffix.parse::<JobId>()) {
-            (true, _) => self.pending(queue, config.version, &request, deadline).await,
-            (false, Ok(id)) => self.answer_job(id, queue, config.version, request, deadline).await,
+            (true, _) => self.pending(queue, &admitted, &request).await,
+            (false, Ok(id)) => self.answer_job(id, queue, &admitted, request).await,
             (false, Err(error)) => http::text(StatusCode::NOT_FOUND, format!("{error}\n")),
         };
         (Some(queue.name.clone()), response)
     }
 
+    /// Checks a request before its body is read: its queue exists, and its key is that of a client
+    /// account. A key that is not known counts as invalid only by a configuration from after the
+    /// request has arrived. Returns the queue's name with a refusal, if it exists.
+    async fn admit(&self, request: &Request) -> Result<Admitted, (Option<String>, Response)> {
+        let received = self.node.now();
+        let deadline = Instant::now() + caller_timeout(request).saturating_sub(ANSWER_MARGIN);
+        let proof = match self.sender {
+            Sender::Callers => None,
+            Sender::Nodes => Some(self.verify(request, received.wall)?),
+        };
+        let key = match &proof {
+            Some(proof) => proof.key,
+            None => caller::key(request)
+                .map(|key| key.map(|key| key.digest()))
+                .transpose()
+                .map_err(|error| (None, unauthorized(&format!("the key is {error}"))))?,
+        };
+        let mut refreshed = false;
+        loop {
+            let Some(config) = self.node.view().config.clone() else {
+                return Err((None, unavailable("the node has not read a configuration yet")));
+            };
+            if proof.as_ref().is_some_and(|proof| config.version < proof.config) {
+                let reason =
+                    "the configuration of this node is older than that of the relaying node";
+                return Err((None, unavailable(reason)));
+            }
+            let Some(queue) = config.queue_of(&host_of(request), request.uri().path()) else {
+                return Err((None, no_such_queue()));
+            };
+            let needs_key = config.needs_key(queue);
+            let refuse = |response| Err((Some(queue.name.clone()), response));
+            let caller = match access::check(&config, queue, key.as_ref()) {
+                Access::Granted(caller) => Some(caller),
+                Access::MissingKey => return refuse(unauthorized("the queue needs a key")),
+                // The relaying node knew the key, by an earlier version.
+                Access::UnknownKey if refreshed || proof.is_some() => {
+                    log::info!("queue {}: refused: unknown key", queue.name);
+                    return refuse(unauthorized("the key is not known"));
+                }
+                Access::UnknownKey => None,
+            };
+            let is_known = caller.is_some();
+            if let Some(caller) = caller {
+                let age = self.node.view().config_age_ms(received.steady);
+                let is_current = age.is_some_and(|age| age <= MAX_CONFIG_AGE_MS);
+                let can_read = self.lease.is_store_reachable(received.steady);
+                if !needs_key || refreshed || is_current || !can_read {
+                    if needs_key && let Some(reason) = self.too_old_for_keys() {
+                        return refuse(unavailable(&reason));
+                    }
+                    return Ok(Admitted { config, caller, key, proof, deadline });
+                }
+            }
+            let read = self.node.config_refresh.refresh(&self.node, received.steady);
+            let read = timeout_at(deadline, read).await;
+            refreshed = true;
+            match read {
+                Ok(Ok(())) => {}
+                // A known key stays valid while the configuration cannot be read.
+                _ if is_known => {}
+                Ok(Err(error)) => {
+                    log::info!("queue {}: key not checked: {error}", queue.name);
+                    return refuse(unavailable("the key cannot be checked now"));
+                }
+                Err(_) => return refuse(unavailable("the key cannot be checked now")),
+            }
+        }
+    }
+
+    /// Checks the proof of the node that relayed a request.
+    fn verify(&self, request: &Request, now: Time) -> Result<Proof, (Option<String>, Response)> {
+        let header = request.header(RELAYED_HEADER).unwrap_or_default();
+        let covered = Covered {
+            method: request.method().as_str(),
+            host: request.header(header::HOST).unwrap_or_default(),
+            path: request.uri().path(),
+        };
+        let secret_of = |node: &str| self.node.view().nodes.get(node)?.value.secret;
+        Proof::verify(header, covered, secret_of, now).map_err(|error| {
+            log::warn!("relayed request refused: {error}");
+            (None, unavailable(&error.to_string()))
+        })
+    }
+
+    /// Why keys are not accepted, if the configuration is too old for that by the settings.
+    fn too_old_for_keys(&self) -> Option<String> {
+        let max_age = self.node.settings.max_key_age?;
+        let age = self.node.view().config_age_ms(self.node.now().steady);
+        let is_old = age.is_none_or(|age| max_age < Duration::from_millis(age));
+        is_old.then(|| "keys cannot be checked: the configuration is too old".to_owned())
+    }
+
     /// Answers here, or relays the request to another node if the store cannot be reached from
     /// here.
     async fn answer_job(
         &self,
         id: JobId,
         queue: &Queue,
-        config: u64,
+        admitted: &Admitted,
         mut request: Request,
-        deadline: Instant,
     ) -> Response {
         let body = match http::read_body(request.take_body(), MAX_BODY_BYTES).await {
             Ok(body) => body,
@@ -153,45 +263,59 @@
         };
         let store_reachable = self.lease.is_store_reachable(self.node.now().steady);
         let method = request.method().clone();
-        if request.header(RELAYED_HEADER).is_some() {
+        let deadline = admitted.deadline;
+        if let Some(proof) = &admitted.proof {
+            if proof.body != proof::digest_of(&body) {
+                log::warn!("job {id}: relayed request refused: its body is not the one signed");
+                return unavailable("the body is not the one that the relaying node signed");
+            }
             return match store_reachable {
-                true => self.answer_here(id, queue, &method, body, deadline).await,
+                true => self.answer_here(id, queue, admitted, &method, body, deadline).await,
                 false => unavailable("the store cannot be reached"),
             };
         }
-        let subject = Subject::Job(id);
-        let call = relay_call(&request, subject, config, body.clone(), deadline);
+        let call = relay_call(&request, Subject::Job(id), admitted, body.clone());
         if !store_reachable {
             match self.relay.relay(&self.node, &call).await {
                 Relayed::Answered(response) => return response,
                 Relayed::Unknown if method != Method::GET => return unknown_outcome(),
                 Relayed::Unknown | Relayed::NotAccepted => {}
             }
-            let last = self.last_known_response(id, &method);
+            let last = self.last_known_response(id, admitted, &method);
             return match last {
                 Some(response) => response,
-                None => self.answer_here(id, queue, &method, body, deadline).await,
+                None => self.answer_here(id, queue, admitted, &method, body, deadline).await,
             };
         }
         // A single attempt if another node can make the next one.
         let retry_until = if self.has_peers() { Instant::now() } else { deadline };
-        let response = self.answer_here(id, queue, &method, body, retry_until).await;
+        let response = self.answer_here(id, queue, admitted, &method, body, retry_until).await;
         if !is_unavailable(&response) {
             return response;
         }
         match self.relay.relay(&self.node, &call).await {
             Relayed::Answered(response) => response,
-            Relayed::NotAccepted => self.last_known_response(id, &method).unwrap_or(response),
+            Relayed::NotAccepted => {
+                self.last_known_response(id, admitted, &method).unwrap_or(response)
+            }
             Relayed::Unknown => {
-                self.last_known_response(id, &method).unwrap_or_else(unknown_outcome)
+                self.last_known_response(id, admitted, &method).unwrap_or_else(unknown_outcome)
             }
         }
     }
 
     /// The last known state of a job, for a `GET` while neither the store nor another node answers:
     /// better than no answer, and a final state does not change.
-    fn last_known_response(&self, id: JobId, method: &Method) -> Option<Response> {
-        let state = self.last_known_state(id).filter(|_| *method == Method::GET)?;
+    fn last_known_response(
+        &self,
+        id: JobId,
+        admitted: &Admitted,
+        method: &Method,
+    ) -> Option<Response> {
+        let (state, holder) = self.last_known_state(id).filter(|_| *method == Method::GET)?;
+        if !admitted.may_access(&holder)? {
+            return Some(other_account());
+        }
         let age = self.node.view().ages.age_ms(keys::ROOT, self.node.now().steady);
         log::info!(
             "job {id}: answered with the last known state: the records are {} ms old",
@@ -210,14 +334,15 @@
         &self,
         id: JobId,
         queue: &Queue,
+        admitted: &Admitted,
         method: &Method,
         body: Bytes,
         deadline: Instant,
     ) -> Response {
         match *method {
-            Method::POST => self.submit(id, queue, body, deadline).await,
-            Method::GET => self.state(id).await,
-            Method::DELETE => self.cancel(id, deadline).await,
+            Method::POST => self.submit(id, queue, admitted, body, deadline).await,
+            Method::GET => self.state(id, admitted).await,
+            Method::DELETE => self.cancel(id, admitted, deadline).await,
             _ => http::text(StatusCode::METHOD_NOT_ALLOWED, "POST, GET or DELETE\n"),
         }
     }
@@ -225,13 +350,7 @@
     /// Answers how many jobs wait: from this node's view, or else by relaying to another node. A
     /// node with a stale view refuses to answer: a count from it may be far too low without any
     /// sign of it.
-    async fn pending(
-        &self,
-        queue: &Queue,
-        config: u64,
-        request: &Request,
-        deadline: Instant,
-    ) -> Response {
+    async fn pending(&self, queue: &Queue, admitted: &Admitted, request: &Request) -> Response {
         if *request.method() != Method::GET {
             return http::text(StatusCode::METHOD_NOT_ALLOWED, "GET\n");
         }
@@ -243,9 +362,9 @@
             }
             Err(reason) => reason,
         };
-        if request.header(RELAYED_HEADER).is_none() {
+        if admitted.proof.is_none() {
             let subject = Subject::Queue(queue.name.clone());
-            let call = relay_call(request, subject, config, Bytes::new(), deadline);
+            let call = relay_call(request, subject, admitted, Bytes::new());
             if let Relayed::Answered(response) = self.relay.relay(&self.node, &call).await {
                 self.node.metrics.record_queue_count("another node");
                 return response;
@@ -256,12 +375,23 @@
         unavailable("the number of waiting jobs is unknown")
     }
 
-    async fn submit(&self, id: JobId, queue: &Queue, body: Bytes, deadline: Instant) -> Response {
-        if self.knows(id) {
-            return http::text(StatusCode::OK, "");
+    async fn submit(
+        &self,
+        id: JobId,
+        queue: &Queue,
+        admitted: &Admitted,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Response {
+        // The write decides if the holder of a known job is not known.
+        match self.accepted_for(id, admitted) {
+            Some(true) => return http::text(StatusCode::OK, ""),
+            Some(false) => return other_account(),
+            None => {}
         }
         let now = self.node.now();
-        let record = match caller::job(&body, queue, now.wall) {
+        let account = admitted.caller.account.clone();
+        let record = match caller::job(&body, queue, account, now.wall) {
             Ok(record) => record,
             Err(error) => {
                 log::info!("job {id}: refused: {error}");
@@ -279,24 +409,29 @@
                 return http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
             }
         };
-        let accepted =
-            accept::accept(&self.node, id, queue.pool.clone(), value.into(), deadline).await;
+        let accepted = accept::accept(&self.node, id, &record, value.into(), deadline).await;
         let took = self.node.now().steady.since(now.steady);
         log::info!("job {id}: queue {}: {accepted:?} in {took} ms", queue.name);
         match accepted {
             Accepted::Kept | Accepted::Already => http::text(StatusCode::OK, ""),
+            Accepted::NameInUse => other_account(),
             Accepted::NotWritten => unavailable("the write was not done"),
             Accepted::Unknown => unknown_outcome(),
         }
     }
 
-    fn knows(&self, id: JobId) -> bool {
-        self.node.view().jobs.get(&id).is_some_and(|known| known.is_accepted())
+    /// Whether a job was accepted for the account that the request acts for, or for another one;
+    /// `None` if this node does not know.
+    fn accepted_for(&self, id: JobId, admitted: &Admitted) -> Option<bool> {
+        let view = self.node.view();
+        let known = view.jobs.get(&id).filter(|known| known.is_accepted())?;
+        admitted.may_access(&known.holder)
     }
 
-    async fn state(&self, id: JobId) -> Response {
-        match self.current_state(id).await {
-            Ok(Some(state)) => http::json(StatusCode::OK, &caller::state(state)),
+    async fn state(&self, id: JobId, admitted: &Admitted) -> Response {
+        match self.current_state(id, admitted).await {
+            Ok(Some((_, false))) => other_account(),
+            Ok(Some((state, true))) => http::json(StatusCode::OK, &caller::state(state)),
             Ok(None) => http::text(StatusCode::GONE, "there is no such job\n"),
             Err(error) => {
                 log::info!("job {id}: state unknown: {error}");
@@ -305,38 +440,56 @@
         }
     }
 
-    /// The state of a job in this node's view; `None` if the view does not have it.
-    fn last_known_state(&self, id: JobId) -> Option<JobState> {
+    /// The state of a job in this node's view, and whose job it is; `None` if the view does not have
+    /// the job.
+    fn last_known_state(&self, id: JobId) -> Option<(JobState, Holder)> {
         let view = self.node.view();
-        view.jobs.get(&id).filter(|known| known.is_accepted()).map(KnownJob::state)
+        let known = view.jobs.get(&id).filter(|known| known.is_accepted())?;
+        Some((known.state(), known.holder.clone()))
     }
 
-    /// The state of a job; `None` if it was never accepted. A final state in the view always holds;
-    /// for other states, and for jobs that the view does not have, the store is read if the view is
-    /// stale.
-    async fn current_state(&self, id: JobId) -> Result<Option<JobState>, StoreError> {
+    /// The state of a job, and whether the request may access it; `None` if it was never accepted. A
+    /// final state in the view always holds; for other states, and for jobs that the view does not
+    /// have or of which it does not know the holder, the store is read if the view is stale.
+    async fn current_state(
+        &self,
+        id: JobId,
+        admitted: &Admitted,
+    ) -> Result<Option<(JobState, bool)>, StoreError> {
         let now = self.node.now().steady;
         let is_fresh = self.node.view().ages.is_within(keys::ROOT, MAX_STATE_AGE_MS, now);
-        match self.last_known_state(id).filter(|state| state.is_final() || is_fresh) {
-            Some(state) => Ok(Some(state)),
-            None => self.read_state(id).await,
+        if let Some((state, holder)) = self.last_known_state(id)
+            && (state.is_final() || is_fresh)
+            && let Some(may_access) = admitted.may_access(&holder)
+        {
+            return Ok(Some((state, may_access)));
         }
+        self.read_state(id, admitted).await
     }
 
-    async fn read_state(&self, id: JobId) -> Result<Option<JobState>, StoreError> {
+    async fn read_state(
+        &self,
+        id: JobId,
+        admitted: &Admitted,
+    ) -> Result<Option<(JobState, bool)>, StoreError> {
         let (items, _) = self.node.kv.range(&keys::job_state(id)).await?;
-        Ok(view::job_state(id, &items))
+        let found = view::job_state(id, &items);
+        // A job whose marker cannot be read is nobody's.
+        Ok(found.map(|(state, holder)| (state, admitted.may_access(&holder).unwrap_or(false))))
     }
 
-    async fn cancel(&self, id: JobId, deadline: Instant) -> Response {
+    async fn cancel(&self, id: JobId, admitted: &Admitted, deadline: Instant) -> Response {
         // A cancel can be written for any accepted job, however old: a final state stays as it is.
-        let current = match self.last_known_state(id) {
-            Some(state) => Ok(Some(state)),
-            None => self.read_state(id).await,
+        let known = self.last_known_state(id);
+        let known = known.and_then(|(state, holder)| Some((state, admitted.may_access(&holder)?)));
+        let current = match known {
+            Some(known) => Ok(Some(known)),
+            None => self.read_state(id, admitted).await,
         };
         match current {
-            Ok(Some(state)) if state.is_final() => return http::text(StatusCode::OK, ""),
-            Ok(Some(_)) => {}
+            Ok(Some((_, false))) => return other_account(),
+            Ok(Some((state, true))) if state.is_final() => return http::text(StatusCode::OK, ""),
+            Ok(Some((_, true))) => {}
             Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
             Err(error) => {
                 log::info!("job {id}: cancel failed: {error}");
@@ -365,22 +518,31 @@
     }
 }
 
+impl Admitted {
+    /// Whether the request may see and cancel a job of this holder; `None` if that is not known.
+    fn may_access(&self, holder: &Holder) -> Option<bool> {
+        match self.config.accounts {
+            Some(_) => holder.admits(&self.caller),
+            None => Some(true),
+        }
+    }
+}
+
+fn host_of(request: &Request) -> String {
+    request.header(header::HOST).unwrap_or_default().to_ascii_lowercase()
+}
+
 /// A caller's request in the form that is relayed to another node.
-fn relay_call(
-    request: &Request,
-    subject: Subject,
-    config: u64,
-    body: Bytes,
-    deadline: Instant,
-) -> Call {
+fn relay_call(request: &Request, subject: Subject, admitted: &Admitted, body: Bytes) -> Call {
     Call {
         subject,
         method: request.method().clone(),
         host: request.header(header::HOST).unwrap_or_default().to_owned(),
         path: request.uri().path().to_owned(),
-        config,
+        config: admitted.config.version,
+        key: admitted.key,
         body,
-        deadline,
+        deadline: admitted.deadline,
     }
 }
 
@@ -406,12 +568,6 @@
     millis.map(Duration::from_millis).unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// The configuration version of the node that relayed the request; `None` if it comes from a
-/// caller.
-fn relayed_config(request: &Request) -> Option<u64> {
-    request.header(RELAYED_HEADER)?.parse().ok()
-}
-
 /// Whether the store could not be reached or gave no answer.
 fn is_unavailable(response: &Response) -> bool {
     matches!(response.status(), StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT)
@@ -429,3 +585,19 @@
     response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S.into());
     response
 }
+
+fn no_such_queue() -> Response {
+    http::text(StatusCode::NOT_FOUND, "there is no such queue\n")
+}
+
+/// The answer to a request without a valid key.
+fn unauthorized(reason: &str) -> Response {
+    let mut response = http::text(StatusCode::UNAUTHORIZED, format!("{reason}\n"));
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Key"));
+    response
+}
+
+/// The answer to a request about a job of another account.
+fn other_account() -> Response {
+    http::text(StatusCode::FORBIDDEN, "the job belongs to another account\n")
+}
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -335,8 +335,11 @@
         simulation.apply(op);
     }
     for number in 0..60u16 {
-        let record =
-            NodeRecord { cpu: Millicores(120), peers: Some(([127, 0, 0, 1], 1 + number).into()) };
+        let record = NodeRecord {
+            cpu: Millicores(120),
+            peers: Some(([127, 0, 0, 1], 1 + number).into()),
+            secret: None,
+        };
         simulation.apply_write(keys::node(&format!("n{number}")), bytes(&record));
     }
     for number in 0..WORKERS {
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -1,8 +1,11 @@
 //! The keys of the scheduler's own records in the store.
 
-use crate::model::{
-    id::{HostId, Incarnation, PoolId},
-    job::JobId,
+use crate::{
+    model::{
+        id::{AccountId, HostId, Incarnation, PoolId},
+        job::JobId,
+    },
+    scheduler::access::Holder,
 };
 
 /// The prefix of all records of the scheduler, except those that operators read.
@@ -136,6 +139,25 @@
     format!("{JOB_STATE}{id}/id")
 }
 
+/// The value of the marker of a job's name: its pool, and its account if it has one.
+pub(crate) fn marker(pool: &PoolId, account: Option<&AccountId>) -> String {
+    match account {
+        Some(account) => format!("{pool} {account}"),
+        None => pool.to_string(),
+    }
+}
+
+/// Whose job it is, by the value of the marker of its name.
+pub(crate) fn holder(marker: &[u8]) -> Holder {
+    let text = std::str::from_utf8(marker).unwrap_or_default();
+    match text.split_once(' ').map(|(_, account)| account.parse()) {
+        None => Holder::Nobody,
+        Some(Ok(account)) => Holder::Account(account),
+        // Written by another program: nobody is known to hold the job.
+        Some(Err(_)) => Holder::Unknown,
+    }
+}
+
 pub(crate) fn progress(id: JobId) -> String {
     format!("{JOB_STATE}{id}/progress")
 }
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -255,7 +255,8 @@
 /// Registers the node as one that may own work; returns the revision of its record if that
 /// succeeded.
 async fn register(node: &Node, lease: LeaseId) -> Option<Revision> {
-    let record = NodeRecord { cpu: node.settings.cpu, peers: node.settings.listen.peers };
+    let (cpu, peers) = (node.settings.cpu, node.settings.listen.peers);
+    let record = NodeRecord { cpu, peers, secret: Some(node.secret) };
     let key = keys::node(node.settings.node.as_str());
     let txn = Txn::default().put_leased(&key, json(&record), lease);
     match node.kv.commit(&txn).await {
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -2,6 +2,8 @@
 //! too old for an answer. All of these requests are idempotent, so that one whose answer was lost
 //! is sent to the next node.
 
+pub(crate) mod proof;
+
 use std::{
     collections::hash_map::DefaultHasher,
     fmt,
@@ -20,13 +22,15 @@
 use tokio::time::Instant;
 
 use crate::{
-    model::{job::JobId, unit::Steady},
+    model::{account::KeyDigest, job::JobId, unit::Steady},
     platform::connections::{ConnectionsByAddress, FullResponse},
     scheduler::{Node, api::DEADLINE_HEADER},
 };
 
-/// The header of a relayed request, which is not relayed again. Its value is the version of the
-/// configuration by which the relaying node has read the request.
+use proof::{Covered, Proof};
+
+/// The header of a relayed request, which is not relayed again. Its value is a [`Proof`]. Only the
+/// listener for other nodes reads it.
 pub(crate) const RELAYED_HEADER: &str = "Caperhollow-Relayed";
 
 /// How long a connection to another node may take to open: some may be cut off like this one.
@@ -72,6 +76,8 @@
     pub(crate) path: String,
     /// The version of the configuration in force: a node with an older one must not answer.
     pub(crate) config: u64,
+    /// The digest of the key that the caller has presented, if any.
+    pub(crate) key: Option<KeyDigest>,
     pub(crate) body: Bytes,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
@@ -114,6 +120,13 @@
         }
     }
 
+    /// Whether nothing was relayed in vain lately.
+    #[cfg(test)]
+    pub(crate) fn is_idle(&self) -> bool {
+        let paused = [&self.jobs_not_before, &self.queues_not_before];
+        paused.iter().all(|until| until.load(Ordering::Acquire) == 0)
+    }
+
     /// Has another node answer a request.
     pub(crate) async fn relay(&self, node: &Node, call: &Call) -> Relayed {
         let (now, subject) = (node.now().steady, &call.subject);
@@ -127,7 +140,7 @@
         let mut unknown = false;
         let failures = self.queue_failures.load(Ordering::Relaxed);
         for peer in peers(node, subject, failures).into_iter().take(MAX_NODES) {
-            match self.relay_to(peer, call).await {
+            match self.relay_to(node, peer, call).await {
                 Relayed::Answered(response) => {
                     log::info!("{subject}: {} answered by {peer}", call.method);
                     return Relayed::Answered(response);
@@ -145,7 +158,16 @@
         if unknown { Relayed::Unknown } else { Relayed::NotAccepted }
     }
 
-    async fn relay_to(&self, peer: SocketAddr, call: &Call) -> Relayed {
+    async fn relay_to(&self, node: &Node, peer: SocketAddr, call: &Call) -> Relayed {
+        let proof = Proof {
+            node: node.settings.node.to_string(),
+            config: call.config,
+            key: call.key,
+            sent: node.now().wall,
+            body: proof::digest_of(&call.body),
+        };
+        let (method, host, path) = (call.method.as_str(), call.host.as_str(), call.path.as_str());
+        let proof = proof.sign(&node.secret, Covered { method, host, path });
         let remaining = call.deadline.saturating_duration_since(Instant::now());
         let url = format!("http://{peer}{}", call.path);
         let request = |client: &Client| {
@@ -153,7 +175,7 @@
             request
                 .header(header::HOST, &call.host)
                 .header(DEADLINE_HEADER, remaining.as_millis() as u64)
-                .header(RELAYED_HEADER, call.config)
+                .header(RELAYED_HEADER, proof)
                 .body(call.body.clone())
         };
         let answer = match self.connections.call(&peer.to_string(), request).await {
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -18,7 +18,7 @@
     platform::{kv::Kv, worker_client::WorkerClient},
     scheduler::{
         Node, accept,
-        api::{Api, Readiness},
+        api::{Api, Readiness, Sender},
         control_loop::{ControlLoop, Input},
         lease::{self, Lease},
         metrics::{Metrics, Page},
@@ -76,11 +76,15 @@
         ControlLoop::new(node.clone(), lease.clone(), worker_client.clone(), inputs.clone());
     tokio::spawn(control_loop.run(received));
     let stop = http::Stop::default();
-    let api =
-        |orders| Api { node: node.clone(), lease: lease.clone(), relay: Relay::new(), orders };
-    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, api(None), stop.clone()));
+    let api = |sender, orders| {
+        let (node, lease) = (node.clone(), lease.clone());
+        Api { node, lease, relay: Relay::new(), sender, orders }
+    };
+    let callers_api = api(Sender::Callers, None);
+    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, callers_api, stop.clone()));
     if let Some(peers) = peers {
-        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, api(Some(worker_client)), stop.clone()));
+        let peers_api = api(Sender::Nodes, Some(worker_client));
+        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, peers_api, stop.clone()));
     }
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
--- a/src/scheduler/tests/demand.rs
+++ b/src/scheduler/tests/demand.rs
@@ -49,7 +49,7 @@
         write(keys::progress(id), json(&progress));
     }
     let pools = BTreeMap::from([(pool(), PoolRules { headroom: false, admission_check: true })]);
-    let config = QueueConfig { version: 1, queues: vec![], pools };
+    let config = QueueConfig { version: 1, pools, ..QueueConfig::default() };
     demand::of_pools(&view, &config, Time::from_millis(ACCEPTED_MS + after))[&pool()]
 }
 
@@ -104,7 +104,7 @@
 
 fn config() -> QueueConfig {
     let pools = BTreeMap::from([(pool(), PoolRules { headroom: false, admission_check: true })]);
-    QueueConfig { version: 1, queues: vec![], pools }
+    QueueConfig { version: 1, pools, ..QueueConfig::default() }
 }
 
 /// The fleet's owner counted all jobs again ten times a second, with the view locked: 6.7 ms of a
--- a/src/scheduler/tests/stale_view.rs
+++ b/src/scheduler/tests/stale_view.rs
@@ -31,13 +31,16 @@
     platform::kv::{Kv, Txn},
     scheduler::{
         Node, accept,
-        api::Api,
+        api::{Api, Sender},
         control_loop::json,
         keys,
         lease::Lease,
         metrics::Metrics,
         mirror, node,
-        relay::{RELAYED_HEADER, Relay},
+        relay::{
+            RELAYED_HEADER, Relay,
+            proof::{self, Covered, Proof},
+        },
         view::{age::MAX_RECORDS_AGE_MS, waiting::WaitingRecord},
     },
     settings::scheduler::parse,
@@ -50,21 +53,23 @@
 const TTL: Duration = Duration::from_millis(LEASE_MS);
 /// Milliseconds after which a record is too old to answer from.
 const STALE_MS: u64 = 6_000;
-const HOST: &str = "quotes.example";
-const QUEUE: &str = "quotes";
+pub(super) const HOST: &str = "quotes.example";
+pub(super) const QUEUE: &str = "quotes";
 
-fn pool() -> PoolId {
+pub(super) fn pool() -> PoolId {
     "work".parse().unwrap()
 }
 
 /// A proxy before the store that can hold back the answers of the watches of one prefix.
 #[derive(Clone)]
-struct StoreProxy {
+pub(super) struct StoreProxy {
     client: Client,
     store: String,
-    held_prefix: watch::Sender<Option<&'static str>>,
+    /// Number of calls that read the configuration alone.
+    pub(super) config_reads: Arc<AtomicUsize>,
+    pub(super) held_prefix: watch::Sender<Option<&'static str>>,
     /// Whether all calls get a 503.
-    is_down: watch::Sender<bool>,
+    pub(super) is_down: watch::Sender<bool>,
 }
 
 impl StoreProxy {
@@ -74,6 +79,7 @@
         let proxy = StoreProxy {
             client,
             store: address.to_owned(),
+            config_reads: Arc::default(),
             held_prefix: watch::Sender::new(None),
             is_down: watch::Sender::new(false),
         };
@@ -92,6 +98,9 @@
         let uri = request.uri().clone();
         let query = request.params::<BTreeMap<String, String>>().unwrap_or_default();
         let url = format!("http://{}{}", self.store, uri.path_and_query().unwrap());
+        if query.get("path_prefix").is_some_and(|prefix| prefix == "op/config") {
+            self.config_reads.fetch_add(1, Ordering::Relaxed);
+        }
         let body = request.take_body().into_bytes().await.unwrap();
         let forwarded = match *request.method() {
             Method::POST => self.client.post(url).header("Content-Type", "application/json"),
@@ -111,21 +120,23 @@
 }
 
 /// A store, and a node that reaches it through a proxy.
-struct Harness {
-    kv: Kv,
-    proxy: StoreProxy,
+pub(super) struct Harness {
+    pub(super) kv: Kv,
+    pub(super) proxy: StoreProxy,
+    /// Address of the proxy.
+    pub(super) proxied: String,
     /// Address of the store itself.
-    store: String,
-    node: Arc<Node>,
-    lease: Arc<Lease>,
-    api: Api,
+    pub(super) store: String,
+    pub(super) node: Arc<Node>,
+    pub(super) lease: Arc<Lease>,
+    pub(super) api: Api,
 }
 
 impl Harness {
     /// A node that mirrors all records.
-    async fn with_records() -> Harness {
+    pub(super) async fn with_records() -> Harness {
         let harness = Harness::start(&json!(12)).await;
-        let record = json!({ "cpu": 500 });
+        let record = json!({ "cpu": 500, "secret": harness.node.secret });
         harness.put(keys::node("one"), json(&record)).await;
         wait_for("the node to mirror all records", async || {
             harness.node.view().is_complete().then_some(())
@@ -168,19 +179,21 @@
         client.post(url).json(&config).send().await.unwrap();
         let (proxy, address) = StoreProxy::start(&site.address).await;
         let (node, lease, api) = join("one", &address, replicas);
-        Harness { kv, proxy, store: site.address, node, lease, api }
+        Harness { kv, proxy, proxied: address, store: site.address, node, lease, api }
     }
 
-    async fn put(&self, key: String, value: Vec<u8>) {
+    pub(super) async fn put(&self, key: String, value: Vec<u8>) {
         self.kv.commit(&Txn::default().put(key, value)).await.unwrap();
     }
 
     /// Adds another node that mirrors all records, past the proxy, and answers relayed requests.
-    async fn add_peer(&self) {
+    pub(super) async fn add_peer(&self) {
         let (listener, peers) = http::listen("127.0.0.1:0").await.unwrap();
-        let (node, _, api) = join("two", &self.store, &json!(12));
+        let (node, lease, _) = join("two", &self.store, &json!(12));
+        let api = api(&node, &lease, Sender::Nodes);
         tokio::spawn(http::serve(listener, 16, api, http::Stop::default()));
-        self.put(keys::node("two"), json(&json!({ "cpu": 500, "peers": peers }))).await;
+        let record = json!({ "cpu": 500, "peers": peers, "secret": node.secret });
+        self.put(keys::node("two"), json(&record)).await;
         wait_for("the peer to mirror all records", async || {
             node.view().is_complete().then_some(())
         })
@@ -189,6 +202,11 @@
             self.node.view().nodes.contains_key("two").then_some(())
         })
         .await;
+        wait_for("the peer to know this node", async || {
+            let own = node.view().nodes.get("one")?.value.secret;
+            (own == Some(self.node.secret)).then_some(())
+        })
+        .await;
     }
 
     /// Writes a job as another node that accepts it does.
@@ -213,7 +231,7 @@
     }
 
     /// Advances the node's clock, and renews its lease.
-    fn advance(&self, millis: u64) {
+    pub(super) fn advance(&self, millis: u64) {
         self.node.clock.simulate_pause(millis);
         let now = self.node.now().steady;
         self.lease.note_renewed(1, now, TTL, now);
@@ -247,7 +265,7 @@
 }
 
 /// Holds back the answers of the watch of a prefix, or lets all through.
-fn hold_watch(harness: &Harness, prefix: Option<&'static str>) {
+pub(super) fn hold_watch(harness: &Harness, prefix: Option<&'static str>) {
     harness.proxy.held_prefix.send_replace(prefix);
 }
 
@@ -271,24 +289,42 @@
 }
 
 fn join(name: &str, store: &str, replicas: &Value) -> (Arc<Node>, Arc<Lease>, Api) {
+    join_with_keys(name, store, replicas, &json!({}))
+}
+
+/// A node with these settings for the keys of client accounts.
+pub(super) fn join_with_keys(
+    name: &str,
+    store: &str,
+    replicas: &Value,
+    keys: &Value,
+) -> (Arc<Node>, Arc<Lease>, Api) {
     let unused = "127.0.0.1:1";
     let settings = json!({
-        "node": name, "zone": "hall-a", "replicas": replicas,
+        "node": name, "zone": "hall-a", "replicas": replicas, "keys": keys,
         "listen": { "callers": unused, "readiness": unused, "metrics": unused },
         "platform": { "store": store, "hosts": unused },
     });
     let settings = parse("settings", &settings.to_string()).unwrap();
     let kv = Kv::new(store, STORE_TIMEOUT, |_, _, _| {});
-    let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+    let (accepting, waiting) = accept::queue();
+    let node = node(settings, kv, Arc::new(Metrics::new()), accepting);
+    tokio::spawn(accept::write(node.clone(), waiting));
     let lease = Arc::new(Lease::default());
     let now = node.now().steady;
     lease.note_renewed(1, now, TTL, now);
     let (inputs, _) = mpsc::unbounded_channel();
     mirror::start(&node, &inputs);
-    let api = Api { node: node.clone(), lease: lease.clone(), relay: Relay::new(), orders: None };
+    let api = api(&node, &lease, Sender::Callers);
     (node, lease, api)
 }
 
+/// The endpoint of a node for requests of callers, or of other nodes.
+pub(super) fn api(node: &Arc<Node>, lease: &Arc<Lease>, sender: Sender) -> Api {
+    let (node, lease) = (node.clone(), lease.clone());
+    Api { node, lease, relay: Relay::new(), sender, orders: None }
+}
+
 /// A node answered that no jobs waited where 36 did. Other nodes had accepted them while its watch
 /// of the records had fallen silent, or lagged at a peak of writes. Its lease was renewed and the
 /// operator's watch was answered, so it was ready, and answered from records of any age.
@@ -468,9 +504,21 @@
     hold_watch(&harness, Some(keys::ROOT));
     harness.submit(1).await;
     harness.advance(STALE_MS);
+    let proof = Proof {
+        node: "two".to_owned(),
+        config: 1,
+        key: None,
+        sent: harness.node.now().wall,
+        body: proof::digest_of(&[]),
+    };
+    let covered = Covered { method: "GET", host: HOST, path: "/quotes/" };
+    let secret = harness.node.view().nodes["two"].value.secret.unwrap();
+    let proof = proof.sign(&secret, covered);
     let request = Request::builder().uri("/quotes/".parse().unwrap()).header(header::HOST, HOST);
-    let request = request.header(RELAYED_HEADER, "1").finish();
-    assert_eq!(call(&harness.api, request).await, Err(UNAVAILABLE));
+    let request = request.header(RELAYED_HEADER, proof).finish();
+    let relayed = api(&harness.node, &harness.lease, Sender::Nodes);
+    assert_eq!(call(&relayed, request).await, Err(UNAVAILABLE));
+    assert!(relayed.relay.is_idle(), "it was not relayed");
 }
 
 /// While no node reaches the store, a caller gets the last state of its job that the node received.
--- a/src/scheduler/tests/view_age.rs
+++ b/src/scheduler/tests/view_age.rs
@@ -125,6 +125,7 @@
         host: String::new(),
         prefix: String::new(),
         pool: "a".parse().unwrap(),
+        public: false,
         priority: 0,
         max_attempts: 1,
         stretch_percent: 100,
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -17,7 +17,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::{event::StoredJob, fleet::HostAction, owner::HostUsage, roster::SilentWorkers},
+    jobs::{
+        event::StoredJob, fleet::HostAction, owner::HostUsage,
+        roster::SilentWorkers,
+    },
     model::{
         id::{HostId, Incarnation, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
@@ -30,7 +33,9 @@
         records::{self, OPERATOR_PREFIX, RecordError, WORKER_PREFIX},
     },
     scheduler::{
+        access::Holder,
         keys::{self, Key},
+        relay::proof::NodeSecret,
         view::{
             age::{Ages, CallStart, Extent},
             key_revisions::{KeyRevisions, SourceId},
@@ -55,6 +60,9 @@
     /// Where it answers requests that other nodes relay; `None` if it does not.
     #[serde(default)]
     pub(crate) peers: Option<SocketAddr>,
+    /// Verifies that a request was relayed by the node; `None` for earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) secret: Option<NodeSecret>,
 }
 
 /// The assumed number of owners if the record cannot be read: more than there are changes of
@@ -110,6 +118,8 @@
     pub(crate) record: Option<Versioned<Arc<JobRecord>>>,
     pub(crate) progress: Option<Versioned<Arc<Progress>>>,
     pub(crate) cancelled: bool,
+    /// Whose job it is. Stays when the record is removed.
+    pub(crate) holder: Holder,
     /// Whether the newest progress cannot be read; `progress` is then the previous one.
     is_unreadable: bool,
     /// The revision at which the record was first received: another writer may rewrite it, which
@@ -149,8 +159,9 @@
     }
 }
 
-/// The state of a job by its records in the store; `None` if it was never accepted.
-pub(crate) fn job_state(id: JobId, items: &[Item]) -> Option<JobState> {
+/// The state of a job by its records in the store, and whose job it is; `None` if it was never
+/// accepted.
+pub(crate) fn job_state(id: JobId, items: &[Item]) -> Option<(JobState, Holder)> {
     let find = |key: String| items.iter().find(|item| item.key == key);
     let progress = find(keys::progress(id));
     let progress: Option<Versioned<Progress>> =
@@ -160,7 +171,9 @@
         cancelled: find(keys::cancel(id)).is_some(),
         ..KnownJob::default()
     };
-    (find(keys::id(id)).is_some() || known.state().is_final()).then(|| known.state())
+    let marker = find(keys::id(id));
+    let holder = marker.map_or(Holder::Nobody, |item| keys::holder(&item.value));
+    (marker.is_some() || known.state().is_final()).then(|| (known.state(), holder))
 }
 
 /// A change of the view, for the code that acts on it.
@@ -241,6 +254,21 @@
         last_answer.is_some_and(|at| now.since(*at) < MAX_OPERATOR_SILENCE_MS)
     }
 
+    /// Whether every change of the configuration from before a moment is known.
+    pub(crate) fn is_config_known_at(&self, moment: Steady) -> bool {
+        // A write in the same millisecond may have come later.
+        self.config_as_of().is_some_and(|at| moment < at)
+    }
+
+    /// The age of the configuration, in milliseconds; `None` if it was never read.
+    pub(crate) fn config_age_ms(&self, now: Steady) -> Option<u64> {
+        Some(now.since(self.config_as_of()?))
+    }
+
+    fn config_as_of(&self) -> Option<Steady> {
+        self.ages.as_of(OPERATOR_PREFIX).max(self.ages.as_of(records::CONFIG_KEY))
+    }
+
     /// Whether every prefix has been read once, which a node needs to own work.
     pub(crate) fn is_complete(&self) -> bool {
         self.is_ready() && self.ready.contains(keys::ROOT) && self.ready.contains(WORKER_PREFIX)
@@ -341,6 +369,9 @@
             Key::Job(id) => {
                 let known = self.jobs.entry(id).or_default();
                 known.record = read(&text, value, revision, refused).map(share);
+                if let Some(record) = &known.record {
+                    known.holder = Holder::of(record.value.account.clone());
+                }
                 known.first_revision = value.and(known.first_revision.or(Some(revision)));
                 self.drop_empty(id);
                 Some(if value.is_some() { Delta::Job(id) } else { Delta::Removed(id) })
@@ -492,12 +523,15 @@
 
     fn apply_config(&mut self, change: &Change) -> Option<Delta> {
         match records::config(change.value.as_ref()?) {
-            Ok(config) => {
+            Ok((config, errors)) => {
                 let is_old = |current: &Arc<QueueConfig>| config.version <= current.version;
                 if self.config.as_ref().is_some_and(is_old) {
                     return None;
                 }
                 log::info!("config: version {} in force, {}", config.version, change.revision);
+                for error in errors {
+                    log::error!("config: version {}: {error}", config.version);
+                }
                 self.config = Some(Arc::new(config));
                 Some(Delta::Config)
             }
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -27,6 +27,9 @@
 /// saturate a store's link of 1,000 Mbit/s.
 const DEFAULT_REPLICAS: u64 = 12;
 
+/// Default of the greatest age of the configuration with which a strict node accepts keys.
+const DEFAULT_KEY_AGE: Duration = Duration::from_millis(5_000);
+
 /// The settings of a scheduler node.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct SchedulerSettings {
@@ -42,6 +45,9 @@
     /// Number of nodes, besides the owners, that keep a full replica of the view and may acquire
     /// work.
     pub(crate) replicas: usize,
+    /// The greatest age of the configuration with which the node accepts keys of client accounts;
+    /// `None` for any age: keys then stay valid while the node cannot reach the store.
+    pub(crate) max_key_age: Option<Duration>,
 }
 
 /// The addresses at which a scheduler node listens.
@@ -88,6 +94,7 @@
         inner.millis_or("grace_ms", 1_000..=600_000, Duration::from_secs(6))
     });
     let sizing = section.section_or_default("pools", sizing);
+    let max_key_age = section.section_or_default("keys", keys);
     let replicas = section.number_or("replicas", 1..=10_000, DEFAULT_REPLICAS);
     Some(SchedulerSettings {
         node: node?,
@@ -98,9 +105,16 @@
         grace: grace?,
         sizing: sizing?,
         replicas: replicas? as usize,
+        max_key_age: max_key_age?,
     })
 }
 
+fn keys(section: &Section<'_>) -> Option<Option<Duration>> {
+    let strict = section.flag_or("strict", false);
+    let max_age = section.millis_or("max_age_ms", 0..=600_000, DEFAULT_KEY_AGE);
+    Some(strict?.then_some(max_age?))
+}
+
 fn sizing(section: &Section<'_>) -> Option<Sizing> {
     let default = Sizing::default();
     let full = section.number_or("full_percent", 10..=100, default.full_percent);
--- a/src/tests/sample.rs
+++ b/src/tests/sample.rs
@@ -16,6 +16,7 @@
         repeats: 0,
         first: Time::default(),
         every_ms: 0,
+        account: None,
         priority: 0,
         max_attempts: 3,
         stretch_percent: 200,
