The limits of client accounts hold over all pools, by reservations in the store

Callers saw: nothing kept a limit.

Cause: each pool has an owner of its own, and none knew of the account.

Change: one record for each account holds the share of its limit that each pool has reserved. An owner starts tasks within its pool's share, and changes that by a write which requires the record as it knows it and the pool's ownership. The next owner counts all of the share as in use until it knows what runs. A pool that lacks a share says so; the others give back what they do not use, and the limit is divided evenly if that is not enough. What is reserved is kept with the limit that it is a share of, so that a lowered limit stops starts at once in all pools. Tasks over a limit reserve no worker and ask for no tickets.

Evidence: src/jobs/tests/accounts.rs: three pools whose owners change while writes are refused, lost or done late and limits change, 3,000 sequences; no start is over the limit, and a task of an account below half of its limit starts within 1.5 s. It found, in this order: a deposed owner that used what its successor had reserved, starts that a wish of another pool did not stop, and wishes of idle pools that were never withdrawn.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -10,6 +10,7 @@
 //!   seen the new owner's token, or everything that it may run has lapsed. A change of
 //!   which workers may run which tasks is persisted before it takes effect.
 
+pub(crate) mod accounts;
 pub(crate) mod balance;
 pub(crate) mod delegates;
 pub(crate) mod event;
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     jobs::{
+        accounts::PoolAccounts,
         event::{Effect, Event, ProgressWrite, StoredJob},
         job::{Job, JobEnd, Phase, RUNS_PER_OWNER},
         message_loss::MessageLoss,
@@ -143,6 +144,8 @@
     crashing: Vec<TaskId>,
     /// Tasks whose runs were lost together with their workers.
     crash_suspects: BTreeSet<TaskId>,
+    /// What client accounts may have running here; `None` if nothing is limited.
+    accounts: Option<PoolAccounts>,
 }
 
 impl Owner {
@@ -185,9 +188,20 @@
             vanished: BTreeMap::new(),
             crashing: Vec::new(),
             crash_suspects: BTreeSet::new(),
+            accounts: None,
         }
     }
 
+    /// Limits what client accounts may have running.
+    pub(crate) fn set_accounts(&mut self, accounts: PoolAccounts) {
+        self.accounts = Some(accounts);
+    }
+
+    /// The limits of client accounts in the pool.
+    pub(crate) fn accounts_mut(&mut self) -> Option<&mut PoolAccounts> {
+        self.accounts.as_mut()
+    }
+
     /// Whether a worker has reported a later owner.
     pub(crate) fn is_deposed(&self) -> bool {
         self.deposed
@@ -487,10 +501,14 @@
         now: Steady,
     ) -> Option<crate::jobs::job::Run> {
         let job = self.jobs.get_mut(&task.of.job)?;
-        let charge = job.step(task.of.step).charge();
+        let (record, charge) = (job.record.clone(), job.step(task.of.step).charge());
         let entry = job.task_mut(task.of, task.index)?;
         let index = entry.runs.iter().position(|task_run| task_run.worker == *at)?;
         let task_run = entry.runs.remove(index);
+        if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
+            let need = &record.steps[task.of.step as usize].need;
+            accounts.release(account, need, task_run.adopted.is_some());
+        }
         if !matches!(end_reason, RunEnd::Lapsed | RunEnd::WorkerTerminated)
             && entry.isolated_worker.is_some()
         {
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -167,7 +167,7 @@
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
             return;
         };
-        let charge = job.step(task.of.step).charge();
+        let (record, charge) = (job.record.clone(), job.step(task.of.step).charge());
         let Some(entry) = job.task_mut(task.of, task.index) else {
             return;
         };
@@ -175,6 +175,7 @@
             return;
         }
         entry.runs.push(Run::new(at.clone(), run, Phase::Unknown, now));
+        self.occupy_limit(&record, task, false);
         if let Some(worker) = self.workers.get_mut(at) {
             worker.occupy(task, run, &charge);
             worker.urgent_poll = true;
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -13,7 +13,7 @@
     },
     model::{
         id::{Incarnation, WorkerId},
-        job::{JobId, Step, StepId, TaskId},
+        job::{JobId, JobRecord, Step, StepId, TaskId},
         order::Start,
         unit::{Now, Steady},
     },
@@ -57,10 +57,52 @@
         self.end_isolated_retries();
         let unconfirmed = self.unconfirmed(now.steady);
         self.log_unblocking(&unconfirmed, now.steady);
+        if let Some(accounts) = &mut self.accounts {
+            accounts.begin_plan();
+            if unconfirmed.is_empty() {
+                accounts.note_settled();
+            }
+        }
         self.send_announced_starts(now.steady, out);
         for (_, id) in order {
             self.plan_job(id, &unconfirmed, now, out);
         }
+        if let Some(accounts) = &mut self.accounts {
+            accounts.end_plan(now.steady);
+        }
+    }
+
+    /// Records that a run of a task uses its account's limit.
+    pub(super) fn occupy_limit(&mut self, record: &JobRecord, task: TaskId, is_adopted: bool) {
+        if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
+            accounts.occupy(account, &record.steps[task.of.step as usize].need, is_adopted);
+        }
+    }
+
+    /// The waiting tasks of a step that its account's limit allows to start; the others do not
+    /// count as waiting for a worker. A gang starts as a whole.
+    fn within_limit(&mut self, of: StepId, mut waiting: Vec<u32>) -> Vec<u32> {
+        let (Some(accounts), Some(job)) = (&mut self.accounts, self.jobs.get(&of.job)) else {
+            return waiting;
+        };
+        let (Some(account), step) = (&job.record.account, job.step(of.step)) else {
+            return waiting;
+        };
+        let mut allowed = accounts.room(account, &step.need);
+        if waiting.len() <= allowed {
+            return waiting;
+        }
+        if step.gang {
+            allowed = 0;
+        }
+        let denied = waiting.split_off(allowed).len();
+        let charge = step.charge();
+        // A larger share is of no use while no worker has room for the task.
+        let has_room = !self.unplaceable.iter().any(|tried| tried.is_within(&charge));
+        if has_room || step.long_running {
+            accounts.deny(account, &step.need, denied);
+        }
+        waiting
     }
 
     fn plan_job(&mut self, id: JobId, unconfirmed: &Unconfirmed, now: Now, out: &mut Vec<Effect>) {
@@ -81,6 +123,10 @@
             if waiting.is_empty() {
                 continue;
             }
+            let waiting = self.within_limit(of, waiting);
+            if waiting.is_empty() {
+                continue;
+            }
             let placed = match self.step(of).map(|step| step.gang) {
                 Some(true) if self.is_unplaceable(of) => false,
                 Some(true) => self.place_gang(of, &waiting, now, out),
@@ -388,7 +434,7 @@
             return;
         };
         let (charge, long_running) = (job.step(of.step).charge(), job.step(of.step).long_running);
-        let payload = job.record.payload.clone();
+        let (record, payload) = (job.record.clone(), job.record.payload.clone());
         let ticket = job.steps.get(&(of.occurrence, of.step)).and_then(|step| step.tickets.get(id));
         let ticket = ticket.map(|(ticket, _)| ticket.clone()).unwrap_or_default();
         let Some(entry) = job.task_mut(of, index) else {
@@ -406,6 +452,9 @@
         });
         let task = TaskId { of, index };
         worker.occupy(task, run, &charge);
+        if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
+            accounts.occupy(account, &record.steps[of.step as usize].need, false);
+        }
         if entry.suspect {
             worker.isolated_task = Some(task);
             log::info!(
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -349,7 +349,7 @@
         let Some(job) = self.jobs.get_mut(&task.of.job) else {
             return;
         };
-        let charge = job.step(task.of.step).charge();
+        let (record, charge) = (job.record.clone(), job.step(task.of.step).charge());
         let Some(entry) = job.task_mut(task.of, task.index) else {
             return;
         };
@@ -366,6 +366,7 @@
             percent,
             ..Run::new(id.clone(), run, Phase::Running, now)
         });
+        self.occupy_limit(&record, task, true);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.occupy(task, run, &charge);
             worker.note_begun(task, now);
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -44,6 +44,10 @@
 }
 
 impl Unconfirmed {
+    pub(super) fn is_empty(&self) -> bool {
+        matches!(self, Unconfirmed::Only(tasks) if tasks.is_empty())
+    }
+
     pub(super) fn covers(&self, task: &TaskId) -> bool {
         match self {
             Unconfirmed::All => true,
@@ -189,8 +193,7 @@
 
     /// Logs once that no task of earlier jobs is held back any more, and why.
     pub(super) fn log_unblocking(&mut self, unconfirmed: &Unconfirmed, now: Steady) {
-        let clear = matches!(unconfirmed, Unconfirmed::Only(tasks) if tasks.is_empty());
-        if self.unblocking_logged || !clear {
+        if self.unblocking_logged || !unconfirmed.is_empty() {
             return;
         }
         self.unblocking_logged = true;
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of a pool's owner, driven event by event.
 
+mod accounts;
 mod acknowledgements;
 mod balance;
 mod crashes;
--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -2,6 +2,7 @@
 
 mod acquire;
 mod input;
+mod limit_shares;
 mod order_counts;
 mod orders;
 mod persist;
@@ -28,6 +29,7 @@
 
 use crate::{
     jobs::{
+        accounts::PoolAccounts,
         delegates::Delegates,
         event::Event,
         fleet::FleetOwner,
@@ -260,6 +262,9 @@
             Input::RosterWritten { name, token, write, result } => {
                 self.note_roster_written(&name, token, &write, result, now);
             }
+            Input::SharesWritten { name, token, writes, result } => {
+                self.note_shares_written(&name, token, writes, result);
+            }
             Input::ReportWritten { name, token, counts, sent, result } => {
                 self.note_report_written(&name, token, (counts, sent), &result, now);
             }
@@ -309,11 +314,12 @@
         let now = self.node.now();
         self.drop_expired(now.steady);
         let view = self.node.view();
-        let config = view.config.as_ref().map_or(0, |config| config.version);
+        let config = view.config.clone();
         self.node.metrics.set_refused_records(view.refused_records);
         drop(view);
         let owned = self.owned.len() + usize::from(self.fleet.is_some());
-        self.node.metrics.set_ownership(owned, config);
+        let version = config.as_ref().map_or(0, |config| config.version);
+        self.node.metrics.set_ownership(owned, version);
         self.node.set_owns_work(owned != 0);
         self.take_over(now);
         self.acquire(now);
@@ -331,6 +337,9 @@
             let token = owned.owner.token;
             let mut out = Vec::new();
             owned.owner.set_confirmed(owned.tenure.confirmed());
+            if let (Some(accounts), Some(config)) = (owned.owner.accounts_mut(), &config) {
+                accounts.configure(config.version, config.accounts.as_ref());
+            }
             owned.owner.tick(now, &mut out);
             if owned.owner.is_deposed() {
                 log::warn!("owner {name}: a worker reports a later owner than token {token}");
@@ -343,6 +352,7 @@
             self.execute(&name, token, out, now.steady);
             self.persist_progress(&name, now);
             self.persist_roster(&name, now);
+            self.persist_limit_shares(&name, now);
             self.remove_ended_jobs(&name, now);
             self.publish_drained_hosts(&name, now);
             self.publish_usage(&name, now);
@@ -427,8 +437,13 @@
 
     fn take_over_pool(&mut self, name: &str, pool: PoolId, won: Ownership, now: Now) {
         let Ownership { token, earlier_owners, tenure } = won;
-        let mut owner = Owner::new(token, earlier_owners, now.steady);
         let view = self.node.view();
+        let mut accounts = PoolAccounts::new(pool.clone(), token);
+        let shares = view.limit_shares.iter();
+        let shares = shares.map(|(account, at)| (account, at.revision, &at.value));
+        accounts.inherit(shares, earlier_owners != 0);
+        let mut owner = Owner::new(token, earlier_owners, now.steady);
+        owner.set_accounts(accounts);
         let mut out = Vec::new();
         let other_pools = view.on_other_rosters(name);
         let mut workers: Vec<(Revision, WorkerReport)> = view
--- a/src/scheduler/control_loop/input.rs
+++ b/src/scheduler/control_loop/input.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     jobs::{
+        accounts::{ShareResult, ShareWrite},
         event::{Event, ProgressWrite},
         fleet::{CallResult, FleetEffect, HostAction, WriteResult},
         roster::RosterWrite,
@@ -49,6 +50,13 @@
         write: RosterWrite,
         result: OverwriteResult,
     },
+    /// Result of a write of shares of the limits of client accounts.
+    SharesWritten {
+        name: String,
+        token: u64,
+        writes: Vec<ShareWrite>,
+        result: ShareResult,
+    },
     /// Result of a write of a report on waiting jobs.
     ReportWritten {
         name: String,
--- a/src/scheduler/control_loop/updates.rs
+++ b/src/scheduler/control_loop/updates.rs
@@ -78,6 +78,7 @@
             }
             Delta::Owner(name) => self.check_owner(&name),
             Delta::DrainMark(host) => self.set_drain_mark(&host),
+            Delta::LimitShares(account) => self.note_limit_shares(&account),
             Delta::Config => {}
         }
     }
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -26,6 +26,7 @@
 const ROSTER: &str = "ch/roster/";
 const SILENT_WORKERS: &str = "ch/away/";
 const NODE: &str = "ch/all/node/";
+const LIMIT_SHARES: &str = "ch/limit/";
 const QUEUED: &str = "ch/all/queued/";
 
 /// The prefix that every node mirrors, whether or not it may own work.
@@ -63,6 +64,8 @@
     Usage(String),
     /// When a host was last moved or maintained, and by which owner.
     Called(HostId),
+    /// The shares of a client account's limit that pools have reserved.
+    LimitShares(AccountId),
     /// A node that may own work, by its name.
     Node(String),
     /// The number of jobs of each queue that have not begun, as reported by the owner of a pool.
@@ -108,6 +111,9 @@
         if let Some(name) = rest(USAGE) {
             return Some(Key::Usage(name.to_owned()));
         }
+        if let Some(account) = rest(LIMIT_SHARES) {
+            return account.parse().ok().map(Key::LimitShares);
+        }
         if let Some(name) = rest(NODE) {
             return Some(Key::Node(name.to_owned()));
         }
@@ -211,6 +217,10 @@
     format!("{USAGE}{name}")
 }
 
+pub(crate) fn limit_shares(account: &AccountId) -> String {
+    format!("{LIMIT_SHARES}{account}")
+}
+
 pub(crate) fn called(host: &HostId) -> String {
     format!("{CALLED}{host}")
 }
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -102,6 +102,7 @@
     refused_records: Gauge,
     view_age_seconds: Family<PrefixLabels, Gauge<f64, AtomicU64>>,
     queue_counts: Family<CountLabels, Counter>,
+    limit_wait_seconds: Histogram,
     dropped_log_lines: Gauge,
 }
 
@@ -131,6 +132,7 @@
             refused_records: Gauge::default(),
             view_age_seconds: Family::default(),
             queue_counts: Family::default(),
+            limit_wait_seconds: latency_histogram(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -212,6 +214,11 @@
             "Answers to how many jobs of a queue wait, by what they were counted by",
             self.queue_counts.clone(),
         );
+        registry.register(
+            "limit_wait_seconds",
+            "Time that an account's tasks waited for a larger share of its limit, by pool owners",
+            self.limit_wait_seconds.clone(),
+        );
         registry.register(
             "log_lines_left_out",
             "Log lines that were left out because there were too many",
@@ -299,6 +306,11 @@
         self.queue_counts.get_or_create(&CountLabels { by }).inc();
     }
 
+    /// Records how long tasks of an account have waited for a larger share of its limit.
+    pub(crate) fn record_limit_wait(&self, millis: u64) {
+        self.limit_wait_seconds.observe(millis as f64 / 1_000.0);
+    }
+
     /// Sets the number of records that were refused.
     pub(crate) fn set_refused_records(&self, records: u64) {
         self.refused_records.set(records as i64);
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -18,11 +18,11 @@
 
 use crate::{
     jobs::{
-        event::StoredJob, fleet::HostAction, owner::HostUsage,
+        accounts::PoolShares, event::StoredJob, fleet::HostAction, owner::HostUsage,
         roster::SilentWorkers,
     },
     model::{
-        id::{HostId, Incarnation, WorkerId},
+        id::{AccountId, HostId, Incarnation, WorkerId},
         job::{JobId, JobRecord, JobState, Progress},
         queue::QueueConfig,
         unit::{Millicores, Revision, Steady, Time},
@@ -185,6 +185,8 @@
     Owner(String),
     /// The drain mark of a host has changed.
     DrainMark(HostId),
+    /// The shares of a client account's limit have changed.
+    LimitShares(AccountId),
     Worker(WorkerReport),
     Unlisted(WorkerId),
     /// The worker's entry is not its own, or cannot be read.
@@ -205,6 +207,8 @@
     /// The usage of hosts, by pool.
     pub(crate) usages: BTreeMap<String, Versioned<HostUsage>>,
     pub(crate) host_calls: BTreeMap<HostId, Versioned<HostCallRecord>>,
+    /// The shares of the limits of client accounts that pools have reserved.
+    pub(crate) limit_shares: BTreeMap<AccountId, Versioned<PoolShares>>,
     /// The workers that may run tasks of a pool, by pool and worker.
     pub(crate) rosters: BTreeMap<(String, Incarnation), Versioned<WorkerReport>>,
     /// The silent workers on the rosters, by pool.
@@ -426,6 +430,17 @@
                 set(&mut self.usages, name, read(&text, value, revision, refused));
                 None
             }
+            Key::LimitShares(account) => {
+                let shares = read(&text, value, revision, refused);
+                // What pools have reserved does not change by another program's value: the next
+                // write of an owner replaces it.
+                let shares = match (shares, self.limit_shares.remove(&account)) {
+                    (None, Some(last)) if value.is_some() => Some(Versioned { revision, ..last }),
+                    (shares, _) => shares,
+                };
+                set(&mut self.limit_shares, account.clone(), shares);
+                Some(Delta::LimitShares(account))
+            }
             Key::Called(host) => {
                 set(&mut self.host_calls, host, read(&text, value, revision, refused));
                 None
