Demand above a client account's limit draws no hosts; keys are checked in smaller steps

Callers saw: pools could ask for hosts for work that its account's limit holds back.

Change: the demand of an account over all pools counts up to its limit, work that can still end in time first. The check of a request's key is split by what it decides.

--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -78,6 +78,22 @@
     pub(crate) orders: Option<WorkerClient>,
 }
 
+/// The answer to a request that may not use its queue, and the queue's name if it exists.
+type Refusal = Box<(Option<String>, Response)>;
+
+fn refusal(queue: Option<&str>, response: Response) -> Refusal {
+    Box::new((queue.map(str::to_owned), response))
+}
+
+/// A request's queue and key, by one version of the configuration.
+struct KeyCheck {
+    config: Arc<QueueConfig>,
+    queue: String,
+    needs_key: bool,
+    /// `None` if the key is not known.
+    caller: Option<Caller>,
+}
+
 /// A request that may use its queue.
 struct Admitted {
     config: Arc<QueueConfig>,
@@ -136,7 +152,7 @@
     async fn answer(&self, request: Request) -> (Option<String>, Response) {
         let admitted = match self.admit(&request).await {
             Ok(admitted) => admitted,
-            Err((queue, refusal)) => return (queue, refusal),
+            Err(refusal) => return *refusal,
         };
         let path = request.uri().path().to_owned();
         let Some(queue) = admitted.config.queue_of(&host_of(&request), &path) else {
@@ -154,7 +170,7 @@
     /// Checks a request before its body is read: its queue exists, and its key is that of a client
     /// account. A key that is not known counts as invalid only by a configuration from after the
     /// request has arrived. Returns the queue's name with a refusal, if it exists.
-    async fn admit(&self, request: &Request) -> Result<Admitted, (Option<String>, Response)> {
+    async fn admit(&self, request: &Request) -> Result<Admitted, Refusal> {
         let received = self.node.now();
         let deadline = Instant::now() + caller_timeout(request).saturating_sub(ANSWER_MARGIN);
         let proof = match self.sender {
@@ -166,63 +182,81 @@
             None => caller::key(request)
                 .map(|key| key.map(|key| key.digest()))
                 .transpose()
-                .map_err(|error| (None, unauthorized(&format!("the key is {error}"))))?,
+                .map_err(|error| refusal(None, unauthorized(&format!("the key is {error}"))))?,
         };
         let mut refreshed = false;
         loop {
-            let Some(config) = self.node.view().config.clone() else {
-                return Err((None, unavailable("the node has not read a configuration yet")));
-            };
-            if proof.as_ref().is_some_and(|proof| config.version < proof.config) {
-                let reason =
-                    "the configuration of this node is older than that of the relaying node";
-                return Err((None, unavailable(reason)));
-            }
-            let Some(queue) = config.queue_of(&host_of(request), request.uri().path()) else {
-                return Err((None, no_such_queue()));
-            };
-            let needs_key = config.needs_key(queue);
-            let refuse = |response| Err((Some(queue.name.clone()), response));
-            let caller = match access::check(&config, queue, key.as_ref()) {
-                Access::Granted(caller) => Some(caller),
-                Access::MissingKey => return refuse(unauthorized("the queue needs a key")),
+            let KeyCheck { config, queue, needs_key, caller } =
+                self.check_key(request, proof.as_ref(), key.as_ref())?;
+            let refuse = |response| Err(refusal(Some(&queue), response));
+            let is_known = caller.is_some();
+            match caller {
                 // The relaying node knew the key, by an earlier version.
-                Access::UnknownKey if refreshed || proof.is_some() => {
-                    log::info!("queue {}: refused: unknown key", queue.name);
+                None if refreshed || proof.is_some() => {
+                    log::info!("queue {queue}: refused: unknown key");
                     return refuse(unauthorized("the key is not known"));
                 }
-                Access::UnknownKey => None,
-            };
-            let is_known = caller.is_some();
-            if let Some(caller) = caller {
-                let age = self.node.view().config_age_ms(received.steady);
-                let is_current = age.is_some_and(|age| age <= MAX_CONFIG_AGE_MS);
-                let can_read = self.lease.is_store_reachable(received.steady);
-                if !needs_key || refreshed || is_current || !can_read {
-                    if needs_key && let Some(reason) = self.too_old_for_keys() {
-                        return refuse(unavailable(&reason));
+                Some(caller) if refreshed || !needs_key || self.is_config_recent() => {
+                    if needs_key && self.is_too_old_for_keys() {
+                        log::info!("queue {queue}: refused: the configuration is too old for keys");
+                        return refuse(unavailable("the key cannot be checked now"));
                     }
                     return Ok(Admitted { config, caller, key, proof, deadline });
                 }
+                _ => {}
             }
             let read = self.node.config_refresh.refresh(&self.node, received.steady);
-            let read = timeout_at(deadline, read).await;
+            let failure = match timeout_at(deadline, read).await {
+                Ok(Ok(())) => None,
+                Ok(Err(error)) => Some(error.to_string()),
+                Err(elapsed) => Some(elapsed.to_string()),
+            };
             refreshed = true;
-            match read {
-                Ok(Ok(())) => {}
-                // A known key stays valid while the configuration cannot be read.
-                _ if is_known => {}
-                Ok(Err(error)) => {
-                    log::info!("queue {}: key not checked: {error}", queue.name);
-                    return refuse(unavailable("the key cannot be checked now"));
-                }
-                Err(_) => return refuse(unavailable("the key cannot be checked now")),
+            // A known key stays valid while the configuration cannot be read.
+            if let Some(reason) = failure.filter(|_| !is_known) {
+                log::info!("queue {queue}: key not checked: {reason}");
+                return refuse(unavailable("the key cannot be checked now"));
             }
         }
     }
 
+    /// Looks a request's queue and key up in the configuration.
+    fn check_key(
+        &self,
+        request: &Request,
+        proof: Option<&Proof>,
+        key: Option<&KeyDigest>,
+    ) -> Result<KeyCheck, Refusal> {
+        let Some(config) = self.node.view().config.clone() else {
+            return Err(refusal(None, unavailable("the node has not read a configuration yet")));
+        };
+        if proof.is_some_and(|proof| config.version < proof.config) {
+            let reason = "the configuration of this node is older than that of the relaying node";
+            return Err(refusal(None, unavailable(reason)));
+        }
+        let Some(queue) = config.queue_of(&host_of(request), request.uri().path()) else {
+            return Err(refusal(None, no_such_queue()));
+        };
+        let (name, needs_key) = (queue.name.clone(), config.needs_key(queue));
+        let caller = match access::check(&config, queue, key) {
+            Access::Granted(caller) => Some(caller),
+            Access::MissingKey => {
+                return Err(refusal(Some(&name), unauthorized("the queue needs a key")));
+            }
+            Access::UnknownKey => None,
+        };
+        Ok(KeyCheck { config, queue: name, needs_key, caller })
+    }
+
+    /// Whether keys can be checked by the configuration as it is, or it cannot be read anyway.
+    fn is_config_recent(&self) -> bool {
+        let now = self.node.now().steady;
+        let age = self.node.view().config_age_ms(now);
+        age.is_some_and(|age| age <= MAX_CONFIG_AGE_MS) || !self.lease.is_store_reachable(now)
+    }
+
     /// Checks the proof of the node that relayed a request.
-    fn verify(&self, request: &Request, now: Time) -> Result<Proof, (Option<String>, Response)> {
+    fn verify(&self, request: &Request, now: Time) -> Result<Proof, Refusal> {
         let header = request.header(RELAYED_HEADER).unwrap_or_default();
         let covered = Covered {
             method: request.method().as_str(),
@@ -232,16 +266,17 @@
         let secret_of = |node: &str| self.node.view().nodes.get(node)?.value.secret;
         Proof::verify(header, covered, secret_of, now).map_err(|error| {
             log::warn!("relayed request refused: {error}");
-            (None, unavailable(&error.to_string()))
+            refusal(None, unavailable(&error.to_string()))
         })
     }
 
-    /// Why keys are not accepted, if the configuration is too old for that by the settings.
-    fn too_old_for_keys(&self) -> Option<String> {
-        let max_age = self.node.settings.max_key_age?;
+    /// Whether the configuration is too old to accept keys by, according to the settings.
+    fn is_too_old_for_keys(&self) -> bool {
+        let Some(max_age) = self.node.settings.max_key_age else {
+            return false;
+        };
         let age = self.node.view().config_age_ms(self.node.now().steady);
-        let is_old = age.is_none_or(|age| max_age < Duration::from_millis(age));
-        is_old.then(|| "keys cannot be checked: the configuration is too old".to_owned())
+        age.is_none_or(|age| max_age < Duration::from_millis(age))
     }
 
     /// Answers here, or relays the request to another node if the store cannot be reached from
--- a/src/scheduler/demand.rs
+++ b/src/scheduler/demand.rs
@@ -9,7 +9,7 @@
 use crate::{
     jobs::fleet::Demand,
     model::{
-        id::PoolId,
+        id::{AccountId, PoolId},
         job::{JobId, JobRecord},
         queue::QueueConfig,
         unit::{Revision, Time},
@@ -55,6 +55,7 @@
         let mut demands: BTreeMap<PoolId, Demand> =
             config.pools.keys().map(|pool| (pool.clone(), Demand::default())).collect();
         self.round += 1;
+        let mut by_account: BTreeMap<(&AccountId, &PoolId), Demand> = BTreeMap::new();
         let mut open = 0;
         for (id, job) in view.jobs.iter().filter(|(_, job)| !job.state().is_final()) {
             let Some(record) = &job.record else {
@@ -72,14 +73,18 @@
                 }
             };
             job_demand.round = self.round;
-            match demands.get_mut(&record.value.pool) {
-                Some(demand) => job_demand.add_to(demand, wall),
-                None => {
-                    let demand = demands.entry(record.value.pool.clone()).or_default();
-                    job_demand.add_to(demand, wall);
-                }
-            }
+            let pool = &record.value.pool;
+            let limit = record.value.account.as_ref().and_then(|id| cpu_limit(config, id));
+            let demand = match (&record.value.account, limit) {
+                (Some(account), Some(_)) => by_account.entry((account, pool)).or_default(),
+                _ => match demands.get_mut(pool) {
+                    Some(demand) => demand,
+                    None => demands.entry(pool.clone()).or_default(),
+                },
+            };
+            job_demand.add_to(demand, wall);
         }
+        add_limited(&mut demands, by_account, config);
         if open < self.jobs.len() {
             self.jobs.retain(|_, job_demand| job_demand.round == self.round);
         }
@@ -87,6 +92,43 @@
     }
 }
 
+/// The processor time that an account may use, in millicores; `None` if it is not limited.
+fn cpu_limit(config: &QueueConfig, account: &AccountId) -> Option<u64> {
+    let limit = config.accounts.as_ref()?.get(account)?.limit.cpu.0;
+    (limit != 0).then_some(limit.into())
+}
+
+/// Adds the demand of accounts to that of their pools: what is above an account's limit cannot run,
+/// and needs no hosts. Work that can end in time comes first.
+fn add_limited(
+    demands: &mut BTreeMap<PoolId, Demand>,
+    by_account: BTreeMap<(&AccountId, &PoolId), Demand>,
+    config: &QueueConfig,
+) {
+    let mut totals: BTreeMap<&AccountId, Demand> = BTreeMap::new();
+    for ((account, _), demand) in &by_account {
+        let total = totals.entry(account).or_default();
+        total.cpu += demand.cpu;
+        total.late_cpu += demand.late_cpu;
+        total.arriving_cpu += demand.arriving_cpu;
+    }
+    for ((account, pool), demand) in by_account {
+        let limit = cpu_limit(config, account).unwrap_or(u64::MAX);
+        let total = totals[account];
+        let part = |cpu: u64, total: u64, limit: u64| match total <= limit {
+            true => cpu,
+            false => (u128::from(cpu) * u128::from(limit) / u128::from(total)) as u64,
+        };
+        let sum = demands.entry(pool.clone()).or_default();
+        sum.cpu += part(demand.cpu, total.cpu, limit);
+        sum.late_cpu += part(demand.late_cpu, total.late_cpu, limit.saturating_sub(total.cpu));
+        sum.arriving_cpu += part(demand.arriving_cpu, total.arriving_cpu, limit);
+        sum.spread = sum.spread.max(demand.spread);
+        sum.finite |= demand.finite;
+        sum.arrivals += demand.arrivals;
+    }
+}
+
 /// The share of a job's remaining declared work that is assumed certain: what callers declare is
 /// off by half in both directions.
 const CERTAIN_PERCENT: u64 = 60;
--- a/src/scheduler/tests/demand.rs
+++ b/src/scheduler/tests/demand.rs
@@ -7,6 +7,7 @@
 use crate::{
     jobs::fleet::Demand,
     model::{
+        account::{Account, Accounts},
         id::PoolId,
         job::{JobId, JobRecord, JobState, Progress, Step, StepProgress, TaskResources},
         queue::{PoolRules, QueueConfig},
@@ -53,6 +54,38 @@
     demand::of_pools(&view, &config, Time::from_millis(ACCEPTED_MS + after))[&pool()]
 }
 
+/// Jobs of an account whose limit is 60 cores want 40 cores each, in two pools.
+#[test]
+fn what_is_above_an_accounts_limit_is_no_demand() {
+    let other: PoolId = "other".parse().unwrap();
+    let mut accounts = Accounts::default();
+    let (acme, limit) = ("acme".parse().unwrap(), Millicores(60_000));
+    let limit = TaskResources { cpu: limit, ..TaskResources::default() };
+    accounts.add(Account { id: acme, weight: 1, limit }, &["key"]);
+    let rules = PoolRules { headroom: false, admission_check: true };
+    let pools = [pool(), other.clone()].map(|pool| (pool, rules.clone()));
+    let config = QueueConfig {
+        version: 1,
+        pools: pools.into(),
+        accounts: Some(accounts),
+        ..QueueConfig::default()
+    };
+    let mut view = View::default();
+    let mut demand_with = |number: u64, pool: &PoolId, account: Option<&str>| {
+        let account = account.map(|account| account.parse().unwrap());
+        let record = JobRecord { pool: pool.clone(), account, ..record() };
+        let key = keys::job(pool, JobId::from_number(number));
+        let value = Some(json(&record).into());
+        view.apply(Change { key, revision: Revision(5 + number), value });
+        let demands = demand::of_pools(&view, &config, Time::from_millis(ACCEPTED_MS + 100));
+        [&self::pool(), &other].map(|pool| demands[pool].cpu)
+    };
+    assert_eq!(demand_with(1, &pool(), Some("acme")), [40_000, 0]);
+    assert_eq!(demand_with(2, &other, Some("acme")), [30_000, 30_000]);
+    assert_eq!(demand_with(3, &pool(), Some("acme")), [40_000, 20_000]);
+    assert_eq!(demand_with(4, &other, None), [40_000, 60_000], "nobody limits this one");
+}
+
 fn first_step_done() -> Progress {
     let step_progress = StepProgress { done: (0..10).collect(), ..StepProgress::default() };
     Progress { steps: BTreeMap::from([("0.0".to_owned(), step_progress)]), ..Progress::default() }
