Test: a relayed request is signed as a node signs it

tests/scheduler.rs sent a bare version in the header of relayed requests, which nodes do not believe any more (the test failed on: 503 for 410). It now signs as another node does, by the format of the header, and still checks both versions; and it checks that unsigned headers, and one signed with another secret, get 503.

--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -8,9 +8,10 @@
     io::{BufRead, BufReader},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use hmac::{Hmac, KeyInit, Mac};
 use nix::{
     sys::signal::{Signal, kill},
     unistd::Pid,
@@ -18,6 +19,7 @@
 use ports::{free_address, probe};
 use reqwest::{Client, StatusCode};
 use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
 use tokio::{
     io::copy_bidirectional,
     net::TcpStream,
@@ -444,19 +446,56 @@
     assert_eq!(site.run_counts().await["twice"], json!(0));
 }
 
-/// A node refuses a relayed request if its configuration is older than that of the sender.
+/// The proof with which the node `peer` relays a `GET` of a job without a key, by a version of the
+/// configuration.
+fn proof(secret: &[u8; 32], version: u64, path: &str) -> String {
+    let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let (sent, body) = (since.as_millis() as u64, Sha256::digest([]));
+    let mut code = Hmac::<Sha256>::new_from_slice(secret).unwrap();
+    let (version_bytes, sent_bytes) = (version.to_be_bytes(), sent.to_be_bytes());
+    let parts: [&[u8]; 8] = [
+        b"peer",
+        &version_bytes,
+        b"",
+        &sent_bytes,
+        &body,
+        b"GET",
+        HOST.as_bytes(),
+        path.as_bytes(),
+    ];
+    for part in parts {
+        code.update(&(part.len() as u64).to_be_bytes());
+        code.update(part);
+    }
+    let code = hex(&code.finalize().into_bytes());
+    format!("peer {version} - {sent} {} {code}", hex(&body))
+}
+
+/// A node refuses a relayed request if its configuration is older than that of the sender, and any
+/// that no node has signed.
 #[tokio::test]
 async fn a_relayed_request_is_refused_by_a_node_with_an_older_configuration() {
     let site = Site::start("older", 1).await;
     let node = site.node("one").await;
-    let ask = async |version: &str| {
-        let url = format!("http://{}/quotes/00000000000000a1", node.peers);
-        let request = site.client.get(url).header("Host", HOST);
-        let request = request.header("Caperhollow-Relayed", version);
+    let secret = [7; 32];
+    let record = json!({ "cpu": 1, "secret": "07".repeat(32) });
+    let url = format!("http://{}/put?ch/all/node/peer", site.address);
+    site.client.post(url).json(&record).send().await.unwrap();
+    let path = "/quotes/00000000000000a1";
+    let ask = async |header: String| {
+        let request = site.client.get(format!("http://{}{path}", node.peers));
+        let request = request.header("Host", HOST).header("Caperhollow-Relayed", header);
         request.send().await.unwrap().status()
     };
-    assert_eq!(ask("1").await, StatusCode::GONE);
-    assert_eq!(ask("2").await, StatusCode::SERVICE_UNAVAILABLE);
+    wait_until("the peer to be known", async || {
+        (ask(proof(&secret, 1, path)).await == StatusCode::GONE).then_some(())
+    })
+    .await;
+    assert_eq!(ask(proof(&secret, 2, path)).await, StatusCode::SERVICE_UNAVAILABLE);
+    for unsigned in ["1".to_owned(), "2".to_owned(), proof(&[8; 32], 1, path)] {
+        assert_eq!(ask(unsigned.clone()).await, StatusCode::SERVICE_UNAVAILABLE, "{unsigned}");
+    }
 }
 
 /// A node without a full view answers its callers from the store, and acquires a full view once the
