A node whose lease has ended still proves that it relays a request

Callers saw: 503 from a node that was cut off from the store for longer than its lease, though another node could have answered: its relayed requests were refused there.

Cause: a node's secret was looked up in its record, which goes with the node's lease. A node that cannot reach the store is the very one that relays.

Change: the view keeps the last secret of each node when its record is removed.

Before: as above; after: a_node_whose_lease_has_ended_still_relays passes.

--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -263,7 +263,7 @@
             host: request.header(header::HOST).unwrap_or_default(),
             path: request.uri().path(),
         };
-        let secret_of = |node: &str| self.node.view().nodes.get(node)?.value.secret;
+        let secret_of = |node: &str| self.node.view().node_secrets.get(node).copied();
         Proof::verify(header, covered, secret_of, now).map_err(|error| {
             log::warn!("relayed request refused: {error}");
             refusal(None, unavailable(&error.to_string()))
--- a/src/scheduler/tests/client_accounts.rs
+++ b/src/scheduler/tests/client_accounts.rs
@@ -369,6 +369,22 @@
     }
 }
 
+/// The record of a node that is cut off from the store goes with its lease, and the node relays what
+/// its callers ask.
+#[tokio::test]
+async fn a_node_whose_lease_has_ended_still_relays() {
+    let harness = node_with_accounts().await;
+    submit(&harness, 1, "acme").await;
+    let (secret, path) = (add_node(&harness, "two").await, job_path(1));
+    harness.kv.commit(&Txn::default().remove(keys::node("two"))).await.unwrap();
+    wait_for("the record to be removed", async || {
+        (!harness.node.view().nodes.contains_key("two")).then_some(())
+    })
+    .await;
+    let header = proof(&harness).sign(&secret, Covered { method: "GET", host: HOST, path: &path });
+    assert_eq!(relayed(&harness, Sender::Nodes, 1, &header).await, StatusCode::OK);
+}
+
 #[tokio::test]
 async fn a_forged_proof_gains_nothing() {
     let harness = node_with_accounts().await;
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -201,6 +201,9 @@
     pub(crate) owners: BTreeMap<String, Versioned<OwnerRecord>>,
     pub(crate) terms: BTreeMap<String, Versioned<TermRecord>>,
     pub(crate) nodes: BTreeMap<String, Versioned<NodeRecord>>,
+    /// The last secret of each node. Stays when the record is removed with its lease: a node that
+    /// cannot reach the store relays its callers' requests.
+    pub(crate) node_secrets: BTreeMap<String, NodeSecret>,
     pub(crate) drain_marks: BTreeMap<HostId, Versioned<HostAction>>,
     pub(crate) drained_hosts: BTreeMap<HostId, Versioned<DrainedRecord>>,
     pub(crate) waves: BTreeMap<u64, Versioned<WaveRecord>>,
@@ -446,7 +449,11 @@
                 None
             }
             Key::Node(name) => {
-                set(&mut self.nodes, name, read(&text, value, revision, refused));
+                let record: Option<Versioned<NodeRecord>> = read(&text, value, revision, refused);
+                if let Some(secret) = record.as_ref().and_then(|at| at.value.secret) {
+                    self.node_secrets.insert(name.clone(), secret);
+                }
+                set(&mut self.nodes, name, record);
                 None
             }
             Key::Queued(name) => {
