Shares of a full pool: max-min by weight, in the order of starts and at admission

Change: where accounts with weights ask for more than a pool holds, the resource that is short is divided by weighted max-min fairness over what runs and what waits in time. Jobs within the share of their account come first, by urgency as before; then the other jobs in time; then late ones. A pool that holds all claims keeps its order. Owners report which accounts exceed their share, and what it does per second; nodes hold those accounts to that rate, and refuse what would be late.

Late work comes after all that can be in time and has no bound of its own beside that: it starts when work in time leaves capacity.

--- a/src/jobs/owner/load.rs
+++ b/src/jobs/owner/load.rs
@@ -7,7 +7,12 @@
 
 use super::Owner;
 use crate::{
-    jobs::{job::Job, urgency, weights::AccountLoad},
+    jobs::{
+        job::Job,
+        start::fair_share::{Amount, FairShares},
+        urgency,
+        weights::AccountLoad,
+    },
     model::{
         id::AccountId,
         job::{JobId, JobState, TaskResources},
@@ -28,7 +33,7 @@
 const MAX_DELAY_MS: u64 = 60_000;
 
 /// The load of a pool.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub(crate) struct PoolLoad {
     /// How long work beyond a weight that comes now would wait, in milliseconds.
     #[serde(rename = "d", default)]
@@ -38,20 +43,6 @@
     pub(crate) accounts: BTreeMap<AccountId, AccountLoad>,
 }
 
-/// Resources over time, in units of a millisecond.
-#[derive(Debug, Clone, Copy, Default)]
-struct Work {
-    cpu: u64,
-    memory: u64,
-}
-
-impl Work {
-    fn add(&mut self, need: &TaskResources, tasks: u64, task_ms: u64) {
-        self.cpu += u64::from(need.cpu.0) * tasks * task_ms;
-        self.memory += u64::from(need.memory.0) * tasks * task_ms;
-    }
-}
-
 impl Owner {
     /// Classifies the jobs that have arrived since the last call, in the order in which they were
     /// accepted.
@@ -92,6 +83,13 @@
                 accounts.entry(account.clone()).or_default().waiting += 1;
             }
         }
+        let candidates = self.candidates(now);
+        let claims = candidates.iter().filter_map(|candidate| candidate.claim.as_ref());
+        if let Some(shares) = FairShares::divide(claims, self.capacity_for_short_tasks(now)) {
+            for (account, share) in shares.exceeded() {
+                accounts.entry(account.clone()).or_default().share = Some(share);
+            }
+        }
         let mut busiest: Vec<_> = accounts.into_iter().collect();
         busiest.sort_by_key(|(account, load)| {
             (std::cmp::Reverse(load.rate + load.waiting), account.clone())
@@ -103,7 +101,7 @@
     /// How long work beyond a weight that comes now would wait: behind all that waits and is not
     /// too late to be of value, and behind what comes within the weights meanwhile.
     fn delay_ms(&self, now: Now) -> u64 {
-        let (mut waiting, mut arriving) = (Work::default(), Work::default());
+        let (mut waiting, mut arriving) = (Amount::default(), Amount::default());
         for job in self.jobs.values().filter(|job| job.is_open() && job.left != 0) {
             let task_ms = |estimate| self.durations.expect(&job.record.queue, estimate);
             if !urgency::of(job, &self.durations, false, now).is_too_late() {
@@ -113,11 +111,11 @@
             if !job.beyond_weight && age_ms < ARRIVAL_WINDOW_MS {
                 for step in job.record.steps.iter().filter(|step| !step.long_running) {
                     let ms = task_ms(step.estimate_ms);
-                    arriving.add(&step.charge(), step.count.into(), ms);
+                    arriving.add(&step.charge(), u64::from(step.count) * ms);
                 }
             }
         }
-        let (cpu, memory) = self.capacity_for_short_tasks(now);
+        let Amount { cpu, memory } = self.capacity_for_short_tasks(now);
         let delay = |waiting: u64, arriving: u64, capacity: u64| {
             let least = capacity * MIN_FREE_PERCENT / 100;
             let free = capacity.saturating_sub(arriving / ARRIVAL_WINDOW_MS).max(least);
@@ -131,8 +129,8 @@
     }
 
     /// The processor time and memory of the pool that no long-running task uses.
-    fn capacity_for_short_tasks(&self, now: Now) -> (u64, u64) {
-        let (mut cpu, mut memory) = (0, 0);
+    pub(super) fn capacity_for_short_tasks(&self, now: Now) -> Amount {
+        let mut free = Amount::default();
         for worker in self.workers.values().filter(|worker| worker.may_get_work(now.steady)) {
             let mut lasting = TaskResources::default();
             for task in worker.runs.keys().filter(|task| self.is_long_running(task)) {
@@ -141,21 +139,21 @@
                 }
             }
             let capacity = &worker.report.capacity;
-            cpu += u64::from(capacity.cpu.0.saturating_sub(lasting.cpu.0));
-            memory += u64::from(capacity.memory.0.saturating_sub(lasting.memory.0));
+            free.cpu += u64::from(capacity.cpu.0.saturating_sub(lasting.cpu.0));
+            free.memory += u64::from(capacity.memory.0.saturating_sub(lasting.memory.0));
         }
-        (cpu, memory)
+        free
     }
 }
 
 /// Adds the tasks of a job that have not begun.
-fn add_waiting(work: &mut Work, job: &Job, task_ms: impl Fn(u64) -> u64) {
+fn add_waiting(work: &mut Amount, job: &Job, task_ms: impl Fn(u64) -> u64) {
     for ((_, number), tasks) in &job.steps {
         let step = job.step(*number);
         if step.long_running || tasks.left == 0 {
             continue;
         }
         let waiting = tasks.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
-        work.add(&step.charge(), waiting, task_ms(step.estimate_ms));
+        work.add(&step.charge(), waiting * task_ms(step.estimate_ms));
     }
 }
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -11,9 +11,10 @@
         start::{
             allowed::{self, Allowed},
             eligible::TaskPlacer,
+            fair_share::{Amount, Claim},
             turn::{self, Beyond, Candidate},
         },
-        urgency,
+        urgency::{self, Urgency},
     },
     model::{
         id::{Incarnation, WorkerId},
@@ -50,7 +51,12 @@
     /// first.
     pub(super) fn plan(&mut self, now: Now, out: &mut Vec<Effect>) {
         self.classify_arrivals(now);
-        let order = turn::order(self.candidates(now));
+        let candidates = self.candidates(now);
+        let capacity = match candidates.iter().any(|candidate| candidate.claim.is_some()) {
+            true => self.capacity_for_short_tasks(now),
+            false => Amount::default(),
+        };
+        let order = turn::order(candidates, capacity);
         self.reserved.clear();
         self.unplaceable.clear();
         self.end_isolated_retries();
@@ -72,17 +78,43 @@
     }
 
     /// The jobs with tasks that are not done.
-    fn candidates(&self, now: Now) -> Vec<Candidate> {
+    pub(super) fn candidates(&self, now: Now) -> Vec<Candidate> {
         let open = self.jobs.values().filter(|job| job.is_open() && job.left != 0);
         let favors_small = self.tolerated_losses != 0;
-        let candidate = |job: &Job| Candidate {
-            job: job.id,
-            urgency: urgency::of(job, &self.durations, favors_small, now),
-            beyond: self.beyond(job),
+        let candidate = |job: &Job| {
+            let urgency = urgency::of(job, &self.durations, favors_small, now);
+            let (beyond, claim) = (self.beyond(job), self.claim(job, urgency, now));
+            Candidate { job: job.id, urgency, beyond, claim }
         };
         open.map(candidate).collect()
     }
 
+    /// What a job of an account with a weight uses and asks for. Long-running jobs claim nothing:
+    /// the capacity that accounts divide is what these leave.
+    fn claim(&self, job: &Job, urgency: Urgency, now: Now) -> Option<Claim> {
+        let account = job.record.account.as_ref().filter(|_| !job.record.is_long_running())?;
+        let weight = self.accounts.as_ref()?.weights.get(account)?;
+        let [mut running, mut waiting, mut work, mut whole] = [Amount::default(); 4];
+        for ((occurrence, number), tasks) in &job.steps {
+            let step = job.step(*number);
+            if step.long_running || tasks.left == 0 || !job.is_due(*occurrence, *number, now) {
+                continue;
+            }
+            let waits = tasks.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+            let runs = tasks.tasks.iter().filter(|task| !task.runs.is_empty()).count() as u64;
+            let task_ms = self.durations.expect(&job.record.queue, step.estimate_ms);
+            running.add(&step.charge(), runs);
+            waiting.add(&step.charge(), waits);
+            work.add(&step.charge(), waits * task_ms);
+        }
+        for step in job.record.steps.iter().filter(|step| !step.long_running) {
+            let task_ms = self.durations.expect(&job.record.queue, step.estimate_ms);
+            whole.add(&step.charge(), u64::from(step.count) * task_ms);
+        }
+        let counts = urgency.is_in_time() && !job.beyond_weight;
+        Some(Claim { account: account.clone(), weight, running, waiting, work, whole, counts })
+    }
+
     /// The account beyond whose weight a job is. Long-running jobs come first whenever they were
     /// submitted: a task that was lost must not wait for as long as a pool is full.
     fn beyond(&self, job: &Job) -> Option<Beyond> {
--- a/src/jobs/start.rs
+++ b/src/jobs/start.rs
@@ -9,6 +9,7 @@
 pub(crate) mod allowed;
 pub(crate) mod best;
 pub(crate) mod eligible;
+pub(crate) mod fair_share;
 pub(crate) mod route;
 mod spread;
 pub(crate) mod turn;
--- a/src/jobs/start/tests.rs
+++ b/src/jobs/start/tests.rs
@@ -2,6 +2,7 @@
 
 mod allowed;
 mod best;
+mod fair_share;
 mod route;
 mod spread;
 mod turn;
--- a/src/jobs/start/tests/turn.rs
+++ b/src/jobs/start/tests/turn.rs
@@ -1,6 +1,9 @@
 use crate::{
     jobs::{
-        start::turn::{Beyond, Candidate, order},
+        start::{
+            fair_share::Amount,
+            turn::{Beyond, Candidate, order},
+        },
         urgency::Urgency,
     },
     model::{account::Weight, job::JobId},
@@ -8,7 +11,7 @@
 
 fn candidate(number: u64, lateness: u32, slack: i64) -> Candidate {
     let urgency = Urgency::new(1, lateness, slack);
-    Candidate { job: JobId::from_number(number), urgency, beyond: None }
+    Candidate { job: JobId::from_number(number), urgency, beyond: None, claim: None }
 }
 
 fn beyond(number: u64, slack: i64, account: &str, weight: f64) -> Candidate {
@@ -18,17 +21,20 @@
 }
 
 fn numbers(candidates: Vec<Candidate>) -> Vec<u64> {
-    order(candidates).into_iter().map(JobId::number).collect()
+    order(candidates, Amount::default()).into_iter().map(JobId::number).collect()
 }
 
 #[test]
 fn jobs_in_time_come_first_then_those_with_the_least_slack() {
-    let order = order(vec![
-        candidate(1, 1, -900),
-        candidate(2, 0, 700),
-        candidate(4, 0, 200),
-        candidate(3, 0, 200),
-    ]);
+    let order = order(
+        vec![
+            candidate(1, 1, -900),
+            candidate(2, 0, 700),
+            candidate(4, 0, 200),
+            candidate(3, 0, 200),
+        ],
+        Amount::default(),
+    );
     let numbers: Vec<u64> = order.into_iter().map(JobId::number).collect();
     assert_eq!(numbers, [3, 4, 2, 1]);
 }
--- a/src/jobs/start/turn.rs
+++ b/src/jobs/start/turn.rs
@@ -3,7 +3,10 @@
 use std::collections::HashMap;
 
 use crate::{
-    jobs::urgency::Urgency,
+    jobs::{
+        start::fair_share::{Amount, Claim, FairShares},
+        urgency::Urgency,
+    },
     model::{account::Weight, id::AccountId, job::JobId},
 };
 
@@ -14,6 +17,8 @@
     pub(crate) urgency: Urgency,
     /// Set if the job is beyond the weight of its account.
     pub(crate) beyond: Option<Beyond>,
+    /// What it uses and asks for; only set if its account has a weight.
+    pub(crate) claim: Option<Claim>,
 }
 
 /// The account beyond whose weight a job is.
@@ -26,10 +31,23 @@
 /// The jobs in the order in which they get resources: first those within the weight of their
 /// account, the most urgent first. The others take turns in proportion to the weights, for each
 /// account the most urgent first.
-pub(crate) fn order(mut candidates: Vec<Candidate>) -> Vec<JobId> {
+///
+/// If accounts ask for more than the `capacity` of the pool, what is within the share of its account
+/// comes before what is not, and both before jobs that are late.
+pub(crate) fn order(mut candidates: Vec<Candidate>, capacity: Amount) -> Vec<JobId> {
     candidates.sort_by_key(|candidate| (candidate.urgency, candidate.job));
-    let (beyond, within): (Vec<_>, Vec<_>) =
+    let claims = candidates.iter().filter_map(|candidate| candidate.claim.as_ref());
+    let shares = FairShares::divide(claims, capacity);
+    let (beyond, mut within): (Vec<_>, Vec<_>) =
         candidates.into_iter().partition(|candidate| candidate.beyond.is_some());
+    if let Some(mut shares) = shares {
+        // The sort is stable: the most urgent come first in each part.
+        within.sort_by_cached_key(|candidate| match &candidate.claim {
+            None => 0,
+            Some(claim) if !claim.counts => 2,
+            Some(claim) => u32::from(!shares.take(claim)),
+        });
+    }
     let within = within.into_iter().map(|candidate| candidate.job);
     within.chain(take_turns(beyond)).collect()
 }
@@ -39,7 +57,7 @@
 fn take_turns(candidates: Vec<Candidate>) -> Vec<JobId> {
     let mut counts: HashMap<AccountId, u64> = HashMap::new();
     let mut turns = Vec::with_capacity(candidates.len());
-    for Candidate { job, urgency, beyond } in candidates {
+    for Candidate { job, urgency, beyond, .. } in candidates {
         let Some(Beyond { account, weight }) = beyond else {
             continue;
         };
--- a/src/jobs/tests/flood.rs
+++ b/src/jobs/tests/flood.rs
@@ -1,12 +1,16 @@
 //! A play of one pool under a flood: what callers get by the order of waiting jobs, with and without
-//! admission. One account of twenty sends twelve times its usual for twelve of twenty seconds.
+//! admission. One account of twenty sends twelve times its usual for twelve of twenty seconds. The
+//! weights are about twice the usual rates, or far above what the pool can do.
 
 use std::collections::BTreeMap;
 
 use crate::{
     jobs::{
         admission::{Pressure, Sender, Verdict},
-        start::turn::{self, Beyond, Candidate},
+        start::{
+            fair_share::{Amount, Claim, FairShares},
+            turn::{self, Beyond, Candidate},
+        },
         urgency::Urgency,
         weights::{AccountLoad, AccountWeights},
     },
@@ -27,6 +31,7 @@
 const OBJECTIVE_MS: u64 = 1_600;
 /// Jobs that run at once: the usual load takes six of ten.
 const SLOTS: usize = 64;
+const CAPACITY: Amount = Amount { cpu: SLOTS as u64, memory: u64::MAX };
 /// How old reports of the owner are when nodes decide.
 const REPORT_AGE_MS: u64 = 1_000;
 
@@ -74,8 +79,14 @@
     60.0 * (1.0 / (account + 1) as f64) / 3.6
 }
 
-fn weight(account: usize) -> Weight {
-    Weight::per_second((usual_rate(account) * 1.9).max(1.0)).unwrap()
+/// Weights that usual load does not exceed.
+const USUAL_WEIGHTS: f64 = 1.9;
+
+/// Weights that add up to ten times what the pool can do.
+const HIGH_WEIGHTS: f64 = 17.0;
+
+fn weight(account: usize, factor: f64) -> Weight {
+    Weight::per_second((usual_rate(account) * factor).max(1.0)).unwrap()
 }
 
 fn name(account: usize) -> AccountId {
@@ -98,6 +109,8 @@
 
 struct Play {
     order: Order,
+    /// The weights, as multiples of the usual rates.
+    factor: f64,
     refuses: bool,
     weights: AccountWeights,
     senders: Vec<Sender>,
@@ -115,15 +128,21 @@
 
 impl Play {
     fn run(order: Order, refuses: bool, flooding: Option<usize>) -> Vec<Served> {
+        Play::run_with(USUAL_WEIGHTS, order, refuses, flooding)
+    }
+
+    fn run_with(factor: f64, order: Order, refuses: bool, flooding: Option<usize>) -> Vec<Served> {
         let mut accounts = Accounts::default();
         for account in 0..ACCOUNTS {
             let (id, limit) = (name(account), TaskResources::default());
-            accounts.add(Account { id, weight: Some(weight(account)), limit }, &[]);
+            let weight = Some(weight(account, factor));
+            accounts.add(Account { id, weight, limit }, &[]);
         }
         let mut weights = AccountWeights::default();
         weights.configure(Some(&accounts));
         let mut play = Play {
             order,
+            factor,
             refuses,
             weights,
             senders: (0..ACCOUNTS).map(|_| Sender::new(wall(0))).collect(),
@@ -140,10 +159,10 @@
         for now in (0..PLAY_MS + 10_000).step_by(TICK_MS as usize) {
             for (account, due) in due.iter_mut().enumerate() {
                 let is_flood = flooding == Some(account) && FLOOD_MS.contains(&now);
-                let factor = if is_flood { 12.0 } else { 1.0 };
-                let factor = if PLAY_MS <= now { 0.0 } else { factor };
-                *due += usual_rate(account) * factor * TICK_MS as f64 / 1_000.0;
-                let rate = weight(account).rate();
+                let load = if is_flood { 12.0 } else { 1.0 };
+                let load = if PLAY_MS <= now { 0.0 } else { load };
+                *due += usual_rate(account) * load * TICK_MS as f64 / 1_000.0;
+                let rate = weight(account, factor).rate();
                 let allowance = &mut play.allowance[account];
                 *allowance = (*allowance + rate * TICK_MS as f64 / 1_000.0).min(rate.max(1.0));
                 while 1.0 <= *due {
@@ -172,11 +191,17 @@
             let sent = report.and_then(|(_, loads)| loads.get(&name(account)).copied());
             let pressure = Pressure {
                 delay_ms: report.map(|(delay_ms, _)| *delay_ms),
+                share: sent.and_then(|sent| sent.share),
                 sent: sent.unwrap_or_default(),
                 nodes: 1,
             };
             let spare = OBJECTIVE_MS - TASK_MS;
-            let verdict = self.senders[account].decide(weight(account), pressure, spare, wall(now));
+            let verdict = self.senders[account].decide(
+                weight(account, self.factor),
+                pressure,
+                spare,
+                wall(now),
+            );
             if matches!(verdict, Verdict::Refused { .. }) {
                 self.served[account].refused += 1;
                 return;
@@ -187,7 +212,7 @@
         let steady = Steady::from_millis(now);
         let is_beyond = self.weights.is_beyond(&name(account), wall(now), steady);
         let virtual_start = self.virtual_time.max(self.finish[account]);
-        self.finish[account] = virtual_start + 1.0 / weight(account).rate();
+        self.finish[account] = virtual_start + 1.0 / weight(account, self.factor).rate();
         self.waiting.push(Waiting { id: self.jobs, account, sent: now, is_beyond, virtual_start });
     }
 
@@ -229,7 +254,7 @@
             Order::DominantResource => {
                 let mut used = [0.0; ACCOUNTS];
                 for (_, job) in &self.running {
-                    used[job.account] += 1.0 / weight(job.account).rate();
+                    used[job.account] += 1.0 / weight(job.account, self.factor).rate();
                 }
                 jobs.sort_by(|a, b| {
                     let by_share = used[a.account].total_cmp(&used[b.account]);
@@ -238,27 +263,54 @@
                 });
             }
             Order::Turn => {
-                let candidate = |job: &&Waiting| Candidate {
-                    job: JobId::from_number(job.id),
-                    urgency: urgency(job.sent, now),
-                    beyond: job.is_beyond.then(|| Beyond {
-                        account: name(job.account),
-                        weight: weight(job.account),
-                    }),
-                };
-                let order = turn::order(jobs.iter().map(candidate).collect());
-                return order.into_iter().map(JobId::number).collect();
+                let candidates = self.candidates(now);
+                let order = turn::order(candidates, CAPACITY);
+                let is_waiting = |id: &u64| self.waiting.iter().any(|job| job.id == *id);
+                return order.into_iter().map(JobId::number).filter(is_waiting).collect();
             }
         }
         jobs.into_iter().map(|job| job.id).collect()
     }
 
+    /// The jobs that wait or run, as the owner of the pool sees them.
+    fn candidates(&self, now: u64) -> Vec<Candidate> {
+        let candidate = |job: &Waiting, runs: u64| {
+            let (account, weight) = (name(job.account), weight(job.account, self.factor));
+            let urgency = urgency(job.sent, now);
+            let amount = |slots: u64| Amount { cpu: slots, memory: 0 };
+            Candidate {
+                job: JobId::from_number(job.id),
+                urgency,
+                beyond: job.is_beyond.then(|| Beyond { account: account.clone(), weight }),
+                claim: Some(Claim {
+                    account,
+                    weight,
+                    running: amount(runs),
+                    waiting: amount(1 - runs),
+                    work: amount((1 - runs) * TASK_MS),
+                    whole: amount(TASK_MS),
+                    counts: urgency.is_in_time() && !job.is_beyond,
+                }),
+            }
+        };
+        let waiting = self.waiting.iter().map(|job| candidate(job, 0));
+        waiting.chain(self.running.iter().map(|(_, job)| candidate(job, 1))).collect()
+    }
+
     /// What an owner reports once a second.
     fn report(&mut self, now: u64) {
         let wanted = self.waiting.iter().filter(|job| !urgency(job.sent, now).is_too_late());
         let delay_ms = wanted.count() as u64 * TASK_MS / (SLOTS as u64 / 3);
         let loads = self.weights.loads(wall(now), Steady::from_millis(now));
-        self.reports.insert(now, (delay_ms, loads.into_iter().collect()));
+        let mut loads: BTreeMap<AccountId, AccountLoad> = loads.into_iter().collect();
+        let candidates = self.candidates(now);
+        let claims = candidates.iter().filter_map(|candidate| candidate.claim.as_ref());
+        if let Some(shares) = FairShares::divide(claims, CAPACITY) {
+            for (account, share) in shares.exceeded() {
+                loads.entry(account.clone()).or_default().share = Some(share);
+            }
+        }
+        self.reports.insert(now, (delay_ms, loads));
     }
 }
 
@@ -291,6 +343,25 @@
     assert!(own.owed < own.refused, "{own:?}");
 }
 
+/// Where hardly a job is beyond a weight, the shares of a full pool protect the neighbours.
+#[test]
+fn neighbours_of_a_flood_within_its_weight_are_served_as_without_it() {
+    let play = |flooding| Play::run_with(HIGH_WEIGHTS, Order::Turn, true, flooding);
+    let (calm, flood) = (play(None), play(Some(FLOODING)));
+    let ((whole, worst), (calm_whole, calm_worst)) =
+        (neighbours(&flood, FLOODING), neighbours(&calm, FLOODING));
+    assert!(calm_whole - 0.02 <= whole, "{whole} beside {calm_whole}");
+    assert!(calm_worst - 0.05 <= worst, "{worst} beside {calm_worst}");
+    for (account, served) in flood.iter().enumerate().filter(|(one, _)| *one != FLOODING) {
+        assert_eq!(served.refused, 0, "account {account} is below its share");
+    }
+    let own = flood[FLOODING];
+    assert!(calm[FLOODING].in_time * 2 < own.in_time, "it uses what its neighbours leave: {own:?}");
+    // A report is written and known within two seconds of the flood's beginning.
+    let unknown = usual_rate(FLOODING) * 12.0 * 2.0;
+    assert!(f64::from(own.late) <= unknown, "accepted and late: {own:?}");
+}
+
 /// Refusals spare the account itself what would not be done in time.
 #[test]
 fn early_refusal_leaves_less_accepted_work_undone() {
--- a/src/jobs/urgency.rs
+++ b/src/jobs/urgency.rs
@@ -67,6 +67,11 @@
 }
 
 impl Urgency {
+    /// Whether the job is long-running, or can still end in time.
+    pub(crate) fn is_in_time(&self) -> bool {
+        self.lateness == 0
+    }
+
     /// Whether the job ends too late to be of value.
     pub(crate) fn is_too_late(&self) -> bool {
         self.lateness == 2
