Shares of a full pool: no refusal by them

So a refusal by the share is not true enough; what is refused is again only what exceeds a weight. The order of starts by shares stays.

--- a/src/jobs/admission.rs
+++ b/src/jobs/admission.rs
@@ -1,14 +1,10 @@
-//! Whether a job is accepted. What an account sends beyond its weight is accepted as long as its
-//! pool can do it in time. What comes within the weight is refused only while the pool is full and
-//! the account's share of it is in use for longer than the job can wait.
+//! Whether a job is accepted. A caller whose account is within its weight is always served; what an
+//! account sends beyond it is accepted as long as its pool can do it in time.
 
 use std::time::Duration;
 
 use crate::{
-    jobs::{
-        start::fair_share::ExceededShare,
-        weights::{AccountLoad, BURST_S},
-    },
+    jobs::weights::{AccountLoad, BURST_S},
     model::{
         account::Weight,
         job::JobRecord,
@@ -17,26 +13,17 @@
     rate::{PeerDemand, RateLimit, RateShare},
 };
 
-/// The time in which nodes accept further jobs that an owner's report does not include, in
-/// milliseconds: reports are written each half second or later, and received within another.
-const MAX_REPORT_LAG_MS: u64 = 1_000;
-
-/// The shortest time after which a caller is told to come back whose account has used up its share.
-const MIN_RETRY: Duration = Duration::from_secs(1);
-
 /// The longest time after which a refused caller is told to come back.
 const MAX_RETRY: Duration = Duration::from_secs(30);
 
 /// What the owners report that matters for the admission of a job.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct Pressure {
     /// How long work that comes to the pool now would wait, in milliseconds; `None` if no recent
     /// report says so.
     pub(crate) delay_ms: Option<u64>,
     /// What the account sends to all pools.
     pub(crate) sent: AccountLoad,
-    /// The account's share of the pool, if the pool is full and the account asks for more.
-    pub(crate) share: Option<ExceededShare>,
     /// Nodes that serve callers.
     pub(crate) nodes: u32,
 }
@@ -48,10 +35,9 @@
     Within,
     /// It is beyond its account's weight, and there is room for it.
     Beyond,
-    /// Its pool cannot do it in time: it is beyond its account's weight, or the account's share of
-    /// the full pool is in use for longer than the job can wait.
+    /// It is beyond its account's weight, and its pool cannot do it in time.
     Refused {
-        /// The time in which the weight or the share covers what the account has waiting.
+        /// The time in which its weight covers what the account has waiting beyond it.
         retry_after: Duration,
     },
 }
@@ -77,24 +63,16 @@
         spare_ms: u64,
         now: Time,
     ) -> Verdict {
-        let Pressure { sent, share, .. } = pressure;
+        let sent = pressure.sent;
         let own = self.share.demand(now);
-        let others = match sent.is_over || share.is_some() {
+        let others = match sent.is_over {
             true => PeerDemand { nodes: pressure.nodes, demand: sent.rate.saturating_sub(own) },
             false => PeerDemand { nodes: 1, demand: 0 },
         };
-        let rate = share.map_or(weight.rate(), |share| share.rate.min(weight.rate()));
-        if self.share.take(rate, others, 0.0, now).is_ok() {
+        if self.share.take(weight.rate(), others, 0.0, now).is_ok() {
             self.share.record_request(now);
             return Verdict::Within;
         }
-        if let Some(share) = share
-            && let excess_ms = (share.delay_ms + MAX_REPORT_LAG_MS).saturating_sub(spare_ms)
-            && excess_ms != 0
-        {
-            let retry_after = Duration::from_millis(excess_ms).clamp(MIN_RETRY, MAX_RETRY);
-            return Verdict::Refused { retry_after };
-        }
         if pressure.delay_ms.is_none_or(|delay| delay <= spare_ms) {
             self.share.record_request(now);
             return Verdict::Beyond;
--- a/src/jobs/owner/load.rs
+++ b/src/jobs/owner/load.rs
@@ -7,12 +7,7 @@
 
 use super::Owner;
 use crate::{
-    jobs::{
-        job::Job,
-        start::fair_share::{Amount, FairShares},
-        urgency,
-        weights::AccountLoad,
-    },
+    jobs::{job::Job, start::fair_share::Amount, urgency, weights::AccountLoad},
     model::{
         id::AccountId,
         job::{JobId, JobState, TaskResources},
@@ -33,7 +28,7 @@
 const MAX_DELAY_MS: u64 = 60_000;
 
 /// The load of a pool.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct PoolLoad {
     /// How long work beyond a weight that comes now would wait, in milliseconds.
     #[serde(rename = "d", default)]
@@ -83,13 +78,6 @@
                 accounts.entry(account.clone()).or_default().waiting += 1;
             }
         }
-        let candidates = self.candidates(now);
-        let claims = candidates.iter().filter_map(|candidate| candidate.claim.as_ref());
-        if let Some(shares) = FairShares::divide(claims, self.capacity_for_short_tasks(now)) {
-            for (account, share) in shares.exceeded() {
-                accounts.entry(account.clone()).or_default().share = Some(share);
-            }
-        }
         let mut busiest: Vec<_> = accounts.into_iter().collect();
         busiest.sort_by_key(|(account, load)| {
             (std::cmp::Reverse(load.rate + load.waiting), account.clone())
--- a/src/jobs/start/fair_share.rs
+++ b/src/jobs/start/fair_share.rs
@@ -4,8 +4,6 @@
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-
 use crate::model::{account::Weight, id::AccountId, job::TaskResources};
 
 /// An amount of processor time and memory, or of both over time.
@@ -47,35 +45,16 @@
     pub(crate) running: Amount,
     /// Asked for by its tasks that wait and are due.
     pub(crate) waiting: Amount,
-    /// The same, times the expected duration of the tasks.
-    pub(crate) work: Amount,
-    /// The expected work of the whole job.
-    pub(crate) whole: Amount,
     /// Whether the job is within the weight and can still end in time.
     pub(crate) counts: bool,
 }
 
-/// The share of an account that asks for more than that.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ExceededShare {
-    /// How long its work that waits takes at its share, in milliseconds.
-    #[serde(rename = "d")]
-    pub(crate) delay_ms: u64,
-    /// How many of its jobs its share does, per second.
-    #[serde(rename = "r")]
-    pub(crate) rate: f64,
-}
-
 /// The part of an account, in units of the resource that is short.
 #[derive(Debug, Clone, Copy, Default)]
 struct Part {
     weight: f64,
     running: u64,
     waiting: u64,
-    work: u64,
-    /// The number of its jobs that count, and their whole work.
-    jobs: u32,
-    work_of_all: u64,
     /// What it is entitled to.
     entitled: u64,
     /// What it may still be given in the current plan.
@@ -120,9 +99,6 @@
             part.running += claim.running.of(resource);
             if claim.counts {
                 part.waiting += claim.waiting.of(resource);
-                part.work += claim.work.of(resource);
-                part.jobs += 1;
-                part.work_of_all += claim.whole.of(resource);
             }
         }
         let mut accounts: Vec<&mut Part> = parts.values_mut().collect();
@@ -140,19 +116,6 @@
         part.left = part.left.saturating_sub(claim.waiting.of(self.resource));
         is_within
     }
-
-    /// The accounts that ask for more than their share, and how much that is.
-    pub(crate) fn exceeded(&self) -> impl Iterator<Item = (&AccountId, ExceededShare)> {
-        let exceeded = self.parts.iter().filter(|(_, part)| part.entitled < part.demand());
-        exceeded.map(|(account, part)| {
-            let entitled = part.entitled.max(1);
-            let delay_ms = part.work / entitled;
-            // All its jobs together would take this long at its share.
-            let all_ms = part.work_of_all / entitled;
-            let rate = f64::from(part.jobs) * 1_000.0 / all_ms.max(1) as f64;
-            (account, ExceededShare { delay_ms, rate })
-        })
-    }
 }
 
 /// Gives each account what it asks for, or else its part by weight of what the smaller ones leave.
--- a/src/jobs/weights.rs
+++ b/src/jobs/weights.rs
@@ -10,7 +10,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::start::fair_share::ExceededShare,
     model::{
         account::{Accounts, Weight},
         id::AccountId,
@@ -31,7 +30,7 @@
 const OVER_HOLD_MS: u64 = 5_000;
 
 /// What an account sends to one pool.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(crate) struct AccountLoad {
     /// Jobs accepted in the last second.
     #[serde(rename = "r", default)]
@@ -42,9 +41,6 @@
     /// Whether it has lately sent more than its weight.
     #[serde(rename = "o", default)]
     pub(crate) is_over: bool,
-    /// Its share of the pool, if the pool is full and it asks for more.
-    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
-    pub(crate) share: Option<ExceededShare>,
 }
 
 #[derive(Debug)]
@@ -120,8 +116,7 @@
     pub(crate) fn loads(&mut self, wall: Time, now: Steady) -> HashMap<AccountId, AccountLoad> {
         let loads = self.senders.iter_mut().map(|(account, sender)| {
             let rate = sender.share.demand(wall.max(sender.latest));
-            let is_over = now < sender.over_until;
-            let load = AccountLoad { rate, is_over, ..AccountLoad::default() };
+            let load = AccountLoad { rate, waiting: 0, is_over: now < sender.over_until };
             (account.clone(), load)
         });
         loads.filter(|(_, load)| *load != AccountLoad::default()).collect()
--- a/src/scheduler/view/waiting.rs
+++ b/src/scheduler/view/waiting.rs
@@ -23,7 +23,7 @@
 };
 
 /// The record of an owner's report of how many jobs of each queue have not begun.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WaitingRecord {
     /// The revision of the store up to which the owner knew its jobs. No queue has an empty name:
     /// earlier versions, which read the record as counts by queue, do not write this revision.
@@ -37,7 +37,7 @@
 }
 
 /// The last report of a pool's owner of how many jobs of each queue have not begun.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct WaitingReport {
     pub(crate) counts: BTreeMap<String, usize>,
     /// The revision of the record.
@@ -64,14 +64,10 @@
         let nodes = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
         let mut pressure = Pressure { nodes, ..Pressure::default() };
         for (name, load) in self.recent_loads(now) {
-            let is_own = *name == keys::pool(pool);
-            if is_own {
+            if *name == keys::pool(pool) {
                 pressure.delay_ms = Some(load.delay_ms);
             }
             if let Some(sent) = load.accounts.get(account) {
-                if is_own {
-                    pressure.share = sent.share;
-                }
                 pressure.sent.rate += sent.rate;
                 pressure.sent.waiting += sent.waiting;
                 pressure.sent.is_over |= sent.is_over;
