Nodes know the replicas only; owners read their jobs while watches are silent

All 588 nodes read the list of all 588 (345,744 records), the reads of owners and replicas waited behind them, and owners heard of no job for as long. And each node made three watches a second to hear that nothing had changed: 105,000 of 114,489 came from nodes that own nothing.

Cause: every node mirrored ch/all/, the list of nodes and the counts of waiting jobs; what all nodes read grows as nodes squared, and calls as nodes.

Change: the list of nodes (ch/node/) and the reports (ch/queued/) are mirrored by replicas. These publish who they are in one record, ch/all/replicas, held by the lease of its writer. If it ends, another replica writes it, or after 0.6 s a node that owns nothing; the delays of these are spread so that few read the list. Counts are read when a caller asks, and watched only where accounts have weights. The watch of op/ waits for 40 % of the time in which a change must be in force (at most 2 s) on nodes that decide nothing by its age. An owner's own watch waits 200 ms; if it is not answered 60 ms later, or twice as long as the store takes for a read, the jobs of the pool are read.

Ruled out: seats with a lease each (placement by processor time and zone is lost), records by zone (still nodes squared within a zone), reads with stale (seconds old just when history is dropped).

Tests: 50, 100 and 200 nodes after a dropped history (bytes of a read per node equal, only replicas read all records, nobody the list); a lost list published again with at most a fifth of the reads.

--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -37,6 +37,13 @@
 /// link of 10 Mbit/s.
 const BULK_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// The wait from which on a watch has connections of its own.
+const LONG_WAIT: Duration = Duration::from_secs(1);
+
+/// How long after its wait such a watch fails: it is detected that its connection has hung, or its
+/// answer is large and is read in bulk instead.
+const LONG_WATCH_MARGIN: Duration = Duration::from_secs(1);
+
 /// Number of changes, or bytes of keys and values, from which on a watch answer may be truncated:
 /// the store sends at most some 500 changes (500 to 506) or 1 MB of base64 and does not say whether
 /// there are more. Assuming truncation wrongly costs one more call.
@@ -141,6 +148,8 @@
     client: Connections,
     /// For answers that may be large or late: times out only while no data arrives.
     bulk: Connections,
+    /// For watches that wait for longer than such an answer may take to begin.
+    long: Connections,
     peer: Arc<str>,
     /// Timeout of a call.
     timeout: Duration,
@@ -238,7 +247,8 @@
         };
         let client = Connections::new(builder);
         let bulk = Connections::new(move || builder().read_timeout(BULK_READ_TIMEOUT));
-        Kv { client, bulk, peer: address.into(), timeout, observe: Arc::new(observe) }
+        let long = Connections::new(builder);
+        Kv { client, bulk, long, peer: address.into(), timeout, observe: Arc::new(observe) }
     }
 
     /// Reads all keys with a prefix, and the revision from which a watch continues: that of the
@@ -288,9 +298,13 @@
             ("since_revision", since.0.to_string()),
             ("wait_ms", wait.as_millis().to_string()),
         ];
-        let (url, timeout) = (self.url("kv-watch"), wait + BULK_TIMEOUT);
+        let url = self.url("kv-watch");
+        let (connections, timeout) = match wait < LONG_WAIT {
+            true => (&self.bulk, wait + BULK_TIMEOUT),
+            false => (&self.long, wait + LONG_WATCH_MARGIN),
+        };
         let request = |client: &Client| client.get(url).query(&query).timeout(timeout);
-        let answer = self.send("watch", &self.bulk, request).await?;
+        let answer = self.send("watch", connections, request).await?;
         match answer.status {
             StatusCode::OK => {
                 read_changes(&answer.body).map_err(|cause| self.malformed(answer.step, cause))
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -17,6 +17,8 @@
 pub(crate) mod metrics;
 pub(crate) mod mirror;
 pub(crate) mod relay;
+pub(crate) mod replicas;
+pub(crate) mod reports_refresh;
 pub(crate) mod run;
 pub(crate) mod status;
 pub(crate) mod view;
@@ -36,7 +38,7 @@
     platform::kv::Kv,
     scheduler::{
         accept::Acceptance, admission::Admission, clock::Clock, config_refresh::ConfigRefresh,
-        metrics::Metrics, relay::proof::NodeSecret, view::View,
+        metrics::Metrics, relay::proof::NodeSecret, reports_refresh::ReportsRefresh, view::View,
     },
     settings::scheduler::SchedulerSettings,
 };
@@ -50,6 +52,7 @@
     /// Proves to other nodes that a request was relayed by this process.
     pub(crate) secret: NodeSecret,
     pub(crate) config_refresh: ConfigRefresh,
+    pub(crate) reports_refresh: ReportsRefresh,
     view: Mutex<View>,
     pub(crate) admission: Admission,
     /// Submitted jobs that are yet to be written.
@@ -110,6 +113,7 @@
         clock: Clock::new(),
         secret: NodeSecret::random(),
         config_refresh: ConfigRefresh::new(),
+        reports_refresh: ReportsRefresh::new(),
         view: Mutex::default(),
         admission: Admission::new(),
         accepting,
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -377,7 +377,7 @@
     fn has_peers(&self) -> bool {
         let view = self.node.view();
         let own = self.node.settings.node.as_str();
-        view.nodes.iter().any(|(name, at)| name != own && at.value.peers.is_some())
+        view.known_nodes().any(|(name, record)| name != own && record.peers.is_some())
     }
 
     async fn answer_here(
@@ -404,6 +404,12 @@
         if *request.method() != Method::GET {
             return http::text(StatusCode::METHOD_NOT_ALLOWED, "GET\n");
         }
+        if !self.node.view().mirrors_records()
+            && self.lease.is_store_reachable(self.node.now().steady)
+            && let Err(error) = self.node.reports_refresh.refresh(&self.node).await
+        {
+            log::info!("queue {}: {error}", queue.name);
+        }
         let counted = self.node.view().pending(queue, self.node.now().steady);
         let reason = match counted {
             Ok(WaitingCount { jobs, by }) => {
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -99,6 +99,7 @@
         let settings = parse("settings", &settings.to_string()).unwrap();
         let kv = Kv::new(UNREACHABLE, Duration::from_millis(LEASE_MS), |_, _, _| {});
         let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+        node.view().ready.insert(keys::ROOT);
         let lease = Arc::new(Lease::default());
         let (inputs, _) = mpsc::unbounded_channel();
         let control_loop =
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -25,9 +25,13 @@
 const USAGE: &str = "ch/usage/";
 const ROSTER: &str = "ch/roster/";
 const SILENT_WORKERS: &str = "ch/away/";
-const NODE: &str = "ch/all/node/";
+/// The list of nodes, which replicas mirror.
+pub(crate) const NODES: &str = "ch/node/";
 const LIMIT_SHARES: &str = "ch/limit/";
-const QUEUED: &str = "ch/all/queued/";
+/// The reports of waiting jobs.
+pub(crate) const QUEUED: &str = "ch/queued/";
+/// The nodes that mirror all records.
+pub(crate) const REPLICAS: &str = "ch/all/replicas";
 
 /// The prefix that every node mirrors, whether or not it may own work.
 pub(crate) const ALL: &str = "ch/all/";
@@ -68,6 +72,8 @@
     LimitShares(AccountId),
     /// A node that may own work, by its name.
     Node(String),
+    /// The nodes that mirror all records.
+    Replicas,
     /// The number of jobs of each queue that have not begun, as reported by the owner of a pool.
     Queued(String),
 }
@@ -114,7 +120,10 @@
         if let Some(account) = rest(LIMIT_SHARES) {
             return account.parse().ok().map(Key::LimitShares);
         }
-        if let Some(name) = rest(NODE) {
+        if text == REPLICAS {
+            return Some(Key::Replicas);
+        }
+        if let Some(name) = rest(NODES) {
             return Some(Key::Node(name.to_owned()));
         }
         if let Some(name) = rest(QUEUED) {
@@ -202,7 +211,7 @@
 }
 
 pub(crate) fn node(name: &str) -> String {
-    format!("{NODE}{name}")
+    format!("{NODES}{name}")
 }
 
 pub(crate) fn roster(name: &str, worker: &Incarnation) -> String {
--- a/src/scheduler/mirror.rs
+++ b/src/scheduler/mirror.rs
@@ -1,9 +1,17 @@
 //! Mirrors the store into the view: one read of each prefix, then a watch from its revision. An
 //! answer counts as of the time when its call was sent, not of when it arrived.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use tokio::{sync::mpsc, task::yield_now, time::sleep};
+use tokio::{
+    sync::mpsc,
+    task::yield_now,
+    time::{sleep, timeout},
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -17,12 +25,14 @@
         Node,
         control_loop::Input,
         keys::{self, ROOT},
+        lease::Lease,
+        replicas,
         view::{
-            Delta,
             age::{CallStart, Extent},
             key_revisions::SourceId,
         },
     },
+    settings::scheduler::SchedulerSettings,
 };
 
 /// A prefix that is mirrored.
@@ -37,7 +47,7 @@
     owner_pause: Duration,
     /// How long a watch waits for a change: while nothing changes, the view of the prefix gets as
     /// old as this plus a pause.
-    wait: Duration,
+    wait: fn(&Node) -> Duration,
     /// Whether the prefix is read again when its watch is lost. The changes since then may be many
     /// versions of one large configuration, too much for a slow link within the time of a watch,
     /// and only the newest version is needed.
@@ -49,17 +59,26 @@
     path: OPERATOR_PREFIX,
     pause: Duration::ZERO,
     owner_pause: Duration::ZERO,
-    wait: WATCH_WAIT,
+    wait: operator_wait,
     rereads_on_loss: true,
 };
 
-/// What every node mirrors: the list of nodes, and the counts of waiting jobs, which may be two
-/// seconds old.
+/// The published list of replicas, which every node mirrors.
 const COMMON: Prefix = Prefix {
     path: keys::ALL,
     pause: Duration::from_millis(500),
     owner_pause: Duration::from_millis(500),
-    wait: COUNTS_WATCH_WAIT,
+    wait: |_| LIST_WATCH_WAIT,
+    rereads_on_loss: false,
+};
+
+/// The reports of waiting jobs, which nodes mirror for the admission by the weights of client
+/// accounts. Counts for callers may be two seconds old.
+const REPORTS: Prefix = Prefix {
+    path: keys::QUEUED,
+    pause: Duration::from_millis(500),
+    owner_pause: Duration::from_millis(500),
+    wait: |_| COUNTS_WATCH_WAIT,
     rereads_on_loss: false,
 };
 
@@ -68,7 +87,7 @@
     path: ROOT,
     pause: Duration::from_millis(120),
     owner_pause: Duration::from_millis(40),
-    wait: COUNTS_WATCH_WAIT,
+    wait: |_| COUNTS_WATCH_WAIT,
     rereads_on_loss: false,
 };
 
@@ -77,16 +96,24 @@
     path: WORKER_PREFIX,
     pause: Duration::from_millis(250),
     owner_pause: Duration::from_millis(60),
-    wait: WATCH_WAIT,
+    wait: |_| WATCH_WAIT,
     rereads_on_loss: false,
 };
 
-/// How long after its first read of the list of nodes a node decides whether it is a replica: nodes
-/// that start together are listed within that time.
-const REPLICA_DELAY: Duration = Duration::from_millis(250);
+/// How long the watch of the list of replicas waits: nothing is answered by its age. Requests that
+/// are relayed by an old list find another replica.
+const LIST_WATCH_WAIT: Duration = Duration::from_secs(10);
 
-/// How often a node checks whether it has become a replica.
-const REPLICA_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// How often a node checks whether it needs the reports of waiting jobs.
+const REPORTS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The part of the time in which a change of the configuration must be in force that a watch of it
+/// waits, in percent: the rest is for a watch that hangs, and for reading the records again twice.
+const CONFIG_WAIT_PERCENT: u32 = 40;
+
+/// The longest wait of a watch of the operator's records: a node is not ready once it has received
+/// no answer for 3.5 s, and a watch that hangs is detected one second after its wait.
+const MAX_OPERATOR_WAIT: Duration = Duration::from_secs(2);
 
 /// How long a watch waits for a change. A watch that hangs because its connection is cut is
 /// detected soon after, within the time that a change of the configuration may take.
@@ -97,6 +124,13 @@
 /// answer. Where there is work, a change ends the wait much earlier.
 const COUNTS_WATCH_WAIT: Duration = Duration::from_millis(500);
 
+/// How long an owner's own watch waits for a change.
+const OWNER_WATCH_WAIT: Duration = Duration::from_millis(200);
+
+/// How long after its wait an owner's own watch is taken to be silent, unless the store answers
+/// slowly: new jobs are then received within 300 ms by reading them.
+const OWNER_WATCH_SLACK: Duration = Duration::from_millis(60);
+
 /// The minimum time between two answers of an owner's own watch.
 const OWNER_WATCH_PAUSE: Duration = Duration::from_millis(8);
 
@@ -110,35 +144,71 @@
 
 /// Starts to mirror the store until the node ends: immediately the prefixes that all nodes
 /// mirror, and the others when the node becomes a replica. It then stays one.
-pub(crate) fn start(node: &Arc<Node>, inputs: &mpsc::UnboundedSender<Input>) {
+pub(crate) fn start(node: &Arc<Node>, lease: &Arc<Lease>, inputs: &mpsc::UnboundedSender<Input>) {
     for prefix in [OPERATOR, COMMON] {
         spawn(node, prefix, inputs);
     }
-    let (node, inputs) = (node.clone(), inputs.clone());
+    {
+        let (node, inputs) = (node.clone(), inputs.clone());
+        tokio::spawn(async move { mirror_reports(&node, &inputs).await });
+    }
+    let (node, lease, inputs) = (node.clone(), lease.clone(), inputs.clone());
     tokio::spawn(async move {
-        wait_until_replica(&node).await;
+        replicas::wait_until_chosen(&node, &lease).await;
         log::info!("node {}: hears of everything from now on", node.settings.node);
         for prefix in [RECORDS, WORKERS] {
             spawn(&node, prefix, &inputs);
         }
+        replicas::maintain(node, lease).await;
     });
 }
 
-fn spawn(node: &Arc<Node>, prefix: Prefix, inputs: &mpsc::UnboundedSender<Input>) {
-    let (node, inputs) = (node.clone(), inputs.clone());
-    tokio::spawn(async move { mirror(&node, prefix, &inputs).await });
+/// How long a watch of the operator's records waits. Nodes that may own work, check keys or know
+/// evacuated zones decide by the age of these records. Elsewhere a change must be in force in time,
+/// even if the connection of a watch has hung and the records are read again.
+pub(super) fn operator_wait(node: &Node) -> Duration {
+    let SchedulerSettings { max_key_age, zones, config_bound, .. } = &node.settings;
+    let view = node.view();
+    let has_accounts = view.config.as_ref().is_some_and(|config| config.accounts.is_some());
+    let needs_age = view.mirrors_records()
+        || has_accounts
+        || max_key_age.is_some()
+        || zones.evacuation.is_some();
+    match needs_age {
+        true => WATCH_WAIT,
+        false => (*config_bound * CONFIG_WAIT_PERCENT / 100).clamp(WATCH_WAIT, MAX_OPERATOR_WAIT),
+    }
 }
 
-async fn wait_until_replica(node: &Node) {
-    while !node.view().is_ready() {
-        sleep(REPLICA_CHECK_INTERVAL / 10).await;
-    }
-    sleep(REPLICA_DELAY).await;
-    while !node.view().replicas(&node.settings).contains(node.settings.node.as_str()) {
-        sleep(REPLICA_CHECK_INTERVAL).await;
+/// Mirrors the reports of waiting jobs while accounts have weights. Replicas receive them with the
+/// other records, and other nodes read them when a caller asks.
+async fn mirror_reports(node: &Arc<Node>, inputs: &mpsc::UnboundedSender<Input>) {
+    loop {
+        let (needs_reports, is_replica) = {
+            let view = node.view();
+            let accounts = view.config.as_ref().and_then(|config| config.accounts.as_ref());
+            let has_weights = accounts
+                .is_some_and(|accounts| accounts.iter().any(|account| account.weight.is_some()));
+            (has_weights, view.mirrors_records())
+        };
+        if is_replica {
+            return;
+        }
+        if needs_reports {
+            tokio::select! {
+                () = mirror(node, REPORTS, inputs) => {}
+                () = replicas::wait_until_mirroring(node) => {}
+            }
+        }
+        sleep(REPORTS_CHECK_INTERVAL).await;
     }
 }
 
+fn spawn(node: &Arc<Node>, prefix: Prefix, inputs: &mpsc::UnboundedSender<Input>) {
+    let (node, inputs) = (node.clone(), inputs.clone());
+    tokio::spawn(async move { mirror(&node, prefix, &inputs).await });
+}
+
 /// Watches the records of one piece of work that this node owns, so that its new jobs are received
 /// at once. The mirror receives the same changes later.
 pub(crate) fn watch_work(
@@ -176,33 +246,39 @@
 impl OwnerWatch {
     async fn run(&self, mut since: Revision, inputs: &mpsc::UnboundedSender<Input>) {
         let prefix = self.prefix.as_str();
+        let mut slack = OWNER_WATCH_SLACK;
         loop {
             let call = start_call(&self.node);
-            match self.node.kv.watch(prefix, since, WATCH_WAIT).await {
-                Ok(answer) => {
+            let watched = self.node.kv.watch(prefix, since, OWNER_WATCH_WAIT);
+            match timeout(OWNER_WATCH_WAIT + slack, watched).await {
+                Ok(Ok(answer)) => {
                     let answered = self.node.now().steady;
-                    let extent = Extent::of_watch(call, WATCH_WAIT, &answer, answered);
+                    let extent = Extent::of_watch(call, OWNER_WATCH_WAIT, &answer, answered);
                     since = answer.at.max(since);
                     let may_be_truncated = answer.may_be_truncated();
-                    let deltas = self.receive(call, answer.changes, extent);
-                    // Cannot fail: the receiver lives as long as the process.
-                    if !deltas.is_empty() {
-                        let _ = inputs.send(Input::Deltas(deltas));
-                    }
+                    self.receive(call, answer.changes, extent, inputs);
                     if !may_be_truncated {
-                        let (name, token) = (self.name.clone(), self.token);
-                        let sent = call.sent;
-                        let _ = inputs.send(Input::WatchAnswered {
-                            name,
-                            token,
-                            sent,
-                            revision: since,
-                        });
+                        self.note_current(call, since, inputs);
                         sleep(OWNER_WATCH_PAUSE).await;
                     }
+                    continue;
                 }
-                Err(error) => {
+                Ok(Err(error)) => {
                     log::debug!("store: watch of {prefix} lost at {since}: {error}");
+                }
+                Err(_) => log::debug!("store: watch of {prefix} is silent at {since}"),
+            }
+            // Watches may be silent or cut while reads are answered, and the history may be gone.
+            let began = Instant::now();
+            match self.read(inputs).await {
+                Ok(at) => {
+                    since = at.max(since);
+                    // A store that answers slowly is not silent.
+                    slack = OWNER_WATCH_SLACK.max(began.elapsed() * 2);
+                }
+                Err(error) => {
+                    log::debug!("store: {prefix} not read: {error}");
+                    slack = OWNER_WATCH_SLACK.max(began.elapsed() * 2);
                     sleep(RETRY_DELAY).await;
                     // Changes that the mirror has applied are not needed again.
                     since = since.max(self.node.view().known_revision);
@@ -210,11 +286,49 @@
             }
         }
     }
+
+    /// Reads all records of the work. Removals are received by the mirror.
+    async fn read(&self, inputs: &mpsc::UnboundedSender<Input>) -> Result<Revision, StoreError> {
+        let call = start_call(&self.node);
+        let (mut items, at) = self.node.kv.range(&self.prefix).await?;
+        items.sort_by_key(|item| item.revision);
+        let written = items.into_iter().map(|item| Change {
+            key: item.key,
+            revision: item.revision,
+            value: Some(item.value),
+        });
+        self.receive(call, written.collect(), Extent::Changes(at), inputs);
+        self.note_current(call, at, inputs);
+        Ok(at)
+    }
+
+    /// Tells the owner that it knows all of its jobs up to a revision.
+    fn note_current(
+        &self,
+        call: CallStart,
+        revision: Revision,
+        inputs: &mpsc::UnboundedSender<Input>,
+    ) {
+        let (name, token, sent) = (self.name.clone(), self.token, call.sent);
+        // Cannot fail: the receiver lives as long as the process.
+        let _ = inputs.send(Input::WatchAnswered { name, token, sent, revision });
+    }
 }
 
 impl OwnerWatch {
-    fn receive(&self, call: CallStart, changes: Vec<Change>, extent: Extent) -> Vec<Delta> {
-        self.node.view().apply_answer((&self.prefix, self.source), call, changes, extent)
+    fn receive(
+        &self,
+        call: CallStart,
+        changes: Vec<Change>,
+        extent: Extent,
+        inputs: &mpsc::UnboundedSender<Input>,
+    ) {
+        let source = (self.prefix.as_str(), self.source);
+        let deltas = self.node.view().apply_answer(source, call, changes, extent);
+        if !deltas.is_empty() {
+            // Cannot fail: the receiver lives as long as the process.
+            let _ = inputs.send(Input::Deltas(deltas));
+        }
     }
 }
 
@@ -232,8 +346,28 @@
     node.view().ages.start_call(now)
 }
 
+/// A source of the view's changes, as long as a prefix is mirrored.
+struct MirrorSource<'a> {
+    node: &'a Node,
+    id: SourceId,
+}
+
+impl MirrorSource<'_> {
+    fn new<'a>(node: &'a Node, prefix: &str) -> MirrorSource<'a> {
+        let id = node.view().key_revisions.add_source(prefix, Revision::default());
+        MirrorSource { node, id }
+    }
+}
+
+impl Drop for MirrorSource<'_> {
+    fn drop(&mut self) {
+        self.node.view().key_revisions.remove_source(self.id);
+    }
+}
+
 async fn mirror(node: &Arc<Node>, prefix: Prefix, inputs: &mpsc::UnboundedSender<Input>) {
-    let source = node.view().key_revisions.add_source(prefix.path, Revision::default());
+    let mirrored = MirrorSource::new(node, prefix.path);
+    let source = mirrored.id;
     let mut since: Option<Revision> = None;
     let mut keys: BTreeSet<String> = BTreeSet::new();
     let mut lost = false;
@@ -330,7 +464,7 @@
     keys: &mut BTreeSet<String>,
     inputs: &mpsc::UnboundedSender<Input>,
 ) -> Result<(Option<Revision>, Duration), StoreError> {
-    let Prefix { path, wait, .. } = *prefix;
+    let (path, wait) = (prefix.path, (prefix.wait)(node));
     let call = start_call(node);
     let answer = match node.kv.watch(path, since, wait).await {
         Ok(answer) => answer,
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -294,9 +294,9 @@
     call.method != Method::GET && status.is_client_error() && status != StatusCode::GONE
 }
 
-/// The other known nodes, in an order that depends on the subject so that they share the load. For
-/// queues, replicas come first, beginning after those that failed before: the cause of a failure is
-/// not specific to the queue and may last.
+/// The other known nodes, in an order that depends on the subject so that they share the load.
+/// Replicas come first: they know every node that may relay. For queues, those that failed before
+/// come last: the cause of a failure is not specific to the queue and may last.
 fn peers(
     node: &Node,
     subject: &Subject,
@@ -305,13 +305,14 @@
 ) -> Vec<SocketAddr> {
     let view = node.view();
     let replicas = view.replicas(&node.settings);
-    let others = view.nodes.iter().filter(|(name, _)| **name != *node.settings.node.as_str());
+    let own_name = node.settings.node.as_str();
+    let others = view.known_nodes().filter(|(name, _)| *name != own_name);
     let mut peers: Vec<Peer> = others
-        .filter_map(|(name, at)| {
-            let address = at.value.peers?;
-            let is_replica = replicas.contains(name.as_str());
+        .filter_map(|(name, record)| {
+            let address = record.peers?;
+            let is_replica = replicas.contains(name);
             let failed = has_failed(&address);
-            Some(Peer { address, zone: at.value.zone.clone(), is_replica, failed })
+            Some(Peer { address, zone: record.zone.clone(), is_replica, failed })
         })
         .collect();
     drop(view);
@@ -319,8 +320,7 @@
     peers.sort_by_key(|Peer { address, is_replica, .. }| {
         let mut hasher = DefaultHasher::new();
         (address, subject).hash(&mut hasher);
-        let comes_later = is_queue && !is_replica;
-        (comes_later, hasher.finish())
+        (!is_replica, hasher.finish())
     });
     if is_queue {
         let replica_count = peers.iter().filter(|peer| peer.is_replica).count();
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -71,7 +71,7 @@
     let (inputs, received) = mpsc::unbounded_channel();
     tokio::spawn(lease::maintain(node.clone(), lease.clone()));
     tokio::spawn(accept::write(node.clone(), waiting));
-    mirror::start(&node, &inputs);
+    mirror::start(&node, &lease, &inputs);
     let worker_client = WorkerClient::new();
     let control_loop =
         ControlLoop::new(node.clone(), lease.clone(), worker_client.clone(), inputs.clone());
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -12,6 +12,7 @@
 mod lease_fuzz;
 mod link_failures;
 mod links;
+mod node_list;
 mod order_wire;
 mod out_of_order;
 mod overwritten;
--- a/src/scheduler/tests/out_of_order.rs
+++ b/src/scheduler/tests/out_of_order.rs
@@ -65,10 +65,8 @@
         kind("ch/wave/3", wave(false), wave(true), |view| !view.waves.is_empty()),
         kind("ch/usage/pool-a", json!({}), json!({ "i": ["h1"] }), |view| !view.usages.is_empty()),
         kind("ch/called/h1", called(1), called(2), |view| !view.host_calls.is_empty()),
-        kind("ch/all/node/n1", json!({ "cpu": 1 }), json!({ "cpu": 2 }), |view| {
-            !view.nodes.is_empty()
-        }),
-        kind("ch/all/queued/pool-a", json!({ "q": 1 }), json!({ "q": 2 }), |view| {
+        kind("ch/node/n1", json!({ "cpu": 1 }), json!({ "cpu": 2 }), |view| !view.nodes.is_empty()),
+        kind("ch/queued/pool-a", json!({ "q": 1 }), json!({ "q": 2 }), |view| {
             !view.waiting_reports.is_empty()
         }),
         kind("ch/roster/pool-a/w1", report(None), report(Some(1)), |view| !view.rosters.is_empty()),
--- a/src/scheduler/tests/ownership.rs
+++ b/src/scheduler/tests/ownership.rs
@@ -156,7 +156,7 @@
     let (lease, (inputs, receiver)) = (Arc::new(Lease::default()), mpsc::unbounded_channel());
     tokio::spawn(lease::maintain(node.clone(), lease.clone()));
     tokio::spawn(accept::write(node.clone(), waiting));
-    mirror::start(&node, &inputs);
+    mirror::start(&node, &lease, &inputs);
     tokio::spawn(ControlLoop::new(node.clone(), lease, WorkerClient::new(), inputs).run(receiver));
     node
 }
--- a/src/scheduler/tests/stale_view.rs
+++ b/src/scheduler/tests/stale_view.rs
@@ -28,7 +28,10 @@
         job::{JobId, JobState, Progress},
         unit::{Revision, Time},
     },
-    platform::kv::{Kv, Txn},
+    platform::{
+        kv::{Kv, Txn},
+        store::LeaseId,
+    },
     scheduler::{
         Node, accept,
         api::{Api, Sender},
@@ -41,7 +44,7 @@
             RELAYED_HEADER, Relay,
             proof::{self, Covered, Proof},
         },
-        view::{age::MAX_RECORDS_AGE_MS, waiting::WaitingRecord},
+        view::waiting::WaitingRecord,
     },
     settings::scheduler::parse,
     standin::site,
@@ -50,6 +53,9 @@
 
 /// Timeout of a call of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// The lease of all nodes of a test, and how long the store keeps it.
+const LEASE: LeaseId = 1;
+const LONG_TTL: Duration = Duration::from_secs(600);
 const TTL: Duration = Duration::from_millis(LEASE_MS);
 /// Milliseconds after which a record is too old to answer from.
 const STALE_MS: u64 = 6_000;
@@ -157,7 +163,8 @@
         harness.put(keys::node("large"), json(&json!({ "cpu": 9_000 }))).await;
         wait_for("the node to know its peer", async || {
             let view = harness.node.view();
-            (view.is_ready() && view.nodes.contains_key("large")).then_some(())
+            let replicas = view.replicas(&harness.node.settings);
+            (view.is_ready() && replicas.contains("large")).then_some(())
         })
         .await;
         harness
@@ -171,6 +178,8 @@
                 .await
                 .unwrap();
         let kv = Kv::new(&site.address, STORE_TIMEOUT, |_, _, _| {});
+        let (lease, _) = kv.grant(LONG_TTL).await.unwrap();
+        assert_eq!(lease, LEASE);
         let config = json!({
             "version": 1,
             "routes": [{
@@ -240,18 +249,7 @@
     pub(super) fn advance(&self, millis: u64) {
         self.node.clock.simulate_pause(millis);
         let now = self.node.now().steady;
-        self.lease.note_renewed(1, now, TTL, now);
-    }
-
-    /// Advances the node's clock, and waits until the watch of the records for all nodes is
-    /// answered.
-    async fn advance_until_watched(&self, millis: u64) {
-        self.advance(millis);
-        wait_for("the watch to be answered", async || {
-            let now = self.node.now().steady;
-            self.node.view().ages.is_within(keys::ALL, MAX_RECORDS_AGE_MS, now).then_some(())
-        })
-        .await;
+        self.lease.note_renewed(LEASE, now, TTL, now);
     }
 
     /// What a caller gets for a path.
@@ -318,9 +316,9 @@
     tokio::spawn(accept::write(node.clone(), waiting));
     let lease = Arc::new(Lease::default());
     let now = node.now().steady;
-    lease.note_renewed(1, now, TTL, now);
+    lease.note_renewed(LEASE, now, TTL, now);
     let (inputs, _) = mpsc::unbounded_channel();
-    mirror::start(&node, &inputs);
+    mirror::start(&node, &lease, &inputs);
     let api = api(&node, &lease, Sender::Callers);
     (node, lease, api)
 }
@@ -360,6 +358,7 @@
     .await;
     harness.publish(&json!({ QUEUE: 2 })).await;
     wait_for("the last report to be received", async || {
+        let _ = harness.pending().await;
         let view = harness.node.view();
         let report = view.waiting_reports.get(&keys::pool(&pool()))?;
         (report.counts.get(QUEUE) == Some(&2)).then_some(())
@@ -368,7 +367,7 @@
     for number in 1..=4 {
         harness.submit(number).await;
     }
-    harness.advance_until_watched(STALE_MS).await;
+    harness.advance(STALE_MS);
     assert_eq!(harness.pending().await, Err(UNAVAILABLE), "4 jobs have waited for 6 s");
     wait_for("the next report to be received", async || {
         harness.publish(&json!({ QUEUE: 4 })).await;
@@ -400,9 +399,10 @@
     for number in 1..=4 {
         harness.submit(number).await;
     }
-    harness.advance_until_watched(STALE_MS).await;
+    harness.advance(STALE_MS);
     publish(0, counted).await;
     wait_for("the late report to be received", async || {
+        let _ = harness.pending().await;
         let view = harness.node.view();
         (view.waiting_reports.get(&keys::pool(&pool()))?.known == Some(counted)).then_some(())
     })
--- a/src/scheduler/tests/view_age.rs
+++ b/src/scheduler/tests/view_age.rs
@@ -12,7 +12,7 @@
     platform::kv::{Change, WatchBatch},
     scheduler::{
         control_loop::json as bytes,
-        keys::{self, ALL, ROOT},
+        keys::{self, QUEUED, ROOT},
         view::{
             View,
             age::{Ages, Extent, MAX_RECORDS_AGE_MS, MAX_REPORT_AGE_MS},
@@ -38,7 +38,7 @@
     assert_eq!(ages.as_of(ROOT), Some(at(100)));
     assert_eq!(ages.age_ms(ROOT, at(2_600)), Some(2_500));
     assert!(ages.is_within(ROOT, 2_500, at(2_600)) && !ages.is_within(ROOT, 2_499, at(2_600)));
-    assert_eq!(ages.as_of(ALL), None, "another prefix is not affected");
+    assert_eq!(ages.as_of(QUEUED), None, "another prefix is not affected");
 }
 
 #[test]
@@ -137,7 +137,7 @@
 /// The watch of the records for all nodes answers a call sent at `sent`, with a waiting report or
 /// with nothing.
 fn receive(view: &mut View, sent: u64, report: Option<(&str, u64)>) {
-    let source = view.key_revisions.add_source(ALL, Revision(0));
+    let source = view.key_revisions.add_source(QUEUED, Revision(0));
     let call = view.ages.start_call(at(sent));
     let change = report.map(|(pool, jobs)| Change {
         key: keys::queued(pool),
@@ -145,7 +145,7 @@
         value: Some(bytes(&json!({ "quotes": jobs })).into()),
     });
     let extent = Extent::Changes(Revision(sent));
-    view.apply_answer((ALL, source), call, change.into_iter().collect(), extent);
+    view.apply_answer((QUEUED, source), call, change.into_iter().collect(), extent);
 }
 
 #[test]
@@ -183,7 +183,7 @@
 #[test]
 fn a_stale_view_is_logged_once_and_so_is_its_recovery() {
     let mut monitor = AgeMonitor::default();
-    let mut check = |age, now| monitor.check(age, at(now));
+    let mut check = |age, now| monitor.check(age, MAX_RECORDS_AGE_MS, at(now));
     assert_eq!(check(MAX_RECORDS_AGE_MS, 10_000), None);
     assert_eq!(
         check(MAX_RECORDS_AGE_MS + 1, 10_200),
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -42,6 +42,7 @@
         access::Holder,
         keys::{self, Key},
         relay::proof::NodeSecret,
+        replicas::{PublishedReplicas, ReplicaList},
         view::{
             age::{Ages, CallStart, Extent},
             key_revisions::{KeyRevisions, SourceId},
@@ -215,7 +216,10 @@
     pub(crate) jobs: HashMap<JobId, KnownJob>,
     pub(crate) owners: BTreeMap<String, Versioned<OwnerRecord>>,
     pub(crate) terms: BTreeMap<String, Versioned<TermRecord>>,
+    /// All nodes, if this one mirrors the records.
     pub(crate) nodes: BTreeMap<String, Versioned<NodeRecord>>,
+    /// The nodes that mirror all records, as published.
+    pub(crate) published: PublishedReplicas,
     /// The last secret of each node. Stays when the record is removed with its lease: a node that
     /// cannot reach the store relays its callers' requests.
     pub(crate) node_secrets: BTreeMap<String, NodeSecret>,
@@ -310,9 +314,35 @@
         self.is_ready() && self.ready.contains(keys::ROOT) && self.ready.contains(WORKER_PREFIX)
     }
 
+    /// Whether all records of the scheduler were read once.
+    pub(crate) fn mirrors_records(&self) -> bool {
+        self.ready.contains(keys::ROOT)
+    }
+
+    /// The nodes that this one knows: all of them if it mirrors the records, or else the replicas.
+    pub(crate) fn known_nodes(&self) -> impl Iterator<Item = (&str, &NodeRecord)> {
+        let is_complete = self.mirrors_records();
+        let all = self.nodes.iter().filter(move |_| is_complete);
+        let published = self.published.list.replicas.iter().filter(move |_| !is_complete);
+        let all = all.map(|(name, at)| (name.as_str(), &at.value));
+        all.chain(published.map(|(name, record)| (name.as_str(), record)))
+    }
+
+    /// The number of nodes.
+    pub(crate) fn node_count(&self) -> u32 {
+        match self.mirrors_records() {
+            true => self.nodes.len().try_into().unwrap_or(u32::MAX),
+            false => self.published.list.nodes,
+        }
+    }
+
     /// The nodes that mirror every prefix: those with the most processor time, over all zones if the
-    /// loss of one is tolerated, and all owners.
+    /// loss of one is tolerated, and all owners. A node that is none of them knows them by the
+    /// published list.
     pub(crate) fn replicas(&self, settings: &SchedulerSettings) -> BTreeSet<&str> {
+        if !self.mirrors_records() {
+            return self.published.list.replicas.keys().map(String::as_str).collect();
+        }
         let over_zones = settings.zones.tolerated_losses != 0;
         let nodes = self.nodes.iter().map(|(name, at)| {
             let NodeRecord { cpu, zone, .. } = &at.value;
@@ -505,6 +535,21 @@
                 set(&mut self.nodes, name, record);
                 None
             }
+            Key::Replicas => {
+                let read: Option<Versioned<ReplicaList>> = read(&text, value, revision, refused);
+                let revision = value.map_or(Revision(0), |_| revision);
+                let is_valid = read.is_some();
+                // The last list stays in use.
+                let last = std::mem::take(&mut self.published.list);
+                let list = read.map_or(last, |at| at.value);
+                for (name, record) in &list.replicas {
+                    if let Some(secret) = record.secret {
+                        self.node_secrets.insert(name.clone(), secret);
+                    }
+                }
+                self.published = PublishedReplicas { list, revision, is_valid };
+                None
+            }
             Key::Queued(name) => {
                 let received = self.call_sent;
                 match read(&text, value, revision, refused) {
--- a/src/scheduler/view/waiting.rs
+++ b/src/scheduler/view/waiting.rs
@@ -14,7 +14,7 @@
         unit::{Revision, Steady},
     },
     scheduler::{
-        keys::{self, ALL, ROOT},
+        keys::{self, QUEUED, ROOT},
         view::{
             KnownJob, View,
             age::{MAX_RECORDS_AGE_MS, MAX_REPORT_AGE_MS, StaleData},
@@ -61,8 +61,7 @@
     /// How long work that comes to a pool now would wait, and what an account sends to all pools,
     /// by the recent reports of the owners.
     pub(crate) fn pressure(&self, pool: &PoolId, account: &AccountId, now: Steady) -> Pressure {
-        let nodes = u32::try_from(self.nodes.len()).unwrap_or(u32::MAX);
-        let mut pressure = Pressure { nodes, ..Pressure::default() };
+        let mut pressure = Pressure { nodes: self.node_count(), ..Pressure::default() };
         for (name, load) in self.recent_loads(now) {
             if *name == keys::pool(pool) {
                 pressure.delay_ms = Some(load.delay_ms);
@@ -114,7 +113,10 @@
 
     /// Adds up the owners' reports: of the queue's pool, and of the pools that it led to before.
     fn add_up(&self, queue: &Queue, now: Steady) -> Result<WaitingCount, StaleData> {
-        self.ages.check(ALL, MAX_RECORDS_AGE_MS, now)?;
+        // Replicas receive the reports with all records.
+        if !self.ages.is_within(ROOT, MAX_RECORDS_AGE_MS, now) {
+            self.ages.check(QUEUED, MAX_RECORDS_AGE_MS, now)?;
+        }
         let own = keys::pool(&queue.pool);
         if !self.waiting_reports.contains_key(&own) {
             return Err(StaleData {
--- a/src/scheduler/view_age.rs
+++ b/src/scheduler/view_age.rs
@@ -8,11 +8,7 @@
 use crate::{
     model::unit::Steady,
     platform::records::{OPERATOR_PREFIX, WORKER_PREFIX},
-    scheduler::{
-        Node,
-        keys::{ALL, ROOT},
-        view::age::MAX_RECORDS_AGE_MS,
-    },
+    scheduler::{Node, keys::ROOT, mirror, view::age::MAX_RECORDS_AGE_MS},
 };
 
 /// How often the ages are checked.
@@ -39,9 +35,15 @@
 }
 
 impl AgeMonitor {
-    /// Checks the age of a prefix; returns the change to log, if any.
-    pub(crate) fn check(&mut self, age_ms: u64, now: Steady) -> Option<Transition> {
-        let is_stale = MAX_RECORDS_AGE_MS < age_ms;
+    /// Checks the age of a prefix against the one from which on it is stale; returns the change to
+    /// log, if any.
+    pub(crate) fn check(
+        &mut self,
+        age_ms: u64,
+        max_age_ms: u64,
+        now: Steady,
+    ) -> Option<Transition> {
+        let is_stale = max_age_ms < age_ms;
         if is_stale == self.stale_since.is_some() || now < self.next_log {
             return None;
         }
@@ -62,12 +64,19 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = node.now().steady;
-        for prefix in [OPERATOR_PREFIX, ALL, ROOT, WORKER_PREFIX] {
+        for prefix in [OPERATOR_PREFIX, ROOT, WORKER_PREFIX] {
             let Some(age_ms) = node.view().ages.age_ms(prefix, now) else {
                 continue;
             };
             node.metrics.set_view_age(prefix, Duration::from_millis(age_ms));
-            match logged.entry(prefix).or_default().check(age_ms, now) {
+            let max_age_ms = match prefix {
+                // A watch that is answered in time and one that follows it.
+                OPERATOR_PREFIX => {
+                    MAX_RECORDS_AGE_MS.max(2 * mirror::operator_wait(&node).as_millis() as u64)
+                }
+                _ => MAX_RECORDS_AGE_MS,
+            };
+            match logged.entry(prefix).or_default().check(age_ms, max_age_ms, now) {
                 Some(Transition::Stale { age_ms }) => {
                     log::warn!("view of {prefix}: stale: {age_ms} ms old");
                 }
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -30,6 +30,9 @@
 /// Default of the greatest age of the configuration with which a strict node accepts keys.
 const DEFAULT_KEY_AGE: Duration = Duration::from_millis(5_000);
 
+/// Default of the time within which a change of the configuration must be in force.
+const DEFAULT_CONFIG_BOUND: Duration = Duration::from_secs(2);
+
 /// Most availability zones of a deployment.
 const MAX_ZONES: u64 = 1_000;
 
@@ -52,6 +55,8 @@
     /// `None` for any age: keys then stay valid while the node cannot reach the store.
     pub(crate) max_key_age: Option<Duration>,
     pub(crate) zones: ZoneSettings,
+    /// The time within which a change of the configuration must be in force.
+    pub(crate) config_bound: Duration,
 }
 
 /// What the node does about availability zones.
@@ -110,6 +115,9 @@
     let sizing = section.section_or_default("pools", sizing);
     let max_key_age = section.section_or_default("keys", keys);
     let zones = section.section_or_default("zones", zones);
+    let config_bound = section.section_or_default("configuration", |inner| {
+        inner.millis_or("apply_ms", 500..=600_000, DEFAULT_CONFIG_BOUND)
+    });
     let replicas = section.number_or("replicas", 1..=10_000, DEFAULT_REPLICAS);
     Some(SchedulerSettings {
         node: node?,
@@ -122,6 +130,7 @@
         replicas: replicas? as usize,
         max_key_age: max_key_age?,
         zones: zones?,
+        config_bound: config_bound?,
     })
 }
 
--- a/tests/scheduler.rs
+++ b/tests/scheduler.rs
@@ -566,7 +566,7 @@
     let node = site.node("one").await;
     let secret = [7; 32];
     let record = json!({ "cpu": 1, "secret": "07".repeat(32) });
-    let url = format!("http://{}/put?ch/all/node/peer", site.address);
+    let url = format!("http://{}/put?ch/node/peer", site.address);
     site.client.post(url).json(&record).send().await.unwrap();
     let path = "/quotes/00000000000000a1";
     let ask = async |header: String| {
@@ -742,7 +742,7 @@
     let site = Site::start("listed", 1).await;
     let is_listed = async || {
         let url = format!("http://{}/-/kv-key", site.address);
-        let query = [("private_key", "ch/all/node/one")];
+        let query = [("private_key", "ch/node/one")];
         let answer = site.client.get(url).query(&query).send().await.unwrap();
         (answer.status() == StatusCode::OK).then_some(())
     };
