Host calls and drain marks by what the platform accepts; pools without work by what others need

What callers saw: pools of the fleet kept 4,000 hosts that nobody needed for 20 s and more; 190 hosts a second left them, where the platform accepts 590 calls a second. Cause: MAX_CALLS_IN_FLIGHT 64 and MAX_UNSEEN_MARKS 32, for a platform that accepts 64; a pool that had had no work was not sized at all.

Change (C): pools.calls_per_s, filled from the platform's limit, bounds the calls of a second and those in flight; marks may be half a second of calls ahead of the view, half as many each half second that the view lags by more than that, and grow again by what it shows. For 64 this is the earlier 32, and the test of a node that takes 4 ms a change passes as it was. A rejection at the full rate lowers it by a sixteenth for good. Calls of one plan are recorded 31 in a write, not one. Change (D): a pool that has had no work keeps the part of its hosts that the most demanding pool has wanted, and a quarter; none before any pool has had work.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -63,11 +63,19 @@
     /// How long a pool keeps hosts after its demand has dropped, in milliseconds: a move costs as
     /// much as one second of a host.
     pub(crate) shrink_after_ms: u64,
+    /// How many calls that move or maintain hosts the platform accepts per second.
+    pub(crate) max_calls: usize,
 }
 
 impl Default for Sizing {
     fn default() -> Sizing {
-        Sizing { full_percent: 80, growth_percent: 0, margin_hosts: 1, shrink_after_ms: 3_000 }
+        Sizing {
+            full_percent: 80,
+            growth_percent: 0,
+            margin_hosts: 1,
+            shrink_after_ms: 3_000,
+            max_calls: 64,
+        }
     }
 }
 
@@ -215,9 +223,13 @@
     marks: Marks,
     /// The state of this owner's writes for each wave.
     waves: BTreeMap<u64, WaveWrites>,
-    /// Pools that have had work that ends by itself. Only these give up hosts that they do not
-    /// need; the others keep the size that the operator gave them.
+    /// Pools that have had work that ends by itself. These give up hosts that they do not need; the
+    /// others keep what their first work is expected to need.
     active_pools: BTreeSet<PoolId>,
+    /// The most hosts that each of these pools has wanted.
+    peaks: BTreeMap<PoolId, usize>,
+    /// The most hosts that each pool has had.
+    largest: BTreeMap<PoolId, usize>,
     hosts: BTreeMap<HostId, ListedHost>,
     zones: EvacuatedZones,
     /// The processor time of a host, in millicores.
@@ -239,11 +251,13 @@
             token,
             sizing,
             calls: BTreeMap::new(),
-            rate_limiter: RateLimiter::default(),
+            rate_limiter: RateLimiter::new(sizing.max_calls),
             incoming: BTreeMap::new(),
-            marks: Marks::default(),
+            marks: Marks::new(sizing.max_calls),
             waves: BTreeMap::new(),
             active_pools: BTreeSet::new(),
+            peaks: BTreeMap::new(),
+            largest: BTreeMap::new(),
             hosts: BTreeMap::new(),
             zones: EvacuatedZones::default(),
             host_cpu: 0,
@@ -274,6 +288,14 @@
             self.hosts = hosts.into_iter().map(|host| (host.host.clone(), host)).collect();
             self.listed_at = Some(sent);
             self.update_host_cpu();
+            let mut sizes: BTreeMap<&PoolId, usize> = BTreeMap::new();
+            for host in self.hosts.values() {
+                *sizes.entry(&host.pool).or_default() += 1;
+            }
+            for (pool, size) in sizes {
+                let largest = self.largest.entry(pool.clone()).or_default();
+                *largest = size.max(*largest);
+            }
         }
     }
 
--- a/src/jobs/fleet/calls.rs
+++ b/src/jobs/fleet/calls.rs
@@ -16,9 +16,6 @@
 /// repeated call as done if the first one was carried out.
 const CALL_RETRY_MS: u64 = 300;
 
-/// The most calls in flight at one time: as many as the platform may allow per second.
-const MAX_CALLS_IN_FLIGHT: usize = 64;
-
 /// How long no call is made after the platform has rejected one, in milliseconds: a quarter of the
 /// platform's limit per second is free again by then.
 const RATE_LIMIT_PAUSE_MS: u64 = 250;
@@ -27,16 +24,21 @@
 const RATE_WINDOW_MS: u64 = 1_000;
 
 /// The lower bound of the limit, in calls per window, however many calls are rejected: the calls of
-/// an earlier owner may have used up the window. Growing by a quarter each second, the limit is
-/// back at 64 after 7 s.
+/// an earlier owner may have used up the window. The limit grows by a quarter each second.
 const MIN_CALL_RATE: usize = 16;
 
+/// By which part the greatest limit is lowered when a call was rejected at that limit: calls that
+/// take different times on the way arrive closer together than they were sent.
+const ARRIVAL_MARGIN: usize = 16;
+
 /// Adapts the rate of calls to what the platform accepts. If each host were retried independently,
 /// rejected calls would be repeated ahead of calls of higher priority.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct RateLimiter {
-    /// The limit in calls per window; `None` until a call has been rejected.
-    limit: Option<usize>,
+    /// The limit in calls per window.
+    limit: usize,
+    /// The greatest limit.
+    max: usize,
     /// When the limit was last changed.
     limit_changed: Steady,
     /// When the calls of the current window were made, without those that were rejected.
@@ -45,6 +47,17 @@
 }
 
 impl RateLimiter {
+    /// A limiter for a platform that accepts so many calls per second.
+    pub(super) fn new(max: usize) -> RateLimiter {
+        RateLimiter {
+            limit: max,
+            max,
+            limit_changed: Steady::default(),
+            recent_calls: VecDeque::new(),
+            paused_until: Steady::default(),
+        }
+    }
+
     /// How many calls may be made now. The limit rises by a quarter per second as long as no call
     /// is rejected, since other nodes may have used up the platform's limit before.
     fn available(&mut self, now: Steady) -> usize {
@@ -52,14 +65,11 @@
         if now < self.paused_until {
             return 0;
         }
-        let Some(limit) = &mut self.limit else {
-            return usize::MAX;
-        };
-        if RATE_WINDOW_MS <= now.since(self.limit_changed) {
-            *limit += limit.div_ceil(4);
+        if self.limit < self.max && RATE_WINDOW_MS <= now.since(self.limit_changed) {
+            self.limit = (self.limit + self.limit.div_ceil(4)).min(self.max);
             self.limit_changed = now;
         }
-        limit.saturating_sub(self.recent_calls.len())
+        self.limit.saturating_sub(self.recent_calls.len())
     }
 
     /// Drops calls that are older than the window.
@@ -73,8 +83,11 @@
     fn back_off(&mut self, now: Steady) {
         self.expire(now);
         self.recent_calls.pop_back();
+        if self.limit == self.max && self.paused_until <= now {
+            self.max = (self.max - self.max / ARRIVAL_MARGIN).max(MIN_CALL_RATE);
+        }
         let limit = self.recent_calls.len().max(MIN_CALL_RATE);
-        self.limit = Some(self.limit.map_or(limit, |current| current.min(limit)));
+        self.limit = self.limit.min(limit).min(self.max);
         self.limit_changed = now;
         self.paused_until = now.after(RATE_LIMIT_PAUSE_MS);
     }
@@ -177,7 +190,7 @@
         let in_flight =
             self.calls.values().filter(|call| call.state == CallState::InFlight).count();
         let mut allowed =
-            MAX_CALLS_IN_FLIGHT.saturating_sub(in_flight).min(self.rate_limiter.available(now));
+            self.sizing.max_calls.saturating_sub(in_flight).min(self.rate_limiter.available(now));
         if allowed == 0 {
             return;
         }
--- a/src/jobs/fleet/marks.rs
+++ b/src/jobs/fleet/marks.rs
@@ -12,12 +12,17 @@
     unit::{Revision, Steady},
 };
 
-/// The most writes and removals of marks that the view does not show yet. If the view lags by a
-/// quarter of a second, this allows all of the 64 calls per second that a platform may accept (512
-/// moves in 8 s in a simulation of the store and the node, the same as with 256). If it lags more,
-/// fewer calls are made, so that a stale view causes less load: with 256, a node that takes 4 ms
-/// per change fell 4.3 s behind because of its own orders.
-const MAX_UNSEEN_MARKS: usize = 32;
+/// For how long of the platform's calls marks may be written ahead of what the view shows, as a part
+/// of a second: a view usually lags by a quarter of a second, and each move takes a mark and a
+/// removal.
+const UNSEEN_PART: usize = 2;
+
+/// The lag of the view from which on fewer marks are written, in milliseconds. Otherwise an owner
+/// that takes several milliseconds to apply a change falls behind because of its own orders.
+const SLOW_VIEW_MS: u64 = 500;
+
+/// The least number of unseen marks, however slow the view is.
+const MIN_UNSEEN: usize = 16;
 
 /// A drain mark as stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,8 +35,8 @@
 #[derive(Debug, Clone)]
 enum MarkWrite {
     Marking(HostAction),
-    /// Committed, and not shown by the view yet.
-    Marked(DrainMark),
+    /// Committed at this time, and not shown by the view yet.
+    Marked(DrainMark, Steady),
     /// The mark is being removed.
     Unmarking(DrainMark),
     /// Failed: nothing is decided for the host before this time.
@@ -44,6 +49,36 @@
     mark: Revision,
     /// The revision of the removal, or that of the mark if the removal's is not known.
     until: Revision,
+    /// When it was committed.
+    at: Steady,
+}
+
+/// How many marks may be written and removed that the view does not show yet.
+#[derive(Debug, Default)]
+struct UnseenLimit {
+    limit: usize,
+    max: usize,
+    /// When it was last lowered.
+    lowered: Steady,
+}
+
+impl UnseenLimit {
+    fn new(max_calls: usize) -> UnseenLimit {
+        let max = (max_calls / UNSEEN_PART).max(MIN_UNSEEN);
+        UnseenLimit { limit: max, max, lowered: Steady::default() }
+    }
+
+    /// Halves the limit while the view lags, by the oldest unseen write, and raises it by the number
+    /// of writes that it has `shown` otherwise.
+    fn adapt(&mut self, oldest: Option<Steady>, shown: usize, now: Steady) {
+        let is_slow = oldest.is_some_and(|at| SLOW_VIEW_MS < now.since(at));
+        if !is_slow {
+            self.limit = (self.limit + shown).min(self.max);
+        } else if SLOW_VIEW_MS <= now.since(self.lowered) {
+            self.limit = (self.limit / 2).max(MIN_UNSEEN);
+            self.lowered = now;
+        }
+    }
 }
 
 /// A mark as known to the owner.
@@ -62,27 +97,36 @@
     since: BTreeMap<HostId, Steady>,
     writes: BTreeMap<HostId, MarkWrite>,
     removals: BTreeMap<HostId, Removal>,
+    unseen: UnseenLimit,
     /// How often a host or a mark was visited.
     #[cfg(test)]
     pub(super) visits: std::cell::Cell<usize>,
 }
 
 impl Marks {
+    /// No marks, for a platform that accepts so many calls per second.
+    pub(super) fn new(max_calls: usize) -> Marks {
+        Marks { unseen: UnseenLimit::new(max_calls), ..Marks::default() }
+    }
+
     /// Combines the marks that the view shows with the results of writes.
     pub(super) fn refresh(&mut self, snapshot: &FleetSnapshot<'_>, now: Steady) {
         let revision_in_view = |host: &HostId| snapshot.marks.get(host).map(|mark| mark.revision);
+        let unseen_before = self.unseen_count();
         self.removals.retain(|host, removal| {
             snapshot.view_revision < removal.until
                 || revision_in_view(host).is_some_and(|at| at <= removal.mark)
         });
         self.writes.retain(|host, write| match write {
             MarkWrite::Marking(_) | MarkWrite::Unmarking(_) => true,
-            MarkWrite::Marked(mark) => {
+            MarkWrite::Marked(mark, _) => {
                 snapshot.view_revision < mark.revision
                     && revision_in_view(host).is_none_or(|at| at < mark.revision)
             }
             MarkWrite::BackingOff(until) => now < *until,
         });
+        let shown = unseen_before.saturating_sub(self.unseen_count());
+        self.unseen.adapt(self.oldest_unseen(), shown, now);
         let removals = &self.removals;
         let is_current = |(host, mark): &(&HostId, &DrainMark)| {
             removals.get(*host).is_none_or(|removal| removal.mark < mark.revision)
@@ -100,7 +144,7 @@
         for (host, write) in &self.writes {
             let mark = match write {
                 MarkWrite::Marking(action) => KnownMark { action: action.clone(), confirmed: None },
-                MarkWrite::Marked(mark) | MarkWrite::Unmarking(mark) => known(mark),
+                MarkWrite::Marked(mark, _) | MarkWrite::Unmarking(mark) => known(mark),
                 MarkWrite::BackingOff(_) => continue,
             };
             self.known.insert(host.clone(), mark);
@@ -142,7 +186,7 @@
     /// The mark of a host, if it is certain to be stored and no write of it is in flight.
     pub(super) fn confirmed_mark(&self, host: &HostId) -> Option<(&HostAction, Revision)> {
         let in_progress = match self.writes.get(host) {
-            None | Some(MarkWrite::Marked(_)) => false,
+            None | Some(MarkWrite::Marked(..)) => false,
             Some(MarkWrite::Marking(_) | MarkWrite::Unmarking(_) | MarkWrite::BackingOff(_)) => {
                 true
             }
@@ -153,10 +197,23 @@
 
     /// Whether one more mark may be written now. Removals count towards the limit, but are not
     /// limited themselves: each completes an action.
-    fn can_mark(&self) -> bool {
+    pub(super) fn can_mark(&self) -> bool {
+        self.unseen_count() < self.unseen.limit
+    }
+
+    /// How many writes and removals of marks the view does not show yet.
+    fn unseen_count(&self) -> usize {
         let backs_off = |write: &&MarkWrite| matches!(write, MarkWrite::BackingOff(_));
-        let pending = self.writes.values().filter(|write| !backs_off(write)).count();
-        pending + self.removals.len() < MAX_UNSEEN_MARKS
+        self.writes.values().filter(|write| !backs_off(write)).count() + self.removals.len()
+    }
+
+    /// When the oldest of them was committed.
+    fn oldest_unseen(&self) -> Option<Steady> {
+        let marked = self.writes.values().filter_map(|write| match write {
+            MarkWrite::Marked(_, at) => Some(*at),
+            _ => None,
+        });
+        marked.chain(self.removals.values().map(|removal| removal.at)).min()
     }
 
     /// Records that the mark of a host is being removed. Returns its revision, or `None` if it
@@ -185,7 +242,8 @@
             WriteResult::Unknown => None,
         };
         let back_off = MarkWrite::BackingOff(now.after(WRITE_RETRY_MS));
-        self.writes.insert(host.clone(), mark.map_or(back_off, MarkWrite::Marked));
+        let written = mark.map_or(back_off, |mark| MarkWrite::Marked(mark, now));
+        self.writes.insert(host.clone(), written);
     }
 
     /// Records the result of removing a mark.
@@ -208,7 +266,7 @@
         match until {
             Some(until) => {
                 self.writes.remove(host);
-                self.removals.insert(host.clone(), Removal { mark, until });
+                self.removals.insert(host.clone(), Removal { mark, until, at: now });
             }
             None => {
                 let back_off = MarkWrite::BackingOff(now.after(WRITE_RETRY_MS));
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -38,6 +38,10 @@
     (demand.arriving_cpu as f64 * (1.0 + margin)) as u64
 }
 
+/// What a pool that has had no work keeps, in percent of what the most demanding other pool has
+/// wanted: the peaks of pools differ.
+const RESERVE_PERCENT: usize = 125;
+
 /// The share of the processor time demanded by late work for which a pool wants hosts, in percent.
 /// Late work earns about what its hosts cost, and must still be done.
 const LATE_WORK_PERCENT: u64 = 50;
@@ -145,6 +149,10 @@
                 recent_cpu.pop_front();
             }
             let hosts = self.wanted(pool, demand);
+            if self.active_pools.contains(pool) {
+                let peak = self.peaks.entry(pool.clone()).or_default();
+                *peak = (*peak).max(hosts);
+            }
             let retention_ms = self.sizing.shrink_after_ms;
             let recent_wanted = self.recent_wanted.entry(pool.clone()).or_default();
             recent_wanted.push_back((now, hosts));
@@ -249,14 +257,19 @@
             let history = self.recent_wanted.get(*pool);
             let max_wanted =
                 history.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
-            let oldest = history.and_then(|history| history.front());
-            let is_covered = oldest
-                .is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at))
+            let is_covered = self.is_covered(pool, now)
                 && self.zones.unchanged_for(self.sizing.shrink_after_ms, now);
+            let Some(reserve) = self.reserve(pool, now) else {
+                continue;
+            };
             let pool_hosts = &lenders[*pool];
-            let surplus = pool_hosts.len().saturating_sub(max_wanted.max(shares[*pool]));
-            if is_covered && have[*pool] == pool_hosts.len() && self.active_pools.contains(*pool) {
+            let kept = max_wanted.max(shares[*pool]).max(reserve);
+            let surplus = pool_hosts.len().saturating_sub(kept);
+            if is_covered && have[*pool] == pool_hosts.len() {
                 for lendable in pool_hosts.iter().take(surplus) {
+                    if !self.marks.can_mark() {
+                        break;
+                    }
                     self.mark_draining(
                         lendable.host.clone(),
                         HostAction::Move(off_pool.clone()),
@@ -268,6 +281,28 @@
         }
     }
 
+    /// Whether the numbers of hosts that a pool has wanted are known for as long as it keeps them.
+    fn is_covered(&self, pool: &PoolId, now: Steady) -> bool {
+        let oldest = self.recent_wanted.get(pool).and_then(|history| history.front());
+        oldest.is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at))
+    }
+
+    /// The hosts that a pool keeps beyond what it wants: none once it has had work that ends by
+    /// itself. Before, nothing is known of the demand of its own; it keeps the part of its hosts
+    /// that the most demanding other pool has wanted of its own, with a margin. `None` as long as no
+    /// pool has had such work: it keeps all.
+    fn reserve(&self, pool: &PoolId, now: Steady) -> Option<usize> {
+        if self.active_pools.contains(pool) {
+            return Some(0);
+        }
+        let known = self.peaks.iter().filter(|(other, _)| self.is_covered(other, now));
+        // Compared as fractions of the pools' sizes.
+        let largest = |pool: &PoolId| self.largest.get(pool).copied().unwrap_or_default();
+        let parts = known.map(|(other, peak)| (*peak, largest(other).max(1)));
+        let (peak, size) = parts.max_by(|(a, of_a), (b, of_b)| (a * of_b).cmp(&(b * of_a)))?;
+        Some((largest(pool) * peak * RESERVE_PERCENT).div_ceil(size * 100))
+    }
+
     /// Hosts over which a pool's long-running tasks can be spread while one of the hosts is
     /// drained.
     pub(super) fn floor(&self, demand: &Demand) -> usize {
--- a/src/jobs/tests/fleet.rs
+++ b/src/jobs/tests/fleet.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod lagging;
+mod rates;
 mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -110,8 +111,13 @@
 }
 
 fn fleet(hosts: Vec<ListedHost>) -> FleetOwner {
-    let sizing =
-        Sizing { full_percent: 80, growth_percent: 0, margin_hosts: 0, shrink_after_ms: 1_000 };
+    let sizing = Sizing {
+        full_percent: 80,
+        growth_percent: 0,
+        margin_hosts: 0,
+        shrink_after_ms: 1_000,
+        max_calls: 64,
+    };
     let mut fleet = FleetOwner::new(7, sizing, at(0));
     fleet.update_hosts(at(1), Some(hosts));
     fleet
@@ -384,8 +390,13 @@
     let mut fixture = Fixture::new();
     let mut hosts: Vec<ListedHost> = (0..100).map(|n| listed_host(n, "busy")).collect();
     hosts.extend((100..1_100).map(|n| listed_host(n, "off")));
-    let sizing =
-        Sizing { full_percent: 50, growth_percent: 300, margin_hosts: 3, shrink_after_ms: 2_500 };
+    let sizing = Sizing {
+        full_percent: 50,
+        growth_percent: 300,
+        margin_hosts: 3,
+        shrink_after_ms: 2_500,
+        max_calls: 64,
+    };
     let mut fleet = FleetOwner::new(7, sizing, at(0));
     fleet.update_hosts(at(1), Some(hosts));
     let mut expected_hosts = 0;
--- a/src/jobs/tests/fleet/lagging.rs
+++ b/src/jobs/tests/fleet/lagging.rs
@@ -81,8 +81,13 @@
 
 impl Simulation {
     fn new(hosts: Vec<ListedHost>, base_lag_ms: u64, cost_us: u64) -> Simulation {
-        let sizing =
-            Sizing { full_percent: 80, growth_percent: 0, margin_hosts: 0, shrink_after_ms: 1_000 };
+        let sizing = Sizing {
+            full_percent: 80,
+            growth_percent: 0,
+            margin_hosts: 0,
+            shrink_after_ms: 1_000,
+            max_calls: 64,
+        };
         let hosts = hosts.into_iter().map(|host| (host.host.clone(), (host, 0)));
         Simulation {
             fleet: FleetOwner::new(7, sizing, at(0)),
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -18,7 +18,7 @@
     },
     platform::{
         kv::{CommitResult, Item, MAX_TXN_ENTRIES, Txn},
-        machines::HostCallResult,
+        machines::{HostCallResult, HostClient},
         records,
     },
     scheduler::{
@@ -47,9 +47,32 @@
 /// that this node is the owner.
 const MARK_BATCH: usize = (MAX_TXN_ENTRIES - 1) / 2;
 
+/// Most hosts whose calls are recorded in one transaction, beside the condition.
+const CALL_BATCH: usize = MAX_TXN_ENTRIES - 1;
+
 /// Most hosts to unmark in one transaction: each needs a condition and two removals.
 const UNMARK_BATCH: usize = (MAX_TXN_ENTRIES - 1) / 3;
 
+/// Moves or maintains a host.
+async fn call_host(
+    host_client: &HostClient,
+    token: u64,
+    host: &HostId,
+    action: &HostAction,
+) -> CallResult {
+    let answer = match action {
+        HostAction::Upkeep(wave) => host_client.maintain(host, *wave, token).await,
+        HostAction::Move(pool) => host_client.move_to(host, pool, token).await,
+    };
+    log::info!("host {host}: {action:?}: {answer:?}");
+    match answer {
+        HostCallResult::Done => CallResult::Begun,
+        HostCallResult::Unknown | HostCallResult::Busy => CallResult::Unknown,
+        HostCallResult::Limited => CallResult::RateLimited,
+        HostCallResult::Refused | HostCallResult::Invalid => CallResult::NotBegun,
+    }
+}
+
 /// Data copied from the view for one plan.
 struct PlanInput {
     config: std::sync::Arc<QueueConfig>,
@@ -118,9 +141,11 @@
                 log::info!("{pool}");
             }
         }
-        let (mut marks, mut unmarks) = (Vec::new(), Vec::new());
+        let (mut marks, mut unmarks, mut calls) = (Vec::new(), Vec::new(), Vec::new());
         for effect in effects {
             match effect {
+                FleetEffect::Maintain(host, wave) => calls.push((host, HostAction::Upkeep(wave))),
+                FleetEffect::Move(host, pool) => calls.push((host, HostAction::Move(pool))),
                 FleetEffect::Mark(..) => marks.push(effect),
                 FleetEffect::Unmark(..) => unmarks.push(effect),
                 other => self.execute_fleet(other, token, now),
@@ -129,6 +154,9 @@
         for batch in marks.chunks(MARK_BATCH).chain(unmarks.chunks(UNMARK_BATCH)) {
             self.write_marks(batch, token);
         }
+        for batch in calls.chunks(CALL_BATCH) {
+            self.call_hosts(token, batch.to_vec());
+        }
     }
 
     /// Handles the results of writes of the fleet's work.
@@ -189,9 +217,11 @@
                 self.write_wave(effect, token);
             }
             FleetEffect::Maintain(host, wave) => {
-                self.call_host(token, host, HostAction::Upkeep(wave))
+                self.call_hosts(token, vec![(host, HostAction::Upkeep(wave))]);
+            }
+            FleetEffect::Move(host, pool) => {
+                self.call_hosts(token, vec![(host, HostAction::Move(pool))]);
             }
-            FleetEffect::Move(host, pool) => self.call_host(token, host, HostAction::Move(pool)),
         }
     }
 
@@ -251,47 +281,41 @@
         });
     }
 
-    fn call_host(&self, token: u64, host: HostId, action: HostAction) {
+    /// Records the calls of hosts together, and makes them.
+    fn call_hosts(&self, token: u64, calls: Vec<(HostId, HostAction)>) {
         let (host_client, inputs, node) =
             (self.host_client.clone(), self.inputs.clone(), self.node.clone());
         let tenure = self.fleet.as_ref().map(|owned| owned.tenure.clone());
         tokio::spawn(async move {
-            // The record is written first, under the condition that there is no later owner, so
-            // that a later one does not call the host for a while.
+            // The records are written first, under the condition that there is no later owner, so
+            // that a later one does not call the hosts for a while.
             let now = node.now();
-            let record = HostCallRecord { token, at: now.wall };
-            let txn = Txn::default()
-                .expect(keys::owner(keys::FLEET), Revision(token))
-                .put(keys::called(&host), json(&record));
+            let record = json(&HostCallRecord { token, at: now.wall });
+            let mut txn = Txn::default().expect(keys::owner(keys::FLEET), Revision(token));
+            for (host, _) in &calls {
+                txn = txn.put(keys::called(host), record.clone());
+            }
             let written = matches!(node.kv.commit(&txn).await, Ok(CommitResult::Done(_)));
-            // The process may have been paused meanwhile.
-            let late = MAX_CALL_DELAY_MS < node.now().steady.since(now.steady);
-            let holds = tenure.is_some_and(|tenure| tenure.holds(node.now().steady));
-            if !written || late || !holds {
-                log::info!(
-                    "host {host}: {action:?}: not called: record written {written}, late {late}, \
-                     lease held {holds}"
-                );
-                let _ = inputs.send(Input::HostCalled {
-                    token,
-                    host,
-                    action,
-                    result: CallResult::NotBegun,
+            for (host, action) in calls {
+                // The process may have been paused meanwhile.
+                let late = MAX_CALL_DELAY_MS < node.now().steady.since(now.steady);
+                let holds = tenure.as_ref().is_some_and(|tenure| tenure.holds(node.now().steady));
+                let inputs = inputs.clone();
+                if !written || late || !holds {
+                    log::info!(
+                        "host {host}: {action:?}: not called: record written {written}, late \
+                         {late}, lease held {holds}"
+                    );
+                    let result = CallResult::NotBegun;
+                    let _ = inputs.send(Input::HostCalled { token, host, action, result });
+                    continue;
+                }
+                let host_client = host_client.clone();
+                tokio::spawn(async move {
+                    let result = call_host(&host_client, token, &host, &action).await;
+                    let _ = inputs.send(Input::HostCalled { token, host, action, result });
                 });
-                return;
             }
-            let answer = match &action {
-                HostAction::Upkeep(wave) => host_client.maintain(&host, *wave, token).await,
-                HostAction::Move(pool) => host_client.move_to(&host, pool, token).await,
-            };
-            log::info!("host {host}: {action:?}: {answer:?}");
-            let result = match answer {
-                HostCallResult::Done => CallResult::Begun,
-                HostCallResult::Unknown | HostCallResult::Busy => CallResult::Unknown,
-                HostCallResult::Limited => CallResult::RateLimited,
-                HostCallResult::Refused | HostCallResult::Invalid => CallResult::NotBegun,
-            };
-            let _ = inputs.send(Input::HostCalled { token, host, action, result });
         });
     }
 
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -33,6 +33,9 @@
 /// Default of the time within which a change of the configuration must be in force.
 const DEFAULT_CONFIG_BOUND: Duration = Duration::from_secs(2);
 
+/// Most calls per second that a platform accepts for moving and maintaining hosts.
+const MAX_HOST_CALLS: f64 = 100_000.0;
+
 /// Most availability zones of a deployment.
 const MAX_ZONES: u64 = 1_000;
 
@@ -155,7 +158,9 @@
     let margin = section.number_or("margin_hosts", 0..=1_000, default.margin_hosts as u64);
     let shrink = section.number_or("shrink_after_ms", 0..=600_000, default.shrink_after_ms);
     let growth = section.number_or("growth_percent", 0..=1_000, default.growth_percent);
+    let calls = section.weight_or("calls_per_s", MAX_HOST_CALLS, default.max_calls as f64);
     Some(Sizing {
+        max_calls: (calls? as usize).max(1),
         full_percent: full?,
         growth_percent: growth?,
         margin_hosts: margin? as usize,
