--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -34,7 +34,10 @@
             Call, RELAYED_HEADER, Relay, Relayed, Subject,
             proof::{self, Covered, Proof},
         },
-        view::{self, age::MAX_STATE_AGE_MS, waiting::WaitingCount},
+        view::{
+            self,
+            age::{MAX_STATE_AGE_MS, StaleData},
+        },
     },
 };
 
@@ -397,25 +400,15 @@
         }
     }
 
-    /// Answers how many jobs wait: from this node's view, or else by relaying to another node. A
-    /// node with a stale view refuses to answer: a count from it may be far too low without any
-    /// sign of it.
+    /// Answers how many jobs wait: from this node's records, or else by relaying to a node that has
+    /// them, or else by the reports of the owners in the store. A node with a stale view refuses to
+    /// answer: a count from it may be far too low without any sign of it.
     async fn pending(&self, queue: &Queue, admitted: &Admitted, request: &Request) -> Response {
         if *request.method() != Method::GET {
             return http::text(StatusCode::METHOD_NOT_ALLOWED, "GET\n");
         }
-        if !self.node.view().mirrors_records()
-            && self.lease.is_store_reachable(self.node.now().steady)
-            && let Err(error) = self.node.reports_refresh.refresh(&self.node).await
-        {
-            log::info!("queue {}: {error}", queue.name);
-        }
-        let counted = self.node.view().pending(queue, self.node.now().steady);
-        let reason = match counted {
-            Ok(WaitingCount { jobs, by }) => {
-                self.node.metrics.record_queue_count(by);
-                return http::json(StatusCode::OK, &PendingAnswer { pending: jobs });
-            }
+        let mut reason = match self.count(queue) {
+            Ok(answer) => return answer,
             Err(reason) => reason,
         };
         if admitted.proof.is_none() {
@@ -426,11 +419,27 @@
                 return response;
             }
         }
+        if self.lease.is_store_reachable(self.node.now().steady) {
+            if let Err(error) = self.node.reports_refresh.refresh(&self.node).await {
+                log::info!("queue {}: {error}", queue.name);
+            }
+            reason = match self.count(queue) {
+                Ok(answer) => return answer,
+                Err(reason) => reason,
+            };
+        }
         self.node.metrics.record_queue_count("nobody");
         log::info!("queue {}: number of waiting jobs unknown: {reason}", queue.name);
         unavailable("the number of waiting jobs is unknown")
     }
 
+    /// The number of waiting jobs by the view.
+    fn count(&self, queue: &Queue) -> Result<Response, StaleData> {
+        let counted = self.node.view().pending(queue, self.node.now().steady)?;
+        self.node.metrics.record_queue_count(counted.by);
+        Ok(http::json(StatusCode::OK, &PendingAnswer { pending: counted.jobs }))
+    }
+
     async fn submit(
         &self,
         id: JobId,
