--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -221,6 +221,9 @@
     /// Switched-off hosts that are joining a pool. Nothing runs there, so they need no drain mark.
     incoming: BTreeMap<HostId, Incoming>,
     marks: Marks,
+    /// Hosts that were to leave their pool for the one whose hosts are switched off, and stay, since
+    /// the pool needs them again.
+    staying: BTreeMap<HostId, Incoming>,
     /// The state of this owner's writes for each wave.
     waves: BTreeMap<u64, WaveWrites>,
     /// Pools that have had work that ends by itself. These give up hosts that they do not need; the
@@ -254,6 +257,7 @@
             rate_limiter: RateLimiter::new(sizing.max_calls),
             incoming: BTreeMap::new(),
             marks: Marks::new(sizing.max_calls),
+            staying: BTreeMap::new(),
             waves: BTreeMap::new(),
             active_pools: BTreeSet::new(),
             peaks: BTreeMap::new(),
@@ -304,6 +308,8 @@
         let mut out = Vec::new();
         self.record_demand(snapshot, now);
         self.marks.refresh(snapshot, now);
+        let marks = &self.marks;
+        self.staying.retain(|host, _| marks.is_pending(host));
         self.zones.update(snapshot.evacuated, now);
         self.request_list(snapshot, now, &mut out);
         if self.listed_at.is_none() {
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -7,11 +7,12 @@
 
 use super::{
     Demand, FleetEffect, FleetOwner, FleetSnapshot, HostAction, Incoming, PoolSummary,
-    wave::count_of,
+    marks::KnownMark, wave::count_of,
 };
 use crate::model::{
     id::{HostId, PoolId},
     unit::Steady,
+    worker::HostPhase,
 };
 
 /// How long a host that is to join a pool counts as part of it, in milliseconds: a move takes 1500,
@@ -234,7 +235,8 @@
         let shares = self.shares(snapshot, &pools, total);
         for pool in &pools {
             let (have, share) = (have[*pool], shares[*pool]);
-            for _ in have..share {
+            let kept = self.keep_leaving(pool, off_pool, share.saturating_sub(have), now, out);
+            for _ in have + kept..share {
                 if let Some(host) = off_hosts.pop_front() {
                     self.incoming.insert(host, Incoming { pool: (*pool).clone(), since: now });
                     continue;
@@ -281,6 +283,37 @@
         }
     }
 
+    /// Withdraws the marks of at most `count` hosts of a pool that are to be switched off and were not
+    /// called yet: while they leave, others would have to join. Returns how many stay.
+    fn keep_leaving(
+        &mut self,
+        pool: &PoolId,
+        off_pool: &PoolId,
+        count: usize,
+        now: Steady,
+        out: &mut Vec<FleetEffect>,
+    ) -> usize {
+        if count == 0 {
+            return 0;
+        }
+        let is_leaving = |(host, mark): &(&HostId, &KnownMark)| {
+            matches!(&mark.action, HostAction::Move(to) if to == off_pool)
+                && !self.calls.contains_key(*host)
+                && self.hosts.get(*host).is_some_and(|entry| {
+                    entry.pool == *pool && entry.phase == HostPhase::Up && !self.zones.covers(entry)
+                })
+                && self.marks.confirmed_mark(host).is_some()
+        };
+        let leaving = self.marks.iter().filter(is_leaving).map(|(host, _)| host.clone());
+        let leaving: Vec<HostId> = leaving.take(count).collect();
+        for host in &leaving {
+            self.remove_mark(host, out);
+            let incoming = Incoming { pool: pool.clone(), since: now };
+            self.staying.insert(host.clone(), incoming);
+        }
+        leaving.len()
+    }
+
     /// Whether the numbers of hosts that a pool has wanted are known for as long as it keeps them.
     fn is_covered(&self, pool: &PoolId, now: Steady) -> bool {
         let oldest = self.recent_wanted.get(pool).and_then(|history| history.front());
@@ -358,9 +391,13 @@
         let incoming = self
             .incoming
             .iter()
+            .chain(&self.staying)
             .filter(|(host, joining)| is_recent(joining.since) && !self.is_evacuated(host))
             .map(|(_, joining)| &joining.pool);
-        let marks = self.marks.iter().filter(|(host, _)| !self.is_evacuated(host));
+        let marks = self
+            .marks
+            .iter()
+            .filter(|(host, _)| !self.is_evacuated(host) && !self.staying.contains_key(*host));
         let marked = marks.filter_map(|(host, mark)| match &mark.action {
             HostAction::Move(pool) => self.marks.since(host).is_none_or(is_recent).then_some(pool),
             HostAction::Upkeep(_) => None,
--- a/src/jobs/tests/fleet/rates.rs
+++ b/src/jobs/tests/fleet/rates.rs
@@ -212,3 +212,26 @@
     platform.run(10_000);
     assert_eq!(platform.size("later"), 40);
 }
+
+/// While hundreds of hosts of a pool were on their way out, as many others joined it.
+#[test]
+fn a_pool_whose_demand_returns_keeps_the_hosts_that_have_not_left() {
+    let hosts = (0..400).map(|number| listed_host(number, "busy")).collect();
+    // 40 calls a second: it takes ten seconds until all have left.
+    let mut platform = Platform::new(hosts, 40, 20);
+    platform.fixture.demands.insert(pool("busy"), demand(32_000, 0));
+    while platform.accepted < 20 {
+        platform.run(platform.now + PLAN_MS);
+    }
+    let leaving = platform.fixture.marks.len();
+    assert!(8 < leaving, "{leaving}");
+    let size = platform.size("busy");
+    platform.fixture.demands.insert(pool("busy"), demand(400 * 32_000, 0));
+    platform.run(platform.now + 300);
+    let left = platform.accepted;
+    let moved_off = platform.size("off");
+    platform.run(platform.now + 5_000);
+    assert!(platform.fixture.marks.is_empty(), "{:?}", platform.fixture.marks);
+    assert_eq!(platform.size("off"), 0, "those that had left come back");
+    assert!(platform.accepted <= left + moved_off, "{size} hosts, {left} moves before");
+}
--- a/src/scheduler/tests/stale_view.rs
+++ b/src/scheduler/tests/stale_view.rs
@@ -358,6 +358,7 @@
     .await;
     harness.publish(&json!({ QUEUE: 2 })).await;
     wait_for("the last report to be received", async || {
+        harness.advance(500);
         let _ = harness.pending().await;
         let view = harness.node.view();
         let report = view.waiting_reports.get(&keys::pool(&pool()))?;
@@ -402,6 +403,7 @@
     harness.advance(STALE_MS);
     publish(0, counted).await;
     wait_for("the late report to be received", async || {
+        harness.advance(500);
         let _ = harness.pending().await;
         let view = harness.node.view();
         (view.waiting_reports.get(&keys::pool(&pool()))?.known == Some(counted)).then_some(())
@@ -478,6 +480,8 @@
     })
     .await;
     hold_watch(&harness, Some(keys::ROOT));
+    // Without this job, a read of the reports would show that no record has changed.
+    harness.submit(1).await;
     harness.advance(STALE_MS);
     for _ in 0..PEERS {
         assert_eq!(harness.pending().await, Err(UNAVAILABLE));
