Reserves of pools that have not had their peak are given back last

A pool with a job now and then gave back all that its peak would need, and fetched it again. A pool that has not wanted half of what the most demanding one has, in relation to their sizes, keeps as much, and a quarter more, as long as other hosts are left to give back.

--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -39,7 +39,7 @@
     (demand.arriving_cpu as f64 * (1.0 + margin)) as u64
 }
 
-/// What a pool that has had no work keeps, in percent of what the most demanding other pool has
+/// The reserve of a pool that has not had its peak, in percent of what the most demanding pool has
 /// wanted: the peaks of pools differ.
 const RESERVE_PERCENT: usize = 125;
 
@@ -255,30 +255,56 @@
                 self.mark_draining(host, HostAction::Move((*pool).clone()), now, out);
             }
         }
-        for pool in &pools {
+        self.shrink_pools(&pools, off_pool, (&lenders, &have, &shares), now, out);
+    }
+
+    /// Gives back the hosts that pools do not want: first those that no pool is expected to need, and
+    /// the reserves of pools that have not had their peak yet once there are no others.
+    fn shrink_pools(
+        &mut self,
+        pools: &[&PoolId],
+        off_pool: &PoolId,
+        (lenders, have, shares): (
+            &BTreeMap<PoolId, VecDeque<Lendable>>,
+            &BTreeMap<PoolId, usize>,
+            &BTreeMap<PoolId, usize>,
+        ),
+        now: Steady,
+        out: &mut Vec<FleetEffect>,
+    ) {
+        if !self.zones.unchanged_for(self.sizing.shrink_after_ms, now) {
+            return;
+        }
+        let mut surpluses: Vec<(&PoolId, usize, usize)> = Vec::new();
+        for pool in pools {
+            let Some(reserve) = self.reserve(pool, now) else {
+                continue;
+            };
+            let count = lenders[*pool].len();
+            if !self.is_covered(pool, now) || have[*pool] != count {
+                continue;
+            }
             let history = self.recent_wanted.get(*pool);
             let max_wanted =
                 history.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
-            let is_covered = self.is_covered(pool, now)
-                && self.zones.unchanged_for(self.sizing.shrink_after_ms, now);
-            let Some(reserve) = self.reserve(pool, now) else {
-                continue;
+            let wanted = max_wanted.max(shares[*pool]);
+            let unneeded = count.saturating_sub(wanted.max(reserve));
+            // A pool that has had no work keeps its reserve.
+            let all = match self.active_pools.contains(*pool) {
+                true => count.saturating_sub(wanted),
+                false => unneeded,
             };
-            let pool_hosts = &lenders[*pool];
-            let kept = max_wanted.max(shares[*pool]).max(reserve);
-            let surplus = pool_hosts.len().saturating_sub(kept);
-            if is_covered && have[*pool] == pool_hosts.len() {
-                for lendable in pool_hosts.iter().take(surplus) {
-                    if !self.marks.can_mark() {
-                        break;
-                    }
-                    self.mark_draining(
-                        lendable.host.clone(),
-                        HostAction::Move(off_pool.clone()),
-                        now,
-                        out,
-                    );
+            surpluses.push((pool, unneeded, all));
+        }
+        let only_unneeded = surpluses.iter().any(|(_, unneeded, _)| *unneeded != 0);
+        for (pool, unneeded, all) in surpluses {
+            let surplus = if only_unneeded { unneeded } else { all };
+            for lendable in lenders[pool].iter().take(surplus) {
+                if !self.marks.can_mark() {
+                    return;
                 }
+                let action = HostAction::Move(off_pool.clone());
+                self.mark_draining(lendable.host.clone(), action, now, out);
             }
         }
     }
@@ -320,20 +346,19 @@
         oldest.is_some_and(|(at, _)| self.sizing.shrink_after_ms * 9 / 10 <= now.since(*at))
     }
 
-    /// The hosts that a pool keeps beyond what it wants: none once it has had work that ends by
-    /// itself. Before, nothing is known of the demand of its own; it keeps the part of its hosts
-    /// that the most demanding other pool has wanted of its own, with a margin. `None` as long as no
-    /// pool has had such work: it keeps all.
+    /// The hosts that a pool is expected to need although it does not want them yet: the part of its
+    /// hosts that the most demanding pool has wanted of its own, with a margin; 0 once the pool has
+    /// wanted half as many itself. `None` as long as no pool has had work that ends by itself.
     fn reserve(&self, pool: &PoolId, now: Steady) -> Option<usize> {
-        if self.active_pools.contains(pool) {
-            return Some(0);
-        }
         let known = self.peaks.iter().filter(|(other, _)| self.is_covered(other, now));
-        // Compared as fractions of the pools' sizes.
         let largest = |pool: &PoolId| self.largest.get(pool).copied().unwrap_or_default();
         let parts = known.map(|(other, peak)| (*peak, largest(other).max(1)));
+        // Compared as fractions of the pools' sizes.
         let (peak, size) = parts.max_by(|(a, of_a), (b, of_b)| (a * of_b).cmp(&(b * of_a)))?;
-        Some((largest(pool) * peak * RESERVE_PERCENT).div_ceil(size * 100))
+        let expected = largest(pool) * peak / size;
+        let own = self.peaks.get(pool).copied().unwrap_or_default();
+        let has_peaked = self.active_pools.contains(pool) && expected <= own * 2;
+        Some(if has_peaked { 0 } else { (expected * RESERVE_PERCENT).div_ceil(100) })
     }
 
     /// Hosts over which a pool's long-running tasks can be spread while one of the hosts is
--- a/src/jobs/tests/fleet/rates.rs
+++ b/src/jobs/tests/fleet/rates.rs
@@ -235,3 +235,33 @@
     assert_eq!(platform.size("off"), 0, "those that had left come back");
     assert!(platform.accepted <= left + moved_off, "{size} hosts, {left} moves before");
 }
+
+/// Four pools have their peaks one after the other, and a little work before. Each gave its hosts
+/// back as soon as its first job came, and fetched them for its peak.
+#[test]
+fn reserves_of_pools_before_their_peak_are_given_back_last() {
+    let names = ["first", "second", "third"];
+    let hosts = names
+        .iter()
+        .enumerate()
+        .flat_map(|(at, name)| (0..600).map(move |number| listed_host(at * 1_000 + number, name)));
+    let mut platform = Platform::new(hosts.collect(), 100, 20);
+    platform.fixture.demands.clear();
+    for name in names {
+        let rules = PoolRules { headroom: false, admission_check: true };
+        platform.fixture.config.pools.insert(pool(name), rules);
+        platform.fixture.demands.insert(pool(name), demand(64_000, 0));
+    }
+    platform.fixture.demands.insert(pool("first"), demand(80 * 32_000, 0));
+    platform.run(9_000);
+    let kept = platform.size("second");
+    assert!((100..=600).contains(&kept), "{kept} hosts");
+    platform.fixture.demands.insert(pool("second"), demand(80 * 32_000, 0));
+    let (moved, off) = (platform.accepted, platform.size("off"));
+    assert!(off < 600 * 3 - 3 * 125, "{off} of 1,800 are off: {moved} moves");
+    platform.run(9_300);
+    assert!(platform.size("second") >= 80, "{}", platform.size("second"));
+    // Once nothing else is left to give back, the reserve of the third pool is, too.
+    platform.run(40_000);
+    assert!(platform.size("third") <= 10, "{}", platform.size("third"));
+}
