Hosts are marked for leaving at most a second of calls ahead

All hosts that a pool did not need were marked at once, thousands before they could be called; nothing starts on them, and nothing was left that could go before reserves.

--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -296,13 +296,21 @@
             };
             surpluses.push((pool, unneeded, all));
         }
+        // Nothing starts on a marked host, so none is marked long before it can be called.
+        let is_waiting = |(host, mark): &(&HostId, &KnownMark)| {
+            matches!(&mark.action, HostAction::Move(to) if to == off_pool)
+                && !self.calls.contains_key(*host)
+        };
+        let waiting = self.marks.iter().filter(is_waiting).count();
+        let mut allowed = self.sizing.max_calls.saturating_sub(waiting);
         let only_unneeded = surpluses.iter().any(|(_, unneeded, _)| *unneeded != 0);
         for (pool, unneeded, all) in surpluses {
             let surplus = if only_unneeded { unneeded } else { all };
             for lendable in lenders[pool].iter().take(surplus) {
-                if !self.marks.can_mark() {
+                if allowed == 0 || !self.marks.can_mark() {
                     return;
                 }
+                allowed -= 1;
                 let action = HostAction::Move(off_pool.clone());
                 self.mark_draining(lendable.host.clone(), action, now, out);
             }
