The peak of a pool stays known

A plan that came late left the record of wanted hosts shorter than 0.9 of the time that pools keep hosts, so that the only pool with a peak did not count, and reserves were computed from pools with hardly any work. Since when a pool has had work is kept instead.

--- a/src/jobs/fleet.rs
+++ b/src/jobs/fleet.rs
@@ -226,9 +226,9 @@
     staying: BTreeMap<HostId, Incoming>,
     /// The state of this owner's writes for each wave.
     waves: BTreeMap<u64, WaveWrites>,
-    /// Pools that have had work that ends by itself. These give up hosts that they do not need; the
-    /// others keep what their first work is expected to need.
-    active_pools: BTreeSet<PoolId>,
+    /// Since when pools have had work that ends by itself. These give up hosts that they do not need;
+    /// the others keep what their first work is expected to need.
+    active_since: BTreeMap<PoolId, Steady>,
     /// The most hosts that each of these pools has wanted.
     peaks: BTreeMap<PoolId, usize>,
     /// The most hosts that each pool has had.
@@ -259,7 +259,7 @@
             marks: Marks::new(sizing.max_calls),
             staying: BTreeMap::new(),
             waves: BTreeMap::new(),
-            active_pools: BTreeSet::new(),
+            active_since: BTreeMap::new(),
             peaks: BTreeMap::new(),
             largest: BTreeMap::new(),
             hosts: BTreeMap::new(),
--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -141,7 +141,8 @@
 
     pub(super) fn record_demand(&mut self, snapshot: &FleetSnapshot<'_>, now: Steady) {
         for (pool, demand) in snapshot.demands {
-            if demand.finite && self.active_pools.insert(pool.clone()) {
+            if demand.finite && !self.active_since.contains_key(pool) {
+                self.active_since.insert(pool.clone(), now);
                 self.recent_wanted.remove(pool);
             }
             let recent_cpu = self.recent_cpu.entry(pool.clone()).or_default();
@@ -150,7 +151,7 @@
                 recent_cpu.pop_front();
             }
             let hosts = self.wanted(pool, demand);
-            if self.active_pools.contains(pool) {
+            if self.active_since.contains_key(pool) {
                 let peak = self.peaks.entry(pool.clone()).or_default();
                 *peak = (*peak).max(hosts);
             }
@@ -290,7 +291,7 @@
             let wanted = max_wanted.max(shares[*pool]);
             let unneeded = count.saturating_sub(wanted.max(reserve));
             // A pool that has had no work keeps its reserve.
-            let all = match self.active_pools.contains(*pool) {
+            let all = match self.active_since.contains_key(*pool) {
                 true => count.saturating_sub(wanted),
                 false => unneeded,
             };
@@ -358,14 +359,19 @@
     /// hosts that the most demanding pool has wanted of its own, with a margin; 0 once the pool has
     /// wanted half as many itself. `None` as long as no pool has had work that ends by itself.
     fn reserve(&self, pool: &PoolId, now: Steady) -> Option<usize> {
-        let known = self.peaks.iter().filter(|(other, _)| self.is_covered(other, now));
+        // A peak takes some time to show.
+        let is_known = |since: &Steady| self.sizing.shrink_after_ms <= now.since(*since);
+        let known = self
+            .peaks
+            .iter()
+            .filter(|(other, _)| self.active_since.get(*other).is_some_and(is_known));
         let largest = |pool: &PoolId| self.largest.get(pool).copied().unwrap_or_default();
         let parts = known.map(|(other, peak)| (*peak, largest(other).max(1)));
         // Compared as fractions of the pools' sizes.
         let (peak, size) = parts.max_by(|(a, of_a), (b, of_b)| (a * of_b).cmp(&(b * of_a)))?;
         let expected = largest(pool) * peak / size;
         let own = self.peaks.get(pool).copied().unwrap_or_default();
-        let has_peaked = self.active_pools.contains(pool) && expected <= own * 2;
+        let has_peaked = self.active_since.contains_key(pool) && expected <= own * 2;
         Some(if has_peaked { 0 } else { (expected * RESERVE_PERCENT).div_ceil(100) })
     }
 
