--- a/src/jobs/fleet/size.rs
+++ b/src/jobs/fleet/size.rs
@@ -103,6 +103,16 @@
     load: Load,
 }
 
+/// The hosts of each pool in one plan.
+struct PlannedSizes {
+    /// Those that are available and were not lent.
+    hosts: BTreeMap<PoolId, VecDeque<Lendable>>,
+    /// How many are available or expected.
+    have: BTreeMap<PoolId, usize>,
+    /// How many the pool should have.
+    shares: BTreeMap<PoolId, usize>,
+}
+
 /// The numbers of hosts that a pool requests. Each includes the one before.
 #[derive(Debug, Clone)]
 pub(super) struct HostRequest {
@@ -256,7 +266,8 @@
                 self.mark_draining(host, HostAction::Move((*pool).clone()), now, out);
             }
         }
-        self.shrink_pools(&pools, off_pool, (&lenders, &have, &shares), now, out);
+        let planned = PlannedSizes { hosts: lenders, have, shares };
+        self.shrink_pools(&pools, off_pool, &planned, now, out);
     }
 
     /// Gives back the hosts that pools do not want: first those that no pool is expected to need, and
@@ -265,11 +276,7 @@
         &mut self,
         pools: &[&PoolId],
         off_pool: &PoolId,
-        (lenders, have, shares): (
-            &BTreeMap<PoolId, VecDeque<Lendable>>,
-            &BTreeMap<PoolId, usize>,
-            &BTreeMap<PoolId, usize>,
-        ),
+        planned: &PlannedSizes,
         now: Steady,
         out: &mut Vec<FleetEffect>,
     ) {
@@ -281,14 +288,14 @@
             let Some(reserve) = self.reserve(pool, now) else {
                 continue;
             };
-            let count = lenders[*pool].len();
-            if !self.is_covered(pool, now) || have[*pool] != count {
+            let count = planned.hosts[*pool].len();
+            if !self.is_covered(pool, now) || planned.have[*pool] != count {
                 continue;
             }
             let history = self.recent_wanted.get(*pool);
             let max_wanted =
                 history.into_iter().flatten().map(|(_, hosts)| *hosts).max().unwrap_or(0);
-            let wanted = max_wanted.max(shares[*pool]);
+            let wanted = max_wanted.max(planned.shares[*pool]);
             let unneeded = count.saturating_sub(wanted.max(reserve));
             // A pool that has had no work keeps its reserve.
             let all = match self.active_since.contains_key(*pool) {
@@ -307,7 +314,7 @@
         let only_unneeded = surpluses.iter().any(|(_, unneeded, _)| *unneeded != 0);
         for (pool, unneeded, all) in surpluses {
             let surplus = if only_unneeded { unneeded } else { all };
-            for lendable in lenders[pool].iter().take(surplus) {
+            for lendable in planned.hosts[pool].iter().take(surplus) {
                 if allowed == 0 || !self.marks.can_mark() {
                     return;
                 }
