--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -270,7 +270,7 @@
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         process = await self.spawn(name, ["schedule", "--settings", path])
-        return {"name": name, "process": process, **addresses}
+        return {"name": name, "process": process, "settings": path, **addresses}
 
     async def ready(self, node, limit_s=20):
         until = time.monotonic() + limit_s
