--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -328,6 +328,11 @@
             return None
         finally:
             await rig.stop()
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+            rest = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in rest:
+                task.cancel()
+            await asyncio.gather(*rest, return_exceptions=True)
 
     broken = asyncio.run(main())
     if broken is None:
