--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -213,7 +213,7 @@
     async def spawn(self, name, arguments, pipe=False):
         if not os.path.exists(BINARY):
             raise CannotRun(f"{BINARY} is missing: build it first")
-        log = open(os.path.join(self.dir, f"{name}.log"), "wb")
+        log = open(os.path.join(self.dir, f"{name}.log"), "ab")
         out = asyncio.subprocess.PIPE if pipe else log
         process = await asyncio.create_subprocess_exec(
             BINARY, *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=log, cwd=ROOT
