--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -24,10 +25,18 @@
     """The case could not be set up: says nothing about the rule."""
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(given=set()):
+    """A free port, below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in given:
+            given.add(port)
+            return port
 
 
 def call(method, url, body=None, headers=None, timeout=4.0):
