--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,7 +13,7 @@
 from workers import Machines, Worker
 
 # Runners by pool: one node that owns all of them uses more than half of its processor time.
-POOLS = {"work": 8, "pool-b": 6, "pool-c": 6, "pool-d": 6, "pool-e": 6}
+POOLS = {"desk": 8, "ledger": 6, "fitting": 6, "care": 6, "admin": 6}
 TASKS = 5
 # When the nodes have power again, in seconds after the loss.
 BACK_S = {"front-2": 1.0, "front-1": 5.0}
@@ -43,7 +43,7 @@
             "may_miss": 1, "estimated_ms": 1000,
         }],
     }
-    if (await rig.caller(nodes[0], "POST", f"/work/{JOB}", job))[0] != 200:
+    if (await rig.caller(nodes[0], "POST", f"/desk/{JOB}", job))[0] != 200:
         raise rigs.CannotRun("the job was not accepted")
     await asyncio.sleep(5)
     task = f"{JOB}.0.0.0"
@@ -79,7 +79,7 @@
     for node in nodes:
         with open(os.path.join(rig.dir, f"{node['name']}.log"), encoding="utf-8") as log:
             for line in log:
-                if "pool-work" in line and ("taken up" in line or "given back" in line):
+                if "pool-desk" in line and ("taken up" in line or "given back" in line):
                     record.note(f"{node['name']}: {json.loads(line)['message']}")
     return judge(longest)
 
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -53,6 +54,12 @@
         return 0, str(error).encode()
 
 
+def end_with_parent():
+    """Has the kernel end a started process with this one, however this one ends."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 class Record:
     """What was sent, answered and run, in order, with milliseconds since the start."""
 
@@ -225,7 +232,8 @@
         log = open(os.path.join(self.dir, f"{name}.log"), "ab")
         out = asyncio.subprocess.PIPE if pipe else log
         process = await asyncio.create_subprocess_exec(
-            BINARY, *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=log, cwd=ROOT
+            BINARY, *arguments, stdin=asyncio.subprocess.DEVNULL, stdout=out, stderr=log, cwd=ROOT,
+            preexec_fn=end_with_parent,
         )
         self.processes.append(process)
         self.record.note(f"started {name}: process {process.pid}")
@@ -330,9 +338,12 @@
 
     async def main():
         rig = Rig(record)
+        this = asyncio.current_task()
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         try:
             return await asyncio.wait_for(case(rig, record, trouble), limit_s)
-        except (CannotRun, asyncio.TimeoutError, OSError, ValueError) as error:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError, ValueError) as error:
             record.note(f"the case could not run: {error!r}")
             return None
         finally:
