--- a/review/common2.rs
+++ b/review/common2.rs
@@ -8,7 +8,10 @@
     net::{TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
     thread::sleep,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -113,19 +116,45 @@
         .then(|| Answer::Status(status, String::from_utf8_lossy(&body[..length]).into_owned()))
 }
 
-/// A process that is ended when it is dropped.
-pub struct Process(pub Child);
+/// All processes that were started.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+/// Starts a process and returns its id.
+fn spawn(command: &mut Command) -> u32 {
+    match command.spawn() {
+        Ok(child) => {
+            let pid = child.id();
+            CHILDREN.lock().unwrap_or_else(|error| error.into_inner()).push(child);
+            pid
+        }
+        Err(error) => give_up(&error.to_string()),
+    }
+}
+
+/// Ends one of the processes that were started, with SIGKILL.
+pub fn end_process(pid: u32) {
+    let mut children = CHILDREN.lock().unwrap_or_else(|error| error.into_inner());
+    if let Some(position) = children.iter().position(|child| child.id() == pid) {
+        let mut child = children.remove(position);
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
+/// Ends all processes that were started, and this one.
+pub fn finish(code: i32) -> ! {
+    let mut children = CHILDREN.lock().unwrap_or_else(|error| error.into_inner());
+    for child in children.iter_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    std::process::exit(code);
+}
+
 pub struct Node {
     pub name: String,
-    pub process: Process,
+    pub pid: u32,
+    settings: PathBuf,
     pub callers: String,
     pub readiness: String,
     pub metrics: String,
@@ -148,18 +177,25 @@
     pub site: String,
     record: Mutex<File>,
     pub started: Instant,
-    _site_process: Process,
 }
 
+/// A free address, below the ports that the system gives to outgoing connections.
 pub fn free_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address").to_string()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97) ^ SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |now| now.subsec_micros());
+    let _ = NEXT.compare_exchange(0, 1 + start % 10_000, Ordering::Relaxed, Ordering::Relaxed);
+    loop {
+        let port = 20_000 + NEXT.fetch_add(1, Ordering::Relaxed) % 12_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().map_or_else(|_| give_up("no free port"), |address| address.to_string());
+        }
+    }
 }
 
 /// Ends the case as one that could not run.
 pub fn give_up(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
-    std::process::exit(NOT_RUN);
+    finish(NOT_RUN);
 }
 
 impl Rig {
@@ -171,20 +207,21 @@
         let (program, dir, record) = (next(), next(), next());
         let record = File::create(&record).unwrap_or_else(|error| give_up(&error.to_string()));
         let site = free_address();
-        let child = Command::new(&program)
-            .args(["standin", "site", "--listen", &site])
-            .args(site_args)
-            .stdout(Stdio::null())
-            .stderr(File::create(Path::new(&dir).join("site.log")).map_or(Stdio::null(), Stdio::from))
-            .spawn()
-            .unwrap_or_else(|error| give_up(&error.to_string()));
+        std::panic::set_hook(Box::new(|panic| give_up(&panic.to_string())));
+        let log = File::create(Path::new(&dir).join("site.log"));
+        spawn(
+            Command::new(&program)
+                .args(["standin", "site", "--listen", &site])
+                .args(site_args)
+                .stdout(Stdio::null())
+                .stderr(log.map_or(Stdio::null(), Stdio::from)),
+        );
         let rig = Rig {
             program: program.into(),
             dir: dir.into(),
             site,
             record: Mutex::new(record),
             started: Instant::now(),
-            _site_process: Process(child),
         };
         rig.note(&format!("stand-in of the platform: standin site {}", site_args.join(" ")));
         let second = Duration::from_secs(1);
@@ -230,6 +267,20 @@
 
     /// Starts a node with settings like those that the platform fills from the template.
     pub fn node(&self, name: &str, zone: &str, store: &str, hosts: &str) -> Node {
+        for _ in 0..5 {
+            let node = self.try_node(name, zone, store, hosts);
+            sleep(Duration::from_millis(150));
+            let mut children = CHILDREN.lock().unwrap_or_else(|error| error.into_inner());
+            // Another process may have taken one of its ports in between.
+            if children.last_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None))) {
+                return node;
+            }
+            children.pop();
+        }
+        give_up("a node does not start")
+    }
+
+    fn try_node(&self, name: &str, zone: &str, store: &str, hosts: &str) -> Node {
         let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let settings = format!(
             r#"{{
@@ -246,21 +297,30 @@
 "#
         );
         let path = self.dir.join(format!("{name}.json"));
-        let log = File::create(self.dir.join(format!("{name}.log")));
-        let (Ok(()), Ok(log)) = (fs::write(&path, settings), log) else {
+        if fs::write(&path, settings).is_err() {
             give_up("the temporary folder cannot be written");
-        };
+        }
+        let pid = self.start_program(name, &path);
+        Node { name: name.to_owned(), pid, settings: path, callers, readiness, metrics }
+    }
+
+    /// Runs the command of the deploy file.
+    fn start_program(&self, name: &str, settings: &Path) -> u32 {
+        let log = File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")));
+        let Ok(log) = log else { give_up("the temporary folder cannot be written") };
         let Ok(second_log) = log.try_clone() else { give_up("no log") };
-        // The command of the deploy file.
-        let child = Command::new(&self.program)
-            .arg("schedule")
-            .env("CAPERHOLLOW_SETTINGS", &path)
-            .stdout(log)
-            .stderr(second_log)
-            .spawn()
-            .unwrap_or_else(|error| give_up(&error.to_string()));
-        let name = name.to_owned();
-        Node { name, process: Process(child), callers, readiness, metrics }
+        spawn(
+            Command::new(&self.program)
+                .arg("schedule")
+                .env("CAPERHOLLOW_SETTINGS", settings)
+                .stdout(log)
+                .stderr(second_log),
+        )
+    }
+
+    /// Starts a node again that was ended, as the platform does.
+    pub fn restart(&self, node: &mut Node) {
+        node.pid = self.start_program(&node.name, &node.settings);
     }
 
     pub fn wait_ready(&self, nodes: &[Node]) {
