--- a/review/common2.rs
+++ b/review/common2.rs
@@ -1,4 +1,4 @@
-//! What the drivers of the cases 4 to 6 share: processes, plain HTTP/1.1 calls, a record of what was
+//! What the drivers of the cases 4 and 5 share: processes, plain HTTP/1.1 calls, a record of what was
 //! sent and answered. Standard library only.
 #![allow(dead_code)]
 
