A cancel that was answered with 410 keeps the job from being accepted

Cause: 410 rested on one read of the store, while a write of the job was under way. Acceptance is conditional on the job's id being absent, and the cancel left it absent.

Two hypotheses, a late write of the store and a later write by a node, each have a test.

Change: such a cancel writes a tombstone under the job's id, conditional on the id being absent: the key and the condition of the acceptance, so that one of the two writes fails, however late it is executed. An acceptance that meets a tombstone is rejected with 503 without `Retry-After`, since no retry succeeds; nodes tell each other 410, so that no further node is asked. A cancel that meets the marker of a job cancels that job. A job of another account replaces the tombstone.

A job is written for at most 30 s after its request (`MAX_WRITE_TIME`).

--- a/src/measure/mirror.rs
+++ b/src/measure/mirror.rs
@@ -30,7 +30,7 @@
         demand, keys,
         lease::{Lease, Tenure},
         metrics::Metrics,
-        node,
+        node, tombstone,
         view::OwnerRecord,
     },
     settings::scheduler::parse,
@@ -149,7 +149,8 @@
         });
         let settings = parse("settings", &settings.to_string()).expect("settings are valid");
         let kv = Kv::new(UNUSED_ADDRESS, Duration::from_millis(LEASE_MS), |_, _, _| {});
-        let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+        let node =
+            node(settings, kv, Arc::new(Metrics::new()), accept::queue().0, tombstone::queue().0);
         let lease = Arc::new(Lease::default());
         let (inputs, _) = mpsc::unbounded_channel();
         let control_loop =
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -21,6 +21,7 @@
 pub(crate) mod reports_refresh;
 pub(crate) mod run;
 pub(crate) mod status;
+pub(crate) mod tombstone;
 pub(crate) mod view;
 pub(crate) mod view_age;
 
@@ -38,7 +39,8 @@
     platform::kv::Kv,
     scheduler::{
         accept::Acceptance, admission::Admission, clock::Clock, config_refresh::ConfigRefresh,
-        metrics::Metrics, relay::proof::NodeSecret, reports_refresh::ReportsRefresh, view::View,
+        metrics::Metrics, relay::proof::NodeSecret, reports_refresh::ReportsRefresh,
+        tombstone::Cancel, view::View,
     },
     settings::scheduler::SchedulerSettings,
 };
@@ -57,6 +59,8 @@
     pub(crate) admission: Admission,
     /// Submitted jobs that are yet to be written.
     pub(crate) accepting: mpsc::Sender<Acceptance>,
+    /// Cancels of jobs that the store does not have, yet to be written.
+    pub(crate) cancelling: mpsc::Sender<Cancel>,
     /// Cancelled when the node is to shut down.
     pub(crate) shutdown: CancellationToken,
     /// Whether the node owns work.
@@ -105,6 +109,7 @@
     kv: Kv,
     metrics: Arc<Metrics>,
     accepting: mpsc::Sender<Acceptance>,
+    cancelling: mpsc::Sender<Cancel>,
 ) -> Arc<Node> {
     Arc::new(Node {
         settings,
@@ -117,6 +122,7 @@
         view: Mutex::default(),
         admission: Admission::new(),
         accepting,
+        cancelling,
         shutdown: CancellationToken::new(),
         owning: watch::Sender::new(false),
         breakdown: Mutex::default(),
--- a/src/scheduler/accept.rs
+++ b/src/scheduler/accept.rs
@@ -16,10 +16,14 @@
         unit::Revision,
     },
     platform::{
-        kv::{CommitResult, MAX_TXN_ENTRIES, Txn},
+        kv::{CommitResult, Item, MAX_TXN_ENTRIES, Txn},
         store::StoreError,
     },
-    scheduler::{Node, access::Holder, keys},
+    scheduler::{
+        Node,
+        access::Holder,
+        keys::{self, IdRecord},
+    },
 };
 
 /// Most jobs that may wait to be written.
@@ -34,6 +38,10 @@
 /// Most concurrent transactions. More than one, so that a slow one does not delay the next.
 const MAX_IN_FLIGHT: usize = 4;
 
+/// How long a job may be written, whatever its caller's deadline. A cancel of the job counts for
+/// longer.
+pub(crate) const MAX_WRITE_TIME: Duration = Duration::from_secs(30);
+
 /// Delay before a write that got no answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -46,6 +54,8 @@
     Already,
     /// Another account has a job of this name, or may have one.
     NameInUse,
+    /// The job was cancelled before it could be written. It was not written, and will not be.
+    Cancelled,
     /// Nothing was written, and nothing will be.
     NotWritten,
     /// It may have been written, or may still be written.
@@ -61,6 +71,8 @@
     pub(crate) value: Bytes,
     /// When the caller stops waiting.
     pub(crate) deadline: Instant,
+    /// The revision of the tombstone of other accounts that the job replaces; 0 if there is none.
+    replaced: Revision,
     /// Whether an earlier attempt may have been written.
     unknown: bool,
     reply: oneshot::Sender<Accepted>,
@@ -81,7 +93,10 @@
 ) -> Accepted {
     let (reply, outcome) = oneshot::channel();
     let (pool, account) = (record.pool.clone(), record.account.clone());
-    let acceptance = Acceptance { id, pool, account, value, deadline, unknown: false, reply };
+    let deadline = deadline.min(Instant::now() + MAX_WRITE_TIME);
+    let replaced = Revision(0);
+    let acceptance =
+        Acceptance { id, pool, account, value, deadline, replaced, unknown: false, reply };
     if node.accepting.try_send(acceptance).is_err() {
         return Accepted::NotWritten;
     }
@@ -122,7 +137,7 @@
             // pool later.
             let id = keys::id(acceptance.id);
             txn = txn
-                .expect(id.clone(), Revision(0))
+                .expect(id.clone(), acceptance.replaced)
                 .put(id, keys::marker(&acceptance.pool, acceptance.account.as_ref()))
                 .put(keys::job(&acceptance.pool, acceptance.id), acceptance.value.clone());
         }
@@ -132,29 +147,52 @@
                 node.view().ages.note_revision(sent, revision);
                 return reply_all(batch, |_| Accepted::Kept);
             }
-            Ok(CommitResult::Conflict(items)) => {
-                let marker = |id: JobId| items.iter().find(|item| item.key == keys::id(id));
-                let (old, new): (Vec<_>, Vec<_>) =
-                    batch.into_iter().partition(|acceptance| marker(acceptance.id).is_some());
-                if old.is_empty() {
-                    log::error!("store: a conflict lists none of the keys that were to be absent");
-                    return reply_all(new, |_| Accepted::Unknown);
-                }
-                reply_all(old, |acceptance| {
-                    let holder = marker(acceptance.id).map(|item| keys::holder(&item.value));
-                    match holder == Some(Holder::of(acceptance.account.clone())) {
-                        true => Accepted::Already,
-                        false => Accepted::NameInUse,
-                    }
-                });
-                batch = new;
-            }
+            Ok(CommitResult::Conflict(items)) => batch = resolve_conflict(batch, &items),
             Ok(CommitResult::LeaseExpired) => return reply_all(batch, |_| Accepted::NotWritten),
             Err(error) => batch = handle_failure(batch, &error).await,
         }
     }
 }
 
+/// Answers the jobs that are decided by what the store has; returns those to be written again.
+fn resolve_conflict(batch: Vec<Acceptance>, items: &[Item]) -> Vec<Acceptance> {
+    let mut remaining = Vec::new();
+    let mut changed = false;
+    for mut acceptance in batch {
+        let key = keys::id(acceptance.id);
+        let item = items.iter().find(|item| item.key == key);
+        let replaced = match item.map(|item| (keys::id_record(&item.value), item.revision)) {
+            Some((IdRecord::Accepted(holder), _)) => {
+                changed = true;
+                let outcome = match holder == Holder::of(acceptance.account.clone()) {
+                    true => Accepted::Already,
+                    false => Accepted::NameInUse,
+                };
+                reply(acceptance, outcome);
+                continue;
+            }
+            Some((IdRecord::Cancelled(tombstone), _))
+                if tombstone.covers(acceptance.account.as_ref()) =>
+            {
+                changed = true;
+                reply(acceptance, Accepted::Cancelled);
+                continue;
+            }
+            Some((IdRecord::Cancelled(_), revision)) => revision,
+            None => Revision(0),
+        };
+        changed |= acceptance.replaced != replaced;
+        acceptance.replaced = replaced;
+        remaining.push(acceptance);
+    }
+    if !changed {
+        log::error!("store: a conflict lists none of the keys that have changed");
+        reply_all(remaining, |_| Accepted::Unknown);
+        return Vec::new();
+    }
+    remaining
+}
+
 /// Answers the later of two callers that submitted the same job at the same time: the outcome is
 /// reported as unknown, and the caller has to ask again.
 fn reject_duplicate(later: &mut Acceptance, _: &mut Acceptance) -> bool {
@@ -188,7 +226,11 @@
 fn reply_all(batch: Vec<Acceptance>, outcome: impl Fn(&Acceptance) -> Accepted) {
     for acceptance in batch {
         let accepted = outcome(&acceptance);
-        // Fails if the caller has disconnected.
-        let _ = acceptance.reply.send(accepted);
+        reply(acceptance, accepted);
     }
 }
+
+fn reply(acceptance: Acceptance, accepted: Accepted) {
+    // Fails if the caller has disconnected.
+    let _ = acceptance.reply.send(accepted);
+}
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -34,6 +34,7 @@
             Call, RELAYED_HEADER, Relay, Relayed, Subject,
             proof::{self, Covered, Proof},
         },
+        tombstone,
         view::{
             self,
             age::{MAX_STATE_AGE_MS, StaleData},
@@ -164,7 +165,16 @@
         let suffix = &path[queue.prefix.len()..];
         let response = match (suffix.is_empty(), suffix.parse::<JobId>()) {
             (true, _) => self.pending(queue, &admitted, &request).await,
-            (false, Ok(id)) => self.answer_job(id, queue, &admitted, request).await,
+            (false, Ok(id)) => {
+                let is_submission = *request.method() == Method::POST;
+                let response = self.answer_job(id, queue, &admitted, request).await;
+                let is_cancelled = is_submission && response.status() == StatusCode::GONE;
+                // Nodes need to know that no other attempt succeeds.
+                match is_cancelled && self.sender == Sender::Callers {
+                    true => cancelled_before(),
+                    false => response,
+                }
+            }
             (false, Err(error)) => http::text(StatusCode::NOT_FOUND, format!("{error}\n")),
         };
         (Some(queue.name.clone()), response)
@@ -488,6 +498,7 @@
         match accepted {
             Accepted::Kept | Accepted::Already => http::text(StatusCode::OK, ""),
             Accepted::NameInUse => other_account(),
+            Accepted::Cancelled => http::text(StatusCode::GONE, "the job was cancelled\n"),
             Accepted::NotWritten => unavailable("the write was not done"),
             Accepted::Unknown => unknown_outcome(),
         }
@@ -563,7 +574,24 @@
             Ok(Some((_, false))) => return other_account(),
             Ok(Some((state, true))) if state.is_final() => return http::text(StatusCode::OK, ""),
             Ok(Some((_, true))) => {}
-            Ok(None) => return http::text(StatusCode::GONE, "there is no such job\n"),
+            Ok(None) => {
+                // Another node may be writing the job, or its caller may submit it again.
+                let account = admitted.caller.account.clone();
+                let outcome = tombstone::write(&self.node, id, account, deadline).await;
+                log::info!("job {id}: cancelled before it was accepted: {outcome:?}");
+                match outcome {
+                    tombstone::Outcome::Written => {
+                        return http::text(StatusCode::GONE, "there is no such job\n");
+                    }
+                    tombstone::Outcome::Accepted(holder)
+                        if admitted.may_access(&holder) == Some(true) => {}
+                    tombstone::Outcome::Accepted(_) => return other_account(),
+                    tombstone::Outcome::NotWritten => {
+                        return unavailable("the write was not done");
+                    }
+                    tombstone::Outcome::Unknown => return unknown_outcome(),
+                }
+            }
             Err(error) => {
                 log::info!("job {id}: cancel failed: {error}");
                 return unavailable("the store cannot be reached");
@@ -660,6 +688,11 @@
     response
 }
 
+/// The answer to a job that was cancelled before it was accepted: no later attempt succeeds either.
+fn cancelled_before() -> Response {
+    http::text(StatusCode::SERVICE_UNAVAILABLE, "request not accepted: the job was cancelled\n")
+}
+
 /// The answer to a job that is beyond its account's weight and was not accepted.
 fn too_many(retry_after: Duration) -> Response {
     let text = "request not accepted: the account has sent more than its weight\n";
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -33,7 +33,7 @@
         Node, accept, keys,
         lease::{Lease, Tenure},
         metrics::Metrics,
-        node,
+        node, tombstone,
         view::{NodeRecord, OwnerRecord, age::Extent},
     },
     settings::scheduler::parse,
@@ -98,7 +98,8 @@
         }
         let settings = parse("settings", &settings.to_string()).unwrap();
         let kv = Kv::new(UNREACHABLE, Duration::from_millis(LEASE_MS), |_, _, _| {});
-        let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+        let node =
+            node(settings, kv, Arc::new(Metrics::new()), accept::queue().0, tombstone::queue().0);
         node.view().ready.insert(keys::ROOT);
         let lease = Arc::new(Lease::default());
         let (inputs, _) = mpsc::unbounded_channel();
--- a/src/scheduler/keys.rs
+++ b/src/scheduler/keys.rs
@@ -5,7 +5,7 @@
         id::{AccountId, HostId, Incarnation, PoolId},
         job::JobId,
     },
-    scheduler::access::Holder,
+    scheduler::{access::Holder, tombstone::Tombstone},
 };
 
 /// The prefix of all records of the scheduler, except those that operators read.
@@ -44,7 +44,7 @@
 pub(crate) enum Key {
     /// A job, as it was accepted.
     Job(JobId),
-    /// Marks the name of a job as in use, in whichever pool.
+    /// Marks the name of a job as in use, in whichever pool, or as cancelled before it was.
     Id(JobId),
     /// The progress of a job that has begun.
     Progress(JobId),
@@ -162,6 +162,25 @@
     }
 }
 
+/// What the store has under a job's id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum IdRecord {
+    /// The marker of an accepted job, and whose job it is.
+    Accepted(Holder),
+    /// The job was cancelled before it was accepted.
+    Cancelled(Tombstone),
+}
+
+/// Parses the value under a job's id. No pool's name begins like a tombstone.
+pub(crate) fn id_record(value: &[u8]) -> IdRecord {
+    if value.starts_with(b"{")
+        && let Ok(tombstone) = serde_json::from_slice(value)
+    {
+        return IdRecord::Cancelled(tombstone);
+    }
+    IdRecord::Accepted(holder(value))
+}
+
 /// Whose job it is, by the value of the marker of its name.
 pub(crate) fn holder(marker: &[u8]) -> Holder {
     let text = std::str::from_utf8(marker).unwrap_or_default();
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -25,7 +25,7 @@
         mirror, node,
         relay::Relay,
         status::{self, Pages},
-        view_age,
+        tombstone, view_age,
     },
     settings::scheduler::{self, SchedulerSettings},
 };
@@ -65,12 +65,15 @@
     let note = move |call, outcome, took| call_metrics.record_store_call(call, outcome, took);
     let kv = Kv::new(&settings.platform.store.to_string(), STORE_TIMEOUT, note);
     let (accepting, waiting) = accept::queue();
-    let node = node(settings, kv, metrics.clone(), accepting);
+    let (cancelling, cancels) = tombstone::queue();
+    let node = node(settings, kv, metrics.clone(), accepting, cancelling);
     log::info!("node {}: started in {}", node.settings.node, node.settings.zone);
     let lease = Arc::new(Lease::default());
     let (inputs, received) = mpsc::unbounded_channel();
     tokio::spawn(lease::maintain(node.clone(), lease.clone()));
     tokio::spawn(accept::write(node.clone(), waiting));
+    tokio::spawn(tombstone::write_queued(node.clone(), cancels));
+    tokio::spawn(tombstone::sweep(node.clone()));
     mirror::start(&node, &lease, &inputs);
     let worker_client = WorkerClient::new();
     let control_loop =
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod cold_workers;
 mod demand;
+mod early_cancels;
 mod evacuations;
 mod incarnations;
 mod lagging_watches;
--- a/src/scheduler/tests/ownership.rs
+++ b/src/scheduler/tests/ownership.rs
@@ -36,7 +36,7 @@
         keys,
         lease::{self, Lease},
         metrics::Metrics,
-        mirror, node,
+        mirror, node, tombstone,
     },
     settings::scheduler::parse,
     standin::site,
@@ -152,10 +152,12 @@
     let settings = parse("settings", &settings.to_string()).unwrap();
     let (accepting, waiting) = accept::queue();
     let kv = Kv::new(store, STORE_TIMEOUT, |_, _, _| {});
-    let node = node(settings, kv, Arc::new(Metrics::new()), accepting);
+    let (cancelling, cancels) = tombstone::queue();
+    let node = node(settings, kv, Arc::new(Metrics::new()), accepting, cancelling);
     let (lease, (inputs, receiver)) = (Arc::new(Lease::default()), mpsc::unbounded_channel());
     tokio::spawn(lease::maintain(node.clone(), lease.clone()));
     tokio::spawn(accept::write(node.clone(), waiting));
+    tokio::spawn(tombstone::write_queued(node.clone(), cancels));
     mirror::start(&node, &lease, &inputs);
     tokio::spawn(ControlLoop::new(node.clone(), lease, WorkerClient::new(), inputs).run(receiver));
     node
--- a/src/scheduler/tests/readiness.rs
+++ b/src/scheduler/tests/readiness.rs
@@ -9,7 +9,9 @@
     jobs::owner::LEASE_MS,
     model::queue::QueueConfig,
     platform::{kv::Kv, records::OPERATOR_PREFIX},
-    scheduler::{Node, accept, api::Readiness, keys, lease::Lease, metrics::Metrics, node},
+    scheduler::{
+        Node, accept, api::Readiness, keys, lease::Lease, metrics::Metrics, node, tombstone,
+    },
     settings::scheduler::parse,
 };
 
@@ -35,7 +37,8 @@
     });
     let settings = parse("settings", &settings.to_string()).unwrap();
     let kv = Kv::new(UNUSED, TTL, |_, _, _| {});
-    let node = node(settings, kv, Arc::new(Metrics::new()), accept::queue().0);
+    let node =
+        node(settings, kv, Arc::new(Metrics::new()), accept::queue().0, tombstone::queue().0);
     let lease = Arc::new(Lease::default());
     let renew = || {
         let now = node.now().steady;
--- a/src/scheduler/tests/stale_view.rs
+++ b/src/scheduler/tests/stale_view.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use poem::{
     Endpoint, Request, Response,
     http::{Method, StatusCode, header},
@@ -44,6 +45,7 @@
             RELAYED_HEADER, Relay,
             proof::{self, Covered, Proof},
         },
+        tombstone,
         view::waiting::WaitingRecord,
     },
     settings::scheduler::parse,
@@ -78,6 +80,14 @@
     pub(super) is_down: watch::Sender<bool>,
     /// Whether writes are done and not answered.
     pub(super) loses_answers: watch::Sender<bool>,
+    /// Whether writes that arrive are held back and not answered.
+    pub(super) holds_writes: watch::Sender<bool>,
+    /// Whether the held writes are done.
+    pub(super) releases_writes: watch::Sender<bool>,
+    /// Number of writes that were held, and of those that were done.
+    pub(super) held_writes: watch::Sender<(usize, usize)>,
+    /// Number of writes that arrived.
+    pub(super) writes: Arc<AtomicUsize>,
 }
 
 impl StoreProxy {
@@ -91,10 +101,26 @@
             held_prefix: watch::Sender::new(None),
             is_down: watch::Sender::new(false),
             loses_answers: watch::Sender::new(false),
+            holds_writes: watch::Sender::new(false),
+            releases_writes: watch::Sender::new(false),
+            held_writes: watch::Sender::new((0, 0)),
+            writes: Arc::default(),
         };
         tokio::spawn(http::serve(listener, 256, proxy.clone(), http::Stop::default()));
         (proxy, own.to_string())
     }
+
+    /// Does a write once it is released, whether or not its caller still waits.
+    fn hold_write(&self, url: String, body: Bytes) {
+        self.held_writes.send_modify(|(held, _)| *held += 1);
+        let proxy = self.clone();
+        tokio::spawn(async move {
+            proxy.releases_writes.subscribe().wait_for(|released| *released).await.unwrap();
+            let request = proxy.client.post(url).header("Content-Type", "application/json");
+            request.body(body).send().await.unwrap();
+            proxy.held_writes.send_modify(|(_, done)| *done += 1);
+        });
+    }
 }
 
 impl Endpoint for StoreProxy {
@@ -111,6 +137,13 @@
             self.config_reads.fetch_add(1, Ordering::Relaxed);
         }
         let body = request.take_body().into_bytes().await.unwrap();
+        if uri.path().ends_with("-txn") {
+            self.writes.fetch_add(1, Ordering::Relaxed);
+            if *self.holds_writes.borrow() {
+                self.hold_write(url, body);
+                return std::future::pending().await;
+            }
+        }
         let forwarded = match *request.method() {
             Method::POST => self.client.post(url).header("Content-Type", "application/json"),
             _ => self.client.get(url),
@@ -312,8 +345,10 @@
     let settings = parse("settings", &settings.to_string()).unwrap();
     let kv = Kv::new(store, STORE_TIMEOUT, |_, _, _| {});
     let (accepting, waiting) = accept::queue();
-    let node = node(settings, kv, Arc::new(Metrics::new()), accepting);
+    let (cancelling, cancels) = tombstone::queue();
+    let node = node(settings, kv, Arc::new(Metrics::new()), accepting, cancelling);
     tokio::spawn(accept::write(node.clone(), waiting));
+    tokio::spawn(tombstone::write_queued(node.clone(), cancels));
     let lease = Arc::new(Lease::default());
     let now = node.now().steady;
     lease.note_renewed(LEASE, now, TTL, now);
--- a/src/scheduler/tests/status.rs
+++ b/src/scheduler/tests/status.rs
@@ -18,6 +18,7 @@
         metrics::{Metrics, Page},
         node,
         status::{Pages, check_tolerated_losses},
+        tombstone,
         view::View,
     },
     settings::scheduler::parse,
@@ -50,7 +51,7 @@
     });
     let settings = parse("settings", &settings.to_string()).unwrap();
     let kv = Kv::new(UNUSED, Duration::from_secs(1), |_, _, _| {});
-    node(settings, kv, Arc::new(Metrics::new()), accept::queue().0)
+    node(settings, kv, Arc::new(Metrics::new()), accept::queue().0, tombstone::queue().0)
 }
 
 async fn get(node: &Arc<Node>, path: &str) -> (StatusCode, Vec<u8>) {
--- a/src/scheduler/view.rs
+++ b/src/scheduler/view.rs
@@ -40,9 +40,10 @@
     },
     scheduler::{
         access::Holder,
-        keys::{self, Key},
+        keys::{self, IdRecord, Key},
         relay::proof::NodeSecret,
         replicas::{PublishedReplicas, ReplicaList},
+        tombstone,
         view::{
             age::{Ages, CallStart, Extent},
             key_revisions::{KeyRevisions, SourceId},
@@ -183,9 +184,12 @@
         cancelled: find(keys::cancel(id)).is_some(),
         ..KnownJob::default()
     };
-    let marker = find(keys::id(id));
-    let holder = marker.map_or(Holder::Nobody, |item| keys::holder(&item.value));
-    (marker.is_some() || known.state().is_final()).then(|| (known.state(), holder))
+    let holder = find(keys::id(id)).and_then(|item| match keys::id_record(&item.value) {
+        IdRecord::Accepted(holder) => Some(holder),
+        IdRecord::Cancelled(_) => None,
+    });
+    let is_accepted = holder.is_some() || known.state().is_final();
+    is_accepted.then(|| (known.state(), holder.unwrap_or(Holder::Nobody)))
 }
 
 /// A change of the view, for the code that acts on it.
@@ -244,6 +248,8 @@
     pub(crate) zones: ZoneView,
     /// The reports of how many jobs of each queue have not begun, by pool.
     pub(crate) waiting_reports: BTreeMap<String, WaitingReport>,
+    /// The revisions of the tombstones, and when each was first received.
+    tombstones: BTreeMap<JobId, (Revision, Steady)>,
     /// When the call was sent whose answer is being applied.
     call_sent: Steady,
     /// The age of this view, by prefix.
@@ -398,7 +404,13 @@
 
     /// Applies a change. Returns the change to act on, if any.
     pub(crate) fn apply(&mut self, change: Change) -> Option<Delta> {
-        let own = Key::parse(&change.key).filter(|key| !matches!(key, Key::Id(_)));
+        let own = match Key::parse(&change.key) {
+            Some(Key::Id(id)) => {
+                self.apply_id(id, &change);
+                return None;
+            }
+            own => own,
+        };
         let is_worker = change.key.starts_with(records::WORKER_PREFIX);
         let is_operator = change.key == records::CONFIG_KEY
             || records::is_wave(&change.key)
@@ -419,6 +431,38 @@
         }
     }
 
+    /// Tracks tombstones alone: there are many more markers of accepted jobs. A tombstone whose
+    /// change is received after that of its removal is dropped by [`View::forget_tombstone`].
+    fn apply_id(&mut self, id: JobId, change: &Change) {
+        let is_known = |(revision, _): &(Revision, Steady)| change.revision <= *revision;
+        if self.tombstones.get(&id).is_some_and(is_known) {
+            return;
+        }
+        match change.value.as_deref().map(keys::id_record) {
+            Some(IdRecord::Cancelled(_)) => {
+                self.tombstones.insert(id, (change.revision, self.call_sent));
+            }
+            Some(IdRecord::Accepted(_)) | None => {
+                self.tombstones.remove(&id);
+            }
+        }
+    }
+
+    /// The tombstones that are no longer needed, with their revisions.
+    pub(crate) fn expired_tombstones(&self, now: Steady) -> Vec<(JobId, Revision)> {
+        let all = self.tombstones.iter();
+        all.filter(|(_, (_, since))| tombstone::KEEP_MS <= now.since(*since))
+            .map(|(id, (revision, _))| (*id, *revision))
+            .collect()
+    }
+
+    /// Drops a tombstone that the store does not have at this revision.
+    pub(crate) fn forget_tombstone(&mut self, id: JobId, revision: Revision) {
+        if self.tombstones.get(&id).is_some_and(|(known, _)| *known == revision) {
+            self.tombstones.remove(&id);
+        }
+    }
+
     fn apply_upkeep(&mut self, change: &Change) {
         match change.value.as_deref().map(records::wave) {
             Some(Ok(upkeep)) => {
