The wait for a silent worker goes on under the next owner

Cause: the wait was reckoned from the takeover of whoever waits. Its terms are the last order that an earlier owner may have sent to the worker, and the lease that this order gave; an owner without an answer from the worker sends it nothing that prolongs either.

Change: the record of silent workers tells in how many milliseconds all that may run at each will have expired, from the write on. It is written with a release, once a worker has left two polls unanswered, and then every second. It is valid for the very next owner. A worker in it gets neither work nor lease before a write has taken it out. No pool is released for balance without a handover record.

Bound: some 10 writes for each takeover with a silent worker; records of more than 200 workers are written once. The record goes with the roster's.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -125,6 +125,11 @@
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
     handed_over: Option<BTreeSet<TaskId>>,
+    /// Workers that the previous owner did not reach, and when all that may run there will have
+    /// expired.
+    inherited_expiry: BTreeMap<Incarnation, Steady>,
+    /// When the record of expiring workers is written again; `None` if all in it have expired.
+    next_expiry_write: Option<Steady>,
     /// When a run of an unknown job was last seen.
     unknown_seen: Option<Steady>,
     /// Workers that have ended. The store may list their reports a while longer.
@@ -190,6 +195,8 @@
             ticked: now,
             roster: Roster::default(),
             handed_over: None,
+            inherited_expiry: BTreeMap::new(),
+            next_expiry_write: None,
             unknown_seen: None,
             ended_workers: BTreeMap::new(),
             former_orders: HashMap::new(),
@@ -254,8 +261,9 @@
             let is_pending = worker.missed_polls != 0 && !worker.has_lapsed(self.confirmed);
             is_pending && worker.has_lapsed(now) && !worker.runs.is_empty()
         };
-        let fence_pending = self.confirmed < self.fenced_until && self.fenced_until <= now;
-        fence_pending && !self.unblocking_logged || self.workers.values().any(has_expired)
+        let is_pending = |until: &Steady| self.confirmed < *until && *until <= now;
+        let mut fences = self.inherited_expiry.values().chain([&self.fenced_until]);
+        fences.any(is_pending) && !self.unblocking_logged || self.workers.values().any(has_expired)
     }
 
     /// Processes an event.
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -50,7 +50,9 @@
         if self.last_polls == Some(now) {
             worker.known_since = now.after(1);
         }
-        worker.rostered = self.roster.holding(&worker.report.id) == Some(&Holding::Any);
+        let id = &worker.report.id;
+        worker.rostered =
+            self.roster.holding(id) == Some(&Holding::Any) && !self.roster.may_be_expiring(id);
         if let Some(former) = self.former_orders.get(&worker.report.id.worker) {
             worker.follow(former);
             if !worker.rostered {
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -72,7 +72,7 @@
         let mixed: BTreeSet<Incarnation> = self.mixed_workers();
         let short_polls = self.message_loss.is_high(self.workers.len(), now);
         let mut resent = 0;
-        let unsettled = &self.unsettled;
+        let (unsettled, roster) = (&self.unsettled, &self.roster);
         for worker in self.workers.values_mut() {
             // A run in an unknown phase does not wait for the pending poll, which may wait for an
             // end.
@@ -101,8 +101,9 @@
                 false => 0,
             };
             // The lease of a silent worker is not renewed: it may receive polls though its answers
-            // are lost.
-            let renews = worker.has_reported && worker.missed_polls == 0;
+            // are lost. Nor is one on whose expiry a later owner relies.
+            let expires = roster.may_be_expiring(&worker.report.id);
+            let renews = worker.has_reported && worker.missed_polls == 0 && !expires;
             let until_ms = if renews { worker.extend_lease(now) } else { None };
             worker.note_poll_sent(now);
             worker.poll_sent = Some(now);
@@ -440,7 +441,7 @@
                 self.remove_run(task, &id, RunEnd::Lapsed, now);
             }
             let worker = &self.workers[&id];
-            let untouched = !worker.has_reported && confirmed < self.fenced_until;
+            let untouched = !worker.has_reported && confirmed < self.fence_at(worker);
             if !worker.is_listed() && !untouched {
                 log::info!("worker {id}: removed: not listed, and silent");
                 self.remove_silent_worker(&id, now);
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -7,9 +7,9 @@
 use crate::{
     jobs::{
         event::{Effect, Event},
-        handover::Handover,
+        handover::{ExpiringWorkers, Handover},
         job::{Job, Task},
-        roster::{Holding, Roster, RosterWrite, SilentWorkers},
+        roster::{Holding, Roster, RosterWrite, SilentWorkers, WantedRoster},
         worker::{EXPIRY_DELAY_MS, MAX_ORDER_DELAY_MS, Worker},
     },
     model::{
@@ -29,6 +29,13 @@
 /// latest.
 const UNKNOWN_RUN_MS: u64 = 5_000;
 
+/// How often the record of expiring workers is written while this owner waits for them, in
+/// milliseconds: a later owner waits at most this much longer.
+const EXPIRY_WRITE_MS: u64 = 1_000;
+
+/// The most workers in a record of expiring workers that is written repeatedly.
+const MAX_REPEATED_WORKERS: usize = 200;
+
 #[cfg(test)]
 thread_local! {
     /// How many tasks were added to unconfirmed sets, to measure the cost of a plan.
@@ -66,9 +73,14 @@
         out: &mut Vec<Effect>,
     ) {
         self.roster = Roster::inherited(&workers, silent_workers);
-        let record =
-            silent_workers.handover.as_ref().and_then(|record| record.for_owner(self.earlier));
+        let record = silent_workers.handover.as_ref().or(silent_workers.partial.as_ref());
+        let record = record.and_then(|record| record.for_owner(self.earlier));
         self.handed_over = record.cloned();
+        let expiring = silent_workers.expiring.as_ref();
+        let expiring = expiring.and_then(|record| record.for_owner(self.earlier));
+        let expiring = expiring.into_iter().flatten();
+        self.inherited_expiry =
+            expiring.map(|(id, millis)| (id.clone(), now.steady.after(*millis))).collect();
         // A predecessor that has handed over the pool sends no more orders.
         let last_order_ms = if self.handed_over.is_some() { 0 } else { PREDECESSOR_MS };
         let until = now.steady.after(last_order_ms + MAX_ORDER_DELAY_MS + EXPIRY_DELAY_MS);
@@ -103,9 +115,23 @@
         if !self.unknown.is_empty() || self.unknown_seen.is_some_and(recently) {
             return None;
         }
-        let Unconfirmed::Only(mut tasks) = self.unconfirmed(now.steady) else {
-            return None;
-        };
+        let (mut tasks, mut expiring) = (BTreeSet::new(), BTreeMap::new());
+        let (mut any, mut is_partial) = (false, false);
+        for (worker, held) in self.hidden(now.steady) {
+            let id = &worker.report.id;
+            let is_handed_over = self.is_handed_over(worker, held);
+            let expires = !worker.has_reported && self.roster.holding(id).is_some();
+            if expires && !is_handed_over {
+                expiring.insert(id.clone(), self.fence_at(worker).since(now.steady));
+            }
+            match held {
+                Holding::Only(held) => tasks.extend(held),
+                Holding::Any if is_handed_over => any = true,
+                Holding::Any if expires => is_partial = true,
+                Holding::Any => return None,
+            }
+        }
+        tasks.extend(self.handed_over.iter().flatten().filter(|_| any));
         for job in self.jobs.values() {
             for ((time, step), entries) in &job.steps {
                 let of = StepId { job: job.id, occurrence: *time, step: *step };
@@ -114,11 +140,63 @@
                 tasks.extend(held.map(|(index, _)| TaskId { of, index }));
             }
         }
-        let handover = Some(Handover::new(self.earlier, tasks)?);
-        let silent =
-            self.roster.listed().filter_map(|id| Some((id.clone(), self.silent_holding(id)?)));
+        let handover = Handover::new(self.earlier, tasks)?;
+        let (handover, partial) =
+            if is_partial { (None, Some(handover)) } else { (Some(handover), None) };
+        let silent: BTreeMap<Incarnation, BTreeSet<TaskId>> = (self.roster.listed())
+            .filter_map(|id| Some((id.clone(), self.silent_holding(id)?)))
+            .collect();
+        let reported = silent.keys().filter_map(|id| self.workers.get(id));
+        for worker in reported.filter(|worker| worker.reported_all) {
+            let remaining = worker.lease_expiry().map_or(0, |at| at.since(now.steady));
+            expiring.insert(worker.report.id.clone(), remaining);
+        }
+        let expiring = ExpiringWorkers::new(self.earlier, expiring);
         let starts = self.unsettled.by_worker();
-        Some(SilentWorkers { silent: silent.collect(), handover, starts })
+        Some(SilentWorkers { silent, handover, partial, expiring, starts })
+    }
+
+    /// Whether all that may run at a worker that has not reported is in the handover record.
+    fn is_handed_over(&self, worker: &Worker, held: &Holding) -> bool {
+        let has_expiry = self.inherited_expiry.contains_key(&worker.report.id);
+        *held == Holding::Any && self.handed_over.is_some() && !has_expiry
+    }
+
+    /// Until when a worker that this owner has not reached may run tasks of earlier jobs. The
+    /// previous owner may have waited for it already.
+    pub(super) fn fence_at(&self, worker: &Worker) -> Steady {
+        let inherited = self.inherited_expiry.get(&worker.report.id);
+        let inherited = inherited.filter(|_| !worker.has_reported);
+        inherited.map_or(self.fenced_until, |until| self.fenced_until.min(*until))
+    }
+
+    /// The workers that may run tasks of earlier jobs where this owner does not see them, and
+    /// which: those to which earlier owners could give work and that have not reported all their
+    /// runs to this one yet.
+    fn hidden(&self, now: Steady) -> impl Iterator<Item = (&Worker, &Holding)> {
+        let confirmed = self.confirmed.min(now);
+        let may_hide = move |worker: &&Worker| match self.fence_at(worker) <= confirmed {
+            true => worker.may_list_unseen_ends(confirmed),
+            false => !worker.reported_all,
+        };
+        self.workers.values().filter(may_hide).filter_map(|worker| {
+            let held = self.roster.holding(&worker.report.id);
+            Some((worker, held.or(worker.earlier_tasks.as_ref())?))
+        })
+    }
+
+    /// The listed workers that have not answered this owner, so that all that may run there
+    /// expires, and in how long, in milliseconds.
+    fn expiring_workers(&self) -> BTreeMap<Incarnation, u64> {
+        let is_silent = |worker: &&Worker| {
+            let was_silent = self.inherited_expiry.contains_key(&worker.report.id);
+            !worker.has_reported && (was_silent || SILENT_MISSES <= worker.missed_polls)
+        };
+        let silent = self.workers.values().filter(is_silent);
+        let listed = silent.filter(|worker| self.roster.holding(&worker.report.id).is_some());
+        listed
+            .map(|worker| (worker.report.id.clone(), self.fence_at(worker).since(self.ticked)))
+            .collect()
     }
 
     /// Whether a run of a task may exist somewhere, or has ended with a result that is not durable
@@ -152,10 +230,17 @@
     /// work only by what is persisted.
     pub(crate) fn roster_note(&mut self, limit: usize) -> Option<RosterWrite> {
         let (holdings, starts) = (self.holdings(), self.starts_to_persist());
-        let announces = self.must_persist_starts(&starts);
+        let expiring = self.expiring_workers();
+        let has_expired = expiring.values().all(|remaining| *remaining == 0);
+        let repeats = !expiring.is_empty()
+            && expiring.len() <= MAX_REPEATED_WORKERS
+            && self.next_expiry_write.is_some_and(|at| at <= self.ticked);
+        let is_due = self.must_persist_starts(&starts) || repeats;
+        let wanted = WantedRoster { holdings, expiring, starts, is_due };
         let workers = &self.workers;
         let report = |id: &Incarnation| workers.get(id).map(|worker| &worker.report);
-        let write = self.roster.next_write(holdings, limit, report, starts, announces)?;
+        let write = self.roster.next_write(wanted, limit, report, self.earlier)?;
+        self.next_expiry_write = (!has_expired).then(|| self.ticked.after(EXPIRY_WRITE_MS));
         for worker in self.workers.values_mut() {
             worker.rostered &= write.allows_work(&worker.report.id);
         }
@@ -209,35 +294,22 @@
         );
     }
 
-    /// The tasks of earlier jobs that may run where this owner does not see them: on workers to
-    /// which earlier owners could give work and that have not reported all their runs to this one
-    /// yet.
+    /// The tasks of earlier jobs that may run where this owner does not see them.
     pub(super) fn unconfirmed(&self, now: Steady) -> Unconfirmed {
         let mut tasks = BTreeSet::new();
-        let confirmed = self.confirmed.min(now);
-        let fence_passed = self.fenced_until <= confirmed;
-        let may_hide = |worker: &&Worker| match fence_passed {
-            true => worker.may_list_unseen_ends(confirmed),
-            false => !worker.reported_all,
-        };
         let mut any = false;
-        for worker in self.workers.values().filter(may_hide) {
-            let held = self.roster.holding(&worker.report.id);
-            match held.or(worker.earlier_tasks.as_ref()) {
-                Some(Holding::Any) => any = true,
-                Some(Holding::Only(held)) => {
+        for (worker, held) in self.hidden(now) {
+            match held {
+                Holding::Any if self.is_handed_over(worker, held) => any = true,
+                Holding::Any => return Unconfirmed::All,
+                Holding::Only(held) => {
                     tasks.extend(held.iter().inspect(|_| tally_unconfirmed()));
                 }
-                None => {}
             }
         }
-        match &self.handed_over {
+        if let Some(handed_over) = self.handed_over.as_ref().filter(|_| any) {
             // Once for all workers: after a demand peak hundreds of them have departed.
-            Some(handed_over) if any => {
-                tasks.extend(handed_over.iter().inspect(|_| tally_unconfirmed()))
-            }
-            None if any => return Unconfirmed::All,
-            Some(_) | None => {}
+            tasks.extend(handed_over.iter().inspect(|_| tally_unconfirmed()));
         }
         Unconfirmed::Only(tasks)
     }
--- a/src/jobs/roster.rs
+++ b/src/jobs/roster.rs
@@ -11,7 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    jobs::{handover::Handover, unsettled::StartsByWorker},
+    jobs::{
+        handover::{ExpiringWorkers, Handover},
+        unsettled::StartsByWorker,
+    },
     model::{id::Incarnation, job::TaskId, worker::WorkerReport},
 };
 
@@ -39,6 +42,12 @@
     /// The tasks that may run at all others, if the previous owner handed over the pool.
     #[serde(rename = "h", default, skip_serializing_if = "Option::is_none")]
     pub(crate) handover: Option<Handover>,
+    /// The same, if it leaves out expiring workers. Earlier versions would take it for complete.
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) partial: Option<Handover>,
+    /// Workers at which all that may run expires, since the owner sends them nothing.
+    #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
+    pub(crate) expiring: Option<ExpiringWorkers>,
     /// Starts that may be carried out by the next incarnation of their worker.
     #[serde(rename = "u", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub(crate) starts: StartsByWorker,
@@ -55,12 +64,14 @@
     pub(crate) silent_workers: SilentWorkers,
     /// The tasks that each worker may run once the write is done.
     holdings: BTreeMap<Incarnation, Holding>,
+    /// The workers that are recorded as expiring once the write is done.
+    expiring: BTreeSet<Incarnation>,
 }
 
 impl RosterWrite {
     /// Whether a worker may get work once the write is done.
     pub(crate) fn allows_work(&self, id: &Incarnation) -> bool {
-        self.holdings.get(id) == Some(&Holding::Any)
+        self.holdings.get(id) == Some(&Holding::Any) && !self.expiring.contains(id)
     }
 
     /// The number of workers' records that the write changes.
@@ -69,12 +80,27 @@
     }
 }
 
+/// What is to be persisted.
+#[derive(Debug, Default)]
+pub(crate) struct WantedRoster {
+    /// The tasks that each worker may run.
+    pub(crate) holdings: BTreeMap<Incarnation, Holding>,
+    /// Workers that get nothing from this owner, and in how long all that may run there will have
+    /// expired, in milliseconds.
+    pub(crate) expiring: BTreeMap<Incarnation, u64>,
+    pub(crate) starts: StartsByWorker,
+    /// Whether a write is needed even if the roster is as wanted.
+    pub(crate) is_due: bool,
+}
+
 /// The roster as last known to be persisted. Each listed worker has its own record: hosts join and
 /// leave by the hundred at a peak, and each write is sent to every node.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
     /// The workers that may run something, all of them listed.
     holdings: BTreeMap<Incarnation, Holding>,
+    /// The workers that this owner has recorded as expiring, or may have.
+    expiring: BTreeSet<Incarnation>,
     /// Workers whose records an unconfirmed write changes: each may be listed or not.
     unconfirmed: BTreeSet<Incarnation>,
     /// Whether a write was begun and is not yet confirmed.
@@ -97,23 +123,29 @@
         self.holdings.get(id)
     }
 
+    /// Whether a later owner may rely on the expiry of what runs at a worker.
+    pub(crate) fn may_be_expiring(&self, id: &Incarnation) -> bool {
+        self.expiring.contains(id)
+    }
+
     /// All workers that are listed or may be.
     pub(crate) fn listed(&self) -> impl Iterator<Item = &Incarnation> {
         self.holdings.keys().chain(&self.unconfirmed)
     }
 
-    /// The next write that brings the roster to the `wanted` state and changes at most `limit`
-    /// workers' records; `None` if that state is already persisted. Each write contains `starts`,
-    /// which need a write of their own if `announces` is set.
+    /// The next write of an owner that follows `earlier` others, which brings the roster to the
+    /// wanted state and changes at most `limit` workers' records; `None` if that state is already
+    /// persisted.
     pub(crate) fn next_write<'a>(
         &mut self,
-        wanted: BTreeMap<Incarnation, Holding>,
+        wanted: WantedRoster,
         limit: usize,
         report: impl Fn(&Incarnation) -> Option<&'a WorkerReport>,
-        starts: StartsByWorker,
-        announces: bool,
+        earlier: u32,
     ) -> Option<RosterWrite> {
-        let is_current = !announces && wanted == self.holdings;
+        let WantedRoster { holdings: wanted, mut expiring, starts, is_due } = wanted;
+        let is_current =
+            !is_due && wanted == self.holdings && expiring.keys().eq(self.expiring.iter());
         if is_current && !self.is_write_pending && self.unconfirmed.is_empty() {
             return None;
         }
@@ -133,11 +165,17 @@
             Holding::Any => None,
             Holding::Only(tasks) => Some((id.clone(), tasks.clone())),
         });
-        let silent_record = SilentWorkers { silent: silent.collect(), handover: None, starts };
+        let silent = silent.collect();
+        expiring.retain(|id, _| holdings.contains_key(id));
+        let names: BTreeSet<Incarnation> = expiring.keys().cloned().collect();
+        self.expiring.extend(names.iter().cloned());
+        let expiring = ExpiringWorkers::new(earlier, expiring);
+        let (handover, partial) = (None, None);
+        let silent_workers = SilentWorkers { silent, handover, partial, expiring, starts };
         self.is_write_pending = true;
         self.unconfirmed.extend(added.iter().map(|report| report.id.clone()));
         self.unconfirmed.extend(dropped.iter().cloned());
-        Some(RosterWrite { added, dropped, silent_workers: silent_record, holdings })
+        Some(RosterWrite { added, dropped, silent_workers, holdings, expiring: names })
     }
 
     /// The tasks that each certainly listed worker may run once a write is done. A worker that the
@@ -163,6 +201,7 @@
     /// Records that a write was done.
     pub(crate) fn confirm_write(&mut self, write: &RosterWrite) {
         self.holdings = write.holdings.clone();
+        self.expiring = write.expiring.clone();
         for id in write.added.iter().map(|report| &report.id).chain(&write.dropped) {
             self.unconfirmed.remove(id);
         }
--- a/src/scheduler/control_loop/acquire.rs
+++ b/src/scheduler/control_loop/acquire.rs
@@ -8,6 +8,7 @@
 use crate::{
     jobs::{
         balance::{self, Capacity},
+        handover::{ExpiringWorkers, Handover},
         spread::{self, Candidate},
     },
     model::{
@@ -186,6 +187,11 @@
         let Some(name) = name else {
             return;
         };
+        // The next owner would wait for all that may run, and nothing has to change.
+        if self.owned.get(&name).is_some_and(|owned| owned.owner.handover_record(now).is_none()) {
+            log::info!("owner {name}: kept, since it is unknown which tasks may run");
+            return;
+        }
         log::info!("owner {name}: to be released to a node with more free processor time");
         self.release_ownership(name, now);
     }
@@ -295,11 +301,16 @@
         owned.tenure.note_ended();
         let token = owned.owner.token;
         let silent = owned.owner.handover_record(now);
-        let may_run = match silent.as_ref().and_then(|record| record.handover.as_ref()) {
-            Some(handover) => format!("{} tasks may run", handover.len()),
+        let tasks = silent.as_ref().and_then(|record| {
+            record.handover.as_ref().or(record.partial.as_ref()).map(Handover::len)
+        });
+        let may_run = match tasks {
+            Some(tasks) => format!("{tasks} tasks may run"),
             None => "unknown which tasks may run".to_owned(),
         };
-        log::info!("owner {name}: given back: token {token}, {may_run}");
+        let expiring = silent.as_ref().and_then(|record| record.expiring.as_ref());
+        let expiring = expiring.map_or(0, ExpiringWorkers::len);
+        log::info!("owner {name}: given back: token {token}, {may_run}, {expiring} silent workers");
         let txn = match silent {
             Some(record) => Txn::default().put(keys::silent_workers(&name), json(&record)),
             None => Txn::default(),
--- a/src/scheduler/control_loop/input.rs
+++ b/src/scheduler/control_loop/input.rs
@@ -47,7 +47,7 @@
     RosterWritten {
         name: String,
         token: u64,
-        write: RosterWrite,
+        write: Box<RosterWrite>,
         result: OverwriteResult,
     },
     /// Result of a write of shares of the limits of client accounts.
--- a/src/scheduler/control_loop/persist.rs
+++ b/src/scheduler/control_loop/persist.rs
@@ -131,6 +131,7 @@
         let tenure = owned.tenure.clone();
         tokio::spawn(async move {
             let result = commit_roster(&node, &tenure, &name, token, silent_revision, &write).await;
+            let write = Box::new(write);
             let _ = inputs.send(Input::RosterWritten { name, token, write, result });
         });
     }
