The simulation of owners that follow each other has owners that overlap

An owner that is cut off from the store gives orders for up to 5 s after the next has taken over; now the replaced owner does so in the simulation, and writes may also fail. No check has changed.

--- a/src/jobs/tests/owner_chains.rs
+++ b/src/jobs/tests/owner_chains.rs
@@ -13,7 +13,7 @@
 use crate::{
     jobs::{
         event::{Effect, Event},
-        owner::Owner,
+        owner::{GRACE_PERIOD_MS, LEASE_MS, Owner},
         roster::{RosterWrite, SilentWorkers},
     },
     model::{
@@ -30,6 +30,8 @@
 /// As many as one worker has room for.
 const TASKS: u32 = 4;
 const TICK_MS: u64 = 100;
+/// How long an owner may go on giving orders after the next one has taken over, in milliseconds.
+const OVERLAP_MS: u64 = LEASE_MS + GRACE_PERIOD_MS;
 /// How long a calm owner may take until all tasks run, in milliseconds: the longest wait of 9 s, a
 /// second for polls and writes, and half a second for each task that is retried in isolation, since
 /// its worker seems to be lost.
@@ -53,6 +55,7 @@
     Lost,
     /// Not answered, and done with the next change if its condition still holds.
     Late,
+    Failed,
 }
 
 /// A change of owners, and what happens until the next.
@@ -123,6 +126,8 @@
     known_revision: u64,
     late: Option<(u32, u64, RosterWrite)>,
     progress: Option<Vec<u8>>,
+    /// The previous owner, if it does not know yet that it has been replaced, and until when.
+    previous: Option<(Harness, u64)>,
     /// How often the wait was recorded.
     waits: u64,
 }
@@ -140,6 +145,7 @@
             known_revision: 0,
             late: None,
             progress: None,
+            previous: None,
             waits: 0,
         };
         chain.take_over();
@@ -192,6 +198,7 @@
         {
             self.persisted = (write.silent_workers, expected + 1);
         }
+        let mut overlaps = false;
         match change {
             Change::None => return,
             Change::HandOver => {
@@ -201,10 +208,13 @@
                 self.waits += u64::from(record.partial.is_some());
                 self.persisted = (record, self.persisted.1 + 1);
             }
-            Change::End => {}
+            Change::End => overlaps = true,
             Change::Skip => self.earlier_owners += 1,
         }
-        self.harness.now += TICK_MS;
+        let now = self.harness.now;
+        let ended = std::mem::replace(&mut self.harness, Harness::new(0));
+        self.previous = overlaps.then_some((ended, now + OVERLAP_MS));
+        self.harness.now = now + TICK_MS;
         self.take_over();
     }
 
@@ -222,6 +232,7 @@
                 self.late = Some((self.earlier_owners, self.known_revision, roster));
                 return;
             }
+            Write::Failed => return,
             Write::Done | Write::Lost => {
                 self.persisted = (roster.silent_workers.clone(), self.persisted.1 + 1);
             }
@@ -236,6 +247,7 @@
         self.harness.now += TICK_MS;
         let clock = self.clock();
         self.workers.values_mut().for_each(|worker| worker.advance(clock));
+        self.tick_previous();
         self.harness.work();
         self.persist_roster(write);
         self.harness.work();
@@ -255,6 +267,26 @@
         }
     }
 
+    /// The previous owner reaches all workers, and not the store.
+    fn tick_previous(&mut self) {
+        let Some((mut previous, until)) = self.previous.take() else {
+            return;
+        };
+        if until <= self.harness.now || previous.owner.is_deposed() {
+            return;
+        }
+        previous.now = self.harness.now;
+        let at = previous.at();
+        previous.owner.tick(at, &mut previous.effects);
+        std::mem::swap(&mut self.harness, &mut previous);
+        let all = self.names([true; WORKERS.len()]);
+        for effect in std::mem::take(&mut self.harness.effects) {
+            self.carry_out(effect, &all);
+        }
+        std::mem::swap(&mut self.harness, &mut previous);
+        self.previous = Some((previous, until));
+    }
+
     fn carry_out(&mut self, effect: Effect, reached: &BTreeSet<Incarnation>) {
         let (now, clock_ms) = (self.harness.at().steady, self.clock());
         let to = match &effect {
