--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -125,7 +125,7 @@
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
     handed_over: Option<BTreeSet<TaskId>>,
-    /// Workers that the previous owner did not reach, and when all that may run there will have
+    /// Workers that did not answer the previous owner, and when all that may run there will have
     /// expired.
     inherited_expiry: BTreeMap<Incarnation, Steady>,
     /// When the record of expiring workers is written again; `None` if all in it have expired.
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -33,8 +33,9 @@
 /// milliseconds: a later owner waits at most this much longer.
 const EXPIRY_WRITE_MS: u64 = 1_000;
 
-/// The most workers in a record of expiring workers that is written repeatedly.
-const MAX_REPEATED_WORKERS: usize = 200;
+/// The most workers that are recorded as expiring while this owner waits for them: each that answers
+/// costs a write before it gets work.
+const MAX_EXPIRING_WORKERS: usize = 64;
 
 #[cfg(test)]
 thread_local! {
@@ -186,7 +187,7 @@
     }
 
     /// The listed workers that have not answered this owner, so that all that may run there
-    /// expires, and in how long, in milliseconds.
+    /// expires, and in how long, in milliseconds; none if there are too many to record.
     fn expiring_workers(&self) -> BTreeMap<Incarnation, u64> {
         let is_silent = |worker: &&Worker| {
             let was_silent = self.inherited_expiry.contains_key(&worker.report.id);
@@ -194,9 +195,10 @@
         };
         let silent = self.workers.values().filter(is_silent);
         let listed = silent.filter(|worker| self.roster.holding(&worker.report.id).is_some());
-        listed
+        let expiring: BTreeMap<Incarnation, u64> = listed
             .map(|worker| (worker.report.id.clone(), self.fence_at(worker).since(self.ticked)))
-            .collect()
+            .collect();
+        if expiring.len() <= MAX_EXPIRING_WORKERS { expiring } else { BTreeMap::new() }
     }
 
     /// Whether a run of a task may exist somewhere, or has ended with a result that is not durable
@@ -232,9 +234,8 @@
         let (holdings, starts) = (self.holdings(), self.starts_to_persist());
         let expiring = self.expiring_workers();
         let has_expired = expiring.values().all(|remaining| *remaining == 0);
-        let repeats = !expiring.is_empty()
-            && expiring.len() <= MAX_REPEATED_WORKERS
-            && self.next_expiry_write.is_some_and(|at| at <= self.ticked);
+        let repeats =
+            !expiring.is_empty() && self.next_expiry_write.is_some_and(|at| at <= self.ticked);
         let is_due = self.must_persist_starts(&starts) || repeats;
         let wanted = WantedRoster { holdings, expiring, starts, is_due };
         let workers = &self.workers;
--- a/src/jobs/tests/repeated_waits.rs
+++ b/src/jobs/tests/repeated_waits.rs
@@ -186,6 +186,28 @@
     assert!(answer(harness)[0].is_some());
 }
 
+/// After the takeover of a large pool hundreds of workers answer late, one after the other: each
+/// would cost a write of the whole record.
+#[test]
+fn the_wait_for_many_workers_is_recorded_with_a_release_only() {
+    const WORKERS: usize = 65;
+    let names: Vec<(String, String)> =
+        (0..WORKERS).map(|number| (format!("w{number}"), format!("h{number}"))).collect();
+    let listed: Vec<(&str, &str)> = names.iter().map(|(w, h)| (w.as_str(), h.as_str())).collect();
+    let mut harness = Harness::inheriting(&listed, SilentWorkers::default());
+    for _ in 0..3 {
+        harness.now += 1_000;
+        harness.work();
+        listed.iter().for_each(|(worker, _)| harness.poll_unanswered(worker));
+    }
+    assert_eq!(harness.owner.roster_note(9), None);
+    let record = harness.owner.handover_record(harness.at()).expect("a handover record");
+    assert_eq!(record.expiring.map(|expiring| expiring.len()), Some(WORKERS));
+    harness.poll("w0", vec![], vec![]);
+    let write = harness.owner.roster_note(9).expect("few enough are silent");
+    assert_eq!(write.silent_workers.expiring.map(|expiring| expiring.len()), Some(WORKERS - 1));
+}
+
 /// A worker falls silent, and the pool is handed over before its lease has expired: its tasks need
 /// not wait for longer than under the first owner.
 #[test]
