Nothing says whether an owner of a large pool is late

Callers saw accepted work lost and too little served at peaks of large pools. The logs say what a pool has and what waits; they don't say whether its owner's node handles answers late, what its time goes to, whether its delegates are late, or how many tasks that could still end in time were started.

Change: each node that owns work logs once a second what the control loop's time went to, how long answers of workers waited in its queue, how late its pauses end, the age of its view and the processor time used. The line of each pool goes on with the orders sent, the delay of its delegates, starts and due tasks by whether their jobs can still end in time, overdue polls and delegates that back off. Delegates write a line only if an answer was more than 100 ms late. Metrics: input_wait_seconds, loop_seconds, starts, links_backing_off.

No decision changes. Cost: two readings of the clock and one histogram update for each answer of a worker at its owner, four readings in an iteration; at a delegate one reading for each message; the processor time is read once a second.

Two tests build an input themselves and now set the time at which it is queued; what they check is unchanged.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -7,6 +7,7 @@
 mod ends;
 mod held_back;
 mod incarnations;
+mod lateness;
 mod load;
 mod losses;
 mod plan;
@@ -29,7 +30,7 @@
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
         unsettled::{StartsByWorker, UnsettledStarts},
-        urgency::Durations,
+        urgency::{ByLateness, Durations},
         worker::{EXPIRY_DELAY_MS, LostRun, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker},
     },
     model::{
@@ -47,6 +48,7 @@
 #[cfg(test)]
 pub(crate) use breakdown::{AccountCounts, ZoneCounts};
 use incarnations::{EndedWorker, FormerOrders};
+pub(crate) use lateness::Lateness;
 pub(crate) use load::PoolLoad;
 use losses::Outage;
 #[cfg(test)]
@@ -153,6 +155,8 @@
     finished: BTreeSet<JobId>,
     deposed: bool,
     counts: Counts,
+    /// Starts that were not taken yet.
+    starts: ByLateness,
     /// Whether it was logged that tasks of earlier jobs may start.
     unblocking_logged: bool,
     /// Workers that are silent and not listed, by host. Each may be alive until another worker
@@ -211,6 +215,7 @@
             finished: BTreeSet::new(),
             deposed: false,
             counts: Counts::default(),
+            starts: ByLateness::default(),
             unblocking_logged: earlier == 0,
             vanished: BTreeMap::new(),
             crashing: Vec::new(),
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -68,10 +68,12 @@
                 accounts.note_settled();
             }
         }
+        let planned = out.len();
         self.send_announced_starts(now.steady, out);
         for id in order {
             self.plan_job(id, &unconfirmed, now, out);
         }
+        self.count_starts(&out[planned..], now);
         if let Some(accounts) = &mut self.accounts {
             accounts.end_plan(now.steady);
         }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -16,6 +16,7 @@
 mod incarnations;
 mod late_starts;
 mod late_timers;
+mod lateness;
 mod outage;
 mod owner_chains;
 mod plan_cost;
--- a/src/jobs/urgency.rs
+++ b/src/jobs/urgency.rs
@@ -1,6 +1,6 @@
 //! The priority order of jobs, and estimates of how long their tasks take.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, fmt};
 
 use crate::{jobs::job::Job, model::unit::Now};
 
@@ -78,6 +78,35 @@
     }
 }
 
+/// A number of tasks, by whether their jobs can still end in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct ByLateness {
+    /// Long-running tasks included.
+    pub(crate) in_time: u64,
+    pub(crate) late: u64,
+    /// Too late to be of value.
+    pub(crate) too_late: u64,
+}
+
+impl ByLateness {
+    /// Adds tasks of a job of this urgency.
+    pub(crate) fn add(&mut self, urgency: Urgency, tasks: u64) {
+        let count = match () {
+            () if urgency.is_in_time() => &mut self.in_time,
+            () if urgency.is_too_late() => &mut self.too_late,
+            () => &mut self.late,
+        };
+        *count += tasks;
+    }
+}
+
+impl fmt::Display for ByLateness {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ByLateness { in_time, late, too_late } = self;
+        write!(f, "{in_time} in time, {late} late, {too_late} too late")
+    }
+}
+
 /// The urgency of a job. With `favors_small`, of jobs that can end in time and have about the same
 /// slack, those with the least remaining work come first: when there are too few workers for all,
 /// more of them end in time. Each step of slack that passes brings the others forward.
--- a/src/scheduler/clock.rs
+++ b/src/scheduler/clock.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// The processor time that the process has used so far; zero if it cannot be read.
+pub(crate) fn process_cpu() -> Duration {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID).map(Duration::from).unwrap_or_default()
+}
+
 /// The time since boot, including time suspended.
 fn since_boot() -> Duration {
     clock_gettime(ClockId::CLOCK_BOOTTIME).map_or_else(
--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -3,8 +3,10 @@
 mod acquire;
 mod input;
 mod limit_shares;
+pub(crate) mod loop_load;
 mod order_counts;
 mod orders;
+mod owner_load;
 mod persist;
 mod publish;
 mod reach;
@@ -43,19 +45,27 @@
         unit::{Now, Revision, Steady},
         worker::WorkerReport,
     },
-    platform::{advice::AdviceClient, machines::HostClient, worker_client::WorkerClient},
+    platform::{
+        advice::AdviceClient,
+        machines::HostClient,
+        records::{OPERATOR_PREFIX, WORKER_PREFIX},
+        worker_client::WorkerClient,
+    },
     scheduler::{
         Node,
+        clock::process_cpu,
         demand::Demands,
         dispatch::link::{Links, Outgoing},
         keys,
         lease::{Lease, Tenure},
         mirror,
-        view::{Versioned, WaveRecord},
+        view::{Versioned, View, WaveRecord},
     },
 };
 
 pub(crate) use input::{Input, OverwriteResult, Ownership, ProgressResult};
+use loop_load::{LoopLoad, LoopSummary};
+use owner_load::OwnerLoad;
 use stale_view::StaleView;
 use waiting_report::ReportState;
 use zones::ZoneLog;
@@ -172,6 +182,7 @@
     next_rebalance: Steady,
     stale_view: StaleView,
     zone_log: ZoneLog,
+    pub(super) loop_load: LoopLoad,
     pub(super) inputs: mpsc::UnboundedSender<Input>,
     shutting_down: bool,
 }
@@ -215,6 +226,7 @@
             next_rebalance: Steady::default(),
             stale_view: StaleView::default(),
             zone_log: ZoneLog::default(),
+            loop_load: LoopLoad::new(Instant::now(), process_cpu()),
             inputs: sender,
             shutting_down: false,
         }
@@ -229,21 +241,29 @@
             tokio::select! {
                 input = receiver.recv() => {
                     let Some(input) = input else { return };
+                    let began = Instant::now();
                     self.handle(input);
+                    self.loop_load.note_inputs(1, began.elapsed());
                 }
                 _ = tick.tick() => {}
             }
             let remaining = pause.saturating_sub(last_tick.elapsed());
             if !remaining.is_zero() {
+                let began = Instant::now();
                 sleep(remaining).await;
+                self.loop_load.note_pause(remaining, began.elapsed());
             }
+            let (resumed, mut inputs) = (Instant::now(), 0);
             while let Ok(more) = receiver.try_recv() {
                 self.handle(more);
+                inputs += 1;
             }
             let began = Instant::now();
+            self.loop_load.note_inputs(inputs, began - resumed);
             self.tick();
             self.flush_outbox();
             last_tick = Instant::now();
+            self.loop_load.note_iteration(last_tick - began);
             pause = pause_after(last_tick - began);
         }
     }
@@ -258,7 +278,10 @@
                     self.handle_delta(delta, now);
                 }
             }
-            Input::OwnerEvent { name, token, event } => {
+            Input::OwnerEvent { name, token, queued, event } => {
+                let wait = queued.elapsed();
+                self.loop_load.note_wait(wait);
+                self.node.metrics.record_input_wait(wait);
                 let Some(owned) = self.owned.get_mut(&name) else {
                     return;
                 };
@@ -394,16 +417,27 @@
         let mut breakdown = Breakdown::default();
         self.owned.values().for_each(|owned| breakdown.add(&owned.owner));
         *self.node.breakdown() = breakdown;
-        for (name, owned) in &self.owned {
+        if let Some(load) = self.take_loop_summary(Instant::now(), process_cpu()) {
+            self.node.metrics.add_loop_time(&load);
+            let (share, age) = (self.node.settings.cpu, self.view_age_ms(now.steady));
+            log::info!("{}", load.describe(share, age));
+        }
+        self.node.metrics.set_backing_off(self.links.backing_off());
+        for (name, owned) in &mut self.owned {
             let summary = owned.owner.summary();
             let (used, capacity) = (summary.used / 1000, summary.capacity / 1000);
             let (held_back, orders) =
                 (owned.owner.held_back(now), owned.order_counts.take_summary());
+            let starts = owned.owner.take_starts();
+            self.node.metrics.add_starts(starts);
+            let (delegates, backing_off) = count_delegates(owned, &self.links, &self.node.view());
+            let lateness = owned.owner.lateness(now);
+            let load = OwnerLoad { orders, starts, lateness, delegates, backing_off };
             log::info!(
                 "owner {name}: {} jobs, {} tasks waiting, {used} of {capacity} cores used, \
                  {} of {} workers respond; {} workers available, {} not polled yet, \
                  {} tasks held back; {} orders pending, {} of them direct calls, {} resent, \
-                 {} refused, {} unanswered",
+                 {} refused, {} unanswered; {load}",
                 summary.jobs,
                 summary.waiting,
                 summary.responding,
@@ -420,6 +454,20 @@
         }
     }
 
+    /// The load since the last call; `None` if the node owns nothing.
+    fn take_loop_summary(&mut self, now: Instant, cpu: Duration) -> Option<LoopSummary> {
+        let summary = self.loop_load.take(now, cpu);
+        (!self.owned.is_empty() || self.fleet.is_some()).then_some(summary)
+    }
+
+    /// The age of the oldest part of the view, in milliseconds.
+    fn view_age_ms(&self, now: Steady) -> u64 {
+        let view = self.node.view();
+        let prefixes = [keys::ROOT, OPERATOR_PREFIX, WORKER_PREFIX];
+        let ages = prefixes.iter().filter_map(|prefix| view.ages.age_ms(prefix, now));
+        ages.max().unwrap_or_default()
+    }
+
     /// Takes over each ownership that was won, once the view has reached the revision of the write
     /// that won it.
     fn take_over(&mut self, now: Now) {
@@ -537,6 +585,14 @@
     }
 }
 
+/// The number of an owner's delegates, and of those that get no orders for now.
+fn count_delegates(owned: &OwnedPool, links: &Links, view: &View) -> (usize, usize) {
+    let address = |node: &String| view.nodes.get(node)?.value.peers;
+    let addresses = owned.delegates.nodes().filter_map(address);
+    let backing_off = addresses.filter(|address| !links.is_open(*address)).count();
+    (owned.delegates.nodes().count(), backing_off)
+}
+
 /// Pause after an iteration of this duration.
 fn pause_after(took: Duration) -> Duration {
     (TICK_PAUSE_FACTOR * took).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
--- a/src/scheduler/control_loop/input.rs
+++ b/src/scheduler/control_loop/input.rs
@@ -1,6 +1,6 @@
 //! Inputs of the control loop, and results of its asynchronous operations.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
 
 use crate::{
     jobs::{
@@ -29,6 +29,8 @@
     OwnerEvent {
         name: String,
         token: u64,
+        /// When it was added to the queue.
+        queued: Instant,
         event: Box<Event>,
     },
     /// Result of an attempt to acquire ownership.
--- a/src/scheduler/control_loop/order_counts.rs
+++ b/src/scheduler/control_loop/order_counts.rs
@@ -1,8 +1,11 @@
 //! Counts of one owner's orders: how many are pending, and the outcomes of the others.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering::Relaxed},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
 };
 
 use crate::scheduler::metrics::Metrics;
@@ -36,6 +39,11 @@
     resent: AtomicU64,
     refused: AtomicU64,
     unanswered: AtomicU64,
+    sent: AtomicU64,
+    sent_directly: AtomicU64,
+    /// The longest time that an answer by way of a delegate took beyond the call's own wait, in
+    /// milliseconds.
+    delegate_delay_ms: AtomicU64,
 }
 
 /// Summary of an owner's orders for the log.
@@ -49,6 +57,11 @@
     pub(super) resent: u64,
     pub(super) refused: u64,
     pub(super) unanswered: u64,
+    pub(super) sent: u64,
+    /// Of these, called by the owner's node.
+    pub(super) sent_directly: u64,
+    /// The longest delay of an answer by way of a delegate, in milliseconds.
+    pub(super) delegate_delay_ms: u64,
 }
 
 impl OrderCounts {
@@ -59,6 +72,13 @@
         }
     }
 
+    /// Records an order that is sent.
+    fn note_sent(&self, calling_node: CallingNode) {
+        self.of(calling_node).fetch_add(1, Relaxed);
+        self.sent.fetch_add(1, Relaxed);
+        self.sent_directly.fetch_add(u64::from(calling_node == CallingNode::Own), Relaxed);
+    }
+
     /// Records orders that are sent again.
     pub(super) fn note_resent(&self, orders: u64) {
         self.resent.fetch_add(orders, Relaxed);
@@ -82,6 +102,9 @@
             resent: self.resent.swap(0, Relaxed),
             refused: self.refused.swap(0, Relaxed),
             unanswered: self.unanswered.swap(0, Relaxed),
+            sent: self.sent.swap(0, Relaxed),
+            sent_directly: self.sent_directly.swap(0, Relaxed),
+            delegate_delay_ms: self.delegate_delay_ms.swap(0, Relaxed),
         }
     }
 }
@@ -99,11 +122,17 @@
         metrics: &Arc<Metrics>,
         calling_node: CallingNode,
     ) -> PendingOrder {
-        order_counts.of(calling_node).fetch_add(1, Relaxed);
+        order_counts.note_sent(calling_node);
         metrics.add_orders_in_flight(calling_node.label(), 1);
         PendingOrder { order_counts: order_counts.clone(), metrics: metrics.clone(), calling_node }
     }
 
+    /// Records how long the answer by way of a delegate took beyond the call's own wait.
+    pub(super) fn note_delay(&self, delay: Duration) {
+        let delay_ms = delay.as_millis() as u64;
+        self.order_counts.delegate_delay_ms.fetch_max(delay_ms, Relaxed);
+    }
+
     /// Records the outcome of the order.
     pub(super) fn note_outcome(&self, outcome: &str) {
         self.order_counts.note_outcome(outcome);
--- a/src/scheduler/control_loop/orders.rs
+++ b/src/scheduler/control_loop/orders.rs
@@ -66,7 +66,8 @@
         let (inputs, name) = (self.inputs.clone(), name.to_owned());
         move |event| {
             // The receiver only ends with the process.
-            let _ = inputs.send(Input::OwnerEvent { name, token, event: Box::new(event) });
+            let (queued, event) = (Instant::now(), Box::new(event));
+            let _ = inputs.send(Input::OwnerEvent { name, token, queued, event });
         }
     }
 
@@ -155,10 +156,15 @@
         let send_event = self.event_sender(name, token);
         let (metrics, kind) = (self.node.metrics.clone(), order_kind(&effect));
         let (pending, began) = (self.count_order(name, CallingNode::Other), Instant::now());
+        let wait = call::own_wait(&effect);
         let note_end = self.path_recorder(caller, target);
         let finish = move |event: Event, end: PathEnd| {
-            metrics.record_order(kind, event_outcome(&event), began.elapsed());
+            let took = began.elapsed();
+            metrics.record_order(kind, event_outcome(&event), took);
             if let Some(pending) = pending {
+                if end == PathEnd::Answered {
+                    pending.note_delay(took.saturating_sub(wait));
+                }
                 pending.note_outcome(event_outcome(&event));
             }
             note_end(end, event_outcome(&event));
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -4,6 +4,7 @@
 
 mod acknowledgements;
 mod load;
+mod loop_load;
 mod reach;
 mod stale_view;
 mod waiting_report;
--- a/src/scheduler/control_loop/tests/acknowledgements.rs
+++ b/src/scheduler/control_loop/tests/acknowledgements.rs
@@ -66,7 +66,8 @@
         let control_loop = &mut self.simulation.control_loop;
         let token = control_loop.owned[POOL].owner.token;
         let (name, event) = (POOL.to_owned(), Box::new(event));
-        control_loop.handle(Input::OwnerEvent { name, token, event });
+        let queued = std::time::Instant::now();
+        control_loop.handle(Input::OwnerEvent { name, token, queued, event });
     }
 
     /// Runs one iteration, in which time passes between the decisions and the orders. Returns the
--- a/src/scheduler/control_loop/tests/reach.rs
+++ b/src/scheduler/control_loop/tests/reach.rs
@@ -207,7 +207,8 @@
         let control_loop = &mut self.simulation.control_loop;
         let token = control_loop.owned[POOL].owner.token;
         let (name, event) = (POOL.to_owned(), Box::new(event));
-        control_loop.handle(Input::OwnerEvent { name, token, event });
+        let queued = std::time::Instant::now();
+        control_loop.handle(Input::OwnerEvent { name, token, queued, event });
     }
 
     /// Handles inputs until the condition holds.
--- a/src/scheduler/dispatch.rs
+++ b/src/scheduler/dispatch.rs
@@ -6,6 +6,7 @@
 //! worker's clock until which it is valid, both set when it was decided, so that an order carried
 //! out late has the effect of a call that was delayed on the network.
 
+pub(crate) mod answer_delays;
 pub(crate) mod call;
 pub(crate) mod link;
 pub(crate) mod serve;
--- a/src/scheduler/dispatch/call.rs
+++ b/src/scheduler/dispatch/call.rs
@@ -1,10 +1,12 @@
 //! The call of one order, made by the owner's node or by a delegate, and the event with its result.
 
+use std::time::Duration;
+
 use super::wire::Answer;
 use crate::{
     jobs::event::{Effect, Event},
     model::{unit::Steady, worker::OrderResult},
-    platform::worker_client::WorkerClient,
+    platform::worker_client::{ORDER_TIMEOUT, POLL_ALLOWANCE, WorkerClient},
 };
 
 /// Makes the call of one order and returns its result. Requests for advice are not orders to
@@ -23,6 +25,22 @@
     }
 }
 
+/// How long the worker itself may wait before it answers a call.
+pub(crate) fn own_wait(effect: &Effect) -> Duration {
+    match effect {
+        Effect::Poll { wait, .. } => *wait,
+        _ => Duration::ZERO,
+    }
+}
+
+/// How long a call takes at most.
+pub(crate) fn time_limit(effect: &Effect) -> Duration {
+    match effect {
+        Effect::Poll { wait, .. } => *wait + POLL_ALLOWANCE,
+        _ => ORDER_TIMEOUT,
+    }
+}
+
 /// The event that reports the result of an order to its owner; `sent` is when it was decided.
 pub(crate) fn result_event(effect: Effect, sent: Steady, answer: Answer) -> Option<Event> {
     let result = |answer| match answer {
--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -23,7 +23,7 @@
 
 use super::{
     ORDERS_PATH,
-    call::result_event,
+    call::{self, result_event},
     serve::config,
     wire::{self, Answer, Answers, WorkerNumbering},
 };
@@ -33,7 +33,6 @@
         reach::PathEnd,
     },
     model::{unit::Steady, worker::OrderResult},
-    platform::worker_client::{ORDER_TIMEOUT, POLL_ALLOWANCE},
 };
 
 /// How long a link may take to open. Two crossings between zones take some 6 ms.
@@ -98,11 +97,7 @@
     }
 
     fn time_limit(&self) -> Duration {
-        let call = match &self.effect {
-            Effect::Poll { wait, .. } => *wait + POLL_ALLOWANCE,
-            _ => ORDER_TIMEOUT,
-        };
-        call + DELEGATE_SLACK
+        call::time_limit(&self.effect) + DELEGATE_SLACK
     }
 }
 
@@ -139,6 +134,11 @@
         self.links.get(&address).is_none_or(|link| !link.backing_off.load(Ordering::Acquire))
     }
 
+    /// The number of nodes that get no orders for now.
+    pub(crate) fn backing_off(&self) -> usize {
+        self.links.keys().filter(|address| !self.is_open(**address)).count()
+    }
+
     /// Sends orders to a node. A link is opened when it is first needed.
     pub(crate) fn send(&mut self, address: SocketAddr, orders: Vec<Outgoing>) {
         let link = self.links.entry(address).or_insert_with(|| open(address));
--- a/src/scheduler/dispatch/serve.rs
+++ b/src/scheduler/dispatch/serve.rs
@@ -1,7 +1,7 @@
 //! The receiving side of delegated orders: makes the call of each order to its worker, and sends
 //! the results back in batches.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
 use poem::{
@@ -24,10 +24,15 @@
 
 use super::{
     MAX_MESSAGE_BYTES,
-    call::call,
+    answer_delays::AnswerDelays,
+    call::{self, call},
+    link::path_end,
     wire::{self, Answer, Answers, Batch, WorkerTable},
 };
-use crate::{http, platform::worker_client::WorkerClient};
+use crate::{
+    http, jobs::reach::PathEnd, platform::worker_client::WorkerClient,
+    scheduler::clock::process_cpu,
+};
 
 /// How long the first answer waits for others, so that they share a message: with ends of some
 /// twelve workers, each message and each wake-up of its reader serves several.
@@ -40,6 +45,15 @@
 /// How long a message may take to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The result of an order that is to be sent back.
+struct Finished {
+    number: u32,
+    answer: Answer,
+    /// When it is sent if nothing delays it: at the end of the call's own wait, or of its time limit
+    /// if the worker has not answered.
+    due: Instant,
+}
+
 /// The WebSocket configuration of both sides.
 pub(super) fn config() -> WebSocketConfig {
     WebSocketConfig::default()
@@ -87,13 +101,19 @@
         let Message::Binary(bytes) = message? else {
             continue;
         };
+        let received = Instant::now();
         let batch: Batch = ciborium::from_reader(&bytes[..])?;
         for order in wire::orders(&mut table, batch) {
             let (worker_client, done) = (worker_client.clone(), done.clone());
             tokio::spawn(async move {
                 let answer = call(&worker_client, &order.effect).await;
+                let duration = match path_end(&answer) {
+                    PathEnd::Unanswered => call::time_limit(&order.effect),
+                    _ => call::own_wait(&order.effect),
+                };
+                let due = received + duration;
                 // Fails if the link has ended: the next owner polls the workers.
-                let _ = done.send((order.number, answer));
+                let _ = done.send(Finished { number: order.number, answer, due });
             });
         }
     }
@@ -102,17 +122,21 @@
 }
 
 /// Sends the results of orders until the link ends.
-async fn send_answers<S>(mut sink: S, mut answers: mpsc::UnboundedReceiver<(u32, Answer)>)
+async fn send_answers<S>(mut sink: S, mut answers: mpsc::UnboundedReceiver<Finished>)
 where
     S: futures_util::Sink<Message> + Unpin,
     S::Error: std::fmt::Display,
 {
-    while let Some((number, answer)) = answers.recv().await {
+    let mut delays = AnswerDelays::new(Instant::now(), process_cpu());
+    let mut due_times = Vec::new();
+    while let Some(Finished { number, answer, due }) = answers.recv().await {
         let mut message = Answers::default();
         wire::add_answer(&mut message, number, answer);
+        due_times.push(due);
         sleep(BATCH_DELAY).await;
-        while let Ok((number, answer)) = answers.try_recv() {
+        while let Ok(Finished { number, answer, due }) = answers.try_recv() {
             wire::add_answer(&mut message, number, answer);
+            due_times.push(due);
         }
         let mut bytes = Vec::new();
         if let Err(error) = ciborium::into_writer(&message, &mut bytes) {
@@ -124,5 +148,10 @@
             Ok(Err(error)) => return log::info!("orders: sending answers failed: {error}"),
             Err(_) => return log::info!("orders: sending answers timed out"),
         }
+        let now = Instant::now();
+        due_times.drain(..).for_each(|due| delays.note_sent(due, now));
+        if let Some(report) = delays.take_report(now, process_cpu) {
+            log::info!("orders: {report}");
+        }
     }
 }
--- a/src/scheduler/fleet.rs
+++ b/src/scheduler/fleet.rs
@@ -105,7 +105,9 @@
         }
         let began = Instant::now();
         self.plan_fleet(now);
-        self.next_fleet = next_plan(now.steady, began.elapsed());
+        let took = began.elapsed();
+        self.loop_load.note_plan(took);
+        self.next_fleet = next_plan(now.steady, took);
     }
 
     fn plan_fleet(&mut self, now: Now) {
--- a/src/scheduler/metrics.rs
+++ b/src/scheduler/metrics.rs
@@ -23,6 +23,7 @@
     jobs::{
         owner::{PoolLoad, ZoneUse},
         run_end::Counts,
+        urgency::ByLateness,
     },
     logging,
     model::{
@@ -30,6 +31,7 @@
         id::{AccountId, ZoneId},
         zone::Zones,
     },
+    scheduler::control_loop::loop_load::LoopSummary,
 };
 
 /// Accounts that have time series of their own; the others share one.
@@ -136,6 +138,16 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PartLabels {
+    part: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StartLabels {
+    job: &'static str,
+}
+
 type NewHistogram = fn() -> Histogram;
 
 fn latency_histogram() -> Histogram {
@@ -182,6 +194,10 @@
     account_series: Mutex<BTreeSet<AccountId>>,
     dropped_log_lines: Gauge,
     zone_counts: Family<ZoneLabels, Gauge>,
+    input_wait_seconds: Histogram,
+    loop_seconds: Family<PartLabels, Counter<f64, AtomicU64>>,
+    starts: Family<StartLabels, Counter>,
+    backing_off: Gauge,
 }
 
 impl Metrics {
@@ -223,6 +239,10 @@
             account_series: Mutex::default(),
             dropped_log_lines: Gauge::default(),
             zone_counts: Family::default(),
+            input_wait_seconds: latency_histogram(),
+            loop_seconds: Family::default(),
+            starts: Family::default(),
+            backing_off: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -359,6 +379,51 @@
             "Workers and tasks of owned pools, by availability zone and its state",
             self.zone_counts.clone(),
         );
+        registry.register(
+            "input_wait_seconds",
+            "Time that answers of workers waited until the control loop handled them",
+            self.input_wait_seconds.clone(),
+        );
+        registry.register(
+            "loop_seconds",
+            "Time of the control loop by part, while the node owns work",
+            self.loop_seconds.clone(),
+        );
+        registry.register(
+            "starts",
+            "Starts of tasks, by whether their jobs can still end in time",
+            self.starts.clone(),
+        );
+        registry.register(
+            "links_backing_off",
+            "Other nodes that get no orders for now, since answers were overdue or the link failed",
+            self.backing_off.clone(),
+        );
+    }
+
+    /// Records how long an answer of a worker has waited until it was handled.
+    pub(crate) fn record_input_wait(&self, wait: Duration) {
+        self.input_wait_seconds.observe(wait.as_secs_f64());
+    }
+
+    /// Adds the time of the control loop.
+    pub(crate) fn add_loop_time(&self, load: &LoopSummary) {
+        for (part, time) in load.parts() {
+            self.loop_seconds.get_or_create(&PartLabels { part }).inc_by(time.as_secs_f64());
+        }
+    }
+
+    /// Adds starts of tasks.
+    pub(crate) fn add_starts(&self, starts: ByLateness) {
+        let ByLateness { in_time, late, too_late } = starts;
+        for (job, count) in [("in time", in_time), ("late", late), ("too late", too_late)] {
+            self.starts.get_or_create(&StartLabels { job }).inc_by(count);
+        }
+    }
+
+    /// Sets the number of other nodes that get no orders for now.
+    pub(crate) fn set_backing_off(&self, nodes: usize) {
+        self.backing_off.set(nodes as i64);
     }
 
     /// Sets what the owned pools have in each availability zone.
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of a node's view of the store, its lease and ownerships, and the orders it sends.
 
 mod admission;
+mod answer_delays;
 mod catch_up;
 mod client_accounts;
 mod clock;
