A stopped node answers every request that it has read

Seen by callers: a connection that closes without an answer to a whole request, at a node that was sent SIGTERM. The request may have been carried out.

Listening went on until 1.5 s before the end of the grace time; 0.75 s later the process ended, whatever was still in progress. That is enough for a store that answers in milliseconds. A write without an answer takes 0.7 s, and each node to which the request is relayed after that up to 0.9 s. A node whose event loop stood still for 0.75 s at that moment ended as soon as it went on, since the timer counts before answers that have arrived. The listener for other nodes was not waited for at all: without callers, the requests that others had relayed were cut as soon as listening ended.

Evidence, on the code before: - a_stopped_node_answers_all_that_it_has_read (300 callers, the store answers no write): 300 of 300 requests without an answer - a_stopped_node_that_pauses_answers_what_it_has_read (300 callers, the loop stands still for 1 s when listening ends, the store answers meanwhile): 300 of 300 - a_stopped_node_answers_the_requests_that_were_relayed_to_it: IncompleteMessage

With the default grace time of 6 s, the node listens for 2.5 s: the balancer probes once a second and leaves a node out after two misses. Requests in progress then have 2 s, the time of a write without an answer and one relay. 1.5 s before the end, each request still in progress is answered with 504: it may have been carried out, and the caller sends it again. The process waits for all connections of callers and nodes until the end of the grace time. A stop signal that is noticed 1 s late leaves 0.5 s to send these answers (a_node_that_notices_the_stop_signal_late_answers_within_the_grace_time).

Result: the tests pass.

Ruled out, by reading: connections that are idle or whose request is still in the kernel when listening ends are closed unread, which leaves the caller free to go elsewhere; connections beyond 3,000 are closed unread as well; SIGHUP and changes of the configuration close none. Not covered: a loop that stands still for more than 1.3 s at the signal and again at the end.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -63,6 +63,9 @@
     pub(crate) cancelling: mpsc::Sender<Cancel>,
     /// Cancelled when the node is to shut down.
     pub(crate) shutdown: CancellationToken,
+    /// Cancelled when the node, shutting down, answers requests whether or not their outcome is
+    /// known.
+    pub(crate) answers_due: CancellationToken,
     /// Whether the node owns work.
     owning: watch::Sender<bool>,
     /// What runs and waits in the pools that the node owns, as of the last second.
@@ -124,6 +127,7 @@
         accepting,
         cancelling,
         shutdown: CancellationToken::new(),
+        answers_due: CancellationToken::new(),
         owning: watch::Sender::new(false),
         breakdown: Mutex::default(),
     })
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -119,7 +119,11 @@
         }
         let received = Instant::now();
         let method = method_name(request.method());
-        let (queue, mut response) = self.answer(request).await;
+        let (queue, mut response) = tokio::select! {
+            biased;
+            answered = self.answer(request) => answered,
+            () = self.node.answers_due.cancelled() => (None, node_ends()),
+        };
         let queue = queue.as_deref().unwrap_or("none");
         self.node.metrics.record_request(queue, method, response.status(), received.elapsed());
         if self.node.shutdown.is_cancelled() {
@@ -680,6 +684,11 @@
     http::text(StatusCode::GATEWAY_TIMEOUT, "the store gave no answer: retry the request\n")
 }
 
+/// The same, from a node that ends before the outcome is known.
+fn node_ends() -> Response {
+    http::text(StatusCode::GATEWAY_TIMEOUT, "the node ends: retry the request\n")
+}
+
 /// The answer when the request was not carried out and will not be: the caller may retry.
 fn unavailable(reason: &str) -> Response {
     let mut response =
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -2,14 +2,16 @@
 
 use std::{
     path::{Path, PathBuf},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::mpsc,
-    time::sleep,
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
 use crate::{
@@ -40,8 +42,34 @@
 /// How often a node logs its counts of calls and answers.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// The part of the grace time for the last answers, after the node has stopped listening.
-const FINAL_GRACE: Duration = Duration::from_millis(1_500);
+/// How long requests in progress may take once the node has stopped listening: a call of the store
+/// that gets no answer, and a node to which the request is relayed after that.
+const ANSWER_TIME: Duration = Duration::from_millis(2_000);
+
+/// The end of the grace time, in which requests are answered whether or not their outcome is known.
+/// A busy node sends the answers late, and has received the stop signal late.
+const FINAL_TIME: Duration = Duration::from_millis(1_500);
+
+/// The part of a short grace time in which the node listens, in percent.
+const MIN_LISTENING_PERCENT: u32 = 40;
+
+/// What a node that shuts down does at which time after the stop signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct StopTimes {
+    /// When it stops listening.
+    pub(super) unlisten: Duration,
+    /// When it answers all requests in progress.
+    pub(super) answer: Duration,
+}
+
+impl StopTimes {
+    pub(super) fn within(grace: Duration) -> StopTimes {
+        let min_listening = grace * MIN_LISTENING_PERCENT / 100;
+        let unlisten = grace.saturating_sub(ANSWER_TIME + FINAL_TIME).max(min_listening);
+        let answer = grace.saturating_sub(FINAL_TIME).max((unlisten + grace) / 2);
+        StopTimes { unlisten, answer }
+    }
+}
 
 /// Runs a node until `shutdown` completes.
 pub(crate) async fn run(
@@ -85,10 +113,12 @@
         Api { node, lease, relay: Relay::new(), sender, orders }
     };
     let callers_api = api(Sender::Callers, None);
-    let serving = tokio::spawn(http::serve(callers, MAX_CONNECTIONS, callers_api, stop.clone()));
+    let callers_server = http::serve(callers, MAX_CONNECTIONS, callers_api, stop.clone());
+    let mut servers = vec![tokio::spawn(callers_server)];
     if let Some(peers) = peers {
         let peers_api = api(Sender::Nodes, Some(worker_client));
-        tokio::spawn(http::serve(peers, MAX_CONNECTIONS, peers_api, stop.clone()));
+        let peers_server = http::serve(peers, MAX_CONNECTIONS, peers_api, stop.clone());
+        servers.push(tokio::spawn(peers_server));
     }
     let probe = Readiness { node: node.clone(), lease };
     tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
@@ -98,14 +128,20 @@
     tokio::spawn(view_age::watch(node.clone()));
     tokio::spawn(reload(node.clone(), path));
     shutdown.await?;
+    let (stopped, times) = (Instant::now(), StopTimes::within(grace));
     log::info!("node {}: shutting down", node.settings.node);
     node.shutdown.cancel();
     // Cannot fail: the receiver lives as long as the process.
     let _ = inputs.send(Input::Shutdown);
-    sleep(grace.saturating_sub(FINAL_GRACE)).await;
+    sleep_until(stopped + times.unlisten).await;
     stop.gently.cancel();
-    // Requests in progress may use the rest of the grace time.
-    let _ = tokio::time::timeout(FINAL_GRACE / 2, serving).await;
+    let mut served = pin!(join_all(servers));
+    if timeout_at(stopped + times.answer, &mut served).await.is_err() {
+        node.answers_due.cancel();
+        if timeout_at(stopped + grace, served).await.is_err() {
+            log::warn!("node {}: ends with open connections", node.settings.node);
+        }
+    }
     log::info!("node {}: ended", node.settings.node);
     Ok(())
 }
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -24,6 +24,7 @@
 mod renewal_gaps;
 mod stale_view;
 mod status;
+mod stopping;
 mod takeovers;
 mod view_age;
 
