A node that shuts down still knows that it reaches the store

Seen by callers: 503, or an answer that comes by way of another node, from a node that was sent SIGTERM less than two seconds before it stopped listening.

The lease was not renewed from the stop signal on, so that what a failed release left behind would end with it. But the lease is also how a node knows that it reaches the store: 1.3 to 1.8 s later it relayed each request to up to two other nodes, which take up to 0.9 s each where they are late, and refused jobs if none answered. With a grace time of 6 s that held for up to 3 s of listening.

Ruled out: renewing the old lease. A release that got no answer would then keep the pool until 2 s after the end of the process.

--- a/src/scheduler/control_loop/acquire.rs
+++ b/src/scheduler/control_loop/acquire.rs
@@ -279,6 +279,7 @@
         for (name, owned) in std::mem::take(&mut self.owned) {
             self.release_pool(name, &owned, now);
         }
+        self.lease.leave();
         // The record may be the next process's by the time at which its removal is carried out.
         let Some(registration) = self.lease.registration() else {
             return;
--- a/src/scheduler/lease.rs
+++ b/src/scheduler/lease.rs
@@ -63,6 +63,8 @@
     failing: bool,
     /// The revision of the node's record, if it is registered.
     registration: Option<Revision>,
+    /// The lease that the node has left, which is not renewed any more.
+    left: Option<LeaseId>,
 }
 
 impl Lease {
@@ -112,6 +114,19 @@
         state.registration = None;
     }
 
+    /// Leaves the current lease, which then expires with all that the node may still own under it.
+    /// The node acquires another one, by which it knows whether it reaches the store.
+    pub(crate) fn leave(&self) {
+        let mut state = self.state();
+        state.left = state.last.map(|(id, _)| id);
+    }
+
+    /// The lease to renew; `None` if one is to be acquired.
+    fn to_renew(&self) -> Option<LeaseId> {
+        let left = self.state().left;
+        self.last().filter(|id| left != Some(*id))
+    }
+
     /// The revision of the node's record, if this process has registered it.
     pub(crate) fn registration(&self) -> Option<Revision> {
         self.state().registration
@@ -219,7 +234,7 @@
 pub(crate) async fn maintain(node: Arc<Node>, lease: Arc<Lease>) {
     loop {
         let sent = node.now().steady;
-        let held = lease.last();
+        let held = lease.to_renew();
         let outcome = match held {
             None => node.kv.grant(TTL).await.map(Some),
             Some(id) => node.kv.renew(id).await.map(|ttl| ttl.map(|ttl| (id, ttl))),
@@ -230,7 +245,7 @@
                     log::info!("store: lease {id} for {} ms", ttl.as_millis());
                 }
                 lease.note_renewed(id, sent, ttl, node.now().steady);
-                if lease.registration().is_none() {
+                if lease.registration().is_none() && !node.shutdown.is_cancelled() {
                     let registration = register(&node, id).await;
                     lease.state().registration = registration;
                 }
@@ -246,9 +261,6 @@
                 sleep(RETRY_DELAY).await;
             }
         }
-        if node.shutdown.is_cancelled() {
-            return;
-        }
     }
 }
 
--- a/src/scheduler/tests/stopping.rs
+++ b/src/scheduler/tests/stopping.rs
@@ -19,6 +19,7 @@
     runtime::{self, Handle},
     sync::watch,
     task::JoinHandle,
+    time::sleep,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -28,6 +29,7 @@
 };
 use crate::{
     http,
+    jobs::owner::LEASE_MS,
     model::{job::JobId, unit::Time},
     platform::kv::{Kv, Txn},
     scheduler::{
@@ -147,6 +149,10 @@
         self.client.get(url).send().await.is_ok_and(|answer| answer.status() == StatusCode::OK)
     }
 
+    async fn submit(&self, number: u64) -> Option<StatusCode> {
+        submit(self.client.clone(), self.callers.clone(), number).await
+    }
+
     /// Whether it accepts connections of callers.
     async fn listens(&self) -> bool {
         TcpStream::connect(&self.callers).await.is_ok()
@@ -214,6 +220,22 @@
     answers.iter().filter(|answer| answer.is_none()).count()
 }
 
+/// A node that was stopped let its lease expire, and took the store for unreachable from then on:
+/// it relayed or refused the requests that it went on reading.
+#[tokio::test]
+async fn a_stopped_node_accepts_jobs_for_as_long_as_it_listens() {
+    let (_site, _proxy, node) = start(600_000).await;
+    node.stop.cancel();
+    wait_for("the node to turn unready", async || (!node.is_ready().await).then_some(())).await;
+    sleep(Duration::from_millis(LEASE_MS + 500)).await;
+    for number in 1..=3 {
+        wait_for("a job to be accepted", async || {
+            (node.submit(number).await? == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+}
+
 /// Guards against connections that a stopped node closes without an answer to what it has read:
 /// the store answers none of the writes.
 #[tokio::test]
