A node that shuts down releases the work of the fleet

Seen by operators: after the owner of the fleet's work was sent SIGTERM, no host changed pools and none was maintained for up to 2 s, the time of its lease. Pools are released at the signal; the fleet's work was not.

`release_all` releases pools only. The ownership of the fleet ended with the node's lease.

It is released like a pool, and as it is by a node with a stale view: calls whose records are still being written are not made, and the next owner keeps the time between calls of two nodes to one host (`handover_ms`) by the records of the calls.

--- a/src/scheduler/control_loop/acquire.rs
+++ b/src/scheduler/control_loop/acquire.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{
-    ControlLoop, Input, OwnedPool, Ownership, Vacancy, json, stale_view::STALE_ACQUIRE_DELAY_MS,
+    ControlLoop, Input, OwnedFleet, OwnedPool, Ownership, Vacancy, json,
+    stale_view::STALE_ACQUIRE_DELAY_MS,
 };
 use crate::{
     jobs::{
@@ -205,13 +206,8 @@
             self.vacant.insert(name.clone(), vacancy);
             self.release_pool(name, &owned, now);
         } else if let Some(owned) = self.fleet.take_if(|_| name == keys::FLEET) {
-            let token = owned.fleet.token;
-            // A host call is made only after its record was written. Calls whose records are still
-            // being written are not made: the next owner may have acquired the work by then.
-            owned.tenure.note_ended();
-            log::info!("owner {name}: given back: token {token}");
-            self.vacant.insert(name.clone(), vacancy);
-            self.remove_owner_record(name, token, Txn::default());
+            self.vacant.insert(name, vacancy);
+            self.release_fleet(&owned);
         }
     }
 
@@ -279,6 +275,9 @@
         for (name, owned) in std::mem::take(&mut self.owned) {
             self.release_pool(name, &owned, now);
         }
+        if let Some(owned) = self.fleet.take() {
+            self.release_fleet(&owned);
+        }
         self.lease.leave();
         // The record may be the next process's by the time at which its removal is carried out.
         let Some(registration) = self.lease.registration() else {
@@ -319,6 +318,16 @@
         self.remove_owner_record(name, token, txn);
     }
 
+    /// Releases the fleet's work.
+    fn release_fleet(&self, owned: &OwnedFleet) {
+        let token = owned.fleet.token;
+        // A host call is made only after its record was written. Calls whose records are still
+        // being written are not made: the next owner may have acquired the work by then.
+        owned.tenure.note_ended();
+        log::info!("owner {}: given back: token {token}", keys::FLEET);
+        self.remove_owner_record(keys::FLEET.to_owned(), token, Txn::default());
+    }
+
     /// Removes the owner record from the store, in one transaction with other writes.
     fn remove_owner_record(&self, name: String, token: u64, extra: Txn) {
         let key = keys::owner(&name);
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -5,6 +5,7 @@
 mod acknowledgements;
 mod load;
 mod reach;
+mod shutdown;
 mod stale_view;
 mod waiting_report;
 mod zones;
