--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -6,6 +6,7 @@
 mod load;
 mod loop_load;
 mod reach;
+mod shutdown;
 mod stale_view;
 mod waiting_report;
 mod zones;
