A pool with more than 8,000 running tasks has no handover record

Callers: a pool at its demand peak, with some 900 workers, may have more tasks that run or whose ends are not durable. Its owner then handed over nothing: a planned stop left the next owner waiting 8.9 s with all waiting tasks, and a node that was too busy kept the pool (`kept, since it is unknown which tasks may run`).

Cause: a bound in tasks, set for the links of small deployments.

Evidence: `a_pool_with_thousands_of_running_tasks_hands_over_which_may_run` (900 workers, 10,800 tasks) failed before: there was no record.

Change: the bound is in bytes, half of the largest value that the store takes: 70,000 tasks of 700 steps. Beyond it there is no record, as before. Each step is written and read once, not once for each of its tasks. The stored form is unchanged.

Measured: the test passes: the record is below 1 MiB, can be read back, and the next owner starts other tasks at the first worker that answers.

--- a/src/jobs/handover.rs
+++ b/src/jobs/handover.rs
@@ -15,12 +15,18 @@
 
 use crate::model::{
     id::Incarnation,
-    job::{JobIdError, TaskId},
+    job::{JobIdError, StepId, TaskId},
 };
 
-/// The most tasks in one record. Each task takes about 5 bytes and each step 28: 60 KB for 700
-/// steps, which takes 50 ms on a link of 10 Mbit/s.
-const MAX_TASKS: usize = 8_000;
+/// The most bytes of the tasks in one record: half of the largest value that the platform's store
+/// takes, by its contract. The rest is for the silent workers. 700 steps and 70,000 tasks fit.
+const MAX_TASK_BYTES: usize = 512 * 1024;
+
+/// The length of a task in the record: an index of up to six digits, and a comma.
+const TASK_BYTES: usize = 7;
+
+/// The length of a step in the record: `"0123456789abcdef.1000000000.10":[],`.
+const STEP_BYTES: usize = 36;
 
 /// The tasks that may run at some worker when a pool is handed over.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -42,12 +48,8 @@
 
 impl From<Handover> for WireHandover {
     fn from(handover: Handover) -> WireHandover {
-        let mut tasks = BTreeMap::<String, Vec<u32>>::new();
-        for task in &handover.tasks {
-            let text = task.to_string();
-            let step = text.rsplit_once('.').map_or("", |(step, _)| step);
-            tasks.entry(step.to_owned()).or_default().push(task.index);
-        }
+        let by_step = by_step(&handover.tasks).into_iter();
+        let tasks = by_step.map(|(step, indices)| (step.to_string(), indices)).collect();
         WireHandover { earlier_owners: handover.earlier, tasks }
     }
 }
@@ -56,14 +58,24 @@
     type Error = JobIdError;
 
     fn try_from(wire: WireHandover) -> Result<Handover, JobIdError> {
-        let of_step = |(step, indices): (String, Vec<u32>)| {
-            indices.into_iter().map(move |index| format!("{step}.{index}").parse())
-        };
-        let tasks = wire.tasks.into_iter().flat_map(of_step).collect::<Result<_, _>>()?;
+        let mut tasks = BTreeSet::new();
+        for (step, indices) in wire.tasks {
+            let first: TaskId = format!("{step}.0").parse()?;
+            tasks.extend(indices.into_iter().map(|index| TaskId { index, ..first }));
+        }
         Ok(Handover { earlier: wire.earlier_owners, tasks })
     }
 }
 
+/// The indices of tasks, by step.
+fn by_step(tasks: &BTreeSet<TaskId>) -> BTreeMap<StepId, Vec<u32>> {
+    let mut steps = BTreeMap::<StepId, Vec<u32>>::new();
+    for task in tasks {
+        steps.entry(task.of).or_default().push(task.index);
+    }
+    steps
+}
+
 /// Workers to which an owner sends nothing that prolongs what runs there.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ExpiringWorkers {
@@ -97,9 +109,11 @@
 }
 
 impl Handover {
-    /// The record of an owner that follows `earlier` others; `None` if there are too many tasks.
+    /// The record of an owner that follows `earlier` others; `None` if it would be too long for the
+    /// store.
     pub(crate) fn new(earlier: u32, tasks: BTreeSet<TaskId>) -> Option<Handover> {
-        (tasks.len() <= MAX_TASKS).then_some(Handover { earlier, tasks })
+        let bytes = by_step(&tasks).len() * STEP_BYTES + tasks.len() * TASK_BYTES;
+        (bytes <= MAX_TASK_BYTES).then_some(Handover { earlier, tasks })
     }
 
     /// The tasks that may run, if the record is valid for an owner that follows `earlier` others.
--- /dev/null
+++ b/src/jobs/tests/large_takeovers.rs
@@ -0,0 +1,114 @@
+//! Tests of changes of owners in pools of hundreds of workers, some of which are silent: those of a
+//! zone, behind a link that is cut, or on hosts that have departed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Harness, TOKEN, id, present, report, step, stored, worker_id};
+use crate::{
+    jobs::{
+        event::Event,
+        owner::{Owner, UNCONFIRMED_ADDED},
+        roster::SilentWorkers,
+    },
+    model::{
+        id::Incarnation,
+        job::{JobId, Step, TaskId, TaskResources},
+        unit::{Megabytes, Millicores, Steady},
+        worker::WorkerReport,
+    },
+};
+
+const TICK_MS: u64 = 100;
+/// The store's part in a change of owners, in milliseconds.
+const CHANGE_MS: u64 = 200;
+/// How old the record of an owner may be that ends without notice, in milliseconds.
+const MAX_RECORD_AGE_MS: u64 = 1_000;
+/// The largest value that the platform's store takes, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+
+type Runs = BTreeMap<Incarnation, Vec<(TaskId, u32)>>;
+
+fn name(number: usize) -> String {
+    format!("w{number}")
+}
+
+fn names(numbers: std::ops::Range<usize>) -> Vec<String> {
+    numbers.map(name).collect()
+}
+
+/// Workers with 32 cores each.
+fn reports(count: usize) -> Vec<WorkerReport> {
+    let capacity = TaskResources { cpu: Millicores(32_000), memory: Megabytes(131_072), gpus: 0 };
+    let large = |number| WorkerReport { capacity, ..report(&name(number), &format!("h{number}")) };
+    (0..count).map(large).collect()
+}
+
+/// As many tasks for each worker as fit on 30 cores.
+fn wide_step(workers: usize, tasks_each: usize) -> Step {
+    let cpu = Millicores(30_000 / tasks_each as u32);
+    let one = step((workers * tasks_each) as u32);
+    Step { need: TaskResources { cpu, ..one.need }, ..one }
+}
+
+/// An owner of workers, each of which runs some tasks and has 2 cores left.
+fn busy_owner(workers: usize, tasks_each: usize) -> (Harness, Runs) {
+    let mut harness = Harness::new(0);
+    reports(workers).into_iter().for_each(|report| harness.deliver(Event::Worker(report)));
+    harness.work();
+    (0..workers).for_each(|number| harness.poll(&name(number), vec![], vec![]));
+    while harness.persist_roster().is_some() {}
+    let tasks = workers * tasks_each;
+    harness.deliver(Event::Job(stored(1, vec![wide_step(workers, tasks_each)], 110)));
+    harness.work();
+    let mut runs = Runs::new();
+    for (task, run, worker) in harness.take_starts() {
+        harness.confirm_start(task, run, &worker);
+        runs.entry(worker).or_default().push((task, run));
+    }
+    assert_eq!(runs.values().map(Vec::len).sum::<usize>(), tasks);
+    (harness, runs)
+}
+
+/// An owner that follows `earlier` others and takes over with what the store has.
+fn next_owner(earlier: u32, workers: usize, persisted: &SilentWorkers, now: u64) -> Harness {
+    let owner = Owner::new(TOKEN + u64::from(earlier), earlier, Steady::from_millis(now));
+    let mut harness = Harness { owner, now, ..Harness::new(0) };
+    let at = harness.at();
+    harness.owner.inherit(reports(workers), persisted, at, &mut harness.effects);
+    reports(workers).into_iter().for_each(|report| harness.deliver(Event::Worker(report)));
+    harness
+}
+
+/// A worker answers a poll with its runs.
+fn answer(harness: &mut Harness, worker: &str, runs: &Runs) {
+    let runs = runs.get(&worker_id(worker)).into_iter().flatten();
+    harness.poll(worker, runs.map(|(task, run)| present(*task, *run, 30)).collect(), vec![]);
+}
+
+/// The jobs of which tasks were started.
+fn started_jobs(harness: &mut Harness) -> BTreeSet<JobId> {
+    harness.take_starts().iter().map(|(task, ..)| task.of.job).collect()
+}
+
+/// Guards against a pool without a handover record at a demand peak: with more than 8,000 tasks
+/// that may run, the next owner held back all waiting tasks for 8.9 s.
+#[test]
+fn a_pool_with_thousands_of_running_tasks_hands_over_which_may_run() {
+    const WORKERS: usize = 900;
+    const TASKS_EACH: usize = 12;
+    let (earlier, runs) = busy_owner(WORKERS, TASKS_EACH);
+    let record = earlier.owner.handover_record(earlier.at()).expect("all that may run is known");
+    let tasks = record.handover.as_ref().map(|handover| handover.len());
+    assert_eq!(tasks, Some(WORKERS * TASKS_EACH));
+    let bytes = serde_json::to_vec(&record).unwrap();
+    assert!(bytes.len() < MAX_VALUE_BYTES, "{} bytes", bytes.len());
+    let read: SilentWorkers = serde_json::from_slice(&bytes).unwrap();
+    assert_eq!(read, record);
+    let mut harness = next_owner(1, WORKERS, &read, 0);
+    harness.deliver(Event::Job(stored(1, vec![wide_step(WORKERS, TASKS_EACH)], 50)));
+    harness.deliver(Event::Job(stored(2, vec![step(3)], 51)));
+    harness.work();
+    answer(&mut harness, "w0", &runs);
+    harness.work();
+    assert_eq!(started_jobs(&mut harness), [id(2)].into());
+}
