One silent worker holds back tasks that may run twice

Callers: after an owner ended without notice, a single silent worker of hundreds held back all tasks of earlier jobs for 8.9 s, also those of speculative steps, of which copies may run at the same time.

Cause: tasks that may run unseen were held back whatever their step allows.

Evidence: `speculative_tasks_do_not_wait_for_a_silent_worker` (600 workers, one silent) failed before: nothing was started.

Change: tasks of speculative steps wait only until each worker where they may run has answered, or has left two polls unanswered. Tasks of gangs wait as before.

Ruled out: a bound of the other tasks by what the silent worker can run. Its capacity bounds their number; which ones they are is not persisted before starts are sent, and a write for each start would be needed.

--- a/src/jobs/owner/held_back.rs
+++ b/src/jobs/owner/held_back.rs
@@ -52,7 +52,9 @@
                 let waiting =
                     numbered.filter(|(_, task)| task.is_waiting() && !task.location_known);
                 waiting
-                    .filter(|(index, _)| unconfirmed.covers(&TaskId { of, index: *index }))
+                    .filter(|(index, _)| {
+                        unconfirmed.delays(&TaskId { of, index: *index }, job.step(of.step))
+                    })
                     .count()
             })
         });
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -282,12 +282,13 @@
         let Some(tasks) = job.steps.get(&(of.occurrence, of.step)) else {
             return Vec::new();
         };
+        let step = job.step(of.step);
         let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
             let index = index as u32;
             // If a run was taken over, the location of its task is known, but not how often the
             // task has failed.
             let is_known = task.location_known && !job.may_have_failed(of, index);
-            let is_confirmed = is_known || !unconfirmed.covers(&TaskId { of, index });
+            let is_confirmed = is_known || !unconfirmed.delays(&TaskId { of, index }, step);
             let may_start = task.not_before <= now && is_confirmed && job.may_start(task);
             (task.is_waiting() && may_start).then_some(index)
         };
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -17,7 +17,7 @@
     },
     model::{
         id::Incarnation,
-        job::{StepId, TaskId},
+        job::{Step, StepId, TaskId},
         unit::{Now, Revision, Steady},
         worker::WorkerReport,
     },
@@ -55,6 +55,8 @@
     rostered: BTreeSet<TaskId>,
     /// Those that the previous owner has handed over, if one of their workers was not polled yet.
     handed_over: Option<Arc<BTreeSet<TaskId>>>,
+    /// Whether all workers where they may run leave polls unanswered.
+    all_silent: bool,
 }
 
 impl Unconfirmed {
@@ -67,6 +69,13 @@
         let is_handed_over = || self.handed_over.as_ref().is_some_and(|all| all.contains(task));
         self.any || self.rostered.contains(task) || is_handed_over()
     }
+
+    /// Whether a task must not start yet. A speculative one waits only for workers that may answer:
+    /// it may run twice.
+    pub(super) fn delays(&self, task: &TaskId, step: &Step) -> bool {
+        let may_run_twice = step.speculative && !step.gang;
+        !(may_run_twice && self.all_silent) && self.covers(task)
+    }
 }
 
 impl Owner {
@@ -302,7 +311,9 @@
 
     /// The tasks of earlier jobs that may run where this owner does not see them.
     pub(super) fn unconfirmed(&self, now: Steady) -> Unconfirmed {
-        let mut unconfirmed = Unconfirmed::default();
+        let is_silent = |(worker, _): (&Worker, _)| SILENT_MISSES <= worker.missed_polls;
+        let all_silent = self.hidden(now).all(is_silent);
+        let mut unconfirmed = Unconfirmed { all_silent, ..Unconfirmed::default() };
         for (worker, held) in self.hidden(now) {
             match held {
                 Holding::Any if self.is_handed_over(worker, held) => {
@@ -310,7 +321,7 @@
                     // departed.
                     unconfirmed.handed_over = self.handed_over.clone();
                 }
-                Holding::Any => return Unconfirmed { any: true, ..Unconfirmed::default() },
+                Holding::Any => return Unconfirmed { any: true, ..unconfirmed },
                 Holding::Only(held) => {
                     let held = held.iter().inspect(|_| tally_unconfirmed());
                     unconfirmed.rostered.extend(held);
--- a/src/jobs/tests/large_takeovers.rs
+++ b/src/jobs/tests/large_takeovers.rs
@@ -127,3 +127,25 @@
     harness.work();
     assert_eq!(UNCONFIRMED_ADDED.take(), 0);
 }
+
+/// Guards against one silent worker of hundreds that holds back tasks which may run twice.
+#[test]
+fn speculative_tasks_do_not_wait_for_a_silent_worker() {
+    const WORKERS: usize = 600;
+    let mut harness = next_owner(1, WORKERS, &SilentWorkers::default(), 0);
+    harness.deliver(Event::Job(stored(1, vec![step(5)], 50)));
+    let speculative = Step { speculative: true, ..step(5) };
+    harness.deliver(Event::Job(stored(2, vec![speculative], 51)));
+    let mut started = BTreeMap::new();
+    for unanswered in 1..=3 {
+        harness.now += TICK_MS;
+        harness.work();
+        names(1..WORKERS).iter().for_each(|worker| harness.poll(worker, vec![], vec![]));
+        harness.poll_unanswered("w0");
+        while harness.persist_roster().is_some() {}
+        harness.work();
+        started.insert(unanswered, started_jobs(&mut harness));
+    }
+    assert_eq!(started[&1], BTreeSet::new(), "a single lost poll does not show a silent worker");
+    assert_eq!(started[&2], [id(2)].into(), "the silent worker may run the tasks of job 1");
+}
