A release for balance builds the handover record twice

Callers: a busy node that releases a pool pauses it for longer than needed. For how long was not measured.

Cause: the record was built to decide whether the pool may be released, and again for the release. At a demand peak it names thousands of tasks.

Evidence: by reading; the test `a_release_for_balance_builds_one_handover_record` counts the records. It was not run on the earlier code, which has no count.

Change: the record of the decision is the one that is written. It is built in the same step in which the ownership is noted as ended, as before.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -53,7 +53,7 @@
 pub(crate) use load::PoolLoad;
 use losses::Outage;
 #[cfg(test)]
-pub(crate) use roster::UNCONFIRMED_ADDED;
+pub(crate) use roster::{RECORDS_BUILT, UNCONFIRMED_ADDED};
 pub(crate) use status::{DrainedHost, HostUsage};
 pub(crate) use zones::ZoneUse;
 
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -48,6 +48,8 @@
 thread_local! {
     /// How many tasks were added to unconfirmed sets, to measure the cost of a plan.
     pub(crate) static UNCONFIRMED_ADDED: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
+    /// How many handover records were built, to measure the cost of a release.
+    pub(crate) static RECORDS_BUILT: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
 }
 
 /// Tasks of earlier jobs that may run where this owner does not see them.
@@ -130,6 +132,8 @@
     /// not know all that may run. It holds whether or not pending writes take effect before it:
     /// none can take effect after it, since they are conditional on this ownership.
     pub(crate) fn handover_record(&self, now: Now) -> Option<SilentWorkers> {
+        #[cfg(test)]
+        RECORDS_BUILT.set(RECORDS_BUILT.get() + 1);
         let recently = |at| now.steady.since(at) < UNKNOWN_RUN_MS;
         if !self.unknown.is_empty() || self.unknown_seen.is_some_and(recently) {
             return None;
--- a/src/scheduler/control_loop/acquire.rs
+++ b/src/scheduler/control_loop/acquire.rs
@@ -2,13 +2,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::{
-    ControlLoop, Input, OwnedPool, Ownership, Vacancy, json, stale_view::STALE_ACQUIRE_DELAY_MS,
-};
+use super::{ControlLoop, Input, Ownership, Vacancy, json, stale_view::STALE_ACQUIRE_DELAY_MS};
 use crate::{
     jobs::{
         balance::{self, Capacity},
         handover::{ExpiringWorkers, Handover},
+        roster::SilentWorkers,
         spread::{self, Candidate},
     },
     model::{
@@ -187,34 +186,43 @@
         let Some(name) = name else {
             return;
         };
-        // The next owner would wait for all that may run, and nothing has to change.
-        if self.owned.get(&name).is_some_and(|owned| owned.owner.handover_record(now).is_none()) {
+        // Without a record, the next owner would wait for all that may run, and nothing has to
+        // change.
+        let Some(record) = self.handover_record(&name, now) else {
             log::info!("owner {name}: kept, since it is unknown which tasks may run");
             return;
-        }
+        };
         log::info!("owner {name}: to be released to a node with more free processor time");
-        self.release_ownership(name, now);
+        self.release_pool(name, Some(record), now);
+    }
+
+    fn handover_record(&self, name: &str, now: Now) -> Option<SilentWorkers> {
+        self.owned.get(name).and_then(|owned| owned.owner.handover_record(now))
     }
 
     /// Releases the ownership of a unit of work, so that another node acquires it.
     pub(super) fn release_ownership(&mut self, name: String, now: Now) {
-        // Other nodes may acquire it first, even if this one sees the release before them.
-        let not_before = now.steady.after(ACQUIRE_RETRY_MS);
-        let vacancy = Vacancy { since: now.steady, acquiring: false, not_before };
-        if let Some(owned) = self.owned.remove(&name) {
-            self.vacant.insert(name.clone(), vacancy);
-            self.release_pool(name, &owned, now);
+        if self.owned.contains_key(&name) {
+            let record = self.handover_record(&name, now);
+            self.release_pool(name, record, now);
         } else if let Some(owned) = self.fleet.take_if(|_| name == keys::FLEET) {
             let token = owned.fleet.token;
             // A host call is made only after its record was written. Calls whose records are still
             // being written are not made: the next owner may have acquired the work by then.
             owned.tenure.note_ended();
             log::info!("owner {name}: given back: token {token}");
-            self.vacant.insert(name.clone(), vacancy);
+            self.note_released(&name, now);
             self.remove_owner_record(name, token, Txn::default());
         }
     }
 
+    /// Other nodes may acquire released work first, even if this one sees the release before them.
+    fn note_released(&mut self, name: &str, now: Now) {
+        let not_before = now.steady.after(ACQUIRE_RETRY_MS);
+        let vacancy = Vacancy { since: now.steady, acquiring: false, not_before };
+        self.vacant.insert(name.to_owned(), vacancy);
+    }
+
     /// Units of work that have no owner, or whose owner record names this node although it does not
     /// act as the owner.
     fn unowned(&self) -> BTreeSet<String> {
@@ -276,8 +284,9 @@
         let now = self.node.now();
         self.shutting_down = true;
         self.won.clear();
-        for (name, owned) in std::mem::take(&mut self.owned) {
-            self.release_pool(name, &owned, now);
+        let pools: Vec<String> = self.owned.keys().cloned().collect();
+        for name in pools {
+            self.release_ownership(name, now);
         }
         // The record may be the next process's by the time at which its removal is carried out.
         let Some(registration) = self.lease.registration() else {
@@ -296,11 +305,14 @@
 
     /// Releases a pool with a handover record of the tasks that may run, so that the other waiting
     /// tasks need not wait for workers that the next owner cannot reach.
-    fn release_pool(&self, name: String, owned: &OwnedPool, now: Now) {
+    fn release_pool(&mut self, name: String, record: Option<SilentWorkers>, now: Now) {
+        let Some(owned) = self.owned.remove(&name) else {
+            return;
+        };
         // Pending orders are not sent any more, but the handover record still includes them.
         owned.tenure.note_ended();
-        let token = owned.owner.token;
-        let silent = owned.owner.handover_record(now);
+        self.note_released(&name, now);
+        let (token, silent) = (owned.owner.token, record);
         let tasks = silent.as_ref().and_then(|record| {
             record.handover.as_ref().or(record.partial.as_ref()).map(Handover::len)
         });
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -3,6 +3,7 @@
 //! lease the node holds by then.
 
 mod acknowledgements;
+mod balance;
 mod load;
 mod reach;
 mod stale_view;
