--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -18,7 +18,10 @@
 mod tickets;
 mod zones;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    sync::Arc,
+};
 
 use crate::{
     jobs::{
@@ -52,7 +55,7 @@
 pub(crate) use load::PoolLoad;
 use losses::Outage;
 #[cfg(test)]
-pub(crate) use roster::UNCONFIRMED_ADDED;
+pub(crate) use roster::{RECORDS_BUILT, UNCONFIRMED_ADDED};
 pub(crate) use status::{DrainedHost, HostUsage};
 pub(crate) use zones::ZoneUse;
 
@@ -126,7 +129,7 @@
     /// The records about the workers that a later owner would find in the store.
     roster: Roster,
     /// What may run at workers that have not been polled yet, if the previous owner persisted it.
-    handed_over: Option<BTreeSet<TaskId>>,
+    handed_over: Option<Arc<BTreeSet<TaskId>>>,
     /// Workers that did not answer the previous owner, and when all that may run there will have
     /// expired.
     inherited_expiry: BTreeMap<Incarnation, Steady>,
--- a/src/jobs/owner/roster.rs
+++ b/src/jobs/owner/roster.rs
@@ -1,7 +1,10 @@
 //! The records about workers that this owner persists for the next one, and those that earlier
 //! owners have persisted for this one.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use super::{Owner, PREDECESSOR_MS};
 use crate::{
@@ -14,7 +17,7 @@
     },
     model::{
         id::Incarnation,
-        job::{StepId, TaskId},
+        job::{Step, StepId, TaskId},
         unit::{Now, Revision, Steady},
         worker::WorkerReport,
     },
@@ -33,34 +36,51 @@
 /// milliseconds: a later owner waits at most this much longer.
 const EXPIRY_WRITE_MS: u64 = 1_000;
 
-/// The most workers that are recorded as expiring while this owner waits for them: each that answers
-/// costs a write before it gets work.
+/// The most workers that are recorded as expiring as soon as they leave polls unanswered: each that
+/// answers costs a write before it gets work.
 const MAX_EXPIRING_WORKERS: usize = 64;
 
+/// How long after its first unanswered poll a worker is recorded as expiring while more are silent,
+/// in milliseconds. After the takeover of a large pool, hundreds may answer late one after another.
+const LATE_ANSWER_MS: u64 = 2_500;
+
 #[cfg(test)]
 thread_local! {
     /// How many tasks were added to unconfirmed sets, to measure the cost of a plan.
     pub(crate) static UNCONFIRMED_ADDED: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
+    /// How many handover records were built, to measure the cost of a release.
+    pub(crate) static RECORDS_BUILT: std::cell::Cell<usize> = const { std::cell::Cell::new(0) };
 }
 
 /// Tasks of earlier jobs that may run where this owner does not see them.
-pub(super) enum Unconfirmed {
-    /// Any task that no worker has reported.
-    All,
-    /// These at most.
-    Only(BTreeSet<TaskId>),
+#[derive(Default)]
+pub(super) struct Unconfirmed {
+    /// Whether it may be any task that no worker has reported.
+    any: bool,
+    /// Those that workers may run by the roster.
+    rostered: BTreeSet<TaskId>,
+    /// Those that the previous owner has handed over, if one of their workers was not polled yet.
+    handed_over: Option<Arc<BTreeSet<TaskId>>>,
+    /// Whether all workers where they may run leave polls unanswered.
+    all_silent: bool,
 }
 
 impl Unconfirmed {
     pub(super) fn is_empty(&self) -> bool {
-        matches!(self, Unconfirmed::Only(tasks) if tasks.is_empty())
+        let none_handed_over = self.handed_over.as_ref().is_none_or(|tasks| tasks.is_empty());
+        !self.any && self.rostered.is_empty() && none_handed_over
     }
 
     pub(super) fn covers(&self, task: &TaskId) -> bool {
-        match self {
-            Unconfirmed::All => true,
-            Unconfirmed::Only(tasks) => tasks.contains(task),
-        }
+        let is_handed_over = || self.handed_over.as_ref().is_some_and(|all| all.contains(task));
+        self.any || self.rostered.contains(task) || is_handed_over()
+    }
+
+    /// Whether a task must not start yet. A speculative one waits only for workers that may answer:
+    /// it may run twice.
+    pub(super) fn delays(&self, task: &TaskId, step: &Step) -> bool {
+        let may_run_twice = step.speculative && !step.gang;
+        !(may_run_twice && self.all_silent) && self.covers(task)
     }
 }
 
@@ -112,6 +132,8 @@
     /// not know all that may run. It holds whether or not pending writes take effect before it:
     /// none can take effect after it, since they are conditional on this ownership.
     pub(crate) fn handover_record(&self, now: Now) -> Option<SilentWorkers> {
+        #[cfg(test)]
+        RECORDS_BUILT.set(RECORDS_BUILT.get() + 1);
         let recently = |at| now.steady.since(at) < UNKNOWN_RUN_MS;
         if !self.unknown.is_empty() || self.unknown_seen.is_some_and(recently) {
             return None;
@@ -132,7 +154,7 @@
                 Holding::Any => return None,
             }
         }
-        tasks.extend(self.handed_over.iter().flatten().filter(|_| any));
+        tasks.extend(self.handed_over.iter().flat_map(|all| all.iter()).filter(|_| any));
         for job in self.jobs.values() {
             for ((time, step), entries) in &job.steps {
                 let of = StepId { job: job.id, occurrence: *time, step: *step };
@@ -187,18 +209,23 @@
     }
 
     /// The listed workers that have not answered this owner, so that all that may run there
-    /// expires, and in how long, in milliseconds; none if there are too many to record.
+    /// expires, and in how long, in milliseconds.
     fn expiring_workers(&self) -> BTreeMap<Incarnation, u64> {
+        let was_silent = |worker: &Worker| self.inherited_expiry.contains_key(&worker.report.id);
         let is_silent = |worker: &&Worker| {
-            let was_silent = self.inherited_expiry.contains_key(&worker.report.id);
-            !worker.has_reported && (was_silent || SILENT_MISSES <= worker.missed_polls)
+            let is_listed = self.roster.holding(&worker.report.id).is_some();
+            let is_silent = was_silent(worker) || SILENT_MISSES <= worker.missed_polls;
+            !worker.has_reported && is_listed && is_silent
         };
-        let silent = self.workers.values().filter(is_silent);
-        let listed = silent.filter(|worker| self.roster.holding(&worker.report.id).is_some());
-        let expiring: BTreeMap<Incarnation, u64> = listed
-            .map(|worker| (worker.report.id.clone(), self.fence_at(worker).since(self.ticked)))
-            .collect();
-        if expiring.len() <= MAX_EXPIRING_WORKERS { expiring } else { BTreeMap::new() }
+        let silent: Vec<&Worker> = self.workers.values().filter(is_silent).collect();
+        let are_many = MAX_EXPIRING_WORKERS < silent.len();
+        let may_answer = |worker: &Worker| {
+            let is_recorded = self.roster.may_be_expiring(&worker.report.id) || was_silent(worker);
+            !is_recorded && self.ticked.since(worker.missed_since) < LATE_ANSWER_MS
+        };
+        let expiring = silent.into_iter().filter(|worker| !are_many || !may_answer(worker));
+        let remaining = |worker: &Worker| self.fence_at(worker).since(self.ticked);
+        expiring.map(|worker| (worker.report.id.clone(), remaining(worker))).collect()
     }
 
     /// Whether a run of a task may exist somewhere, or has ended with a result that is not durable
@@ -297,22 +324,24 @@
 
     /// The tasks of earlier jobs that may run where this owner does not see them.
     pub(super) fn unconfirmed(&self, now: Steady) -> Unconfirmed {
-        let mut tasks = BTreeSet::new();
-        let mut any = false;
+        let is_silent = |(worker, _): (&Worker, _)| SILENT_MISSES <= worker.missed_polls;
+        let all_silent = self.hidden(now).all(is_silent);
+        let mut unconfirmed = Unconfirmed { all_silent, ..Unconfirmed::default() };
         for (worker, held) in self.hidden(now) {
             match held {
-                Holding::Any if self.is_handed_over(worker, held) => any = true,
-                Holding::Any => return Unconfirmed::All,
+                Holding::Any if self.is_handed_over(worker, held) => {
+                    // Shared: after a demand peak hundreds of workers with thousands of tasks have
+                    // departed.
+                    unconfirmed.handed_over = self.handed_over.clone();
+                }
+                Holding::Any => return Unconfirmed { any: true, ..unconfirmed },
                 Holding::Only(held) => {
-                    tasks.extend(held.iter().inspect(|_| tally_unconfirmed()));
+                    let held = held.iter().inspect(|_| tally_unconfirmed());
+                    unconfirmed.rostered.extend(held);
                 }
             }
         }
-        if let Some(handed_over) = self.handed_over.as_ref().filter(|_| any) {
-            // Once for all workers: after a demand peak hundreds of them have departed.
-            tasks.extend(handed_over.iter().inspect(|_| tally_unconfirmed()));
-        }
-        Unconfirmed::Only(tasks)
+        unconfirmed
     }
 }
 
