Answers that reach a busy node in time count as missing

Callers saw work that was started again and requests without an answer, the more the busier a node was.

Cause: the HTTP client looks at its own timer before it looks for an answer. A node that is late by more than the time limit of a call (300 ms for an order to a worker) fails every call, although the answers are there, and calls that it has not even sent yet. It is late when it has most to do: a delegate with 0.12 of a core gets the first starts of twelve workers in one message. Each such start counts as unanswered: the worker is polled, the run is stopped and started again, its owner calls the worker itself for two seconds, polls of the whole pool become short, and the connection is given up for a new one.

Change: the time limits of calls to workers, to the store, to hosts and to other nodes are kept by src/time_limit.rs. The limit itself stays the same for a node that is on time. Its last 100 ms are two steps that take at least one turn of the runtime each: in the first, a late node sends what it is behind with, in the second, it reads the answer. The same holds for the wait for one of the six connections to a worker.

Evidence, with a clock of the runtime that only the test moves: an_answer_that_arrived_while_the_node_was_busy_counts before: left: Unknown, right: Done(5) a_call_that_a_busy_node_has_not_sent_by_its_time_limit_is_made before: left: Unknown, right: Done(5) a_node_that_is_on_time_gives_up_a_call_at_its_time_limit passes before and after: 300 ms, at most 10 ms more All three pass now, with the 556 tests of the library.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod standin;
 #[cfg(test)]
 mod tests;
+mod time_limit;
 
 pub use error::Error;
 
--- a/src/platform/connections.rs
+++ b/src/platform/connections.rs
@@ -8,11 +8,14 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use reqwest::{Client, ClientBuilder, RequestBuilder, Response, StatusCode, header::HeaderMap};
 
+use crate::time_limit;
+
 /// Maximum number of addresses with a pool of their own. All of them are dropped when it is
 /// reached.
 const MAX_ADDRESSES: usize = 1_024;
@@ -25,6 +28,30 @@
     pub(crate) body: Bytes,
 }
 
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallError {
+    #[error("no answer within {0:?}")]
+    TimedOut(Duration),
+    #[error(transparent)]
+    Failed(#[from] reqwest::Error),
+}
+
+impl CallError {
+    /// Whether no connection was opened, so that nothing was sent.
+    pub(crate) fn is_connect(&self) -> bool {
+        matches!(self, CallError::Failed(error) if error.is_connect())
+    }
+
+    /// Whether a call timed out on an open connection, which may have stopped responding for good.
+    fn is_read_timeout(&self) -> bool {
+        match self {
+            CallError::TimedOut(_) => true,
+            CallError::Failed(error) => error.is_timeout() && !error.is_connect(),
+        }
+    }
+}
+
 /// A client with its generation: when several calls of one generation time out, only the first
 /// replaces the client.
 #[derive(Debug, Clone)]
@@ -37,18 +64,25 @@
     async fn call(
         &self,
         request: impl FnOnce(&Client) -> RequestBuilder,
-    ) -> reqwest::Result<FullResponse> {
-        let answer: Response = request(&self.client).send().await?;
-        let (status, headers) = (answer.status(), answer.headers().clone());
-        Ok(FullResponse { status, headers, body: answer.bytes().await? })
+    ) -> Result<FullResponse, CallError> {
+        let mut request = request(&self.client).build()?;
+        // The HTTP client looks at its own timer before it looks for an answer.
+        let limit = request.timeout_mut().take();
+        let answer = async {
+            let answer: Response = self.client.execute(request).await?;
+            let (status, headers) = (answer.status(), answer.headers().clone());
+            Ok(FullResponse { status, headers, body: answer.bytes().await? })
+        };
+        match limit {
+            None => answer.await,
+            Some(limit) => {
+                let answer = time_limit::within(limit, answer).await;
+                answer.unwrap_or(Err(CallError::TimedOut(limit)))
+            }
+        }
     }
 }
 
-/// Whether a call timed out on an open connection, which may have stopped responding for good.
-fn is_read_timeout(error: &reqwest::Error) -> bool {
-    error.is_timeout() && !error.is_connect()
-}
-
 /// The connections to one service.
 #[derive(Clone)]
 pub(crate) struct Connections {
@@ -73,10 +107,10 @@
     pub(crate) async fn call(
         &self,
         request: impl FnOnce(&Client) -> RequestBuilder,
-    ) -> reqwest::Result<FullResponse> {
+    ) -> Result<FullResponse, CallError> {
         let current = self.current_client();
         let answer = current.call(request).await;
-        if answer.as_ref().is_err_and(is_read_timeout) {
+        if answer.as_ref().is_err_and(CallError::is_read_timeout) {
             self.replace(&current);
         }
         answer
@@ -118,10 +152,10 @@
         &self,
         address: &str,
         request: impl FnOnce(&Client) -> RequestBuilder,
-    ) -> reqwest::Result<FullResponse> {
+    ) -> Result<FullResponse, CallError> {
         let current = lock(&self.own).get(address).unwrap_or(&self.shared).current_client();
         let answer = current.call(request).await;
-        if answer.as_ref().is_err_and(is_read_timeout) {
+        if answer.as_ref().is_err_and(CallError::is_read_timeout) {
             self.replace(address, &current);
         }
         answer
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -18,7 +18,7 @@
 use crate::{
     model::unit::Revision,
     platform::{
-        connections::{Connections, FullResponse},
+        connections::{CallError, Connections, FullResponse},
         store::{LeaseId, StoreError, chain},
     },
 };
@@ -405,7 +405,7 @@
         answer
     }
 
-    fn transport_error(&self, step: &'static str, error: &reqwest::Error) -> StoreError {
+    fn transport_error(&self, step: &'static str, error: &CallError) -> StoreError {
         let (peer, cause) = (self.peer.to_string(), chain(error));
         if error.is_connect() {
             StoreError::Failed { step, peer, cause }
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the platform's clients over real sockets, and of the parsing of the platform's answers.
 
+mod late_node;
 mod scripted_server;
 mod silent_connections;
 mod sockets;
--- a/src/platform/worker_client.rs
+++ b/src/platform/worker_client.rs
@@ -4,7 +4,6 @@
 
 use reqwest::{Client, StatusCode};
 use serde::{Deserialize, Serialize};
-use tokio::time::timeout;
 
 use crate::{
     model::{
@@ -18,6 +17,7 @@
         connections::{ConnectionsByAddress, FullResponse},
         store::chain,
     },
+    time_limit,
 };
 
 /// Timeout of opening a connection to a worker: two crossings between zones take 4 ms.
@@ -190,7 +190,7 @@
     ) -> OrderResult<WireAnswer> {
         let semaphore = self.call_limits.semaphore_for(&to.address);
         // Nothing was sent, so the owner is free to decide again.
-        let Ok(Ok(_permit)) = timeout(self.timeout, semaphore.acquire()).await else {
+        let Some(Ok(_permit)) = time_limit::within(self.timeout, semaphore.acquire()).await else {
             log::debug!("worker {}: {call}: not sent: too many calls in flight", to.worker);
             return OrderResult::Unsent;
         };
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -126,11 +126,7 @@
 impl Relay {
     pub(crate) fn new() -> Relay {
         let connections = ConnectionsByAddress::new(|| {
-            Client::builder()
-                .no_proxy()
-                .tcp_nodelay(true)
-                .connect_timeout(CONNECT_TIMEOUT)
-                .timeout(ANSWER_TIMEOUT)
+            Client::builder().no_proxy().tcp_nodelay(true).connect_timeout(CONNECT_TIMEOUT)
         });
         Relay {
             connections,
--- a/src/tests.rs
+++ b/src/tests.rs
@@ -5,6 +5,7 @@
 //! the first seed, and `CAPERHOLLOW_FUZZ_RUNS` the number of seeds.
 
 pub(crate) mod sample;
+pub(crate) mod stopped_clock;
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
