A delegate that is late counts as lost

Callers saw work that was started again, and less work done, at the peak of a large pool.

Cause: an order that a delegate had not answered after 0.6 s was given up, whatever else the delegate answered meanwhile. Its starts counted as unanswered and were made again, and nothing went by way of the delegate for a second: the calls of its twelve workers, at some 0.2 ms each, were made by the owner's node, which has the least time just then.

Change: late is told apart from lost. Orders are given up once they are overdue and there was no sign of life for 0.6 s, or if they are overdue by 1.5 s. The loss of a delegate is noticed within 0.6 s after its last sign of life, as before for an order that was sent then; at most one ping is under way.

Evidence, with a clock that only the test moves: a_late_order_of_a_delegate_that_answers_others_is_not_given_up before: left: (1, "unknown"), right: (9, "done") a_late_delegate_that_reads_its_orders_is_not_given_up before: assertion failed: owner.links.is_open(owner.delegate) a_delegate_that_falls_silent_is_given_up_within_the_limit_of_an_order, an_order_that_a_live_delegate_never_answers_is_given_up: bounds of the wait, pass before and after All pass now.

Ruled out: that the owner's own lateness gives up delegates.

--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -18,7 +18,7 @@
 };
 use tokio_tungstenite::{
     WebSocketStream, client_async_with_config,
-    tungstenite::{Error as WsError, Message},
+    tungstenite::{Bytes, Error as WsError, Message},
 };
 
 use super::{
@@ -51,6 +51,18 @@
 /// How long after a check that finds orders overdue the next one follows, which gives them up.
 const RECHECK_DELAY: Duration = Duration::from_millis(10);
 
+/// How long before an order is overdue its delegate is asked for a sign of life, unless there was
+/// one since the previous check.
+const ASK_BEFORE: Duration = Duration::from_millis(400);
+
+/// How long after its last sign of life a delegate counts as lost once orders are overdue; until
+/// then it is late. As long as a start may take, so that a loss is noticed no later by orders that
+/// were sent before it than by one that is sent then.
+const SILENCE_LIMIT: Duration = ORDER_TIMEOUT.saturating_add(DELEGATE_SLACK);
+
+/// How long an order may be overdue at a delegate that shows signs of life.
+const LATE_LIMIT: Duration = RECEIVE_TIMEOUT;
+
 /// How long a link with pending orders may receive nothing before it is closed: a connection can
 /// hang for ever without a reset.
 const RECEIVE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -218,6 +230,8 @@
     next: u32,
     pending: HashMap<u32, (Outgoing, Instant)>,
     last_received: Instant,
+    /// Whether the delegate was asked for a sign of life since then.
+    asked: bool,
     /// Until when the delegate gets no more orders, because some were overdue.
     backoff_until: Option<Instant>,
     /// The time of the last check.
@@ -234,6 +248,7 @@
             next: 0,
             pending: HashMap::new(),
             last_received: now,
+            asked: false,
             backoff_until: None,
             last_check: now,
         }
@@ -269,9 +284,15 @@
                     while let Some(message) = stream.next().now_or_never() {
                         self.receive(message)?;
                     }
-                    if self.check(Instant::now())? {
+                    let now = Instant::now();
+                    if self.check(now)? {
                         check.reset_after(RECHECK_DELAY);
                     }
+                    if self.should_ask(now) {
+                        let question = Message::Ping(Bytes::new());
+                        timeout(WRITE_TIMEOUT, sink.send(question)).await??;
+                        self.asked = true;
+                    }
                 }
             }
         }
@@ -280,8 +301,10 @@
 
     /// Handles a message of the delegate; `None` if it has closed the link.
     fn receive(&mut self, message: Option<Result<Message, WsError>>) -> eyre::Result<()> {
-        let message = message.ok_or_else(|| eyre::eyre!("closed by the other side"))?;
-        if let Message::Binary(bytes) = message? {
+        let message = message.ok_or_else(|| eyre::eyre!("closed by the other side"))??;
+        self.last_received = Instant::now();
+        self.asked = false;
+        if let Message::Binary(bytes) = message {
             self.handle_answers(ciborium::from_reader(&bytes[..])?);
         }
         Ok(())
@@ -296,6 +319,7 @@
         expired.into_iter().for_each(|order| order.finish(Answer::Order(OrderResult::Unsent)));
         if self.pending.is_empty() {
             self.last_received = now;
+            self.asked = false;
         }
         let first = self.next;
         self.next = first.wrapping_add(batch.len() as u32);
@@ -312,7 +336,6 @@
     }
 
     fn handle_answers(&mut self, answers: Answers) {
-        self.last_received = Instant::now();
         for (number, answer) in wire::read_answers(answers) {
             // Overdue orders were given up already.
             if let Some((order, _)) = self.pending.remove(&number) {
@@ -321,26 +344,42 @@
         }
     }
 
-    /// Gives up the orders that were overdue at the previous check already, and if there are any
-    /// sends the delegate nothing more for [`BACKOFF`]. Returns whether others are overdue now.
+    /// Whether the delegate is to be asked for a sign of life. It may be late, and answers that in
+    /// its next turn, before the calls that it makes.
+    fn should_ask(&self, now: Instant) -> bool {
+        let is_silent = CHECK_INTERVAL <= now.saturating_duration_since(self.last_received);
+        let is_late = |(_, due): &(Outgoing, Instant)| *due <= now + ASK_BEFORE;
+        !self.asked && is_silent && self.pending.values().any(is_late)
+    }
+
+    /// Whether an order has to be given up: it is overdue, and its delegate has shown no sign of life
+    /// for a while, or the order is overdue for long.
+    fn is_lost(&self, due: Instant, at: Instant) -> bool {
+        let is_silent = SILENCE_LIMIT <= at.saturating_duration_since(self.last_received);
+        due <= at && (is_silent || due + LATE_LIMIT <= at)
+    }
+
+    /// Gives up the orders that were lost at the previous check already, and if there are any sends
+    /// the delegate nothing more for [`BACKOFF`]. Returns whether others are lost now.
     ///
     /// An answer may be in the socket's buffer before the runtime reports the socket as readable, so
     /// that a read finds nothing. The timer of the next check fires only after the runtime has
     /// polled all sockets again, and the answer is read before that check.
     fn check(&mut self, now: Instant) -> eyre::Result<bool> {
         let as_of = std::mem::replace(&mut self.last_check, now);
-        let number_if_overdue =
-            |(number, (_, due)): (&u32, &(Outgoing, Instant))| (*due <= as_of).then_some(*number);
-        let overdue: Vec<u32> = self.pending.iter().filter_map(number_if_overdue).collect();
-        if !overdue.is_empty() {
-            log::info!("orders: {} without an answer from {}", overdue.len(), self.address);
+        let number_if_lost = |(number, (_, due)): (&u32, &(Outgoing, Instant))| {
+            self.is_lost(*due, as_of).then_some(*number)
+        };
+        let lost: Vec<u32> = self.pending.iter().filter_map(number_if_lost).collect();
+        if !lost.is_empty() {
+            log::info!("orders: {} without an answer from {}", lost.len(), self.address);
             self.backoff_until = Some(now + BACKOFF);
             self.backing_off.store(true, Ordering::Release);
         } else if self.backoff_until.is_some_and(|until| until <= now) {
             self.backoff_until = None;
             self.backing_off.store(false, Ordering::Release);
         }
-        for number in overdue {
+        for number in lost {
             if let Some((order, _)) = self.pending.remove(&number) {
                 order.give_up();
             }
@@ -350,7 +389,7 @@
         if !self.pending.is_empty() && is_silent(as_of) {
             eyre::bail!("nothing received with {} orders pending", self.pending.len());
         }
-        Ok(self.pending.values().any(|(_, due)| *due <= now))
+        Ok(self.pending.values().any(|(_, due)| self.is_lost(*due, now)))
     }
 
     fn give_up_all(&mut self) {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -10,6 +10,7 @@
 mod evacuations;
 mod incarnations;
 mod lagging_watches;
+mod late_delegates;
 mod lease_fuzz;
 mod link_failures;
 mod links;
