A late owner opens no link to its delegates

A link had 0.5 s to open, and an owner's node that was late by that much between two steps of the opening gave it up although the delegate had answered: its orders counted as unsent, and nothing was sent there for a second. It uses src/time_limit.rs now. The limit stays the same for a node that is on time.

Evidence: a_link_opens_though_the_owner_is_late before: ConnectionReset, "Connection reset by peer", at the delegate It passes now.

--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -34,6 +34,7 @@
     },
     model::{unit::Steady, worker::OrderResult},
     platform::worker_client::{ORDER_TIMEOUT, POLL_ALLOWANCE},
+    time_limit,
 };
 
 /// How long a link may take to open. Two crossings between zones take some 6 ms.
@@ -219,7 +220,8 @@
         let (link, _) = client_async_with_config(url, stream, Some(config())).await?;
         eyre::Ok(link)
     };
-    timeout(CONNECT_TIMEOUT, opened).await?
+    let link = time_limit::within(CONNECT_TIMEOUT, opened).await;
+    link.unwrap_or_else(|| Err(eyre::eyre!("not open after {CONNECT_TIMEOUT:?}")))
 }
 
 /// An open link and its pending orders.
--- a/src/scheduler/tests/late_delegates.rs
+++ b/src/scheduler/tests/late_delegates.rs
@@ -27,6 +27,9 @@
 /// delegate, and two checks.
 const SILENCE_BOUND: Duration = Duration::from_millis(600 + 2 * 100);
 
+/// Longer than a link may take to open.
+const OPENING_DELAY: Duration = Duration::from_millis(700);
+
 /// Moves the clock, and lets all tasks handle what is due.
 async fn pass(time: Duration) {
     advance(time).await;
@@ -134,3 +137,18 @@
     }
     assert_eq!(owner.next_result().await, (1, "unknown"));
 }
+
+/// Guards against links that never open while the owner's node is late: it handles each step of the
+/// opening only after some hundred milliseconds.
+#[tokio::test]
+async fn a_link_opens_though_the_owner_is_late() {
+    let _clock = StoppedClock::new();
+    let (listener, mut owner) = delegate().await;
+    owner.send(start(1));
+    yield_now().await;
+    advance(OPENING_DELAY).await;
+    let (mut link, mut table) = (accept(&listener).await, WorkerTable::default());
+    let number = next_number(&mut link, &mut table).await;
+    answer(&mut link, number).await;
+    assert_eq!(owner.next_result().await, (1, "done"));
+}
