The workers of delegates that cannot be reached stay the owner's

Cause: a node that does not answer remained a delegate for as long as the store listed it, and the owner made its calls itself meanwhile.

Change: a node to which nothing is sent for now is no candidate, so that its workers go to other nodes with the next choice, within 250 ms. A link that backs off is kept to remember that. Delegates that are candidates still are chosen before others: else each node that comes back, or has nothing more to own, would take twelve workers from another one, with their connections.

Evidence: the_workers_of_delegates_whose_links_failed_are_called_by_others before: left: 120, right: 0 (workers of ten lost delegates, of 600) workers_keep_their_delegate_when_another_node_becomes_a_candidate before: node-0 was added, left: 12, right: 0 Both pass now.

--- a/src/jobs/delegates.rs
+++ b/src/jobs/delegates.rs
@@ -35,12 +35,13 @@
 }
 
 impl Delegates {
-    /// Chooses delegates among the candidates and distributes the workers evenly. Workers keep
-    /// their delegate where possible, and with it the open connections.
+    /// Chooses delegates among the candidates and distributes the workers evenly. Delegates that
+    /// are candidates still come first, so that workers keep their delegate where possible, and with
+    /// it the open connections.
     pub(crate) fn choose(&mut self, pool: &str, candidates: &[String], workers: &[Incarnation]) {
         let wanted = workers.len().div_ceil(WORKERS_PER_DELEGATE);
         let mut ranked: Vec<&String> = candidates.iter().collect();
-        ranked.sort_by_key(|node| rank(pool, node));
+        ranked.sort_by_key(|node| (!self.nodes.contains_key(*node), rank(pool, node)));
         ranked.truncate(wanted);
         self.nodes = ranked.into_iter().map(|node| (node.clone(), 0)).collect();
         let max_workers = workers.len().div_ceil(self.nodes.len().max(1));
--- a/src/jobs/tests/delegates.rs
+++ b/src/jobs/tests/delegates.rs
@@ -64,3 +64,21 @@
     delegates.choose("pool", &[], &workers(60));
     assert_eq!(delegates.of(&worker_id("w1")), None);
 }
+
+/// Guards against workers that change their delegate, and open connections that are closed, whenever
+/// a node has nothing more to own or can be reached again.
+#[test]
+fn workers_keep_their_delegate_when_another_node_becomes_a_candidate() {
+    let (all, workers) = (nodes(30), workers(120));
+    for added in &all {
+        let others: Vec<String> = all.iter().filter(|node| *node != added).cloned().collect();
+        let mut delegates = Delegates::default();
+        delegates.choose("pool", &others, &workers);
+        let before: Vec<String> =
+            workers.iter().map(|w| delegates.of(w).unwrap().to_owned()).collect();
+        delegates.choose("pool", &all, &workers);
+        let moved =
+            workers.iter().zip(&before).filter(|(w, node)| delegates.of(w) != Some(node)).count();
+        assert_eq!(moved, 0, "{added} was added");
+    }
+}
--- a/src/scheduler/control_loop/orders.rs
+++ b/src/scheduler/control_loop/orders.rs
@@ -21,12 +21,13 @@
             wire::Answer,
         },
         lease::Tenure,
+        view::NodeRecord,
     },
 };
 
 /// Interval between choices of delegates, in milliseconds. Hosts join a pool within seconds, and
 /// the owner calls new ones directly until then.
-const DELEGATES_INTERVAL_MS: u64 = 250;
+pub(super) const DELEGATES_INTERVAL_MS: u64 = 250;
 
 impl ControlLoop {
     /// Executes the effects that an owner decided on at the given time, on this node or through a
@@ -210,16 +211,18 @@
         self.links.keep_only(&addresses);
     }
 
-    /// The nodes that may be delegates: those that own nothing and so have time.
+    /// The nodes that may be delegates: those that own nothing and so have time, and to which orders
+    /// can be sent.
     fn delegate_candidates(&self) -> Vec<String> {
         let view = self.node.view();
         let own_name = self.node.settings.node.as_str();
         let owns = |name: &str| view.owners.values().any(|owner| owner.value.node == name);
         let reach = self.reach();
+        let is_open = |at: &NodeRecord| at.peers.is_some_and(|address| self.links.is_open(address));
         let others = view
             .nodes
             .iter()
-            .filter(|(name, at)| *name != own_name && at.value.peers.is_some() && !owns(name))
+            .filter(|(name, at)| *name != own_name && is_open(&at.value) && !owns(name))
             .filter(|(name, _)| !reach.is_cut(name));
         others.map(|(name, _)| name.clone()).collect()
     }
--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -3,6 +3,7 @@
 //! lease the node holds by then.
 
 mod acknowledgements;
+mod failed_links;
 mod load;
 mod reach;
 mod stale_view;
--- a/src/scheduler/dispatch/link.rs
+++ b/src/scheduler/dispatch/link.rs
@@ -160,9 +160,11 @@
         }
     }
 
-    /// Closes the links to all other nodes, once their pending orders have ended.
+    /// Closes the links to all other nodes, once their pending orders have ended. One that is not
+    /// used for a while is kept until then: it tells that its node is no delegate.
     pub(crate) fn keep_only(&mut self, addresses: &[SocketAddr]) {
-        self.links.retain(|address, _| addresses.contains(address));
+        let backs_off = |link: &Link| link.backing_off.load(Ordering::Acquire);
+        self.links.retain(|address, link| addresses.contains(address) || backs_off(link));
     }
 }
 
