Single lost answers make an owner call most of a large pool itself

Cause: a worker that once gave its delegate no answer was called by the owner's node for two seconds, however many there were. While one of twenty answers is lost, that is half of all calls, at 0.2 ms instead of 1 us each.

Change: the owner takes over as many workers as a tenth of its processor allows (25 with half a core, 6 with 0.12). Further ones stay with their delegates until others are called by them again. Where the loss of zones is tolerated nothing changes: other nodes make these calls.

--- a/src/jobs/delegates.rs
+++ b/src/jobs/delegates.rs
@@ -16,6 +16,10 @@
 /// delegates. The rest is for deciding and for the requests of callers.
 const OWN_CALLS_PERCENT: u32 = 40;
 
+/// The share of its processor, in percent, that an owner with delegates spends on the calls of
+/// workers that gave their delegates no answer. With half a core, as many as two delegates call.
+const DETOUR_PERCENT: u32 = 10;
+
 /// Workers that one delegate calls. At a peak, twelve take about 60 starts and 60 polls per second:
 /// a fifth of a node with 0.12 of a core, and 120 KB/s. With fewer, the owner would send more
 /// messages.
@@ -34,6 +38,12 @@
         <= u64::from(cpu.0) * u64::from(OWN_CALLS_PERCENT)
 }
 
+/// How many workers a node with this processor time calls itself since they gave their delegates no
+/// answer.
+pub(crate) fn max_direct(cpu: Millicores) -> usize {
+    (cpu.0 * DETOUR_PERCENT / 100 / WORKER_COST_MILLICORES) as usize
+}
+
 impl Delegates {
     /// Chooses delegates among the candidates and distributes the workers evenly. Delegates that
     /// are candidates still come first, so that workers keep their delegate where possible, and with
--- a/src/jobs/reach.rs
+++ b/src/jobs/reach.rs
@@ -226,6 +226,8 @@
     /// The zone of the owner's node.
     zone: ZoneId,
     helpers: Vec<Helper>,
+    /// How many workers the owner's node has time to call in place of their delegates.
+    max_direct: usize,
     /// Paths that failed.
     paths: BTreeMap<Caller, BTreeMap<Option<ZoneId>, PathState>>,
     /// The path by which a worker answered while another one failed.
@@ -240,6 +242,7 @@
         Reach {
             zone,
             helpers: Vec::new(),
+            max_direct: usize::MAX,
             paths: BTreeMap::new(),
             kept: HashMap::new(),
             cut: BTreeMap::new(),
@@ -247,6 +250,11 @@
         }
     }
 
+    /// Sets how many workers the owner's node has time to call in place of their delegates.
+    pub(crate) fn set_max_direct(&mut self, workers: usize) {
+        self.max_direct = workers;
+    }
+
     /// The node that calls a worker. `is_open` tells whether orders can be sent to a node now.
     pub(crate) fn choose(
         &self,
@@ -329,6 +337,18 @@
         path.workers.get(&target.worker).filter(|fault| fault.is_active(now))
     }
 
+    /// Whether the owner's node has time to call a worker itself that gave another node no answer.
+    /// Single answers get lost everywhere, and would each take a worker off its delegate.
+    fn may_call_directly(&self, caller: &Caller, target: &Target, now: Steady) -> bool {
+        if *caller == Caller::Own || target.zone.is_some() {
+            return true;
+        }
+        let others = self.paths.iter().filter(|(caller, _)| **caller != Caller::Own);
+        let faults =
+            others.filter_map(|(_, zones)| zones.get(&None)).flat_map(|path| &path.workers);
+        faults.filter(|(_, fault)| fault.is_active(now)).count() < self.max_direct
+    }
+
     /// Records how a call ended.
     pub(crate) fn note(&mut self, caller: &Caller, target: &Target, end: PathEnd, now: Steady) {
         match end {
@@ -338,6 +358,9 @@
                 if self.kept.get(&target.worker) == Some(caller) {
                     self.kept.remove(&target.worker);
                 }
+                if !self.may_call_directly(caller, target, now) {
+                    return;
+                }
                 let zones = self.paths.entry(caller.clone()).or_default();
                 let path = zones.entry(target.zone.clone()).or_insert_with(|| PathState::new(now));
                 path.note_failure(target, now);
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -20,6 +20,7 @@
 mod owner_chains;
 mod plan_cost;
 mod polls;
+mod random_loss;
 mod reach;
 mod refusals;
 mod repeated_waits;
--- a/src/scheduler/control_loop/reach.rs
+++ b/src/scheduler/control_loop/reach.rs
@@ -8,6 +8,7 @@
 use super::ControlLoop;
 use crate::{
     jobs::{
+        delegates,
         event::Effect,
         reach::{Helper, PathChange, PathEnd, Probe, Reach, Target},
         start::route::Caller,
@@ -92,6 +93,7 @@
             owned.values().any(|owned| owned.owner.addressee(worker).is_some())
         };
         let mut reach = self.reach();
+        reach.set_max_direct(delegates::max_direct(self.node.settings.cpu));
         reach.refresh(helpers, is_present, now);
         let (probes, changes) = (reach.take_probes(now), reach.take_changes());
         drop(reach);
