A test of how many workers a late owner gives work

Suspected was that an owner that handles each answer more than 250 ms late takes all workers for unresponsive at once and starts nothing. The test asks for no less than in proportion, 1,000 ms / (1,000 ms + lateness).

--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -14,6 +14,7 @@
 mod fuzz;
 mod handover;
 mod incarnations;
+mod late_owner;
 mod late_starts;
 mod late_timers;
 mod outage;
