--- a/src/scheduler/control_loop/tests.rs
+++ b/src/scheduler/control_loop/tests.rs
@@ -4,6 +4,7 @@
 
 mod acknowledgements;
 mod balance;
+mod failed_links;
 mod load;
 mod loop_load;
 mod reach;
