The answer of a worker no longer looks at all jobs of its pool

Callers saw too little served once processor time cost half again as much. An owner checked all its jobs, for those to be forgotten, after each answer to a poll and each write of progress. A late owner has a longer backlog, which made each answer dearer.

Now only jobs are checked whose last run has gone, whose end has become durable or that were cancelled since. The same jobs are forgotten at the same calls.

Jobs and workers are kept in tables that count visits in tests. Test: `an_answer_costs_no_more_when_more_jobs_wait`.

--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -27,6 +27,7 @@
 pub(crate) mod save_queue;
 pub(crate) mod spread;
 pub(crate) mod start;
+pub(crate) mod table;
 pub(crate) mod unsettled;
 pub(crate) mod urgency;
 pub(crate) mod weights;
--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -28,6 +28,7 @@
         roster::Roster,
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
+        table::Table,
         unsettled::{StartsByWorker, UnsettledStarts},
         urgency::Durations,
         worker::{EXPIRY_DELAY_MS, LostRun, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker},
@@ -101,14 +102,17 @@
     /// expired only up to this time: a later owner may have reached a worker that is silent here,
     /// and have renewed the lease of its runs.
     confirmed: Steady,
-    jobs: BTreeMap<JobId, Job>,
+    jobs: Table<JobId, Job>,
+    /// Jobs of which the last run has gone or the end has become durable since it was last checked
+    /// whether they can be forgotten.
+    settled: BTreeSet<JobId>,
     /// Jobs that have ended, under this owner or before. The store's view of them may be older than
     /// their end.
     ended: HashSet<JobId>,
     /// Unknown jobs with an uncounted end, and since when. Their records may be unreadable for now,
     /// and a worker does not list an end again once it is acknowledged.
     unknown: BTreeMap<JobId, Steady>,
-    workers: BTreeMap<Incarnation, Worker>,
+    workers: Table<Incarnation, Worker>,
     /// When polls were last sent.
     last_polls: Option<Steady>,
     /// Starts that the next incarnation of a worker may carry out.
@@ -183,10 +187,11 @@
             // The pool was acquired by a write, somewhat earlier than now: nothing has expired
             // since then.
             confirmed: now,
-            jobs: BTreeMap::new(),
+            jobs: Table::default(),
+            settled: BTreeSet::new(),
             ended: HashSet::new(),
             unknown: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            workers: Table::default(),
             last_polls: None,
             unsettled: UnsettledStarts::default(),
             announced_starts: BTreeMap::new(),
@@ -375,6 +380,7 @@
                 job.progress_revision = revision;
                 if !job.is_dirty() {
                     ends.extend(job.job_end());
+                    self.settled.insert(write.job);
                 }
             }
         }
@@ -409,21 +415,25 @@
         }
     }
 
+    /// Forgets the jobs that are over and have no runs, of those that have changed so since the last
+    /// call: it is made for each answer of a worker, and others are not looked at.
     fn forget_ended(&mut self) {
-        let (ended, finished) = (&mut self.ended, &mut self.finished);
-        self.jobs.retain(|id, job| {
+        for id in std::mem::take(&mut self.settled) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             let durable = job.state.is_final() && !job.is_dirty();
             let is_over = durable || job.cancelled;
             let mut tasks = job.steps.values().flat_map(|step| &step.tasks);
-            let retained = !is_over || tasks.any(|task| !task.runs.is_empty());
-            if !retained {
-                ended.insert(*id);
-                if durable {
-                    finished.insert(*id);
-                }
+            if !is_over || tasks.any(|task| !task.runs.is_empty()) {
+                continue;
+            }
+            self.jobs.remove(&id);
+            self.ended.insert(id);
+            if durable {
+                self.finished.insert(id);
             }
-            retained
-        });
+        }
     }
 
     /// Takes at most `limit` jobs whose records can be removed, since their end is durable.
@@ -473,6 +483,7 @@
             return;
         };
         job.cancelled = true;
+        self.settled.insert(id);
         self.stop_all(id, now, out);
         self.forget_ended();
     }
@@ -541,9 +552,13 @@
     ) -> Option<crate::jobs::job::Run> {
         let job = self.jobs.get_mut(&task.of.job)?;
         let (record, charge) = (job.record.clone(), job.step(task.of.step).charge());
+        let is_open = job.is_open();
         let entry = job.task_mut(task.of, task.index)?;
         let index = entry.runs.iter().position(|task_run| task_run.worker == *at)?;
         let task_run = entry.runs.remove(index);
+        if !is_open {
+            self.settled.insert(task.of.job);
+        }
         if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
             let need = &record.steps[task.of.step as usize].need;
             accounts.release(account, need, task_run.adopted.is_some());
@@ -642,7 +657,7 @@
 }
 
 /// Raises the highest end that may be acknowledged, as far as the counts of ends are durable.
-fn acknowledge(worker: &mut Worker, jobs: &BTreeMap<JobId, Job>) {
+fn acknowledge(worker: &mut Worker, jobs: &Table<JobId, Job>) {
     while let Some(end) = worker.unacknowledged.front() {
         let durable = |version| jobs.get(&end.job).is_none_or(|job| version <= job.durable_version);
         if !end.version.is_some_and(durable) {
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -394,7 +394,7 @@
     /// Allows other starts again at workers whose isolated retry has ended, however it ended: its
     /// run or its job may have ended, or the task may have been done elsewhere.
     pub(super) fn end_isolated_retries(&mut self) {
-        for (id, worker) in &mut self.workers {
+        for (id, worker) in self.workers.iter_mut() {
             let jobs = &self.jobs;
             let is_over = |task: &mut TaskId| {
                 let job = jobs.get(&task.of.job).filter(|job| job.is_open());
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod acknowledgements;
 mod admission;
+mod answer_cost;
 mod balance;
 mod breakdown;
 mod cold_workers;
