The answer of a worker no longer looks at all workers of its pool

An owner compared each answer with the addresses of all workers, and each report with the hosts and addresses of all. Now it keeps which workers have a host or an address. The same workers are replaced, in the same order.

Test: `an_answer_costs_no_more_in_a_larger_pool`.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -9,6 +9,7 @@
 mod incarnations;
 mod load;
 mod losses;
+mod places;
 mod plan;
 mod polls;
 mod roster;
@@ -50,6 +51,7 @@
 use incarnations::{EndedWorker, FormerOrders};
 pub(crate) use load::PoolLoad;
 use losses::Outage;
+use places::Places;
 #[cfg(test)]
 pub(crate) use roster::UNCONFIRMED_ADDED;
 pub(crate) use status::{DrainedHost, HostUsage};
@@ -113,6 +115,7 @@
     /// and a worker does not list an end again once it is acknowledged.
     unknown: BTreeMap<JobId, Steady>,
     workers: Table<Incarnation, Worker>,
+    places: Places,
     /// When polls were last sent.
     last_polls: Option<Steady>,
     /// Starts that the next incarnation of a worker may carry out.
@@ -192,6 +195,7 @@
             ended: HashSet::new(),
             unknown: BTreeMap::new(),
             workers: Table::default(),
+            places: Places::default(),
             last_polls: None,
             unsettled: UnsettledStarts::default(),
             announced_starts: BTreeMap::new(),
@@ -585,7 +589,9 @@
         }
         self.unlist_others(&report.id, now);
         if let Some(worker) = self.workers.get_mut(&report.id) {
+            self.places.remove(&worker.report);
             worker.list(report, now);
+            self.places.add(&worker.report);
             return;
         }
         self.poll_conflicting(&report, now);
@@ -595,8 +601,8 @@
     /// Schedules polls of the workers that have the host or address of a report. Reports do not
     /// show which of them is alive, since one may be written long after its worker has ended.
     fn poll_conflicting(&mut self, report: &WorkerReport, now: Steady) {
-        for worker in self.workers.values_mut() {
-            if shares_host_or_address(&worker.report, report) {
+        for id in self.places.conflicting(report) {
+            if let Some(worker) = self.workers.get_mut(&id) {
                 worker.next_poll = now;
             }
         }
@@ -610,15 +616,12 @@
             return;
         };
         let host = report.host.clone();
-        // Each answer is compared with all workers: the rarest condition comes first.
         let is_over = |worker: &&Worker| {
-            let other = &worker.report;
-            worker.has_answered
-                && other.address == report.address
-                && other.id.worker != by.worker
-                && worker.was_known(sent)
+            let is_other = worker.report.id.worker != by.worker;
+            is_other && worker.has_answered && worker.was_known(sent)
         };
-        let others = self.workers.values().filter(is_over);
+        let there = self.places.at_address(&report.address);
+        let others = there.filter_map(|id| self.workers.get(id)).filter(is_over);
         let others: Vec<Incarnation> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
             self.remove_ended_worker(&id, "another worker has answered at its address", now);
@@ -650,12 +653,6 @@
 /// another node makes the worker's calls.
 const UNSENT_RETRY_MS: u64 = 20;
 
-/// Whether two different workers cannot be alive at the same time: a host or an address has only one
-/// live worker.
-fn shares_host_or_address(first: &WorkerReport, second: &WorkerReport) -> bool {
-    first.id != second.id && (first.host == second.host || first.address == second.address)
-}
-
 /// Raises the highest end that may be acknowledged, as far as the counts of ends are durable.
 fn acknowledge(worker: &mut Worker, jobs: &Table<JobId, Job>) {
     while let Some(end) = worker.unacknowledged.front() {
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -132,6 +132,7 @@
         let Some(worker) = self.workers.remove(id) else {
             return Vec::new();
         };
+        self.places.remove(&worker.report);
         if id.born.is_some() {
             self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -59,6 +59,7 @@
                 worker.restart_fence = RestartFence::Needed;
             }
         }
+        self.places.add(&worker.report);
         self.workers.insert(worker.report.id.clone(), worker);
     }
 
@@ -160,7 +161,9 @@
         for task in tasks {
             self.remove_run(task, old, RunEnd::WorkerTerminated, now);
         }
-        self.workers.remove(old);
+        if let Some(worker) = self.workers.remove(old) {
+            self.places.remove(&worker.report);
+        }
         self.ended_workers.insert(old.clone(), EndedWorker::new(now));
     }
 
--- a/src/jobs/tests/answer_cost.rs
+++ b/src/jobs/tests/answer_cost.rs
@@ -44,3 +44,8 @@
 fn an_answer_costs_no_more_when_more_jobs_wait() {
     assert_eq!(visits(20, 80), visits(20, 800));
 }
+
+#[test]
+fn an_answer_costs_no_more_in_a_larger_pool() {
+    assert_eq!(visits(20, 80), visits(200, 80));
+}
