A start no longer looks at all workers of its pool

Each placement compared all workers. Now an owner keeps its workers by their free processor time and tries those first that have just enough. If the first that may run the task is warm, listed and not suspect, it is the preferred one; else all are compared as before, also after 32 tries.

Tests: `the_worker_found_by_its_free_processor_time_is_the_preferred_one` compares 400 pools with a search of all.

--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -29,6 +29,7 @@
         roster::Roster,
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
+        start::free::FreeCapacity,
         table::Table,
         unsettled::{StartsByWorker, UnsettledStarts},
         urgency::Durations,
@@ -116,6 +117,7 @@
     unknown: BTreeMap<JobId, Steady>,
     workers: Table<Incarnation, Worker>,
     places: Places,
+    free: FreeCapacity,
     /// When polls were last sent.
     last_polls: Option<Steady>,
     /// Starts that the next incarnation of a worker may carry out.
@@ -196,6 +198,7 @@
             unknown: BTreeMap::new(),
             workers: Table::default(),
             places: Places::default(),
+            free: FreeCapacity::default(),
             last_polls: None,
             unsettled: UnsettledStarts::default(),
             announced_starts: BTreeMap::new(),
@@ -576,10 +579,26 @@
         let previous =
             PreviousRun { worker: at.clone(), run: task_run.run, reason: end_reason, at: now };
         entry.previous = Some(Box::new(previous));
+        self.release(at, task, &charge);
+        Some(task_run)
+    }
+
+    /// Reserves the resources of a run at a worker.
+    fn occupy(&mut self, at: &Incarnation, task: TaskId, run: u32, charge: &TaskResources) {
         if let Some(worker) = self.workers.get_mut(at) {
-            worker.release(task, &charge);
+            self.free.remove(worker);
+            worker.occupy(task, run, charge);
+            self.free.add(worker);
+        }
+    }
+
+    /// Releases the resources of a run at a worker.
+    fn release(&mut self, at: &Incarnation, task: TaskId, charge: &TaskResources) {
+        if let Some(worker) = self.workers.get_mut(at) {
+            self.free.remove(worker);
+            worker.release(task, charge);
+            self.free.add(worker);
         }
-        Some(task_run)
     }
 
     fn note_listed(&mut self, report: WorkerReport, now: Steady) {
@@ -590,8 +609,10 @@
         self.unlist_others(&report.id, now);
         if let Some(worker) = self.workers.get_mut(&report.id) {
             self.places.remove(&worker.report);
+            self.free.remove(worker);
             worker.list(report, now);
             self.places.add(&worker.report);
+            self.free.add(worker);
             return;
         }
         self.poll_conflicting(&report, now);
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -133,6 +133,7 @@
             return Vec::new();
         };
         self.places.remove(&worker.report);
+        self.free.remove(&worker);
         if id.born.is_some() {
             self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -60,6 +60,7 @@
             }
         }
         self.places.add(&worker.report);
+        self.free.add(&worker);
         self.workers.insert(worker.report.id.clone(), worker);
     }
 
@@ -163,6 +164,7 @@
         }
         if let Some(worker) = self.workers.remove(old) {
             self.places.remove(&worker.report);
+            self.free.remove(&worker);
         }
         self.ended_workers.insert(old.clone(), EndedWorker::new(now));
     }
@@ -181,8 +183,8 @@
         }
         entry.runs.push(Run::new(at.clone(), run, Phase::Unknown, now));
         self.occupy_limit(&record, task, false);
+        self.occupy(at, task, run, &charge);
         if let Some(worker) = self.workers.get_mut(at) {
-            worker.occupy(task, run, &charge);
             worker.urgent_poll = true;
         }
     }
--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -195,10 +195,10 @@
     }
 
     pub(super) fn task_placer(&self, now: Steady) -> TaskPlacer<'_> {
-        let (workers, draining_hosts) = (&self.workers, &self.draining);
+        let (workers, free, draining) = (&self.workers, &self.free, &self.draining);
         let (reserved, zones) = (&self.reserved, &self.zones);
         let spreads_zones = self.tolerated_losses != 0;
-        TaskPlacer { workers, draining: draining_hosts, reserved, zones, spreads_zones, now }
+        TaskPlacer { workers, free, draining, reserved, zones, spreads_zones, now }
     }
 
     fn step_tasks_mut(&mut self, of: StepId) -> Option<&mut StepTasks> {
@@ -258,15 +258,11 @@
         let first = job.wait_logged == Steady::default();
         job.wait_logged = now;
         job.wait_logs += u32::from(!first);
-        let Some(tasks) = job.steps.get(&(of.occurrence, of.step)).filter(|_| !first) else {
+        let tasks = self.jobs.get(&of.job).and_then(|job| job.steps.get(&(of.occurrence, of.step)));
+        let Some(tasks) = tasks.filter(|_| !first) else {
             return;
         };
-        let (workers, draining_hosts) = (&self.workers, &self.draining);
-        let (reserved, zones) = (&self.reserved, &self.zones);
-        let spreads_zones = self.tolerated_losses != 0;
-        let placer =
-            TaskPlacer { workers, draining: draining_hosts, reserved, zones, spreads_zones, now };
-        let refusals = placer.refusals(&step, tasks, ticketed);
+        let refusals = self.task_placer(now).refusals(&step, tasks, ticketed);
         log::info!("job {}: step {of} waits: {refusals:?}", of.job);
     }
 
@@ -424,15 +420,11 @@
                 break;
             };
             let task = TaskId { of, index: *index };
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.occupy(task, 0, &charge);
-            }
+            self.occupy(&id, task, 0, &charge);
             assignments.push((*index, id));
         }
         for (index, id) in &assignments {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.release(TaskId { of, index: *index }, &charge);
-            }
+            self.release(id, TaskId { of, index: *index }, &charge);
         }
         (assignments.len() == waiting.len()).then_some(assignments)
     }
@@ -495,7 +487,9 @@
             ..Run::new(id.clone(), run, Phase::Announced, now.steady)
         });
         let task = TaskId { of, index };
+        self.free.remove(worker);
         worker.occupy(task, run, &charge);
+        self.free.add(worker);
         if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
             accounts.occupy(account, &record.steps[of.step as usize].need, false);
         }
--- a/src/jobs/owner/polls.rs
+++ b/src/jobs/owner/polls.rs
@@ -369,8 +369,8 @@
             ..Run::new(id.clone(), run, Phase::Running, now)
         });
         self.occupy_limit(&record, task, true);
+        self.occupy(id, task, run, &charge);
         if let Some(worker) = self.workers.get_mut(id) {
-            worker.occupy(task, run, &charge);
             worker.note_begun(task, now);
         }
         log::info!("job {}: task {task} run {run} at {id}: taken over", task.of.job);
--- a/src/jobs/start.rs
+++ b/src/jobs/start.rs
@@ -10,6 +10,7 @@
 pub(crate) mod best;
 pub(crate) mod eligible;
 pub(crate) mod fair_share;
+pub(crate) mod free;
 pub(crate) mod route;
 mod spread;
 pub(crate) mod turn;
--- a/src/jobs/start/best.rs
+++ b/src/jobs/start/best.rs
@@ -53,6 +53,10 @@
     }
 }
 
+/// How many workers are tried in the order of their free processor time before all are compared. The
+/// first of them that may run a task is most often the preferred one.
+const MAX_TRIED: usize = 32;
+
 impl TaskPlacer<'_> {
     /// The worker for a task, if one fits that `allows` admits. Among equally reliable workers,
     /// those away from the other tasks come first if these are to be spread, then warm ones, those
@@ -72,11 +76,34 @@
                 && self.can_run(worker, step, tasks, needs_ticket)
                 && rack.is_none_or(|rack| worker.rack() == rack)
         };
+        if prefers_full(step, task, self.spreads_zones)
+            && let Some(found) = self.first_fit(step, &fits)
+        {
+            return found;
+        }
         let near = self.runs_to_spread(step, tasks);
         let preference = |worker: &&Worker| Preference::of(worker, step, task, &near, self.now);
         self.workers.values().filter(fits).min_by_key(preference)
     }
 
+    /// The worker that is preferred by its free processor time alone, or that there is none; `None`
+    /// if that does not show within a few tries.
+    fn first_fit(&self, step: &Step, fits: impl Fn(&&Worker) -> bool) -> Option<Option<&Worker>> {
+        let mut tried = self.free.at_least(step.charge().cpu.0);
+        for id in tried.by_ref().take(MAX_TRIED) {
+            let worker = self.workers.get(id).filter(&fits);
+            let is_preferred = |worker: &&Worker| {
+                !worker.is_suspect() && worker.is_listed() && !worker.is_cold(self.now)
+            };
+            match worker {
+                Some(_) if worker.filter(is_preferred).is_some() => return Some(worker),
+                Some(_) => return None,
+                None => {}
+            }
+        }
+        tried.next().is_none().then_some(None)
+    }
+
     /// The runs away from which the next task of a step is to start: those of a long-running step,
     /// where work is spread over availability zones.
     fn runs_to_spread(&self, step: &Step, tasks: &StepTasks) -> RunCounts<'_> {
@@ -100,3 +127,13 @@
         self.workers.values().filter(is_possible).max_by_key(|worker| worker.cpu_left())
     }
 }
+
+/// Whether of the workers that may run a task, and that are warm, listed and not suspect, the one
+/// with the least processor time left is preferred, whatever else is known of them.
+fn prefers_full(step: &Step, task: &Task, spreads_zones: bool) -> bool {
+    !step.background
+        && !task.suspect
+        && task.failed_at.is_empty()
+        && step.data_rack.is_empty()
+        && !(spreads_zones && step.long_running)
+}
--- a/src/jobs/start/eligible.rs
+++ b/src/jobs/start/eligible.rs
@@ -5,6 +5,7 @@
 use crate::{
     jobs::{
         job::{StepTasks, Task},
+        start::free::FreeCapacity,
         table::Table,
         worker::Worker,
     },
@@ -45,6 +46,7 @@
 /// The state on which a placement is based, besides the task.
 pub(crate) struct TaskPlacer<'a> {
     pub(crate) workers: &'a Table<Incarnation, Worker>,
+    pub(crate) free: &'a FreeCapacity,
     /// Hosts that are being drained.
     pub(crate) draining: &'a BTreeMap<HostId, Revision>,
     /// Workers whose resources are reserved for long-running tasks.
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -18,6 +18,7 @@
 mod late_starts;
 mod late_timers;
 mod outage;
+mod overload;
 mod owner_chains;
 mod plan_cost;
 mod polls;
--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -55,13 +55,18 @@
     },
 };
 
+#[cfg(test)]
+pub(crate) use persist::{
+    MAX_PENDING_WRITES, PROGRESS_BATCH, PROGRESS_PAUSE_MS, ROSTER_BATCH, ROSTER_PAUSE_MS,
+};
+
 pub(crate) use input::{Input, OverwriteResult, Ownership, ProgressResult};
 use stale_view::StaleView;
 use waiting_report::ReportState;
 use zones::ZoneLog;
 
 /// Interval between iterations when there is no input.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Minimum pause between two iterations; inputs that arrive in between are handled together. An
 /// iteration checks all open jobs: with hundreds of events a second, one for each event would cost
@@ -538,7 +543,7 @@
 }
 
 /// Pause after an iteration of this duration.
-fn pause_after(took: Duration) -> Duration {
+pub(crate) fn pause_after(took: Duration) -> Duration {
     (TICK_PAUSE_FACTOR * took).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
 }
 
--- a/src/scheduler/control_loop/persist.rs
+++ b/src/scheduler/control_loop/persist.rs
@@ -16,22 +16,22 @@
 
 /// Jobs per transaction: each needs a condition and a write, in addition to the condition on the
 /// owner.
-const PROGRESS_BATCH: usize = (MAX_TXN_ENTRIES - 1) / 2;
+pub(crate) const PROGRESS_BATCH: usize = (MAX_TXN_ENTRIES - 1) / 2;
 
 /// Maximum number of progress writes in flight per owner. A single one limits an owner to a
 /// thousand jobs per second, and more change at a peak.
-const MAX_PENDING_WRITES: usize = 4;
+pub(crate) const MAX_PENDING_WRITES: usize = 4;
 
 /// Minimum time between two progress writes of one owner, in milliseconds: changes close together
 /// share a write.
-const PROGRESS_PAUSE_MS: u64 = 5;
+pub(crate) const PROGRESS_PAUSE_MS: u64 = 5;
 
 /// Delay before the next write after a failed one, in milliseconds.
 const WRITE_RETRY_MS: u64 = 100;
 
 /// Minimum time between two roster writes of one pool, in milliseconds: hosts that arrive or leave
 /// together share a write, and a new worker waits at most this much longer.
-const ROSTER_PAUSE_MS: u64 = 20;
+pub(crate) const ROSTER_PAUSE_MS: u64 = 20;
 
 /// Minimum time between two removals of ended jobs, in milliseconds: jobs that end close together
 /// share one. At 145 jobs per second, a node that starts in between reads some 70 more. Without
@@ -40,7 +40,7 @@
 const REMOVAL_PAUSE_MS: u64 = 500;
 
 /// Worker records per transaction, in addition to two conditions and the record of silent workers.
-const ROSTER_BATCH: usize = MAX_TXN_ENTRIES - 3;
+pub(crate) const ROSTER_BATCH: usize = MAX_TXN_ENTRIES - 3;
 
 impl ControlLoop {
     /// The pool, if this node still owns it under the given token.
