--- a/src/jobs/owner.rs
+++ b/src/jobs/owner.rs
@@ -10,6 +10,7 @@
 mod lateness;
 mod load;
 mod losses;
+mod places;
 mod plan;
 mod polls;
 mod roster;
@@ -32,6 +33,8 @@
         roster::Roster,
         run_end::{Counts, PreviousRun, RunEnd},
         save_queue::SaveQueue,
+        start::free::FreeCapacity,
+        table::Table,
         unsettled::{StartsByWorker, UnsettledStarts},
         urgency::{ByLateness, Durations},
         worker::{EXPIRY_DELAY_MS, LostRun, SLOWEST_CLOCK_PERCENT, WORKER_LEASE_MS, Worker},
@@ -54,6 +57,7 @@
 pub(crate) use lateness::Lateness;
 pub(crate) use load::PoolLoad;
 use losses::Outage;
+use places::Places;
 #[cfg(test)]
 pub(crate) use roster::{RECORDS_BUILT, UNCONFIRMED_ADDED};
 pub(crate) use status::{DrainedHost, HostUsage};
@@ -106,14 +110,19 @@
     /// expired only up to this time: a later owner may have reached a worker that is silent here,
     /// and have renewed the lease of its runs.
     confirmed: Steady,
-    jobs: BTreeMap<JobId, Job>,
+    jobs: Table<JobId, Job>,
+    /// Jobs of which the last run has gone or the end has become durable since it was last checked
+    /// whether they can be forgotten.
+    settled: BTreeSet<JobId>,
     /// Jobs that have ended, under this owner or before. The store's view of them may be older than
     /// their end.
     ended: HashSet<JobId>,
     /// Unknown jobs with an uncounted end, and since when. Their records may be unreadable for now,
     /// and a worker does not list an end again once it is acknowledged.
     unknown: BTreeMap<JobId, Steady>,
-    workers: BTreeMap<Incarnation, Worker>,
+    workers: Table<Incarnation, Worker>,
+    places: Places,
+    free: FreeCapacity,
     /// When polls were last sent.
     last_polls: Option<Steady>,
     /// Starts that the next incarnation of a worker may carry out.
@@ -190,10 +199,13 @@
             // The pool was acquired by a write, somewhat earlier than now: nothing has expired
             // since then.
             confirmed: now,
-            jobs: BTreeMap::new(),
+            jobs: Table::default(),
+            settled: BTreeSet::new(),
             ended: HashSet::new(),
             unknown: BTreeMap::new(),
-            workers: BTreeMap::new(),
+            workers: Table::default(),
+            places: Places::default(),
+            free: FreeCapacity::default(),
             last_polls: None,
             unsettled: UnsettledStarts::default(),
             announced_starts: BTreeMap::new(),
@@ -383,6 +395,7 @@
                 job.progress_revision = revision;
                 if !job.is_dirty() {
                     ends.extend(job.job_end());
+                    self.settled.insert(write.job);
                 }
             }
         }
@@ -417,21 +430,25 @@
         }
     }
 
+    /// Forgets the jobs that are over and have no runs, of those that have changed so since the last
+    /// call: it is made for each answer of a worker, and others are not looked at.
     fn forget_ended(&mut self) {
-        let (ended, finished) = (&mut self.ended, &mut self.finished);
-        self.jobs.retain(|id, job| {
+        for id in std::mem::take(&mut self.settled) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             let durable = job.state.is_final() && !job.is_dirty();
             let is_over = durable || job.cancelled;
             let mut tasks = job.steps.values().flat_map(|step| &step.tasks);
-            let retained = !is_over || tasks.any(|task| !task.runs.is_empty());
-            if !retained {
-                ended.insert(*id);
-                if durable {
-                    finished.insert(*id);
-                }
+            if !is_over || tasks.any(|task| !task.runs.is_empty()) {
+                continue;
+            }
+            self.jobs.remove(&id);
+            self.ended.insert(id);
+            if durable {
+                self.finished.insert(id);
             }
-            retained
-        });
+        }
     }
 
     /// Takes at most `limit` jobs whose records can be removed, since their end is durable.
@@ -481,6 +498,7 @@
             return;
         };
         job.cancelled = true;
+        self.settled.insert(id);
         self.stop_all(id, now, out);
         self.forget_ended();
     }
@@ -549,9 +567,13 @@
     ) -> Option<crate::jobs::job::Run> {
         let job = self.jobs.get_mut(&task.of.job)?;
         let (record, charge) = (job.record.clone(), job.step(task.of.step).charge());
+        let is_open = job.is_open();
         let entry = job.task_mut(task.of, task.index)?;
         let index = entry.runs.iter().position(|task_run| task_run.worker == *at)?;
         let task_run = entry.runs.remove(index);
+        if !is_open {
+            self.settled.insert(task.of.job);
+        }
         if let (Some(accounts), Some(account)) = (&mut self.accounts, &record.account) {
             let need = &record.steps[task.of.step as usize].need;
             accounts.release(account, need, task_run.adopted.is_some());
@@ -565,10 +587,26 @@
         let previous =
             PreviousRun { worker: at.clone(), run: task_run.run, reason: end_reason, at: now };
         entry.previous = Some(Box::new(previous));
+        self.release(at, task, &charge);
+        Some(task_run)
+    }
+
+    /// Reserves the resources of a run at a worker.
+    fn occupy(&mut self, at: &Incarnation, task: TaskId, run: u32, charge: &TaskResources) {
         if let Some(worker) = self.workers.get_mut(at) {
-            worker.release(task, &charge);
+            self.free.remove(worker);
+            worker.occupy(task, run, charge);
+            self.free.add(worker);
+        }
+    }
+
+    /// Releases the resources of a run at a worker.
+    fn release(&mut self, at: &Incarnation, task: TaskId, charge: &TaskResources) {
+        if let Some(worker) = self.workers.get_mut(at) {
+            self.free.remove(worker);
+            worker.release(task, charge);
+            self.free.add(worker);
         }
-        Some(task_run)
     }
 
     fn note_listed(&mut self, report: WorkerReport, now: Steady) {
@@ -578,7 +616,11 @@
         }
         self.unlist_others(&report.id, now);
         if let Some(worker) = self.workers.get_mut(&report.id) {
+            self.places.remove(&worker.report);
+            self.free.remove(worker);
             worker.list(report, now);
+            self.places.add(&worker.report);
+            self.free.add(worker);
             return;
         }
         self.poll_conflicting(&report, now);
@@ -588,8 +630,8 @@
     /// Schedules polls of the workers that have the host or address of a report. Reports do not
     /// show which of them is alive, since one may be written long after its worker has ended.
     fn poll_conflicting(&mut self, report: &WorkerReport, now: Steady) {
-        for worker in self.workers.values_mut() {
-            if shares_host_or_address(&worker.report, report) {
+        for id in self.places.conflicting(report) {
+            if let Some(worker) = self.workers.get_mut(&id) {
                 worker.next_poll = now;
             }
         }
@@ -603,15 +645,12 @@
             return;
         };
         let host = report.host.clone();
-        // Each answer is compared with all workers: the rarest condition comes first.
         let is_over = |worker: &&Worker| {
-            let other = &worker.report;
-            worker.has_answered
-                && other.address == report.address
-                && other.id.worker != by.worker
-                && worker.was_known(sent)
+            let is_other = worker.report.id.worker != by.worker;
+            is_other && worker.has_answered && worker.was_known(sent)
         };
-        let others = self.workers.values().filter(is_over);
+        let there = self.places.at_address(&report.address);
+        let others = there.filter_map(|id| self.workers.get(id)).filter(is_over);
         let others: Vec<Incarnation> = others.map(|w| w.report.id.clone()).collect();
         for id in others {
             self.remove_ended_worker(&id, "another worker has answered at its address", now);
@@ -643,14 +682,8 @@
 /// another node makes the worker's calls.
 const UNSENT_RETRY_MS: u64 = 20;
 
-/// Whether two different workers cannot be alive at the same time: a host or an address has only one
-/// live worker.
-fn shares_host_or_address(first: &WorkerReport, second: &WorkerReport) -> bool {
-    first.id != second.id && (first.host == second.host || first.address == second.address)
-}
-
 /// Raises the highest end that may be acknowledged, as far as the counts of ends are durable.
-fn acknowledge(worker: &mut Worker, jobs: &BTreeMap<JobId, Job>) {
+fn acknowledge(worker: &mut Worker, jobs: &Table<JobId, Job>) {
     while let Some(end) = worker.unacknowledged.front() {
         let durable = |version| jobs.get(&end.job).is_none_or(|job| version <= job.durable_version);
         if !end.version.is_some_and(durable) {
--- a/src/jobs/owner/crashes.rs
+++ b/src/jobs/owner/crashes.rs
@@ -132,6 +132,8 @@
         let Some(worker) = self.workers.remove(id) else {
             return Vec::new();
         };
+        self.places.remove(&worker.report);
+        self.free.remove(&worker);
         if id.born.is_some() {
             self.former_orders.entry(id.worker.clone()).or_default().add(&worker, now);
         }
@@ -394,7 +396,7 @@
     /// Allows other starts again at workers whose isolated retry has ended, however it ended: its
     /// run or its job may have ended, or the task may have been done elsewhere.
     pub(super) fn end_isolated_retries(&mut self) {
-        for (id, worker) in &mut self.workers {
+        for (id, worker) in self.workers.iter_mut() {
             let jobs = &self.jobs;
             let is_over = |task: &mut TaskId| {
                 let job = jobs.get(&task.of.job).filter(|job| job.is_open());
--- a/src/jobs/owner/incarnations.rs
+++ b/src/jobs/owner/incarnations.rs
@@ -59,6 +59,8 @@
                 worker.restart_fence = RestartFence::Needed;
             }
         }
+        self.places.add(&worker.report);
+        self.free.add(&worker);
         self.workers.insert(worker.report.id.clone(), worker);
     }
 
@@ -160,7 +162,10 @@
         for task in tasks {
             self.remove_run(task, old, RunEnd::WorkerTerminated, now);
         }
-        self.workers.remove(old);
+        if let Some(worker) = self.workers.remove(old) {
+            self.places.remove(&worker.report);
+            self.free.remove(&worker);
+        }
         self.ended_workers.insert(old.clone(), EndedWorker::new(now));
     }
 
@@ -178,8 +183,8 @@
         }
         entry.runs.push(Run::new(at.clone(), run, Phase::Unknown, now));
         self.occupy_limit(&record, task, false);
+        self.occupy(at, task, run, &charge);
         if let Some(worker) = self.workers.get_mut(at) {
-            worker.occupy(task, run, &charge);
             worker.urgent_poll = true;
         }
     }
--- a/src/jobs/tests.rs
+++ b/src/jobs/tests.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod acknowledgements;
 mod admission;
+mod answer_cost;
 mod balance;
 mod breakdown;
 mod cold_workers;
@@ -20,6 +21,7 @@
 mod late_timers;
 mod lateness;
 mod outage;
+mod overload;
 mod owner_chains;
 mod plan_cost;
 mod polls;
--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -20,13 +20,14 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use tokio::{
     sync::{Semaphore, mpsc},
-    time::{MissedTickBehavior, interval, sleep},
+    time::{MissedTickBehavior, interval, sleep_until},
 };
 
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -63,6 +64,11 @@
     },
 };
 
+#[cfg(test)]
+pub(crate) use persist::{
+    MAX_PENDING_WRITES, PROGRESS_BATCH, PROGRESS_PAUSE_MS, ROSTER_BATCH, ROSTER_PAUSE_MS,
+};
+
 pub(crate) use input::{Input, OverwriteResult, Ownership, ProgressResult};
 use loop_load::{LoopLoad, LoopSummary};
 use owner_load::OwnerLoad;
@@ -71,9 +77,9 @@
 use zones::ZoneLog;
 
 /// Interval between iterations when there is no input.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Minimum pause between two iterations; inputs that arrive in between are handled together. An
+/// Minimum pause between two iterations; inputs that arrive in between share an iteration. An
 /// iteration checks all open jobs: with hundreds of events a second, one for each event would cost
 /// more than the orders.
 const MIN_TICK_PAUSE: Duration = Duration::from_millis(4);
@@ -241,25 +247,25 @@
             tokio::select! {
                 input = receiver.recv() => {
                     let Some(input) = input else { return };
-                    let began = Instant::now();
-                    self.handle(input);
-                    self.loop_load.note_inputs(1, began.elapsed());
+                    self.handle_ready(Some(input), &mut receiver);
                 }
                 _ = tick.tick() => {}
             }
+            // Inputs are handled during the pause, too: a late node would be idle meanwhile.
+            let (paused, mut handling) = (Instant::now(), Duration::ZERO);
             let remaining = pause.saturating_sub(last_tick.elapsed());
-            if !remaining.is_zero() {
-                let began = Instant::now();
-                sleep(remaining).await;
-                self.loop_load.note_pause(remaining, began.elapsed());
-            }
-            let (resumed, mut inputs) = (Instant::now(), 0);
-            while let Ok(more) = receiver.try_recv() {
-                self.handle(more);
-                inputs += 1;
+            let mut pause_end = pin!(sleep_until((last_tick + pause).into()));
+            while let Some(input) = tokio::select! {
+                biased;
+                () = &mut pause_end => None,
+                input = receiver.recv() => input,
+            } {
+                handling += self.handle_ready(Some(input), &mut receiver);
             }
+            let (length, took) = (remaining.saturating_sub(handling), paused.elapsed() - handling);
+            self.loop_load.note_pause(length, took);
+            self.handle_ready(None, &mut receiver);
             let began = Instant::now();
-            self.loop_load.note_inputs(inputs, began - resumed);
             self.tick();
             self.flush_outbox();
             last_tick = Instant::now();
@@ -268,6 +274,23 @@
         }
     }
 
+    /// Handles an input and all that wait. Returns how long that took.
+    fn handle_ready(
+        &mut self,
+        first: Option<Input>,
+        receiver: &mut mpsc::UnboundedReceiver<Input>,
+    ) -> Duration {
+        let (began, mut inputs) = (Instant::now(), 0);
+        let waiting = std::iter::from_fn(|| receiver.try_recv().ok());
+        for input in first.into_iter().chain(waiting) {
+            self.handle(input);
+            inputs += 1;
+        }
+        let took = began.elapsed();
+        self.loop_load.note_inputs(inputs, took);
+        took
+    }
+
     /// Handles an input.
     pub(crate) fn handle(&mut self, input: Input) {
         let now = self.node.now();
@@ -594,7 +617,7 @@
 }
 
 /// Pause after an iteration of this duration.
-fn pause_after(took: Duration) -> Duration {
+pub(crate) fn pause_after(took: Duration) -> Duration {
     (TICK_PAUSE_FACTOR * took).clamp(MIN_TICK_PAUSE, MAX_TICK_PAUSE)
 }
 
