Each plan looks at every waiting task of a full pool

Callers: at a peak, when a pool is full, its owner decided late.

Cause: each iteration made a list of the waiting tasks of each step before it knew that no worker had the resources for any, looked the job up some ten times for that, and the measured duration of a queue for each step.

Change: a step that needs at least what no worker has is passed over by one look at the job; that it waits is recorded once. The duration is looked up once for a job, and whether a job has begun only where it matters. Without weights, the order is not split into parts. No decision changes: the fuzzing tests of owners are unchanged.

--- a/src/jobs/owner/plan.rs
+++ b/src/jobs/owner/plan.rs
@@ -7,7 +7,7 @@
 use crate::{
     jobs::{
         event::Effect,
-        job::{Job, Phase, Run, StepTasks},
+        job::{Job, Phase, Run, StepTasks, Task},
         start::{
             allowed::{self, Allowed},
             eligible::TaskPlacer,
@@ -151,16 +151,24 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let due: Vec<(u32, u32)> = job
-            .steps
-            .iter()
-            .filter(|((occurrence, number), step)| {
-                step.left != 0 && job.is_due(*occurrence, *number, now)
-            })
-            .map(|(key, _)| *key)
-            .collect();
-        for (time, step) in due {
-            let of = StepId { job: id, occurrence: time, step };
+        let (mut due, mut unplaced) = (Vec::new(), Vec::new());
+        for ((occurrence, number), tasks) in &job.steps {
+            if tasks.left == 0 || !job.is_due(*occurrence, *number, now) {
+                continue;
+            }
+            let of = StepId { job: id, occurrence: *occurrence, step: *number };
+            if !self.cannot_start(job, of, tasks) {
+                due.push(of);
+            } else if !is_noted_unplaced(job, tasks, now.steady)
+                && waiting_tasks(job, of, tasks, unconfirmed, now.steady).next().is_some()
+            {
+                unplaced.push(of);
+            }
+        }
+        for of in unplaced {
+            self.note_unplaced(of, now.steady, out);
+        }
+        for of in due {
             let waiting = self.waiting_tasks(of, unconfirmed, now.steady);
             if waiting.is_empty() {
                 continue;
@@ -184,18 +192,33 @@
                     tried && self.place_tasks(of, &others, now, out) && placed
                 }
             };
-            if let Some(tasks) = self.step_tasks_mut(of) {
-                let since = tasks.unplaced_since.unwrap_or(now.steady);
-                tasks.unplaced_since = (!placed).then_some(since);
-            }
             if !placed {
-                self.reserve_worker(of, now.steady);
-                self.log_waiting(of, now.steady);
-                self.request_tickets(of, now.steady, out);
+                self.note_unplaced(of, now.steady, out);
+            } else if let Some(tasks) = self.step_tasks_mut(of) {
+                tasks.unplaced_since = None;
             }
         }
     }
 
+    /// Whether nothing of a step can start, since no worker has the resources and no limit or
+    /// announced retry need be considered.
+    fn cannot_start(&self, job: &Job, of: StepId, tasks: &StepTasks) -> bool {
+        let is_limited = self.accounts.is_some() && job.record.account.is_some();
+        !is_limited
+            && self.lacks_resources(job.step(of.step))
+            && tasks.tasks.iter().all(|task| task.isolated_worker.is_none())
+    }
+
+    /// Records that not all tasks of a step that may start have found a worker.
+    fn note_unplaced(&mut self, of: StepId, now: Steady, out: &mut Vec<Effect>) {
+        if let Some(tasks) = self.step_tasks_mut(of) {
+            tasks.unplaced_since.get_or_insert(now);
+        }
+        self.reserve_worker(of, now);
+        self.log_waiting(of, now);
+        self.request_tickets(of, now, out);
+    }
+
     pub(super) fn task_placer(&self, now: Steady) -> TaskPlacer<'_> {
         let (workers, free, draining) = (&self.workers, &self.free, &self.draining);
         let (reserved, zones) = (&self.reserved, &self.zones);
@@ -210,11 +233,12 @@
     /// Whether the current plan has found no worker for a step that needs no more resources than
     /// this one. Capacity that is reserved for long-running tasks is not counted.
     fn is_unplaceable(&self, of: StepId) -> bool {
-        let Some(step) = self.step(of).filter(|step| !step.long_running) else {
-            return false;
-        };
+        self.step(of).is_some_and(|step| self.lacks_resources(step))
+    }
+
+    fn lacks_resources(&self, step: &Step) -> bool {
         let charge = step.charge();
-        self.unplaceable.iter().any(|tried| tried.is_within(&charge))
+        !step.long_running && self.unplaceable.iter().any(|tried| tried.is_within(&charge))
     }
 
     /// Records that no worker has the resources for a step, if it has no other requirement.
@@ -250,8 +274,7 @@
         let Some(job) = self.jobs.get_mut(&of.job) else {
             return;
         };
-        let pause = WAITING_LOG_MS << job.wait_logs.min(WAITING_LOG_MAX_DOUBLINGS);
-        if now.since(job.wait_logged) < pause {
+        if now.since(job.wait_logged) < wait_log_pause_ms(job) {
             return;
         }
         let step = job.record.steps[of.step as usize].clone();
@@ -274,23 +297,10 @@
 
     /// The tasks of a step that wait to be started.
     fn waiting_tasks(&self, of: StepId, unconfirmed: &Unconfirmed, now: Steady) -> Vec<u32> {
-        let Some(job) = self.jobs.get(&of.job) else {
-            return Vec::new();
-        };
-        let Some(tasks) = job.steps.get(&(of.occurrence, of.step)) else {
-            return Vec::new();
-        };
-        let step = job.step(of.step);
-        let waits = |(index, task): (usize, &crate::jobs::job::Task)| {
-            let index = index as u32;
-            // If a run was taken over, the location of its task is known, but not how often the
-            // task has failed.
-            let is_known = task.location_known && !job.may_have_failed(of, index);
-            let is_confirmed = is_known || !unconfirmed.delays(&TaskId { of, index }, step);
-            let may_start = task.not_before <= now && is_confirmed && job.may_start(task);
-            (task.is_waiting() && may_start).then_some(index)
-        };
-        tasks.tasks.iter().enumerate().filter_map(waits).collect()
+        let job = self.jobs.get(&of.job);
+        let step = job.and_then(|job| Some((job, job.steps.get(&(of.occurrence, of.step))?)));
+        let waiting = step.map(|(job, tasks)| waiting_tasks(job, of, tasks, unconfirmed, now));
+        waiting.into_iter().flatten().collect()
     }
 
     /// The workers that a task is bound to: those that may still carry out an earlier start of it.
@@ -594,3 +604,34 @@
             && READY_PERCENT <= task_run.percent
     }
 }
+
+/// The tasks of a step that wait to be started.
+fn waiting_tasks<'a>(
+    job: &'a Job,
+    of: StepId,
+    tasks: &'a StepTasks,
+    unconfirmed: &'a Unconfirmed,
+    now: Steady,
+) -> impl Iterator<Item = u32> + 'a {
+    let step = job.step(of.step);
+    let waits = move |(index, task): &(u32, &Task)| {
+        // If a run was taken over, the location of its task is known, but not how often the task
+        // has failed.
+        let is_known = || task.location_known && !job.may_have_failed(of, *index);
+        let is_confirmed = !unconfirmed.delays(&TaskId { of, index: *index }, step) || is_known();
+        task.is_waiting() && task.not_before <= now && is_confirmed && job.may_start(task)
+    };
+    (0u32..).zip(&tasks.tasks).filter(waits).map(|(index, _)| index)
+}
+
+/// Whether it is recorded that a step finds no worker, and nothing else is due because of that.
+fn is_noted_unplaced(job: &Job, tasks: &StepTasks, now: Steady) -> bool {
+    tasks.unplaced_since.is_some()
+        && job.record.advice.is_none()
+        && now.since(job.wait_logged) < wait_log_pause_ms(job)
+}
+
+/// The delay between two log lines of a waiting job, in milliseconds.
+fn wait_log_pause_ms(job: &Job) -> u64 {
+    WAITING_LOG_MS << job.wait_logs.min(WAITING_LOG_MAX_DOUBLINGS)
+}
--- a/src/jobs/start/turn.rs
+++ b/src/jobs/start/turn.rs
@@ -36,6 +36,9 @@
 /// comes before what is not, and both before jobs that are late.
 pub(crate) fn order(mut candidates: Vec<Candidate>, capacity: Amount) -> Vec<JobId> {
     candidates.sort_by_key(|candidate| (candidate.urgency, candidate.job));
+    if candidates.iter().all(|one| one.beyond.is_none() && one.claim.is_none()) {
+        return candidates.into_iter().map(|candidate| candidate.job).collect();
+    }
     let claims = candidates.iter().filter_map(|candidate| candidate.claim.as_ref());
     let shares = FairShares::divide(claims, capacity);
     let (beyond, mut within): (Vec<_>, Vec<_>) =
--- a/src/jobs/urgency.rs
+++ b/src/jobs/urgency.rs
@@ -33,7 +33,13 @@
 
     /// The expected duration of a task of a queue: the caller's estimate until one was measured.
     pub(crate) fn expect(&self, queue: &str, estimate_ms: u64) -> u64 {
-        self.means.get(queue).copied().unwrap_or(estimate_ms.max(1))
+        self.estimator(queue)(estimate_ms)
+    }
+
+    /// The expected duration of the tasks of a queue, by the caller's estimate of each.
+    fn estimator(&self, queue: &str) -> impl Fn(u64) -> u64 + Copy + 'static {
+        let measured = self.means.get(queue).copied();
+        move |estimate_ms: u64| measured.unwrap_or(estimate_ms.max(1))
     }
 }
 
@@ -115,7 +121,7 @@
     if record.is_long_running() {
         return Urgency { priority: 0, lateness: 0, slack: i64::MIN, work: 0 };
     }
-    let task_ms = |estimate| durations.expect(&record.queue, estimate);
+    let task_ms = durations.estimator(&record.queue);
     let critical_path: u64 = record.steps.iter().map(|step| task_ms(step.estimate_ms)).sum();
     let remaining: u64 = (0..record.steps.len() as u32)
         .filter(|number| job.steps.get(&(0, *number)).is_some_and(|step| step.left != 0))
@@ -126,10 +132,9 @@
     let slack = objective as i64 - age as i64 - remaining as i64;
     let latest = (objective * LATE_FACTOR) as i64 - age as i64 - remaining as i64;
     // A job that begins without slack ends late as soon as one of its tasks waits.
-    let min_slack =
-        if job.may_have_begun() { 0 } else { remaining as i64 * MIN_SLACK_PERCENT / 100 };
+    let min_slack = remaining as i64 * MIN_SLACK_PERCENT / 100;
     let lateness = match () {
-        () if min_slack <= slack => 0,
+        () if min_slack <= slack || 0 <= slack && job.may_have_begun() => 0,
         () if 0 <= latest => 1,
         () => 2,
     };
