A start beside workers that are cold or take no work looks at all workers

Found by review: the index of free capacity gave way to a comparison of all workers as soon as the first worker with room was cold, suspect or unlisted, or when 32 that take no work (silent, drained) came before the others. A pool at its peak has hundreds of silent workers.

Change: those that take no work do not count, and of those that fit the best is kept. The index asserts in debug builds that a worker is removed under the amount under which it was added.

Not measured apart; more than 32 workers that have processor time and no memory left still lead to a comparison of all.

--- a/src/jobs/start/best.rs
+++ b/src/jobs/start/best.rs
@@ -77,7 +77,7 @@
                 && rack.is_none_or(|rack| worker.rack() == rack)
         };
         if prefers_full(step, task, self.spreads_zones)
-            && let Some(found) = self.first_fit(step, &fits)
+            && let Some(found) = self.first_fit(step, fits)
         {
             return found;
         }
@@ -86,22 +86,27 @@
         self.workers.values().filter(fits).min_by_key(preference)
     }
 
-    /// The worker that is preferred by its free processor time alone, or that there is none; `None`
-    /// if that does not show within a few tries.
+    /// The preferred worker, found in the order of free processor time, or that there is none;
+    /// `None` if that does not show within a few tries.
     fn first_fit(&self, step: &Step, fits: impl Fn(&&Worker) -> bool) -> Option<Option<&Worker>> {
-        let mut tried = self.free.at_least(step.charge().cpu.0);
-        for id in tried.by_ref().take(MAX_TRIED) {
-            let worker = self.workers.get(id).filter(&fits);
-            let is_preferred = |worker: &&Worker| {
-                !worker.is_suspect() && worker.is_listed() && !worker.is_cold(self.now)
-            };
-            match worker {
-                Some(_) if worker.filter(is_preferred).is_some() => return Some(worker),
-                Some(_) => return None,
-                None => {}
+        let with_room = self.free.at_least(step.charge().cpu.0);
+        let workers = with_room.filter_map(|id| self.workers.get(id));
+        let (mut tried, mut best) = (0, None);
+        for worker in workers.filter(|worker| worker.takes_work(self.now)) {
+            let (is_unlisted, is_cold) = (!worker.is_listed(), worker.is_cold(self.now));
+            let rank = (worker.is_suspect(), is_unlisted, is_cold);
+            if best.is_none_or(|(least, _)| rank < least) && fits(&worker) {
+                best = Some((rank, worker));
+            }
+            if best.is_some_and(|(least, _)| least == (false, false, false)) {
+                break;
+            }
+            tried += 1;
+            if tried == MAX_TRIED {
+                return None;
             }
         }
-        tried.next().is_none().then_some(None)
+        Some(best.map(|(_, worker)| worker))
     }
 
     /// The runs away from which the next task of a step is to start: those of a long-running step,
--- a/src/jobs/start/free.rs
+++ b/src/jobs/start/free.rs
@@ -17,12 +17,14 @@
 
     /// Removes a worker, which has as much left as when it was added.
     pub(crate) fn remove(&mut self, worker: &Worker) {
+        let mut was_added = false;
         if let Some(workers) = self.by_cpu.get_mut(&worker.cpu_left()) {
-            workers.remove(&worker.report.id);
+            was_added = workers.remove(&worker.report.id);
             if workers.is_empty() {
                 self.by_cpu.remove(&worker.cpu_left());
             }
         }
+        debug_assert!(was_added, "worker {} is indexed by another amount", worker.report.id);
     }
 
     /// The workers that have at least this much left, those with the least first.
--- a/src/scheduler/control_loop.rs
+++ b/src/scheduler/control_loop.rs
@@ -262,8 +262,8 @@
             } {
                 handling += self.handle_ready(Some(input), &mut receiver);
             }
-            let (length, took) = (remaining.saturating_sub(handling), paused.elapsed() - handling);
-            self.loop_load.note_pause(length, took);
+            let took = paused.elapsed().saturating_sub(handling);
+            self.loop_load.note_pause(remaining.saturating_sub(handling), took);
             self.handle_ready(None, &mut receiver);
             let began = Instant::now();
             self.tick();
--- a/src/scheduler/control_loop/tests/failed_links.rs
+++ b/src/scheduler/control_loop/tests/failed_links.rs
@@ -71,7 +71,12 @@
     let control_loop = &mut simulation.control_loop;
     let token = control_loop.owned[POOL].owner.token;
     let (name, event) = (POOL.to_owned(), Box::new(event));
-    control_loop.handle(Input::OwnerEvent { name, token, event });
+    control_loop.handle(Input::OwnerEvent {
+        name,
+        token,
+        event,
+        queued: std::time::Instant::now(),
+    });
 }
 
 /// The delegate of each worker; `None` if the owner's node calls it.
