Settings of what a machine gives a node, and a client may use of it

Nodes did not know how much memory and how many descriptors they have, so no bound on what clients make them hold could follow from it. Scheduler nodes read `limits.memory_mb` (256) and `limits.descriptors` (4,096), which the template takes from the platform's `limits.memory_mb` and `limits.max_fds`; all nodes read `limits.head_bytes` (16 KB), `limits.request_ms` (30 s) and `limits.idle_ms` (600 s).

No client inside the users' limits comes near a default: a submission has a head of under 1 KB and arrives within its deadline of 3 s.

--- a/src/settings/node.rs
+++ b/src/settings/node.rs
@@ -13,6 +13,7 @@
     },
     settings::{
         Problem, Problems,
+        clients::{self, ClientLimits},
         reader::{self, Section},
     },
 };
@@ -64,6 +65,7 @@
     pub(crate) connections: usize,
     /// Deadline of requests without one.
     pub(crate) deadline: Duration,
+    pub(crate) clients: ClientLimits,
 }
 
 /// Intervals, timeouts and leases.
@@ -224,6 +226,7 @@
     let queue = section.number_or("queue", 1..=100_000, 256);
     let connections = section.number_or("connections", 1..=100_000, 4096);
     let deadline = section.millis_or("deadline_ms", 10..=3_600_000, Duration::from_secs(30));
+    let clients = clients::limits(section);
     Some(Limits {
         request: request? as usize,
         answer: answer? as usize,
@@ -231,6 +234,7 @@
         queue: queue? as usize,
         connections: connections? as usize,
         deadline: deadline?,
+        clients: clients?,
     })
 }
 
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -6,10 +6,11 @@
     jobs::fleet::Sizing,
     model::{
         id::{NodeId, ZoneId},
-        unit::Millicores,
+        unit::{Megabytes, Millicores},
     },
     settings::{
         Problems,
+        clients::{self, ClientLimits},
         node::read_file,
         reader::{self, Section},
     },
@@ -36,6 +37,12 @@
 /// Most calls per second that a platform accepts for moving and maintaining hosts.
 const MAX_HOST_CALLS: f64 = 100_000.0;
 
+/// Default memory of a node's machine.
+const DEFAULT_MEMORY: Megabytes = Megabytes(256);
+
+/// Default number of descriptors that a node may have open.
+const DEFAULT_DESCRIPTORS: u64 = 4_096;
+
 /// Most availability zones of a deployment.
 const MAX_ZONES: u64 = 1_000;
 
@@ -60,6 +67,17 @@
     pub(crate) zones: ZoneSettings,
     /// The time within which a change of the configuration must be in force.
     pub(crate) config_bound: Duration,
+    pub(crate) limits: MachineLimits,
+}
+
+/// What a node may use of its machine, and what a client may use of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct MachineLimits {
+    /// Memory that the process may use.
+    pub(crate) memory: Megabytes,
+    /// Descriptors that the process may have open.
+    pub(crate) descriptors: usize,
+    pub(crate) clients: ClientLimits,
 }
 
 /// What the node does about availability zones.
@@ -121,6 +139,7 @@
     let config_bound = section.section_or_default("configuration", |inner| {
         inner.millis_or("apply_ms", 500..=600_000, DEFAULT_CONFIG_BOUND)
     });
+    let limits = section.section_or_default("limits", limits);
     let replicas = section.number_or("replicas", 1..=10_000, DEFAULT_REPLICAS);
     Some(SchedulerSettings {
         node: node?,
@@ -134,6 +153,18 @@
         max_key_age: max_key_age?,
         zones: zones?,
         config_bound: config_bound?,
+        limits: limits?,
+    })
+}
+
+fn limits(section: &Section<'_>) -> Option<MachineLimits> {
+    let memory = section.number_or("memory_mb", 32..=1_048_576, DEFAULT_MEMORY.0.into());
+    let descriptors = section.number_or("descriptors", 256..=1_048_576, DEFAULT_DESCRIPTORS);
+    let clients = clients::limits(section);
+    Some(MachineLimits {
+        memory: Megabytes(memory? as u32),
+        descriptors: descriptors? as usize,
+        clients: clients?,
     })
 }
 
