--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)]
 
-mod ports;
+pub mod ports;
 
 use std::{
     fs,
@@ -88,6 +88,10 @@
         self.child.wait().unwrap();
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Whether the process succeeded, once it has exited.
     pub fn exit_success(&mut self) -> Option<bool> {
         self.child.try_wait().unwrap().map(|status| status.success())
@@ -99,6 +103,7 @@
     pub process: Process,
     pub callers: String,
     pub operators: String,
+    pub peers: String,
     settings: PathBuf,
     log: PathBuf,
 }
@@ -146,6 +151,11 @@
 impl Fleet {
     /// Starts a fleet, applies the configuration, and waits until every task is available.
     pub async fn start(nodes: usize) -> Fleet {
+        Fleet::start_with(nodes, json!({ "request_bytes": 65536, "answer_bytes": 262144 })).await
+    }
+
+    /// Like [`Fleet::start`], with the `limits` of the nodes' settings.
+    pub async fn start_with(nodes: usize, limits: Value) -> Fleet {
         let dir = test_dir();
         let platform = Process::spawn_stand_in(&["standin", "platform", "--listen", "127.0.0.1:0"]);
         let workers = Process::spawn_stand_in(&[
@@ -173,7 +183,7 @@
                 "listen": { "callers": own[0], "operators": own[1], "peers": own[2] },
                 "platform": { "store": platform.address, "hosts": platform.address },
                 "peers": peers,
-                "limits": { "request_bytes": 65536, "answer_bytes": 262144 },
+                "limits": limits,
                 "timing": { "lease_ms": 3000, "store_ms": 500 },
                 "rules": {
                     "start_limit_ms": 10000, "leave_limit_ms": 20000, "away_limit_ms": 20000,
@@ -190,6 +200,7 @@
                 ),
                 callers: own[0].clone(),
                 operators: own[1].clone(),
+                peers: own[2].clone(),
                 settings: path,
                 log,
             });
@@ -242,6 +253,25 @@
         .await;
     }
 
+    /// Sends one request with a body, and one without, over a new connection to the first node, as
+    /// often as it takes until each is answered.
+    pub async fn answers_ordinary_callers(&self) {
+        const BODY_BYTES: usize = 100_000;
+        let client = reqwest::Client::builder().pool_max_idle_per_host(0).build().unwrap();
+        let node = &self.nodes[0];
+        let service = client.post(format!("http://{}/echo/", node.callers));
+        let service = service.header("caperhollow-team", "test").body(vec![b'x'; BODY_BYTES]);
+        let operator = client.get(format!("http://{}/v1/status/services", node.operators));
+        for (what, request) in [("the service", service), ("the operators' API", operator)] {
+            let request = request.timeout(Duration::from_secs(8));
+            eventually(&format!("an answer of {what}"), || async {
+                let answer = request.try_clone()?.send().await.ok()?;
+                (answer.status() == 200).then_some(())
+            })
+            .await;
+        }
+    }
+
     /// A list of `status`, as a node reports it.
     pub async fn status(&self, node: usize, list: &str) -> Option<Value> {
         let url = format!("http://{}/v1/status/{list}", self.nodes[node].operators);
