Heads and empty lines without an end fill a buffer of 417 KB for each connection

What callers saw: clients that send a head, or empty lines before a request, and never end them made the process hold 417 KB each, until it went over the memory of its machine. Nothing was refused before that.

Cause: the HTTP server of `poem` cannot set the limits of the connection below it. Its buffer grows to the library's default of 8 KB and 400 KB. It also spoke HTTP/2, which nobody here does, with buffers of its own, and an error of `accept` was retried without a pause.

Change: connections are served by `hyper` itself, which was below `poem` all along; endpoints, requests and answers stay those of `poem`. A buffer holds `limits.head_bytes` (16 KB); a longer head gets 431, and empty lines count as part of it. Only HTTP/1.1 is spoken. The server waits for its connections when it is stopped, as before. A connection that cannot be accepted is logged, and the next one is accepted after 50 ms.

Why it works: what is not a whole head after 16 KB is never buffered.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,10 +2,11 @@
 //! answers, and graceful shutdown.
 
 use std::{
+    convert::Infallible,
     future::Future,
     io,
     net::SocketAddr,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -16,22 +17,32 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
 use poem::{
-    Body, IntoEndpoint, Request, Response, Server,
-    http::{StatusCode, header, uri::Scheme},
-    listener::Acceptor,
+    Body, Endpoint, EndpointExt, IntoEndpoint, Request, Response,
+    http::{self, StatusCode, header, uri::Scheme},
     web::{LocalAddr, RemoteAddr},
 };
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
 };
-use tokio_util::sync::{CancellationToken, WaitForCancellationFutureOwned};
+use tokio_util::{
+    sync::{CancellationToken, WaitForCancellationFutureOwned},
+    task::TaskTracker,
+};
+
+use crate::settings::clients::ClientLimits;
 
 /// How long a server that shuts down waits for requests in flight.
 pub(crate) const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How long a listener waits after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Accepts connections up to a bound and closes further ones immediately.
 struct BoundedListener {
     listener: TcpListener,
@@ -105,29 +116,34 @@
     }
 }
 
-impl Acceptor for BoundedListener {
-    type Io = CountedStream;
-
-    fn local_addr(&self) -> Vec<LocalAddr> {
-        let address = self.listener.local_addr();
-        address.into_iter().map(|address| LocalAddr(address.into())).collect()
-    }
-
-    async fn accept(&mut self) -> io::Result<(CountedStream, LocalAddr, RemoteAddr, Scheme)> {
+impl BoundedListener {
+    /// The next connection within the bound, and the addresses of both its ends.
+    async fn accept(&self) -> (CountedStream, SocketAddr, SocketAddr) {
         loop {
-            let (stream, remote) = self.listener.accept().await?;
-            if self.max_connections <= self.open.load(Ordering::Acquire) {
-                continue;
+            match self.try_accept().await {
+                Ok(Some(accepted)) => return accepted,
+                Ok(None) => {}
+                Err(error) => {
+                    log::warn!("connection not accepted: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
             }
-            // Answers are written whole, so that Nagle's algorithm would only delay them.
-            stream.set_nodelay(true)?;
-            let local = LocalAddr(stream.local_addr()?.into());
-            self.open.fetch_add(1, Ordering::AcqRel);
-            let killed = Box::pin(self.kill.clone().cancelled_owned());
-            let counted = CountedStream { stream, open: self.open.clone(), killed };
-            return Ok((counted, local, RemoteAddr(remote.into()), Scheme::HTTP));
         }
     }
+
+    async fn try_accept(&self) -> io::Result<Option<(CountedStream, SocketAddr, SocketAddr)>> {
+        let (stream, remote) = self.listener.accept().await?;
+        if self.max_connections <= self.open.load(Ordering::Acquire) {
+            return Ok(None);
+        }
+        // Answers are written whole, so that Nagle's algorithm would only delay them.
+        stream.set_nodelay(true)?;
+        let local = stream.local_addr()?;
+        self.open.fetch_add(1, Ordering::AcqRel);
+        let killed = Box::pin(self.kill.clone().cancelled_owned());
+        let counted = CountedStream { stream, open: self.open.clone(), killed };
+        Ok(Some((counted, local, remote)))
+    }
 }
 
 /// Serves an endpoint, with at most `max_connections` connections, until it is stopped.
@@ -135,19 +151,81 @@
 where
     E: IntoEndpoint,
     E::Endpoint: 'static,
+{
+    let head_bytes = ClientLimits::default().head_bytes;
+    serve_within(listener, max_connections, head_bytes, endpoint, stop).await;
+}
+
+/// Serves an endpoint like [`serve`], with heads of requests of at most `head_bytes` bytes.
+pub(crate) async fn serve_within<E>(
+    listener: TcpListener,
+    max_connections: usize,
+    head_bytes: usize,
+    endpoint: E,
+    stop: Stop,
+) where
+    E: IntoEndpoint,
+    E::Endpoint: 'static,
 {
     let Stop { gently, at_once } = stop;
-    let bounded =
+    let listener =
         BoundedListener { listener, open: Arc::default(), max_connections, kill: at_once.clone() };
-    let server = Server::new_with_acceptor(bounded);
-    let served =
-        server.run_with_graceful_shutdown(endpoint, gently.cancelled(), Some(SHUTDOWN_TIMEOUT));
+    let endpoint = Arc::new(endpoint.into_endpoint().map_to_response());
+    let tasks = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = gently.cancelled() => break,
+            () = at_once.cancelled() => return,
+        };
+        tasks.spawn(serve_connection(accepted, endpoint.clone(), head_bytes, gently.clone()));
+    }
+    drop(listener);
+    tasks.close();
+    tokio::select! {
+        waited = timeout(SHUTDOWN_TIMEOUT, tasks.wait()) => {
+            if waited.is_err() {
+                at_once.cancel();
+            }
+        }
+        () = at_once.cancelled() => {}
+    }
+}
+
+async fn serve_connection<E>(
+    (stream, local, remote): (CountedStream, SocketAddr, SocketAddr),
+    endpoint: Arc<E>,
+    head_bytes: usize,
+    gently: CancellationToken,
+) where
+    E: Endpoint<Output = Response> + 'static,
+{
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let endpoint = endpoint.clone();
+        async move {
+            let (local, remote) = (LocalAddr(local.into()), RemoteAddr(remote.into()));
+            let request = Request::from((request, local, remote, Scheme::HTTP));
+            let response = endpoint.get_response(request).await;
+            Ok::<http::Response<_>, Infallible>(response.into())
+        }
+    });
+    // The buffer holds a head as a whole, and parts of a body.
+    let mut served = pin!(
+        http1::Builder::new()
+            .max_buf_size(head_bytes)
+            .header_read_timeout(None)
+            .serve_connection(TokioIo::new(stream), service)
+            .with_upgrades()
+    );
     let result = tokio::select! {
-        result = served => result,
-        () = at_once.cancelled() => Ok(()),
+        result = served.as_mut() => result,
+        () = gently.cancelled() => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
     };
     if let Err(error) = result {
-        log::error!("server: {error}");
+        log::debug!("connection of {remote}: {error}");
     }
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -139,15 +139,18 @@
         let entry = entry.clone();
         async move { Ok::<_, poem::Error>(entry.answer(request).await) }
     });
-    http::serve(listener, limits.connections, endpoint, stop).await;
+    let head_bytes = limits.clients.head_bytes;
+    http::serve_within(listener, limits.connections, head_bytes, endpoint, stop).await;
 }
 
 async fn serve_operators(node: Arc<Node>, listener: TcpListener) {
+    let head_bytes = node.settings.limits.clients.head_bytes;
     let endpoint = make(move |request| {
         let node = node.clone();
         async move { Ok::<_, poem::Error>(api::answer(node, request).await) }
     });
-    http::serve(listener, MAX_OPERATOR_CONNECTIONS, endpoint, http::Stop::default()).await;
+    let stop = http::Stop::default();
+    http::serve_within(listener, MAX_OPERATOR_CONNECTIONS, head_bytes, endpoint, stop).await;
 }
 
 /// Keeps the routes up to date with the view, and wakes waiting requests.
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -81,7 +81,7 @@
     let (callers, _) = http::listen(&settings.listen.callers.to_string()).await.map_err(failed)?;
     let (readiness, _) =
         http::listen(&settings.listen.readiness.to_string()).await.map_err(failed)?;
-    let grace = settings.grace;
+    let (grace, head_bytes) = (settings.grace, settings.limits.clients.head_bytes);
     let (metrics_listener, _) =
         http::listen(&settings.listen.metrics.to_string()).await.map_err(failed)?;
     let peers = match settings.listen.peers {
@@ -113,11 +113,13 @@
         Api { node, lease, relay: Relay::new(), sender, orders }
     };
     let callers_api = api(Sender::Callers, None);
-    let callers_server = http::serve(callers, MAX_CONNECTIONS, callers_api, stop.clone());
+    let callers_server =
+        http::serve_within(callers, MAX_CONNECTIONS, head_bytes, callers_api, stop.clone());
     let mut servers = vec![tokio::spawn(callers_server)];
     if let Some(peers) = peers {
         let peers_api = api(Sender::Nodes, Some(worker_client));
-        let peers_server = http::serve(peers, MAX_CONNECTIONS, peers_api, stop.clone());
+        let peers_server =
+            http::serve_within(peers, MAX_CONNECTIONS, head_bytes, peers_api, stop.clone());
         servers.push(tokio::spawn(peers_server));
     }
     let probe = Readiness { node: node.clone(), lease };
