Silent connections take all places of an address and keep them

What callers saw: once 3,000 connections were open that said nothing, every other caller was reset, for as long as they stayed. 64 silent connections did the same to the readiness probe, so that the platform takes the node for dead, and 16 to the metrics. Each address counted for itself, up to more descriptors than a machine may give; the links of `serve` were not counted at all.

Cause: a place was given to whoever came first, and was never taken back. No connection had a time limit.

Change: all connections of a process come from one table (`http/connections.rs`). Each is charged 32 KB. What they may be together follows from the settings: half of the descriptors and a quarter of the memory of a scheduler node; `connections` and `held_bytes` of `serve`. When a limit is reached, a sixteenth of it is made free: of the connections that wait for their clients, those are closed first that have held most for longest. A request that has arrived as a whole is never cut off for it. A listener with a limit of its own makes room among its own. Independent of that, a request that takes longer than `limits.request_ms` from its first byte to its last, or a connection that has none for `limits.idle_ms`, is closed within a second of it; single bytes do not prolong that.

Why it works: a new caller gets the place of the connection that has been silent for longest, and needs it for a few milliseconds. Tests of the table: src/http/tests.rs.

--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -241,7 +241,7 @@
                 DEFAULT_RETRY_AFTER,
             ));
         };
-        match http::read_body(request.take_body(), max_bytes).await {
+        match http::read_body(request, max_bytes).await {
             Ok(body) => Ok((body, memory)),
             Err(BodyError::TooLarge(_)) => Err(too_large()),
             Err(error) => Err(Failure::rejected(StatusCode::BAD_REQUEST, error.to_string())),
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,9 @@
-//! Common parts of the program's HTTP servers: a listener with a bound on connections, JSON
-//! answers, and graceful shutdown.
+//! Common parts of the program's HTTP servers: connections within limits, JSON answers, and graceful
+//! shutdown.
+
+pub(crate) mod connections;
+#[cfg(test)]
+mod tests;
 
 use std::{
     convert::Infallible,
@@ -7,20 +11,21 @@
     io,
     net::SocketAddr,
     pin::{Pin, pin},
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use poem::{
-    Body, Endpoint, EndpointExt, IntoEndpoint, Request, Response,
+    Endpoint, EndpointExt, IntoEndpoint, Request, Response,
     http::{self, StatusCode, header, uri::Scheme},
     web::{LocalAddr, RemoteAddr},
 };
@@ -28,34 +33,33 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::{Instant, interval, sleep, timeout},
 };
 use tokio_util::{
     sync::{CancellationToken, WaitForCancellationFutureOwned},
     task::TaskTracker,
 };
 
-use crate::settings::clients::ClientLimits;
+use connections::{Connection, ConnectionLimits, Connections, ListenerId, Overload, Share};
 
 /// How long a server that shuts down waits for requests in flight.
 pub(crate) const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Interval between two checks for connections whose clients are late.
+const LATE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long a listener waits after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections up to a bound and closes further ones immediately.
-struct BoundedListener {
-    listener: TcpListener,
-    open: Arc<AtomicUsize>,
-    max_connections: usize,
-    kill: CancellationToken,
-}
+/// `Retry-After` of refusals for lack of room, in seconds.
+pub(crate) const RETRY_AFTER_S: u32 = 1;
 
-/// A connection that is counted while open and is reset when its server is stopped immediately.
+/// A counted connection, which is reset when its server is stopped immediately and when it has to
+/// make room.
 pub(crate) struct CountedStream {
     stream: TcpStream,
-    open: Arc<AtomicUsize>,
-    killed: Pin<Box<WaitForCancellationFutureOwned>>,
+    connection: Arc<Connection>,
+    closed: Pin<Box<WaitForCancellationFutureOwned>>,
 }
 
 /// Tokens that stop a server.
@@ -67,9 +71,21 @@
     pub(crate) at_once: CancellationToken,
 }
 
-impl Drop for CountedStream {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::AcqRel);
+impl CountedStream {
+    /// Counts a connection; `None` if there is no room for it.
+    pub(crate) fn open(
+        stream: TcpStream,
+        connections: &Connections,
+        listener: ListenerId,
+        close: CancellationToken,
+    ) -> Option<CountedStream> {
+        let connection = Arc::new(connections.open(listener, close, Instant::now())?);
+        let closed = Box::pin(connection.close_token().clone().cancelled_owned());
+        Some(CountedStream { stream, connection, closed })
+    }
+
+    pub(crate) fn connection(&self) -> &Arc<Connection> {
+        &self.connection
     }
 }
 
@@ -79,10 +95,15 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.killed.as_mut().poll(cx).is_ready() {
+        if self.closed.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if before < buf.filled().len() {
+            self.connection.note_received(Instant::now());
+        }
+        polled
     }
 }
 
@@ -116,11 +137,30 @@
     }
 }
 
+/// Accepts the connections of a listener that have room.
+pub(crate) struct BoundedListener {
+    listener: TcpListener,
+    connections: Connections,
+    id: ListenerId,
+}
+
 impl BoundedListener {
-    /// The next connection within the bound, and the addresses of both its ends.
-    async fn accept(&self) -> (CountedStream, SocketAddr, SocketAddr) {
+    pub(crate) fn new(
+        listener: TcpListener,
+        connections: &Connections,
+        share: Share,
+    ) -> BoundedListener {
+        let id = connections.add_listener(share);
+        BoundedListener { listener, connections: connections.clone(), id }
+    }
+
+    /// The next connection for which there is room. Others are closed.
+    pub(crate) async fn accept(
+        &self,
+        reset: &CancellationToken,
+    ) -> (CountedStream, SocketAddr, SocketAddr) {
         loop {
-            match self.try_accept().await {
+            match self.try_accept(reset).await {
                 Ok(Some(accepted)) => return accepted,
                 Ok(None) => {}
                 Err(error) => {
@@ -131,18 +171,17 @@
         }
     }
 
-    async fn try_accept(&self) -> io::Result<Option<(CountedStream, SocketAddr, SocketAddr)>> {
+    async fn try_accept(
+        &self,
+        reset: &CancellationToken,
+    ) -> io::Result<Option<(CountedStream, SocketAddr, SocketAddr)>> {
         let (stream, remote) = self.listener.accept().await?;
-        if self.max_connections <= self.open.load(Ordering::Acquire) {
-            return Ok(None);
-        }
         // Answers are written whole, so that Nagle's algorithm would only delay them.
         stream.set_nodelay(true)?;
         let local = stream.local_addr()?;
-        self.open.fetch_add(1, Ordering::AcqRel);
-        let killed = Box::pin(self.kill.clone().cancelled_owned());
-        let counted = CountedStream { stream, open: self.open.clone(), killed };
-        Ok(Some((counted, local, remote)))
+        let close = reset.child_token();
+        let counted = CountedStream::open(stream, &self.connections, self.id, close);
+        Ok(counted.map(|stream| (stream, local, remote)))
     }
 }
 
@@ -152,15 +191,16 @@
     E: IntoEndpoint,
     E::Endpoint: 'static,
 {
-    let head_bytes = ClientLimits::default().head_bytes;
-    serve_within(listener, max_connections, head_bytes, endpoint, stop).await;
+    let connections = Connections::new(ConnectionLimits::default());
+    let share = Share { connections: max_connections };
+    serve_within(listener, connections, share, endpoint, stop).await;
 }
 
-/// Serves an endpoint like [`serve`], with heads of requests of at most `head_bytes` bytes.
+/// Serves an endpoint with a share of the connections of the process, until it is stopped.
 pub(crate) async fn serve_within<E>(
     listener: TcpListener,
-    max_connections: usize,
-    head_bytes: usize,
+    connections: Connections,
+    share: Share,
     endpoint: E,
     stop: Stop,
 ) where
@@ -168,17 +208,17 @@
     E::Endpoint: 'static,
 {
     let Stop { gently, at_once } = stop;
-    let listener =
-        BoundedListener { listener, open: Arc::default(), max_connections, kill: at_once.clone() };
+    let listener = BoundedListener::new(listener, &connections, share);
     let endpoint = Arc::new(endpoint.into_endpoint().map_to_response());
-    let tasks = TaskTracker::new();
+    let (tasks, head_bytes) = (TaskTracker::new(), connections.limits().clients.head_bytes);
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = listener.accept(&at_once) => accepted,
             () = gently.cancelled() => break,
             () = at_once.cancelled() => return,
         };
-        tasks.spawn(serve_connection(accepted, endpoint.clone(), head_bytes, gently.clone()));
+        let served = serve_connection(accepted, endpoint.clone(), head_bytes, gently.clone());
+        tasks.spawn(served);
     }
     drop(listener);
     tasks.close();
@@ -200,16 +240,20 @@
 ) where
     E: Endpoint<Output = Response> + 'static,
 {
+    let connection = stream.connection().clone();
+    let served = connection.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
-        let endpoint = endpoint.clone();
+        let (endpoint, connection) = (endpoint.clone(), served.clone());
         async move {
-            let (local, remote) = (LocalAddr(local.into()), RemoteAddr(remote.into()));
-            let request = Request::from((request, local, remote, Scheme::HTTP));
-            let response = endpoint.get_response(request).await;
-            Ok::<http::Response<_>, Infallible>(response.into())
+            let addresses = (LocalAddr(local.into()), RemoteAddr(remote.into()));
+            let request = Request::from((request, addresses.0, addresses.1, Scheme::HTTP));
+            let response = answer(&*endpoint, request, &connection).await;
+            connection.note_answered(Instant::now());
+            let response = http::Response::from(response);
+            Ok::<_, Infallible>(response.map(|body| AnswerBody { body, connection }))
         }
     });
-    // The buffer holds a head as a whole, and parts of a body.
+    // A buffer holds a head as a whole, and a part of a body.
     let mut served = pin!(
         http1::Builder::new()
             .max_buf_size(head_bytes)
@@ -217,11 +261,18 @@
             .serve_connection(TokioIo::new(stream), service)
             .with_upgrades()
     );
+    let closed = connection.close_token().cancelled();
     let result = tokio::select! {
+        biased;
+        () = closed => return,
         result = served.as_mut() => result,
         () = gently.cancelled() => {
             served.as_mut().graceful_shutdown();
-            served.await
+            tokio::select! {
+                biased;
+                () = connection.close_token().cancelled() => return,
+                result = served => result,
+            }
         }
     };
     if let Err(error) = result {
@@ -229,6 +280,75 @@
     }
 }
 
+/// The body of an answer. The request has ended once the body is dropped.
+struct AnswerBody<B> {
+    body: B,
+    connection: Arc<Connection>,
+}
+
+impl<B: hyper::body::Body + Unpin> hyper::body::Body for AnswerBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl<B> Drop for AnswerBody<B> {
+    fn drop(&mut self) {
+        self.connection.finish(Instant::now());
+    }
+}
+
+/// Has an endpoint answer a request, which counts as whole at once if it has no body.
+async fn answer<E>(endpoint: &E, mut request: Request, connection: &Arc<Connection>) -> Response
+where
+    E: Endpoint<Output = Response>,
+{
+    if !has_body(&request)
+        && let Err(overload) = connection.begin(Instant::now())
+    {
+        return refuse(&overload);
+    }
+    request.extensions_mut().insert(connection.clone());
+    endpoint.get_response(request).await
+}
+
+/// The answer to a request that is not carried out for lack of room.
+pub(crate) fn refuse(overload: &Overload) -> Response {
+    let mut response =
+        text(StatusCode::SERVICE_UNAVAILABLE, format!("request not accepted: {overload}\n"));
+    response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S.into());
+    response
+}
+
+/// Closes connections whose clients are late, for as long as the process runs.
+pub(crate) async fn close_late(connections: Connections) {
+    let mut ticks = interval(LATE_CHECK_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let (late, evicted) = connections.close_late(Instant::now());
+        if late != 0 {
+            log::info!("connections: {late} closed: no whole request in time");
+        }
+        if evicted != 0 {
+            log::warn!("connections: {evicted} closed to make room for others");
+        }
+    }
+}
+
 /// Listens at an address; port 0 selects a free port.
 pub(crate) async fn listen(address: &str) -> io::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind(address).await?;
@@ -264,6 +384,8 @@
     Broken(String),
     #[error("the body is invalid: {0}")]
     Invalid(#[from] serde_json::Error),
+    #[error(transparent)]
+    Overload(#[from] Overload),
 }
 
 /// Whether a request has a body.
@@ -279,10 +401,16 @@
     response.headers_mut().insert(header::CONNECTION, header::HeaderValue::from_static("close"));
 }
 
-/// Reads a whole body of at most `max_bytes` bytes.
-pub(crate) async fn read_body(body: Body, max_bytes: usize) -> Result<Bytes, BodyError> {
-    let mut stream = Box::pin(body.into_bytes_stream());
-    let mut whole = bytes::BytesMut::new();
+/// The connection on which a request came; `None` for a request that came on none.
+pub(crate) fn connection_of(request: &Request) -> Option<Arc<Connection>> {
+    request.extensions().get::<Arc<Connection>>().cloned()
+}
+
+/// Reads the whole body of a request, of at most `max_bytes` bytes.
+pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let connection = connection_of(request);
+    let mut stream = Box::pin(request.take_body().into_bytes_stream());
+    let mut whole = BytesMut::new();
     while let Some(chunk) = stream.next().await {
         let chunk = chunk.map_err(|error| BodyError::Broken(error.to_string()))?;
         if max_bytes < whole.len() + chunk.len() {
@@ -290,6 +418,9 @@
         }
         whole.extend_from_slice(&chunk);
     }
+    if let Some(connection) = &connection {
+        connection.begin(Instant::now())?;
+    }
     Ok(whole.freeze())
 }
 
@@ -298,6 +429,6 @@
     request: &mut Request,
     max_bytes: usize,
 ) -> Result<T, BodyError> {
-    let body = read_body(request.take_body(), max_bytes).await?;
+    let body = read_body(request, max_bytes).await?;
     Ok(serde_json::from_slice(&body)?)
 }
--- /dev/null
+++ b/src/http/tests.rs
@@ -0,0 +1,79 @@
+//! Tests of what connections may hold together.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::connections::{
+    CONNECTION_BYTES, Connection, ConnectionLimits, Connections, ListenerId, Share,
+};
+use crate::settings::clients::ClientLimits;
+
+const SHARE: Share = Share { connections: 100 };
+
+fn connections(connections: usize, held_bytes: usize) -> Connections {
+    Connections::new(ConnectionLimits { connections, held_bytes, ..ConnectionLimits::default() })
+}
+
+fn open(connections: &Connections, listener: ListenerId, now: Instant) -> Option<Connection> {
+    connections.open(listener, CancellationToken::new(), now)
+}
+
+fn is_closed(connection: &Connection) -> bool {
+    connection.close_token().is_cancelled()
+}
+
+#[test]
+fn a_new_connection_takes_the_place_of_the_one_that_has_been_idle_for_longest() {
+    let connections = connections(2, 100 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let start = Instant::now();
+    let old = open(&connections, listener, start).unwrap();
+    let newer = open(&connections, listener, start + Duration::from_secs(1)).unwrap();
+    let newest = open(&connections, listener, start + Duration::from_secs(2)).unwrap();
+    assert_eq!([&old, &newer, &newest].map(is_closed), [true, false, false]);
+}
+
+#[test]
+fn a_connection_whose_request_is_in_progress_is_never_closed_to_make_room() {
+    let connections = connections(2, 100 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let start = Instant::now();
+    let serving = [(); 2].map(|()| open(&connections, listener, start).unwrap());
+    serving.iter().for_each(|connection| connection.begin(start).unwrap());
+    let later = start + Duration::from_secs(60);
+    assert!(open(&connections, listener, later).is_none());
+    assert_eq!(connections.close_late(later + Duration::from_secs(3_600)), (0, 0));
+    assert!(!serving.iter().any(is_closed));
+}
+
+#[test]
+fn a_listener_with_a_share_of_its_own_makes_room_among_its_own_connections() {
+    let connections = connections(100, 100 * CONNECTION_BYTES);
+    let callers = connections.add_listener(SHARE);
+    let probes = connections.add_listener(Share { connections: 1 });
+    let start = Instant::now();
+    let caller = open(&connections, callers, start).unwrap();
+    let later = start + Duration::from_secs(1);
+    let probe = open(&connections, probes, later).unwrap();
+    let next = open(&connections, probes, later).unwrap();
+    assert_eq!([&caller, &probe, &next].map(is_closed), [false, true, false]);
+}
+
+#[test]
+fn connections_whose_clients_are_late_are_closed() {
+    let connections = connections(100, 100 * CONNECTION_BYTES);
+    let ClientLimits { request_time, idle_time, .. } = connections.limits().clients;
+    let listener = connections.add_listener(SHARE);
+    let start = Instant::now();
+    let [idle, receiving] = [(); 2].map(|()| open(&connections, listener, start).unwrap());
+    receiving.note_received(start);
+    // A byte now and then does not prolong the time of a request.
+    let later = start + request_time + Duration::from_millis(1);
+    receiving.note_received(later);
+    assert_eq!(connections.close_late(later), (1, 0));
+    assert_eq!([&idle, &receiving].map(is_closed), [false, true]);
+    assert_eq!(connections.close_late(start + idle_time + Duration::from_millis(1)), (1, 0));
+    assert!(is_closed(&idle));
+}
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,16 +10,15 @@
 
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::mpsc,
-};
+use tokio::{net::TcpStream, sync::mpsc, time::Instant};
 use tokio_tungstenite::{
     accept_async_with_config, client_async_with_config,
     tungstenite::{self, protocol::WebSocketConfig},
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
+    http::{BoundedListener, CountedStream},
     model::{
         id::{HostId, NodeId, ServiceId, TeamId, ZoneId},
         unit::{Epoch, Revision, Time},
@@ -326,34 +325,30 @@
 }
 
 /// Accepts the links of other nodes for as long as the node runs.
-pub(crate) async fn accept(node: Arc<Node>, listener: TcpListener) {
+pub(crate) async fn accept(node: Arc<Node>, listener: BoundedListener) {
+    let never = CancellationToken::new();
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let node = node.clone();
-                tokio::spawn(async move {
-                    if let Err(error) = receive(&node, stream).await {
-                        log::debug!("peer {from}: link: {error}");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!("peers: connection not accepted: {error}");
-                tokio::time::sleep(Duration::from_millis(100)).await;
+        let (stream, _, from) = listener.accept(&never).await;
+        let node = node.clone();
+        tokio::spawn(async move {
+            if let Err(error) = receive(&node, stream).await {
+                log::debug!("peer {from}: link: {error}");
             }
-        }
+        });
     }
 }
 
-async fn receive(node: &Node, stream: TcpStream) -> eyre::Result<()> {
-    stream.set_nodelay(true)?;
+async fn receive(node: &Node, stream: CountedStream) -> eyre::Result<()> {
+    let connection = stream.connection().clone();
     let accepted = accept_async_with_config(stream, Some(config()));
     let mut link = tokio::time::timeout(DIAL_TIMEOUT, accepted).await??;
+    connection.finish(Instant::now());
     while let Some(message) = tokio::time::timeout(IDLE_TIMEOUT, link.next()).await? {
         match message? {
             tungstenite::Message::Binary(bytes) => {
                 node.traffic.record(bytes.len());
                 handle_message(node, ciborium::from_reader(&bytes[..])?, Time::now());
+                connection.finish(Instant::now());
             }
             tungstenite::Message::Close(_) => break,
             _ => {}
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -13,7 +13,10 @@
     entry::{
         claims::ClaimWriters, forward::MemoryLimits, gate::Gates, routes::Routes, serve::Entry,
     },
-    http,
+    http::{
+        self, BoundedListener,
+        connections::{ConnectionLimits, Connections, Share},
+    },
     model::unit::Time,
     node::{
         Node, assign, control, hosts, members, metrics::Metrics, peers, peers::Peers, sync,
@@ -21,11 +24,13 @@
     },
     operator::api,
     platform::store::Store,
-    settings::node::NodeSettings,
+    settings::node::{Limits, NodeSettings},
 };
 
 /// Maximum number of open connections of operators.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
+/// Maximum number of links that other nodes have opened.
+const MAX_PEER_LINKS: usize = 1_024;
 /// How long a node accepts callers after its registration has ended, so that the load balancer can
 /// react first.
 const SHUTDOWN_NOTICE: Duration = Duration::from_millis(500);
@@ -102,26 +107,46 @@
     })
 }
 
+/// The limits on all connections, which follow from those on callers.
+fn connection_limits(limits: &Limits) -> ConnectionLimits {
+    ConnectionLimits {
+        connections: limits.connections + MAX_OPERATOR_CONNECTIONS + MAX_PEER_LINKS,
+        held_bytes: limits.held,
+        clients: limits.clients,
+    }
+}
+
 /// Starts a node on its sockets.
 pub(crate) fn start(settings: NodeSettings, sockets: Sockets) -> Running {
+    let connections = Connections::new(connection_limits(&settings.limits));
     let node = create(settings);
     tokio::spawn(sync::watch(node.clone()));
     tokio::spawn(sync::verify(node.clone()));
     tokio::spawn(hosts::poll(node.clone()));
     tokio::spawn(peers::dial(node.clone()));
-    tokio::spawn(peers::accept(node.clone(), sockets.peers));
+    let share = Share { connections: MAX_PEER_LINKS };
+    let peers_listener = BoundedListener::new(sockets.peers, &connections, share);
+    tokio::spawn(peers::accept(node.clone(), peers_listener));
     tokio::spawn(assign::command(node.clone()));
     tokio::spawn(control::control(node.clone()));
     tokio::spawn(refresh_routes(node.clone()));
     let members = tokio::spawn(members::register(node.clone()));
     let stop = http::Stop::default();
-    let callers = tokio::spawn(serve_callers(node.clone(), sockets.callers, stop.clone()));
-    tokio::spawn(serve_operators(node.clone(), sockets.operators));
+    let callers_server =
+        serve_callers(node.clone(), connections.clone(), sockets.callers, stop.clone());
+    let callers = tokio::spawn(callers_server);
+    tokio::spawn(serve_operators(node.clone(), connections.clone(), sockets.operators));
+    tokio::spawn(http::close_late(connections));
     log::info!("node {}: started in availability zone {}", node.id(), node.settings.zone);
     Running { node, callers, stop, members }
 }
 
-async fn serve_callers(node: Arc<Node>, listener: TcpListener, stop: http::Stop) {
+async fn serve_callers(
+    node: Arc<Node>,
+    connections: Connections,
+    listener: TcpListener,
+    stop: http::Stop,
+) {
     let limits = node.settings.limits.clone();
     let entry = Entry {
         node,
@@ -139,18 +164,17 @@
         let entry = entry.clone();
         async move { Ok::<_, poem::Error>(entry.answer(request).await) }
     });
-    let head_bytes = limits.clients.head_bytes;
-    http::serve_within(listener, limits.connections, head_bytes, endpoint, stop).await;
+    let share = Share { connections: limits.connections };
+    http::serve_within(listener, connections, share, endpoint, stop).await;
 }
 
-async fn serve_operators(node: Arc<Node>, listener: TcpListener) {
-    let head_bytes = node.settings.limits.clients.head_bytes;
+async fn serve_operators(node: Arc<Node>, connections: Connections, listener: TcpListener) {
     let endpoint = make(move |request| {
         let node = node.clone();
         async move { Ok::<_, poem::Error>(api::answer(node, request).await) }
     });
-    let stop = http::Stop::default();
-    http::serve_within(listener, MAX_OPERATOR_CONNECTIONS, head_bytes, endpoint, stop).await;
+    let share = Share { connections: MAX_OPERATOR_CONNECTIONS };
+    http::serve_within(listener, connections, share, endpoint, http::Stop::default()).await;
 }
 
 /// Keeps the routes up to date with the view, and wakes waiting requests.
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -305,7 +305,7 @@
         admitted: &Admitted,
         mut request: Request,
     ) -> Response {
-        let body = match http::read_body(request.take_body(), MAX_BODY_BYTES).await {
+        let body = match http::read_body(&mut request, MAX_BODY_BYTES).await {
             Ok(body) => body,
             Err(error) => {
                 let mut refusal = http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -16,7 +16,10 @@
 
 use crate::{
     error::Error,
-    http,
+    http::{
+        self,
+        connections::{ConnectionLimits, Connections, Share},
+    },
     platform::{kv::Kv, worker_client::WorkerClient},
     scheduler::{
         Node, accept,
@@ -29,15 +32,26 @@
         status::{self, Pages},
         tombstone, view_age,
     },
-    settings::scheduler::{self, SchedulerSettings},
+    settings::scheduler::{self, MachineLimits, SchedulerSettings},
 };
 
 /// How long a call of the store may take: it answers in milliseconds, or in some hundred while it
 /// is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Most open connections of callers, well below the limit of a node's file descriptors.
-const MAX_CONNECTIONS: usize = 3_000;
+/// The part of a node's memory that connections may hold, in percent. The rest is for its view and
+/// its work.
+const CONNECTION_MEMORY_PERCENT: usize = 25;
+
+/// The part of a node's descriptors for connections that others open, in percent. The rest is for
+/// files, and for connections that the node opens.
+const CONNECTION_DESCRIPTORS_PERCENT: usize = 50;
+
+/// Maximum number of connections for the readiness probe.
+const MAX_PROBE_CONNECTIONS: usize = 64;
+
+/// Maximum number of connections for the metrics.
+const MAX_METRICS_CONNECTIONS: usize = 16;
 
 /// How often a node logs its counts of calls and answers.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(10);
@@ -71,6 +85,16 @@
     }
 }
 
+/// The limits on connections that follow from those of the machine.
+fn connection_limits(limits: &MachineLimits) -> ConnectionLimits {
+    let memory_bytes = (limits.memory.0 as usize) << 20;
+    ConnectionLimits {
+        connections: limits.descriptors * CONNECTION_DESCRIPTORS_PERCENT / 100,
+        held_bytes: memory_bytes / 100 * CONNECTION_MEMORY_PERCENT,
+        clients: limits.clients,
+    }
+}
+
 /// Runs a node until `shutdown` completes.
 pub(crate) async fn run(
     settings: SchedulerSettings,
@@ -81,7 +105,10 @@
     let (callers, _) = http::listen(&settings.listen.callers.to_string()).await.map_err(failed)?;
     let (readiness, _) =
         http::listen(&settings.listen.readiness.to_string()).await.map_err(failed)?;
-    let (grace, head_bytes) = (settings.grace, settings.limits.clients.head_bytes);
+    let grace = settings.grace;
+    let limits = connection_limits(&settings.limits);
+    let (connections, share) =
+        (Connections::new(limits), Share { connections: limits.connections });
     let (metrics_listener, _) =
         http::listen(&settings.listen.metrics.to_string()).await.map_err(failed)?;
     let peers = match settings.listen.peers {
@@ -114,18 +141,24 @@
     };
     let callers_api = api(Sender::Callers, None);
     let callers_server =
-        http::serve_within(callers, MAX_CONNECTIONS, head_bytes, callers_api, stop.clone());
+        http::serve_within(callers, connections.clone(), share, callers_api, stop.clone());
     let mut servers = vec![tokio::spawn(callers_server)];
     if let Some(peers) = peers {
         let peers_api = api(Sender::Nodes, Some(worker_client));
         let peers_server =
-            http::serve_within(peers, MAX_CONNECTIONS, head_bytes, peers_api, stop.clone());
+            http::serve_within(peers, connections.clone(), share, peers_api, stop.clone());
         servers.push(tokio::spawn(peers_server));
     }
     let probe = Readiness { node: node.clone(), lease };
-    tokio::spawn(http::serve(readiness, 64, probe, http::Stop::default()));
+    let (share, stop_never) = (Share { connections: MAX_PROBE_CONNECTIONS }, http::Stop::default());
+    tokio::spawn(http::serve_within(readiness, connections.clone(), share, probe, stop_never));
     let pages = Pages { node: node.clone(), metrics: Page(metrics) };
-    tokio::spawn(http::serve(metrics_listener, 16, pages, http::Stop::default()));
+    let (share, stop_never) =
+        (Share { connections: MAX_METRICS_CONNECTIONS }, http::Stop::default());
+    let metrics_server =
+        http::serve_within(metrics_listener, connections.clone(), share, pages, stop_never);
+    tokio::spawn(metrics_server);
+    tokio::spawn(http::close_late(connections));
     tokio::spawn(summarize(node.clone()));
     tokio::spawn(view_age::watch(node.clone()));
     tokio::spawn(reload(node.clone(), path));
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -201,7 +201,7 @@
         if !open || self.slots < running {
             return refuse(running);
         }
-        if let Err(error) = http::read_body(request.take_body(), MAX_BODY_BYTES).await {
+        if let Err(error) = http::read_body(&mut request, MAX_BODY_BYTES).await {
             return http::text(StatusCode::BAD_REQUEST, error.to_string());
         }
         self.log.record_run(&id, key.as_deref());
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -284,7 +284,7 @@
             let body = "{\"error\":\"too many requests\",\"code\":8}";
             return http::text(StatusCode::TOO_MANY_REQUESTS, body);
         }
-        let body = match http::read_body(request.take_body(), MAX_BODY_BYTES).await {
+        let body = match http::read_body(&mut request, MAX_BODY_BYTES).await {
             Ok(body) => body,
             Err(error) => return http::text(StatusCode::BAD_REQUEST, error.to_string()),
         };
--- a/src/standin/site.rs
+++ b/src/standin/site.rs
@@ -333,7 +333,7 @@
     /// Writes a record as an operator would. The path's query is the key.
     async fn put(&self, request: &mut Request) -> Response {
         let key = request.uri().query().unwrap_or_default().to_owned();
-        match http::read_body(request.take_body(), MAX_BODY_BYTES).await {
+        match http::read_body(request, MAX_BODY_BYTES).await {
             Ok(body) => {
                 let revision = self.site.state().store.put(&key, body.to_vec(), 0);
                 self.site.note_change();
