Bytes that have arrived and are not read yet take 100 KB and more for each connection

What callers saw: part of the memory that a crowd takes is in the receive buffers of its connections, which count for the process on the users' machines.

Cause: the system lets a receive buffer grow to megabytes, and begins with 128 KB. A process reads late while it is busy, and does not read further requests that are sent ahead.

Change: listeners ask for receive buffers of 32 KB, which accepted connections inherit. A body of the largest legal size comes in eight of them. The nodes' listeners of `serve` are opened by the same function now.

--- a/src/http.rs
+++ b/src/http.rs
@@ -32,7 +32,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream, lookup_host},
     time::{Instant, interval, sleep, timeout},
 };
 use tokio_util::{
@@ -51,6 +51,12 @@
 /// How long a listener waits after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// What may have arrived on a connection and not been read yet, in bytes.
+const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
+
+/// Maximum number of connections that have been opened and not been accepted yet.
+const MAX_PENDING_CONNECTIONS: u32 = 1_024;
+
 /// `Retry-After` of refusals for lack of room, in seconds.
 pub(crate) const RETRY_AFTER_S: u32 = 1;
 
@@ -351,7 +357,19 @@
 
 /// Listens at an address; port 0 selects a free port.
 pub(crate) async fn listen(address: &str) -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind(address).await?;
+    let mut resolved = lookup_host(address).await?;
+    let address = resolved.next().ok_or(io::ErrorKind::AddrNotAvailable)?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // Accepted connections inherit it.
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::warn!("listen: {address}: the receive buffer keeps its default size: {error}");
+    }
+    socket.bind(address)?;
+    let listener = socket.listen(MAX_PENDING_CONNECTIONS)?;
     let address = listener.local_addr()?;
     Ok((listener, address))
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,6 +1,6 @@
 //! Starts a node, and shuts it down without interrupting requests.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use poem::endpoint::make;
 use tokio::{
@@ -24,7 +24,7 @@
     },
     operator::api,
     platform::store::Store,
-    settings::node::{Limits, NodeSettings},
+    settings::node::{Limits, Listen, NodeSettings},
 };
 
 /// Maximum number of open connections of operators.
@@ -60,13 +60,13 @@
 
 impl Sockets {
     /// Listens on the addresses of the settings.
-    pub(crate) async fn open(settings: &NodeSettings) -> std::io::Result<Sockets> {
-        let listen = &settings.listen;
-        Ok(Sockets {
-            callers: TcpListener::bind(listen.callers).await?,
-            operators: TcpListener::bind(listen.operators).await?,
-            peers: TcpListener::bind(listen.peers).await?,
-        })
+    pub(crate) async fn open(settings: &NodeSettings) -> io::Result<Sockets> {
+        let listen = async |address: SocketAddr| {
+            Ok::<_, io::Error>(http::listen(&address.to_string()).await?.0)
+        };
+        let Listen { callers, operators, peers } = settings.listen;
+        let (callers, operators) = (listen(callers).await?, listen(operators).await?);
+        Ok(Sockets { callers, operators, peers: listen(peers).await? })
     }
 }
 
