Bodies that stop short of their end hold memory for as long as they like

What callers saw: clients that send bodies of legal size, whole or in pieces or in chunks, and stop just short of the end made the process hold 350 to 500 KB each. At a forwarding node 64 MB of bodies could be reserved by connections that sent none of it, after which every caller with a body was told 503.

Cause: a body was collected in a buffer that grows by doubling, without a bound on what all of them hold. `serve` had a bound, but a connection took its part at the head of its request and kept it.

Change: a body is received in segments of 16 KB, and each is taken from the budget of all connections before it is allocated. When that is used up, connections that wait for their clients make room, by what they hold times how long they have waited: a caller whose request arrives in milliseconds is behind all that have stopped. Only if all else is in progress, a request is refused, with 503 and `Retry-After`; it is not taken and never runs. A `Content-Length` above the limit is refused from the head. The answers of `serve` are taken from the same budget as its bodies, and belong to it until the client has read them or is closed.

Ruled out: one buffer of growing size.

Why it works: what waits for a client can be taken back at any time.

--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,10 +5,11 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use poem::http::{HeaderMap, HeaderName, Method, StatusCode, header};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     entry::{headers, routes::Endpoint},
+    http::connections::{Connection, Overload},
     platform::store::chain,
 };
 
@@ -20,14 +21,15 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request: String,
+    /// Reserves the memory of the request and of its answer; `None` if it came on no connection.
+    pub(crate) connection: Option<Arc<Connection>>,
 }
 
-/// A complete answer, with the memory reserved for it.
+/// A complete answer, whose memory the caller's connection has reserved.
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    pub(crate) memory: OwnedSemaphorePermit,
     pub(crate) busy: Option<u32>,
 }
 
@@ -45,14 +47,8 @@
     Unknown(String),
 }
 
-/// Limits on the memory of request bodies and answers.
-#[derive(Clone)]
-pub(crate) struct MemoryLimits {
-    /// Maximum size of one answer.
-    pub(crate) max_answer_bytes: usize,
-    /// Bytes left for all bodies and answers in memory.
-    pub(crate) memory: Arc<Semaphore>,
-}
+/// How long an answer waits before it tries again to reserve its memory.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Headers that apply to one connection only and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
@@ -82,10 +78,11 @@
     client: &reqwest::Client,
     endpoint: &Endpoint,
     outgoing: &Outgoing,
-    limits: &MemoryLimits,
+    max_answer_bytes: usize,
     timeout: Duration,
 ) -> Attempt {
-    match tokio::time::timeout(timeout, exchange(client, endpoint, outgoing, limits)).await {
+    let exchange = exchange(client, endpoint, outgoing, max_answer_bytes);
+    match tokio::time::timeout(timeout, exchange).await {
         Ok(attempt) => attempt,
         Err(_) => Attempt::Unknown(format!(
             "endpoint {}: no complete answer within {}",
@@ -99,7 +96,7 @@
     client: &reqwest::Client,
     endpoint: &Endpoint,
     outgoing: &Outgoing,
-    limits: &MemoryLimits,
+    max_answer_bytes: usize,
 ) -> Attempt {
     let peer = &endpoint.address;
     let url = format!("http://{peer}{}", outgoing.path);
@@ -125,25 +122,35 @@
     if text(headers::REQUEST_ID).is_some_and(|echoed| echoed != outgoing.request) {
         return Attempt::Unknown(format!("endpoint {peer}: answered another request"));
     }
-    let length =
-        response.content_length().map_or(limits.max_answer_bytes, |length| length as usize);
-    if limits.max_answer_bytes < length {
+    let length = response.content_length().map_or(max_answer_bytes, |length| length as usize);
+    if max_answer_bytes < length {
         return Attempt::TooLarge(length);
     }
     // All memory of an answer is reserved at once, so that no two answers deadlock.
-    let count = u32::try_from(length).unwrap_or(u32::MAX);
-    let Ok(memory) = limits.memory.clone().acquire_many_owned(count).await else {
-        return Attempt::Unknown("the node is shutting down".to_owned());
-    };
-    match read_body(response, length, limits.max_answer_bytes).await {
-        Ok(body) => Attempt::Answered(Answer { status, headers, body, memory, busy }),
-        Err(ReadError::TooLarge) => Attempt::TooLarge(limits.max_answer_bytes),
+    if let Some(connection) = &outgoing.connection
+        && let Err(overload) = reserve(connection, length).await
+    {
+        return Attempt::Unknown(format!("endpoint {peer}, answer: {overload}"));
+    }
+    match read_body(response, length, max_answer_bytes).await {
+        Ok(body) => Attempt::Answered(Answer { status, headers, body, busy }),
+        Err(ReadError::TooLarge) => Attempt::TooLarge(max_answer_bytes),
         Err(ReadError::Interrupted(cause)) => {
             Attempt::Unknown(format!("endpoint {peer}, answer: {cause}"))
         }
     }
 }
 
+/// Reserves memory, and waits for it if there is none.
+async fn reserve(connection: &Connection, bytes: usize) -> Result<(), Overload> {
+    loop {
+        match connection.reserve(bytes, Instant::now()) {
+            Err(Overload::Memory) => sleep(MEMORY_RETRY_DELAY).await,
+            result => return result,
+        }
+    }
+}
+
 enum ReadError {
     TooLarge,
     Interrupted(String),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -9,13 +9,12 @@
     Body, Request, Response,
     http::{StatusCode, header},
 };
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     decide::claim::{Claim, ClaimState},
     entry::{
         claims::ClaimError,
-        forward::{self, Answer, Attempt, MemoryLimits, Outgoing},
+        forward::{self, Answer, Attempt, Outgoing},
         gate::{Bound, Gate, InFlight},
         headers::{self, RequestOptions},
         routes::{self, Slot},
@@ -44,7 +43,8 @@
     pub(crate) node: Arc<Node>,
     /// For requests to endpoints.
     pub(crate) client: reqwest::Client,
-    pub(crate) memory_limits: MemoryLimits,
+    /// Maximum size of one answer, in bytes.
+    pub(crate) max_answer_bytes: usize,
 }
 
 /// A refusal or failure, as it is reported to the caller.
@@ -81,8 +81,6 @@
     /// Whether it may be sent again after it may have run.
     repeatable: bool,
     once: bool,
-    /// The memory reserved for its body.
-    _memory: OwnedSemaphorePermit,
 }
 
 impl Entry {
@@ -162,7 +160,7 @@
             ..Failure::unavailable(format!("team {} has used up its rate", options.team), after)
         })?;
         let limit = options.deadline.unwrap_or(self.node.settings.limits.deadline);
-        let (body, memory) = self.read_body(&mut request).await?;
+        let body = self.read_body(&mut request).await?;
         let method = request.method().clone();
         let repeatable = !once && method.is_idempotent();
         let outgoing = Outgoing {
@@ -171,6 +169,7 @@
             path,
             body,
             request: options.request.clone(),
+            connection: http::connection_of(&request),
         };
         Ok(AdmittedRequest {
             service: id,
@@ -180,7 +179,6 @@
             options,
             repeatable,
             once,
-            _memory: memory,
         })
     }
 
@@ -211,41 +209,20 @@
         Ok((id, spec, team.rate, nodes))
     }
 
-    async fn read_body(
-        &self,
-        request: &mut Request,
-    ) -> Result<(Bytes, OwnedSemaphorePermit), Failure> {
-        let max_bytes = self.node.settings.limits.request;
-        let too_large = || {
-            let text = format!("the body is larger than {max_bytes} bytes");
-            Failure::rejected(StatusCode::PAYLOAD_TOO_LARGE, text)
-        };
-        let length = request.header(header::CONTENT_LENGTH).map(|text| text.parse::<usize>());
-        let length = match length {
-            Some(Ok(length)) => length,
-            Some(Err(_)) => {
-                let text = "header content-length: a whole number is allowed";
-                return Err(Failure::rejected(StatusCode::BAD_REQUEST, text));
-            }
-            // Without a length, memory for the largest body is reserved until it is read.
-            None if request.header(header::TRANSFER_ENCODING).is_some() => max_bytes,
-            None => 0,
-        };
-        if max_bytes < length {
-            return Err(too_large());
-        }
-        let count = u32::try_from(length).unwrap_or(u32::MAX);
-        let Ok(memory) = self.memory_limits.memory.clone().try_acquire_many_owned(count) else {
-            return Err(Failure::unavailable(
-                "the node has reached its memory limit for bodies and answers",
-                DEFAULT_RETRY_AFTER,
-            ));
-        };
-        match http::read_body(request, max_bytes).await {
-            Ok(body) => Ok((body, memory)),
-            Err(BodyError::TooLarge(_)) => Err(too_large()),
-            Err(error) => Err(Failure::rejected(StatusCode::BAD_REQUEST, error.to_string())),
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes, Failure> {
+        let length = request.header(header::CONTENT_LENGTH);
+        if length.is_some_and(|text| text.parse::<usize>().is_err()) {
+            let text = "header content-length: a whole number is allowed";
+            return Err(Failure::rejected(StatusCode::BAD_REQUEST, text));
         }
+        let read = http::read_body(request, self.node.settings.limits.request).await;
+        read.map_err(|error| match error {
+            BodyError::TooLarge(_) => {
+                Failure::rejected(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())
+            }
+            BodyError::Overload(_) => Failure::unavailable(error.to_string(), DEFAULT_RETRY_AFTER),
+            _ => Failure::rejected(StatusCode::BAD_REQUEST, error.to_string()),
+        })
     }
 
     async fn run(&self, request: AdmittedRequest) -> Result<Answer, Failure> {
@@ -314,7 +291,7 @@
                 &self.client,
                 &endpoint,
                 &request.outgoing,
-                &self.memory_limits,
+                self.max_answer_bytes,
                 limit,
             );
             let attempt = sent.await;
@@ -329,7 +306,7 @@
                 Attempt::TooLarge(size) => {
                     let text = format!(
                         "it ran, but its answer of {size} bytes or more is over the limit of {}",
-                        self.memory_limits.max_answer_bytes
+                        self.max_answer_bytes
                     );
                     let outcome = Outcome::Ran;
                     return (Err(Failure { outcome, ..Failure::unknown(text) }), true);
@@ -480,14 +457,10 @@
 
 /// The complete answer of an endpoint, held in memory until it is written.
 fn answer_response(answer: Answer) -> Response {
-    let Answer { status, headers, body, memory, .. } = answer;
+    let Answer { status, headers, body, .. } = answer;
     let length = body.len();
-    let chunk = stream::once(async move {
-        // Moved into the stream together with its permit, so that its memory stays reserved.
-        let body = body;
-        Ok::<_, std::io::Error>((body, memory))
-    });
-    let chunk = futures_util::StreamExt::map(chunk, |part| part.map(|(body, _memory)| body));
+    // A stream is dropped only after it has been written, and the memory stays reserved until then.
+    let chunk = stream::once(async move { Ok::<_, std::io::Error>(body) });
     let mut response = Response::builder().status(status).body(Body::from_bytes_stream(chunk));
     *response.headers_mut() = forward::end_to_end(&headers);
     response.headers_mut().insert(header::CONTENT_LENGTH, length.into());
--- a/src/http.rs
+++ b/src/http.rs
@@ -51,6 +51,9 @@
 /// How long a listener waits after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Size of the segments in which a body is received, in bytes.
+const SEGMENT_BYTES: usize = 16 * 1024;
+
 /// What may have arrived on a connection and not been read yet, in bytes.
 const RECEIVE_BUFFER_BYTES: u32 = 32 * 1024;
 
@@ -424,22 +427,79 @@
     request.extensions().get::<Arc<Connection>>().cloned()
 }
 
-/// Reads the whole body of a request, of at most `max_bytes` bytes.
+/// The length of a request's body, if its head tells.
+fn body_length(request: &Request) -> Option<usize> {
+    request.header(header::CONTENT_LENGTH)?.parse().ok()
+}
+
+/// Reads the whole body of a request, of at most `max_bytes` bytes. Its memory is reserved as it
+/// arrives.
 pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, BodyError> {
+    let length = body_length(request);
+    if length.is_some_and(|length| max_bytes < length) {
+        return Err(BodyError::TooLarge(max_bytes));
+    }
     let connection = connection_of(request);
+    let reserve = |bytes| match &connection {
+        Some(connection) => connection.reserve(bytes, Instant::now()),
+        None => Ok(()),
+    };
     let mut stream = Box::pin(request.take_body().into_bytes_stream());
-    let mut whole = BytesMut::new();
+    let mut body = SegmentedBody::default();
     while let Some(chunk) = stream.next().await {
-        let chunk = chunk.map_err(|error| BodyError::Broken(error.to_string()))?;
-        if max_bytes < whole.len() + chunk.len() {
+        let mut chunk = chunk.map_err(|error| BodyError::Broken(error.to_string()))?;
+        let expected = length.unwrap_or(max_bytes) - body.length;
+        if expected < chunk.len() {
             return Err(BodyError::TooLarge(max_bytes));
         }
-        whole.extend_from_slice(&chunk);
+        while !chunk.is_empty() {
+            if body.room() == 0 {
+                let bytes = expected.min(SEGMENT_BYTES);
+                reserve(bytes)?;
+                body.segments.push(BytesMut::with_capacity(bytes));
+            }
+            let part = chunk.split_to(chunk.len().min(body.room()));
+            body.extend(&part);
+        }
     }
     if let Some(connection) = &connection {
         connection.begin(Instant::now())?;
     }
-    Ok(whole.freeze())
+    if 1 < body.segments.len() {
+        reserve(body.length)?;
+    }
+    Ok(body.join())
+}
+
+/// A body that is being received, in segments of equal size, which the allocator can use again for
+/// others. One buffer that grows would leave free memory of ever other sizes behind.
+#[derive(Default)]
+struct SegmentedBody {
+    segments: Vec<BytesMut>,
+    length: usize,
+}
+
+impl SegmentedBody {
+    /// Free capacity of the last segment.
+    fn room(&self) -> usize {
+        self.segments.last().map_or(0, |last| last.capacity() - last.len())
+    }
+
+    fn extend(&mut self, part: &[u8]) {
+        if let Some(last) = self.segments.last_mut() {
+            last.extend_from_slice(part);
+            self.length += part.len();
+        }
+    }
+
+    fn join(mut self) -> Bytes {
+        if self.segments.len() <= 1 {
+            return self.segments.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.length);
+        self.segments.iter().for_each(|segment| whole.extend_from_slice(segment));
+        whole.freeze()
+    }
 }
 
 /// Reads a JSON body of at most `max_bytes` bytes.
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -60,6 +60,8 @@
 /// Why a request is not carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Overload {
+    #[error("the node has reached its memory limit for connections")]
+    Memory,
     #[error("the connection was closed to make room")]
     Closed,
 }
@@ -268,6 +270,21 @@
         }
     }
 
+    /// Reserves memory for a part of a request, until the request has ended.
+    pub(crate) fn reserve(&self, bytes: usize, now: Instant) -> Result<(), Overload> {
+        let connections = &self.connections;
+        let mut table = connections.table();
+        connections.free(&mut table, bytes, now);
+        let has_room = table.held_bytes + bytes <= connections.limits.held_bytes;
+        let slot = table.slots.get_mut(&self.id).ok_or(Overload::Closed)?;
+        if !has_room {
+            return Err(Overload::Memory);
+        }
+        slot.held_bytes += bytes;
+        table.held_bytes += bytes;
+        Ok(())
+    }
+
     /// Records that a whole request has arrived, which is carried out from now on.
     pub(crate) fn begin(&self, now: Instant) -> Result<(), Overload> {
         let connections = &self.connections;
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connections::{
-    CONNECTION_BYTES, Connection, ConnectionLimits, Connections, ListenerId, Share,
+    CONNECTION_BYTES, Connection, ConnectionLimits, Connections, ListenerId, Overload, Share,
 };
 use crate::settings::clients::ClientLimits;
 
@@ -61,6 +61,37 @@
     assert_eq!([&caller, &probe, &next].map(is_closed), [false, true, false]);
 }
 
+#[test]
+fn memory_for_a_request_is_taken_from_the_connection_that_holds_most_for_longest() {
+    let connections = connections(100, 10 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let start = Instant::now();
+    let large = open(&connections, listener, start).unwrap();
+    let small = open(&connections, listener, start).unwrap();
+    large.note_received(start);
+    large.reserve(7 * CONNECTION_BYTES, start).unwrap();
+    let later = start + Duration::from_millis(100);
+    small.reserve(2 * CONNECTION_BYTES, later).unwrap();
+    assert_eq!([&large, &small].map(is_closed), [true, false]);
+    assert_eq!(large.reserve(1, later), Err(Overload::Closed));
+    assert_eq!(small.reserve(10 * CONNECTION_BYTES, later), Err(Overload::Closed));
+}
+
+#[test]
+fn the_memory_of_a_request_is_free_again_once_it_has_ended() {
+    let connections = connections(100, 10 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let now = Instant::now();
+    let connection = open(&connections, listener, now).unwrap();
+    for _ in 0..20 {
+        connection.reserve(8 * CONNECTION_BYTES, now).unwrap();
+        connection.begin(now).unwrap();
+        assert_eq!(connection.reserve(2 * CONNECTION_BYTES, now), Err(Overload::Memory));
+        connection.finish(now);
+    }
+    assert!(!is_closed(&connection));
+}
+
 #[test]
 fn connections_whose_clients_are_late_are_closed() {
     let connections = connections(100, 100 * CONNECTION_BYTES);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -3,16 +3,11 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use poem::endpoint::make;
-use tokio::{
-    net::TcpListener,
-    sync::{Semaphore, watch},
-};
+use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    entry::{
-        claims::ClaimWriters, forward::MemoryLimits, gate::Gates, routes::Routes, serve::Entry,
-    },
+    entry::{claims::ClaimWriters, gate::Gates, routes::Routes, serve::Entry},
     http::{
         self, BoundedListener,
         connections::{ConnectionLimits, Connections, Share},
@@ -155,10 +150,7 @@
             .tcp_nodelay(true)
             .build()
             .expect("a client without TLS does not depend on the system"),
-        memory_limits: MemoryLimits {
-            max_answer_bytes: limits.answer,
-            memory: Arc::new(Semaphore::new(limits.held)),
-        },
+        max_answer_bytes: limits.answer,
     };
     let endpoint = make(move |request| {
         let entry = entry.clone();
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -64,7 +64,11 @@
 
 impl From<http::BodyError> for ApiError {
     fn from(error: http::BodyError) -> ApiError {
-        ApiError::new(StatusCode::BAD_REQUEST, error.to_string())
+        let status = match error {
+            http::BodyError::Overload(_) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        ApiError::new(status, error.to_string())
     }
 }
 
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    http,
+    http::{self, BodyError, RETRY_AFTER_S},
     model::{
         account::KeyDigest,
         job::{JobId, JobState},
@@ -57,9 +57,6 @@
 /// Delay before a cancel whose write got no answer is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// `Retry-After` of answers with status 503, in seconds.
-const RETRY_AFTER_S: u32 = 1;
-
 /// The age of the configuration from which on it is read again before a key counts as valid, in
 /// milliseconds. Watches keep it under 1 s.
 const MAX_CONFIG_AGE_MS: u64 = 1_500;
@@ -308,7 +305,10 @@
         let body = match http::read_body(&mut request, MAX_BODY_BYTES).await {
             Ok(body) => body,
             Err(error) => {
-                let mut refusal = http::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
+                let mut refusal = match &error {
+                    BodyError::Overload(overload) => http::refuse(overload),
+                    _ => http::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+                };
                 http::close_after(&mut refusal);
                 return refusal;
             }
