A crowd that asks makes the node open a connection to the store for each request

What callers saw: 400 clients that sent requests ahead and read no answer brought a node to 1,187 descriptors; 2,500 brought one to 4,719 where its machine gives 4,100. A process that has none left can neither accept a caller nor reach the store.

Cause: each request for a state that the view does not have reads the store, and each concurrent read opens a connection, which stays open. So does each request that is relayed to another node. The number of requests in progress had no bound but that of connections.

Change: at most a tenth of the descriptors' number of requests may be in progress for callers, and as many for other nodes. One more gets 503 and `Retry-After` at once, from its head where it has no body: it is not taken and never runs. Idle connections to another node that are kept are bounded to 8. The node logs once a second how many connections and requests it turned away.

Why it works: half of the descriptors for connections, a tenth for each of two kinds of requests at the store, and as much for relayed ones stay under all of them, whoever asks.

--- a/src/http.rs
+++ b/src/http.rs
@@ -40,7 +40,7 @@
     task::TaskTracker,
 };
 
-use connections::{Connection, ConnectionLimits, Connections, ListenerId, Overload, Share};
+use connections::{Closed, Connection, ConnectionLimits, Connections, ListenerId, Overload, Share};
 
 /// How long a server that shuts down waits for requests in flight.
 pub(crate) const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -201,7 +201,7 @@
     E::Endpoint: 'static,
 {
     let connections = Connections::new(ConnectionLimits::default());
-    let share = Share { connections: max_connections };
+    let share = Share::of_connections(max_connections);
     serve_within(listener, connections, share, endpoint, stop).await;
 }
 
@@ -348,12 +348,12 @@
     let mut ticks = interval(LATE_CHECK_INTERVAL);
     loop {
         ticks.tick().await;
-        let (late, evicted) = connections.close_late(Instant::now());
+        let Closed { late, evicted, refused } = connections.close_late(Instant::now());
         if late != 0 {
             log::info!("connections: {late} closed: no whole request in time");
         }
-        if evicted != 0 {
-            log::warn!("connections: {evicted} closed to make room for others");
+        if evicted != 0 || refused != 0 {
+            log::warn!("connections: {evicted} closed to make room, {refused} refused");
         }
     }
 }
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -62,6 +62,8 @@
 pub(crate) enum Overload {
     #[error("the node has reached its memory limit for connections")]
     Memory,
+    #[error("the node has reached its limit of requests in progress")]
+    Requests,
     #[error("the connection was closed to make room")]
     Closed,
 }
@@ -71,6 +73,15 @@
 pub(crate) struct Share {
     /// Maximum number of open connections.
     pub(crate) connections: usize,
+    /// Maximum number of requests in progress.
+    pub(crate) requests: usize,
+}
+
+impl Share {
+    /// A share in which each connection may have a request in progress.
+    pub(crate) fn of_connections(connections: usize) -> Share {
+        Share { connections, requests: connections }
+    }
 }
 
 /// A listener of a process.
@@ -81,6 +92,7 @@
 struct Usage {
     share: Share,
     connections: usize,
+    requests: usize,
 }
 
 struct Slot {
@@ -101,20 +113,33 @@
     }
 }
 
+/// Numbers of connections and requests that were turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Closed {
+    /// Connections whose clients were late.
+    pub(crate) late: u64,
+    /// Connections that had to make room for others.
+    pub(crate) evicted: u64,
+    /// Connections and requests for which there was no room.
+    pub(crate) refused: u64,
+}
+
 #[derive(Default)]
 struct Table {
     slots: HashMap<u64, Slot>,
     next: u64,
     held_bytes: usize,
     listeners: Vec<Usage>,
-    evicted: u64,
+    closed: Closed,
 }
 
 impl Table {
     fn remove(&mut self, id: u64) -> Option<Slot> {
         let slot = self.slots.remove(&id)?;
         self.held_bytes -= slot.held_bytes;
-        self.listeners[slot.listener.0].connections -= 1;
+        let usage = &mut self.listeners[slot.listener.0];
+        usage.connections -= 1;
+        usage.requests -= usize::from(slot.phase == Phase::Serving);
         Some(slot)
     }
 
@@ -126,6 +151,9 @@
 
     fn set_phase(&mut self, id: u64, phase: Phase, now: Instant) {
         let Some(slot) = self.slots.get_mut(&id) else { return };
+        let usage = &mut self.listeners[slot.listener.0];
+        usage.requests -= usize::from(slot.phase == Phase::Serving);
+        usage.requests += usize::from(phase == Phase::Serving);
         slot.phase = phase;
         slot.since = now;
     }
@@ -149,7 +177,7 @@
             && let Some((_, id)) = candidates.pop()
         {
             self.close(id);
-            self.evicted += 1;
+            self.closed.evicted += 1;
         }
     }
 }
@@ -173,7 +201,7 @@
     /// Adds a listener.
     pub(crate) fn add_listener(&self, share: Share) -> ListenerId {
         let mut table = self.table();
-        table.listeners.push(Usage { share, connections: 0 });
+        table.listeners.push(Usage { share, connections: 0, requests: 0 });
         ListenerId(table.listeners.len() - 1)
     }
 
@@ -202,6 +230,7 @@
             && table.slots.len() < limits.connections
             && table.held_bytes + CONNECTION_BYTES <= limits.held_bytes;
         if !has_room {
+            table.closed.refused += 1;
             return None;
         }
         let id = table.next;
@@ -215,9 +244,9 @@
         Some(Connection { connections: self.clone(), id, close, is_idle: AtomicBool::new(true) })
     }
 
-    /// Closes the connections whose clients are late. Returns how many these are, and how many had
-    /// to make room since the last call.
-    pub(crate) fn close_late(&self, now: Instant) -> (usize, u64) {
+    /// Closes the connections whose clients are late. Returns what was turned away since the last
+    /// call.
+    pub(crate) fn close_late(&self, now: Instant) -> Closed {
         let mut table = self.table();
         let ClientLimits { request_time, idle_time, .. } = self.limits.clients;
         let is_late = |slot: &Slot| {
@@ -231,7 +260,8 @@
         let late: Vec<u64> =
             table.slots.iter().filter(|(_, slot)| is_late(slot)).map(|(id, _)| *id).collect();
         late.iter().for_each(|id| table.close(*id));
-        (late.len(), std::mem::take(&mut table.evicted))
+        table.closed.late += late.len() as u64;
+        std::mem::take(&mut table.closed)
     }
 
     /// Makes memory free for `bytes` more.
@@ -278,6 +308,7 @@
         let has_room = table.held_bytes + bytes <= connections.limits.held_bytes;
         let slot = table.slots.get_mut(&self.id).ok_or(Overload::Closed)?;
         if !has_room {
+            table.closed.refused += 1;
             return Err(Overload::Memory);
         }
         slot.held_bytes += bytes;
@@ -293,6 +324,11 @@
         if slot.phase == Phase::Serving {
             return Ok(());
         }
+        let usage = &table.listeners[slot.listener.0];
+        if usage.share.requests <= usage.requests {
+            table.closed.refused += 1;
+            return Err(Overload::Requests);
+        }
         table.set_phase(self.id, Phase::Serving, now);
         Ok(())
     }
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -10,7 +10,7 @@
 };
 use crate::settings::clients::ClientLimits;
 
-const SHARE: Share = Share { connections: 100 };
+const SHARE: Share = Share { connections: 100, requests: 2 };
 
 fn connections(connections: usize, held_bytes: usize) -> Connections {
     Connections::new(ConnectionLimits { connections, held_bytes, ..ConnectionLimits::default() })
@@ -44,7 +44,7 @@
     serving.iter().for_each(|connection| connection.begin(start).unwrap());
     let later = start + Duration::from_secs(60);
     assert!(open(&connections, listener, later).is_none());
-    assert_eq!(connections.close_late(later + Duration::from_secs(3_600)), (0, 0));
+    assert_eq!(connections.close_late(later + Duration::from_secs(3_600)).late, 0);
     assert!(!serving.iter().any(is_closed));
 }
 
@@ -52,7 +52,7 @@
 fn a_listener_with_a_share_of_its_own_makes_room_among_its_own_connections() {
     let connections = connections(100, 100 * CONNECTION_BYTES);
     let callers = connections.add_listener(SHARE);
-    let probes = connections.add_listener(Share { connections: 1 });
+    let probes = connections.add_listener(Share { connections: 1, requests: 1 });
     let start = Instant::now();
     let caller = open(&connections, callers, start).unwrap();
     let later = start + Duration::from_secs(1);
@@ -92,6 +92,21 @@
     assert!(!is_closed(&connection));
 }
 
+#[test]
+fn requests_beyond_the_limit_are_refused_until_others_have_ended() {
+    let connections = connections(100, 100 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let now = Instant::now();
+    let [one, two, three] = [(); 3].map(|()| open(&connections, listener, now).unwrap());
+    one.begin(now).unwrap();
+    two.begin(now).unwrap();
+    assert_eq!(three.begin(now), Err(Overload::Requests));
+    one.note_answered(now);
+    assert_eq!(three.begin(now), Ok(()));
+    drop(three);
+    assert_eq!(one.begin(now), Ok(()));
+}
+
 #[test]
 fn connections_whose_clients_are_late_are_closed() {
     let connections = connections(100, 100 * CONNECTION_BYTES);
@@ -103,8 +118,8 @@
     // A byte now and then does not prolong the time of a request.
     let later = start + request_time + Duration::from_millis(1);
     receiving.note_received(later);
-    assert_eq!(connections.close_late(later), (1, 0));
+    assert_eq!(connections.close_late(later).late, 1);
     assert_eq!([&idle, &receiving].map(is_closed), [false, true]);
-    assert_eq!(connections.close_late(start + idle_time + Duration::from_millis(1)), (1, 0));
+    assert_eq!(connections.close_late(start + idle_time + Duration::from_millis(1)).late, 1);
     assert!(is_closed(&idle));
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -119,7 +119,7 @@
     tokio::spawn(sync::verify(node.clone()));
     tokio::spawn(hosts::poll(node.clone()));
     tokio::spawn(peers::dial(node.clone()));
-    let share = Share { connections: MAX_PEER_LINKS };
+    let share = Share::of_connections(MAX_PEER_LINKS);
     let peers_listener = BoundedListener::new(sockets.peers, &connections, share);
     tokio::spawn(peers::accept(node.clone(), peers_listener));
     tokio::spawn(assign::command(node.clone()));
@@ -156,7 +156,7 @@
         let entry = entry.clone();
         async move { Ok::<_, poem::Error>(entry.answer(request).await) }
     });
-    let share = Share { connections: limits.connections };
+    let share = Share::of_connections(limits.connections);
     http::serve_within(listener, connections, share, endpoint, stop).await;
 }
 
@@ -165,7 +165,7 @@
         let node = node.clone();
         async move { Ok::<_, poem::Error>(api::answer(node, request).await) }
     });
-    let share = Share { connections: MAX_OPERATOR_CONNECTIONS };
+    let share = Share::of_connections(MAX_OPERATOR_CONNECTIONS);
     http::serve_within(listener, connections, share, endpoint, http::Stop::default()).await;
 }
 
--- a/src/scheduler/relay.rs
+++ b/src/scheduler/relay.rs
@@ -43,6 +43,9 @@
 /// How long a connection to another node may take to open: some may be cut off like this one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Maximum number of idle connections to another node.
+const MAX_IDLE_CONNECTIONS: usize = 8;
+
 /// How long another node may take to answer. It writes once, in some 10 ms, or 250 ms if the store
 /// is slow.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -126,7 +129,11 @@
 impl Relay {
     pub(crate) fn new() -> Relay {
         let connections = ConnectionsByAddress::new(|| {
-            Client::builder().no_proxy().tcp_nodelay(true).connect_timeout(CONNECT_TIMEOUT)
+            Client::builder()
+                .no_proxy()
+                .tcp_nodelay(true)
+                .connect_timeout(CONNECT_TIMEOUT)
+                .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
         });
         Relay {
             connections,
--- a/src/scheduler/run.rs
+++ b/src/scheduler/run.rs
@@ -47,6 +47,10 @@
 /// files, and for connections that the node opens.
 const CONNECTION_DESCRIPTORS_PERCENT: usize = 50;
 
+/// Maximum number of requests in progress that came from callers, and from other nodes, in percent of
+/// the descriptors: each may open a connection to the store and one to another node.
+const REQUEST_DESCRIPTORS_PERCENT: usize = 10;
+
 /// Maximum number of connections for the readiness probe.
 const MAX_PROBE_CONNECTIONS: usize = 64;
 
@@ -107,8 +111,9 @@
         http::listen(&settings.listen.readiness.to_string()).await.map_err(failed)?;
     let grace = settings.grace;
     let limits = connection_limits(&settings.limits);
-    let (connections, share) =
-        (Connections::new(limits), Share { connections: limits.connections });
+    let connections = Connections::new(limits);
+    let requests = settings.limits.descriptors * REQUEST_DESCRIPTORS_PERCENT / 100;
+    let share = Share { connections: limits.connections, requests };
     let (metrics_listener, _) =
         http::listen(&settings.listen.metrics.to_string()).await.map_err(failed)?;
     let peers = match settings.listen.peers {
@@ -150,11 +155,11 @@
         servers.push(tokio::spawn(peers_server));
     }
     let probe = Readiness { node: node.clone(), lease };
-    let (share, stop_never) = (Share { connections: MAX_PROBE_CONNECTIONS }, http::Stop::default());
+    let (share, stop_never) = (Share::of_connections(MAX_PROBE_CONNECTIONS), http::Stop::default());
     tokio::spawn(http::serve_within(readiness, connections.clone(), share, probe, stop_never));
     let pages = Pages { node: node.clone(), metrics: Page(metrics) };
     let (share, stop_never) =
-        (Share { connections: MAX_METRICS_CONNECTIONS }, http::Stop::default());
+        (Share::of_connections(MAX_METRICS_CONNECTIONS), http::Stop::default());
     let metrics_server =
         http::serve_within(metrics_listener, connections.clone(), share, pages, stop_never);
     tokio::spawn(metrics_server);
