Links between nodes hold messages of megabytes that never end

What was seen: whoever reaches the address for other nodes can open a WebSocket link, announce a message of up to 8 MB (64 MB at `serve`) and send all but its end. 400 links with 1 MB each brought a node to 470 MB. Nothing bounded the links together.

Cause: the connections of links counted as places only; what had arrived of a message did not count. Once that was reserved, the process still went to 266 MB: connections that had to make room were no longer counted while their tasks still held what they had read, and a link's sending task outlived its reading one.

Change: the bytes of a link's message are taken from the budget of all connections until it has been handled, and a link waits for its client like any other connection. What is being closed counts until it is gone: beyond a quarter of the budget nothing more is taken in. Both directions of an order link run in one task, so that nothing of it remains once it has ended. A link's read buffer has 16 KB in place of 128.

--- a/src/http.rs
+++ b/src/http.rs
@@ -109,8 +109,11 @@
         }
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if before < buf.filled().len() {
-            self.connection.note_received(Instant::now());
+        let received = buf.filled().len() - before;
+        if received != 0
+            && let Err(overload) = self.connection.note_received(received, Instant::now())
+        {
+            return Poll::Ready(Err(io::Error::other(overload)));
         }
         polled
     }
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -24,6 +24,10 @@
 /// The part of the budget that is made free at once when it is used up.
 const FREED_PART: usize = 16;
 
+/// The part of the budget that connections may still hold that are being closed. Beyond it, nothing
+/// more is taken in until some of them are gone.
+const CLOSING_PART: usize = 4;
+
 /// Limits on the connections of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ConnectionLimits {
@@ -129,6 +133,9 @@
     slots: HashMap<u64, Slot>,
     next: u64,
     held_bytes: usize,
+    /// What connections hold that had to make room and are not closed yet.
+    closing: HashMap<u64, usize>,
+    closing_bytes: usize,
     listeners: Vec<Usage>,
     closed: Closed,
 }
@@ -145,10 +152,20 @@
 
     fn close(&mut self, id: u64) {
         if let Some(slot) = self.remove(id) {
+            self.closing.insert(id, slot.held_bytes);
+            self.closing_bytes += slot.held_bytes;
             slot.close.cancel();
         }
     }
 
+    /// Records that a connection is gone.
+    fn note_gone(&mut self, id: u64) {
+        match self.closing.remove(&id) {
+            Some(bytes) => self.closing_bytes -= bytes,
+            None => drop(self.remove(id)),
+        }
+    }
+
     fn set_phase(&mut self, id: u64, phase: Phase, now: Instant) {
         let Some(slot) = self.slots.get_mut(&id) else { return };
         let usage = &mut self.listeners[slot.listener.0];
@@ -228,7 +245,8 @@
         self.free(&mut table, CONNECTION_BYTES, now);
         let has_room = count(&table) < max
             && table.slots.len() < limits.connections
-            && table.held_bytes + CONNECTION_BYTES <= limits.held_bytes;
+            && table.closing.len() <= limits.connections.div_ceil(CLOSING_PART)
+            && self.has_memory(&table, CONNECTION_BYTES);
         if !has_room {
             table.closed.refused += 1;
             return None;
@@ -241,7 +259,8 @@
         let slot = Slot { listener, phase, since: now, held_bytes, close: close.clone() };
         table.slots.insert(id, slot);
         drop(table);
-        Some(Connection { connections: self.clone(), id, close, is_idle: AtomicBool::new(true) })
+        let (is_idle, is_link) = (AtomicBool::new(true), AtomicBool::new(false));
+        Some(Connection { connections: self.clone(), id, close, is_idle, is_link })
     }
 
     /// Closes the connections whose clients are late. Returns what was turned away since the last
@@ -273,6 +292,11 @@
         }
     }
 
+    fn has_memory(&self, table: &Table, bytes: usize) -> bool {
+        let max = self.limits.held_bytes;
+        table.held_bytes + bytes <= max && table.closing_bytes <= max / CLOSING_PART
+    }
+
     fn table(&self) -> MutexGuard<'_, Table> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -285,6 +309,8 @@
     close: CancellationToken,
     /// Whether no byte of the next request has arrived.
     is_idle: AtomicBool,
+    /// Whether the connection carries messages of another node in place of requests.
+    is_link: AtomicBool,
 }
 
 impl Connection {
@@ -293,11 +319,15 @@
         &self.close
     }
 
-    /// Records that bytes have arrived.
-    pub(crate) fn note_received(&self, now: Instant) {
+    /// Records that bytes have arrived. Those of a message are reserved until it has been handled.
+    pub(crate) fn note_received(&self, bytes: usize, now: Instant) -> Result<(), Overload> {
         if self.is_idle.swap(false, Ordering::AcqRel) {
             self.connections.table().set_phase(self.id, Phase::Receiving, now);
         }
+        match self.is_link.load(Ordering::Acquire) {
+            true => self.reserve(bytes, now),
+            false => Ok(()),
+        }
     }
 
     /// Reserves memory for a part of a request, until the request has ended.
@@ -305,7 +335,7 @@
         let connections = &self.connections;
         let mut table = connections.table();
         connections.free(&mut table, bytes, now);
-        let has_room = table.held_bytes + bytes <= connections.limits.held_bytes;
+        let has_room = connections.has_memory(&table, bytes);
         let slot = table.slots.get_mut(&self.id).ok_or(Overload::Closed)?;
         if !has_room {
             table.closed.refused += 1;
@@ -349,10 +379,15 @@
             table.held_bytes -= freed;
         }
     }
+
+    /// Records that the connection carries messages of another node from now on.
+    pub(crate) fn become_link(&self) {
+        self.is_link.store(true, Ordering::Release);
+    }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.connections.table().remove(self.id);
+        self.connections.table().note_gone(self.id);
     }
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -31,6 +31,8 @@
 /// heartbeats then show which records it lacks, and it is sent those.
 const LINK_QUEUE_LEN: usize = 64;
 const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// Size of the buffer from which messages are read, in bytes.
+const LINK_BUFFER_BYTES: usize = 16 * 1024;
 /// Timeout for opening a link.
 const DIAL_TIMEOUT: Duration = Duration::from_secs(2);
 /// A link is closed after this time without traffic.
@@ -320,6 +322,7 @@
 
 fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(LINK_BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
@@ -340,6 +343,7 @@
 
 async fn receive(node: &Node, stream: CountedStream) -> eyre::Result<()> {
     let connection = stream.connection().clone();
+    connection.become_link();
     let accepted = accept_async_with_config(stream, Some(config()));
     let mut link = tokio::time::timeout(DIAL_TIMEOUT, accepted).await??;
     connection.finish(Instant::now());
--- a/src/scheduler/dispatch/serve.rs
+++ b/src/scheduler/dispatch/serve.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{SinkExt, Stream, StreamExt, future::pending};
 use poem::{
     Request, Response,
     http::{StatusCode, header},
@@ -16,7 +16,7 @@
 use tokio_tungstenite::{
     WebSocketStream,
     tungstenite::{
-        Message,
+        self, Message,
         handshake::derive_accept_key,
         protocol::{Role, WebSocketConfig},
     },
@@ -30,7 +30,9 @@
     wire::{self, Answer, Answers, Batch, WorkerTable},
 };
 use crate::{
-    http, jobs::reach::PathEnd, platform::worker_client::WorkerClient,
+    http::{self, connections::Connection},
+    jobs::reach::PathEnd,
+    platform::worker_client::WorkerClient,
     scheduler::clock::process_cpu,
 };
 
@@ -45,6 +47,9 @@
 /// How long a message may take to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Size of the buffer from which messages are read, in bytes.
+const LINK_BUFFER_BYTES: usize = 16 * 1024;
+
 /// The result of an order that is to be sent back.
 struct Finished {
     number: u32,
@@ -57,6 +62,7 @@
 /// The WebSocket configuration of both sides.
 pub(super) fn config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(LINK_BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
@@ -68,13 +74,17 @@
     let (Some(key), Ok(upgrade)) = (key, request.take_upgrade()) else {
         return http::text(StatusCode::BAD_REQUEST, "a WebSocket upgrade is required for orders\n");
     };
+    let connection = http::connection_of(request);
     tokio::spawn(async move {
         match upgrade.await {
             Ok(stream) => {
                 log::info!("orders: link opened by another node");
+                if let Some(connection) = &connection {
+                    connection.become_link();
+                }
                 let config = Some(config());
                 let link = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
-                if let Err(error) = serve(link, worker_client).await {
+                if let Err(error) = serve(link, connection.as_deref(), worker_client).await {
                     log::info!("orders: link failed: {error}");
                 }
             }
@@ -89,13 +99,33 @@
         .finish()
 }
 
-async fn serve<S>(link: WebSocketStream<S>, worker_client: WorkerClient) -> eyre::Result<()>
+async fn serve<S>(
+    link: WebSocketStream<S>,
+    connection: Option<&Connection>,
+    worker_client: WorkerClient,
+) -> eyre::Result<()>
 where
     S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
-    let (sink, mut stream) = link.split();
+    let (sink, stream) = link.split();
     let (done, answers) = mpsc::unbounded_channel();
-    let sender = tokio::spawn(send_answers(sink, answers));
+    // In one task, so that nothing of the link remains once it has ended.
+    tokio::select! {
+        result = receive_orders(stream, done, connection, worker_client) => result,
+        () = async { send_answers(sink, answers).await; pending().await } => Ok(()),
+    }
+}
+
+/// Carries out the orders of a link until it ends or falls silent.
+async fn receive_orders<S>(
+    mut stream: S,
+    done: mpsc::UnboundedSender<Finished>,
+    connection: Option<&Connection>,
+    worker_client: WorkerClient,
+) -> eyre::Result<()>
+where
+    S: Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
+{
     let mut table = WorkerTable::default();
     while let Ok(Some(message)) = timeout(RECEIVE_TIMEOUT, stream.next()).await {
         let Message::Binary(bytes) = message? else {
@@ -103,6 +133,9 @@
         };
         let received = Instant::now();
         let batch: Batch = ciborium::from_reader(&bytes[..])?;
+        if let Some(connection) = connection {
+            connection.finish(received.into());
+        }
         for order in wire::orders(&mut table, batch) {
             let (worker_client, done) = (worker_client.clone(), done.clone());
             tokio::spawn(async move {
@@ -117,7 +150,6 @@
             });
         }
     }
-    sender.abort();
     Ok(())
 }
 
