Parsing a body of many steps takes far more memory than the body

What callers saw: a whole body of legal size can hold 80,000 empty steps. Read, each takes 100 times its three bytes: 400 such bodies at once brought a node to 153 and 199 MB. They are no jobs; one that is takes copies of its body on its way to the store as well. Only the body itself was bounded.

Cause: what is made of a request was not reserved, and as many were parsed at once as there are threads and callers.

Change: before a body is parsed, the most that its job can take until it is written is reserved: the steps by the number of objects in the body, and six copies of the body. Without room the request is refused with 503 and `Retry-After`, and is not taken. A job of six steps and 2 KB reserves some 16 KB for the milliseconds of its write.

--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -14,6 +14,10 @@
 /// Maximum size of a payload, in bytes.
 const MAX_PAYLOAD_BYTES: usize = 4_000;
 
+/// Copies of a job's body, at most, until it is written: its texts, its record, and the record in a
+/// call of the store, in base64 and as JSON.
+const BODY_COPIES: usize = 6;
+
 /// The header with the key of the caller's account.
 const KEY_HEADER: &str = "Key";
 
@@ -100,6 +104,15 @@
     }
 }
 
+/// Memory that a submitted job takes at most until it is written: its steps as they are read and as
+/// they are kept, and the copies of its body in the calls of the store.
+pub(crate) fn job_bytes(body: &[u8]) -> usize {
+    let objects = body.iter().filter(|byte| **byte == b'{').count();
+    // A list that grows has up to twice the capacity that it needs.
+    let step_bytes = 2 * size_of::<WireStep>() + size_of::<Step>();
+    BODY_COPIES * body.len() + objects * step_bytes
+}
+
 /// Parses a job that was submitted to a queue by an account.
 pub(crate) fn job(
     body: &[u8],
--- a/src/scheduler/api.rs
+++ b/src/scheduler/api.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    http::{self, BodyError, RETRY_AFTER_S},
+    http::{self, BodyError, RETRY_AFTER_S, connections::Connection},
     model::{
         account::KeyDigest,
         job::{JobId, JobState},
@@ -103,6 +103,8 @@
     /// The proof of the relaying node; `None` if the request comes from a caller.
     proof: Option<Proof>,
     deadline: Instant,
+    /// `None` if the request came on no connection.
+    connection: Option<Arc<Connection>>,
 }
 
 impl Endpoint for Api {
@@ -215,7 +217,8 @@
                         log::info!("queue {queue}: refused: the configuration is too old for keys");
                         return refuse(unavailable("the key cannot be checked now"));
                     }
-                    return Ok(Admitted { config, caller, key, proof, deadline });
+                    let connection = http::connection_of(request);
+                    return Ok(Admitted { config, caller, key, proof, deadline, connection });
                 }
                 _ => {}
             }
@@ -468,6 +471,12 @@
             Some(false) => return other_account(),
             None => {}
         }
+        if let Some(connection) = &admitted.connection
+            && let Err(overload) = connection.reserve(caller::job_bytes(&body), Instant::now())
+        {
+            log::info!("job {id}: refused: {overload}");
+            return http::refuse(&overload);
+        }
         let now = self.node.now();
         let account = admitted.caller.account.clone();
         let record = match caller::job(&body, queue, account, now.wall) {
