Connections make room for a request that has none in any case

Found by reading the fixes once more: if requests in progress hold so much that a reservation fails however much the others give back, all connections that wait for their clients were closed first, and the request was refused nevertheless.

Change: nobody makes room unless what is freed is enough. The numbers of what was turned away have a name that is not taken by an error.

Test: nobody_makes_room_for_a_request_that_has_none_in_any_case; it fails if the new condition is left out, since the requesting connection and an idle one are closed.

--- a/src/http.rs
+++ b/src/http.rs
@@ -40,7 +40,9 @@
     task::TaskTracker,
 };
 
-use connections::{Closed, Connection, ConnectionLimits, Connections, ListenerId, Overload, Share};
+use connections::{
+    Connection, ConnectionLimits, Connections, ListenerId, Overload, Share, TurnedAway,
+};
 
 /// How long a server that shuts down waits for requests in flight.
 pub(crate) const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(60);
@@ -351,7 +353,7 @@
     let mut ticks = interval(LATE_CHECK_INTERVAL);
     loop {
         ticks.tick().await;
-        let Closed { late, evicted, refused } = connections.close_late(Instant::now());
+        let TurnedAway { late, evicted, refused } = connections.close_late(Instant::now());
         if late != 0 {
             log::info!("connections: {late} closed: no whole request in time");
         }
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -119,7 +119,7 @@
 
 /// Numbers of connections and requests that were turned away.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(crate) struct Closed {
+pub(crate) struct TurnedAway {
     /// Connections whose clients were late.
     pub(crate) late: u64,
     /// Connections that had to make room for others.
@@ -137,7 +137,7 @@
     closing: HashMap<u64, usize>,
     closing_bytes: usize,
     listeners: Vec<Usage>,
-    closed: Closed,
+    turned_away: TurnedAway,
 }
 
 impl Table {
@@ -175,6 +175,12 @@
         slot.since = now;
     }
 
+    /// What connections hold whose requests are in progress.
+    fn serving_bytes(&self) -> usize {
+        let serving = self.slots.values().filter(|slot| slot.phase == Phase::Serving);
+        serving.map(|slot| slot.held_bytes).sum()
+    }
+
     /// Closes the most expensive connections among those that wait for their clients, until
     /// `is_enough`.
     fn evict(
@@ -194,7 +200,7 @@
             && let Some((_, id)) = candidates.pop()
         {
             self.close(id);
-            self.closed.evicted += 1;
+            self.turned_away.evicted += 1;
         }
     }
 }
@@ -248,7 +254,7 @@
             && table.closing.len() <= limits.connections.div_ceil(CLOSING_PART)
             && self.has_memory(&table, CONNECTION_BYTES);
         if !has_room {
-            table.closed.refused += 1;
+            table.turned_away.refused += 1;
             return None;
         }
         let id = table.next;
@@ -265,7 +271,7 @@
 
     /// Closes the connections whose clients are late. Returns what was turned away since the last
     /// call.
-    pub(crate) fn close_late(&self, now: Instant) -> Closed {
+    pub(crate) fn close_late(&self, now: Instant) -> TurnedAway {
         let mut table = self.table();
         let ClientLimits { request_time, idle_time, .. } = self.limits.clients;
         let is_late = |slot: &Slot| {
@@ -279,14 +285,14 @@
         let late: Vec<u64> =
             table.slots.iter().filter(|(_, slot)| is_late(slot)).map(|(id, _)| *id).collect();
         late.iter().for_each(|id| table.close(*id));
-        table.closed.late += late.len() as u64;
-        std::mem::take(&mut table.closed)
+        table.turned_away.late += late.len() as u64;
+        std::mem::take(&mut table.turned_away)
     }
 
-    /// Makes memory free for `bytes` more.
+    /// Makes memory free for `bytes` more, if connections that wait for their clients hold enough.
     fn free(&self, table: &mut Table, bytes: usize, now: Instant) {
         let max = self.limits.held_bytes;
-        if max < table.held_bytes + bytes {
+        if max < table.held_bytes + bytes && table.serving_bytes() + bytes <= max {
             let enough = max.saturating_sub(bytes + max / FREED_PART);
             table.evict(None, now, |table| table.held_bytes <= enough);
         }
@@ -314,7 +320,7 @@
 }
 
 impl Connection {
-    /// Completes when the connection has to be closed.
+    /// Is cancelled when the connection has to be closed.
     pub(crate) fn close_token(&self) -> &CancellationToken {
         &self.close
     }
@@ -338,7 +344,7 @@
         let has_room = connections.has_memory(&table, bytes);
         let slot = table.slots.get_mut(&self.id).ok_or(Overload::Closed)?;
         if !has_room {
-            table.closed.refused += 1;
+            table.turned_away.refused += 1;
             return Err(Overload::Memory);
         }
         slot.held_bytes += bytes;
@@ -356,7 +362,7 @@
         }
         let usage = &table.listeners[slot.listener.0];
         if usage.share.requests <= usage.requests {
-            table.closed.refused += 1;
+            table.turned_away.refused += 1;
             return Err(Overload::Requests);
         }
         table.set_phase(self.id, Phase::Serving, now);
--- a/src/http/tests.rs
+++ b/src/http/tests.rs
@@ -158,3 +158,15 @@
     drop(large);
     assert_eq!(small.reserve(CONNECTION_BYTES, later), Ok(()));
 }
+
+#[test]
+fn nobody_makes_room_for_a_request_that_has_none_in_any_case() {
+    let connections = connections(100, 10 * CONNECTION_BYTES);
+    let listener = connections.add_listener(SHARE);
+    let now = Instant::now();
+    let [serving, idle, receiving] = [(); 3].map(|()| open(&connections, listener, now).unwrap());
+    serving.reserve(5 * CONNECTION_BYTES, now).unwrap();
+    serving.begin(now).unwrap();
+    assert_eq!(receiving.reserve(5 * CONNECTION_BYTES, now), Err(Overload::Memory));
+    assert!(!is_closed(&idle) && !is_closed(&receiving));
+}
